--- /dev/null
+++ b/src/camphorvalve/cli/__init__.py
@@ -0,0 +1,3 @@
+"""The command line."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/camphorvalve/controllers/runtime.py
@@ -0,0 +1,113 @@
+"""Drives the state controllers of one process: messages in, ticks, messages out."""
+
+from __future__ import annotations
+
+import time
+from typing import TYPE_CHECKING, Any, NamedTuple, Protocol
+
+import anyio
+import structlog
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable, Iterator, Sequence
+
+    from camphorvalve.wire.link import Link
+
+_log = structlog.get_logger(__name__)
+
+
+class Sender(NamedTuple):
+    """Which process sent a message."""
+
+    host_id: str
+    incarnation: int
+
+
+class Outgoing(NamedTuple):
+    """A message that a state controller wants to be sent."""
+
+    peer_id: str
+    message: Any
+
+
+class StateController(Protocol):
+    """Owns one part of the state; takes the time as an argument and does no input or output."""
+
+    name: str
+    tick_s: float
+    accepts: tuple[type, ...]
+
+    def handle(self, sender: Sender, message: Any, now_s: float) -> Iterator[Outgoing]:
+        """
+        Take one message.
+
+        :param sender: the sending process
+        :param message: value of one of the types in ``accepts``
+        :param now_s: monotonic time
+        :return: messages to send
+        """
+
+    def tick(self, now_s: float) -> Iterator[Outgoing]:
+        """
+        Do what is due.
+
+        :param now_s: monotonic time
+        :return: messages to send
+        """
+
+
+class Runtime:
+    """Receives from the link, calls the state controllers, sends what they yield."""
+
+    def __init__(self, link: Link, controllers: Sequence[StateController]) -> None:
+        """
+        Prepare the runtime.
+
+        :param link: the process's link
+        :param controllers: state controllers; each message type has one receiver
+        """
+        self.link = link
+        self._controllers = controllers
+        self._by_type = {kind: owner for owner in controllers for kind in owner.accepts}
+
+    async def run(self) -> None:
+        """Run until cancelled."""
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._receive)
+            for controller in self._controllers:
+                tasks.start_soon(self._tick, controller)
+
+    def send(self, outgoing: Iterable[Outgoing]) -> None:
+        """
+        Send messages; one to this process itself is delivered at once.
+
+        :param outgoing: messages with their receivers
+        """
+        pending = list(outgoing)
+        while pending:
+            peer_id, message = pending.pop(0)
+            if peer_id == self.link.host_id:
+                sender = Sender(self.link.host_id, self.link.incarnation)
+                pending.extend(self._deliver(sender, message))
+            else:
+                self.link.send(peer_id, message)
+
+    def _deliver(self, sender: Sender, message: Any) -> Iterator[Outgoing]:
+        controller = self._by_type.get(type(message))
+        if controller is None:
+            _log.warning("message without receiver", message_type=type(message).__name__)
+            return
+        yield from controller.handle(sender, message, time.monotonic())
+
+    async def _receive(self) -> None:
+        async for envelope in self.link.receive():
+            sender = Sender(envelope.sender_id, envelope.incarnation)
+            self.send(self._deliver(sender, envelope.message))
+
+    async def _tick(self, controller: StateController) -> None:
+        while True:
+            self.send(controller.tick(time.monotonic()))
+            await anyio.sleep(controller.tick_s)
+
+
+__all__ = ["Outgoing", "Runtime", "Sender", "StateController"]
--- /dev/null
+++ b/src/camphorvalve/http/__init__.py
@@ -0,0 +1,3 @@
+"""HTTP front ends towards callers and operators."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/camphorvalve/model/requests.py
@@ -0,0 +1,73 @@
+"""A caller's request and what the filters learn about it."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING, NamedTuple
+
+if TYPE_CHECKING:
+    from camphorvalve.model.teams import KindParameters, TeamParameters
+
+
+@dataclass(frozen=True, slots=True)
+class Completion:
+    """A call of a model engine; ``streamed`` asks for server-sent events."""
+
+    streamed: bool
+
+
+@dataclass(frozen=True, slots=True)
+class ServiceCall:
+    """A call of a plain service, passed on as it came."""
+
+    method: str
+    path: str
+
+
+Call = Completion | ServiceCall
+
+
+class Request(NamedTuple):
+    """A decoded request."""
+
+    request_id: str
+    call: Call
+    pool: str | None
+    """Pool named by the path of a service call; a completion takes the pool of its kind."""
+    body: bytes
+    content_type: str
+    token: str
+    team: str | None
+    kind: str | None
+    idempotency_key: str | None
+    deferred: bool
+    cost_hint_units: float | None
+
+
+@dataclass(slots=True)
+class Exchange:
+    """One request on its way through the chain; filters fill in what they learn."""
+
+    request: Request
+    received_s: float
+    team: TeamParameters | None = None
+    kind: str = ""
+    parameters: KindParameters | None = None
+    attempt: int = 0
+    upstream_id: str | None = None
+    served_units: float = 0.0
+    sent_upstream: bool = False
+    """Whether a byte of the request may have reached an upstream."""
+    notes: list[tuple[float, str]] = field(default_factory=list)
+
+    def note(self, now_s: float, text: str) -> None:
+        """
+        Record a decision for the trace of this request.
+
+        :param now_s: current time
+        :param text: what was decided and why
+        """
+        self.notes.append((now_s, text))
+
+
+__all__ = ["Call", "Completion", "Exchange", "Request", "ServiceCall"]
--- /dev/null
+++ b/src/camphorvalve/model/upstreams.py
@@ -0,0 +1,60 @@
+"""Upstreams: model engines and plain services, and how each kind is spoken to."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, NamedTuple
+
+if TYPE_CHECKING:
+    from camphorvalve.model.hosts import HostState
+
+
+@dataclass(frozen=True, slots=True)
+class ChecksFencing:
+    """The engine refuses an order that carries an old fencing number."""
+
+
+@dataclass(frozen=True, slots=True)
+class IgnoresFencing:
+    """The engine accepts every order, so that only the lease keeps old leaders out."""
+
+
+FencingBehaviour = ChecksFencing | IgnoresFencing
+
+
+@dataclass(frozen=True, slots=True)
+class ModelEngine:
+    """An engine that streams tokens and takes orders."""
+
+    fencing: FencingBehaviour
+
+
+@dataclass(frozen=True, slots=True)
+class PlainService:
+    """A service that answers one HTTP call at a time per slot."""
+
+
+UpstreamInterface = ModelEngine | PlainService
+
+
+class Upstream(NamedTuple):
+    """One upstream of a pool."""
+
+    upstream_id: str
+    pool: str
+    data_centre: str
+    url: str
+    slots_count: int
+    interface: UpstreamInterface
+    state: HostState
+
+
+__all__ = [
+    "ChecksFencing",
+    "FencingBehaviour",
+    "IgnoresFencing",
+    "ModelEngine",
+    "PlainService",
+    "Upstream",
+    "UpstreamInterface",
+]
--- /dev/null
+++ b/src/camphorvalve/reports/__init__.py
@@ -0,0 +1,3 @@
+"""What the fleet tells its operators: traces, burn, metrics and logs."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/camphorvalve/sharing/__init__.py
@@ -0,0 +1,3 @@
+"""Decisions on sharing capacity; no input or output."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/camphorvalve/wire/messages.py
@@ -0,0 +1,197 @@
+"""Messages between the processes of the fleet."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+
+class Ping(NamedTuple):
+    """Probe of a router by another."""
+
+    sequence: int
+    leaving: bool
+    suspected: tuple[str, ...]
+    """Upstreams that the sender cannot connect to."""
+
+
+class Pong(NamedTuple):
+    """Answer to a ``Ping``."""
+
+    sequence: int
+    leaving: bool
+    suspected: tuple[str, ...]
+
+
+class Demand(NamedTuple):
+    """What waits for one team at one entry router; replaces what was announced before."""
+
+    pool: str
+    team: str
+    share: float
+    waiting_count: int
+    urgent_count: int
+    oldest_age_s: float
+    estimate_units: float
+
+
+class Grant(NamedTuple):
+    """Right to start one request of a team on one slot of an upstream."""
+
+    grant_id: int
+    pool: str
+    upstream_id: str
+    team: str
+    lifetime_s: float
+
+
+class GrantReturn(NamedTuple):
+    """The entry router has no use for a grant, or could not connect to the upstream."""
+
+    grant_id: int
+    pool: str
+    upstream_id: str
+    team: str
+    connect_failed: bool
+
+
+class GrantProgress(NamedTuple):
+    """Service that one granted request received so far."""
+
+    grant_id: int
+    upstream_id: str
+    pool: str
+    team: str
+    units: float
+    done: bool
+
+
+class Progress(NamedTuple):
+    """Service of all granted requests of one entry router at one scheduler."""
+
+    grants: tuple[GrantProgress, ...]
+
+
+class FreeSlots(NamedTuple):
+    """A scheduler has free slots and nothing is announced to it."""
+
+    pool: str
+    slots_count: int
+
+
+class ServiceEntry(NamedTuple):
+    """Service that one scheduler gave to one team, cumulative for its incarnation."""
+
+    pool: str
+    team: str
+    served_units: float
+    lift_units: float
+    known_total_units: float
+    waiting: bool
+
+
+class ServiceReport(NamedTuple):
+    """Changed counters of one scheduler, for one aggregator."""
+
+    entries: tuple[ServiceEntry, ...]
+
+
+class TotalEntry(NamedTuple):
+    """Service that the whole fleet gave to one team."""
+
+    pool: str
+    team: str
+    total_units: float
+    lift_units: float
+    schedulers_count: int
+    """Schedulers at which the team waits."""
+
+
+class ServiceTotal(NamedTuple):
+    """Totals of one aggregator, for a scheduler that reported."""
+
+    entries: tuple[TotalEntry, ...]
+
+
+class ConfigPoll(NamedTuple):
+    """A router asks a controller for newer configuration and says how it is."""
+
+    revision: int
+    term: int
+    leaving: bool
+    waiting_count: int
+    running_count: int
+    url: str
+
+
+class ConfigUpdate(NamedTuple):
+    """Committed changes after ``from_revision``, or a whole snapshot when that is zero."""
+
+    from_revision: int
+    to_revision: int
+    term: int
+    payload: bytes
+    """Encoded changes, or the encoded snapshot."""
+
+
+class Submit(NamedTuple):
+    """A command for the replicated state machine."""
+
+    submit_id: str
+    command: bytes
+
+
+class SubmitReply(NamedTuple):
+    """Outcome of a command once it is committed and applied."""
+
+    submit_id: str
+    accepted: bool
+    """False when the receiver is not the leader; nothing was appended then."""
+    leader_id: str | None
+    outcome: bytes
+
+
+class Assignment(NamedTuple):
+    """The leader hands accepted work to a router."""
+
+    work_id: str
+    attempt: int
+    payload: bytes
+
+
+MESSAGES: tuple[type, ...] = (
+    Ping,
+    Pong,
+    Demand,
+    Grant,
+    GrantReturn,
+    Progress,
+    FreeSlots,
+    ServiceReport,
+    ServiceTotal,
+    ConfigPoll,
+    ConfigUpdate,
+    Submit,
+    SubmitReply,
+    Assignment,
+)
+
+__all__ = [
+    "MESSAGES",
+    "Assignment",
+    "ConfigPoll",
+    "ConfigUpdate",
+    "Demand",
+    "FreeSlots",
+    "Grant",
+    "GrantProgress",
+    "GrantReturn",
+    "Ping",
+    "Pong",
+    "Progress",
+    "ServiceEntry",
+    "ServiceReport",
+    "ServiceTotal",
+    "Submit",
+    "SubmitReply",
+    "TotalEntry",
+]
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests; the folders mirror the package."""
--- /dev/null
+++ b/tests/registry/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the replicated state machine."""
--- /dev/null
+++ b/tests/wire/test_codec.py
@@ -0,0 +1,31 @@
+"""Guards against frames that are silently misread."""
+
+from __future__ import annotations
+
+import unittest
+
+from camphorvalve.wire.codec import DecodeError, Envelope, EnvelopeCodec
+from camphorvalve.wire.messages import MESSAGES, Grant, Ping
+
+
+class CodecTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.codec = EnvelopeCodec(MESSAGES)
+
+    def test_round_trip_keeps_sender_and_message(self) -> None:
+        envelope = Envelope("router-1", 7, Grant(1, "p", "engine-1", "t", 1.0))
+        self.assertEqual(self.codec.decode(self.codec.encode(envelope)), envelope)
+
+    def test_malformed_frames_name_what_is_wrong(self) -> None:
+        good = self.codec.encode(Envelope("router-1", 7, Ping(1, False, ())))
+        cases = {
+            "truncated": good[:-1],
+            "empty": b"",
+            "not MessagePack": b"\xc1",
+            "unknown type": good.replace(b"Ping", b"Pin2"),
+            "wrong field type": good.replace(b"\x93\x01", b"\x93\xc0"),
+        }
+        for name, frame in cases.items():
+            with self.subTest(name), self.assertRaises(DecodeError) as caught:
+                self.codec.decode(frame)
+            self.assertTrue(str(caught.exception))
--- /dev/null
+++ b/tools/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins of model engines, plain services, the platform and the network."""
