Add the sharing decisions, the router's state controllers and the inner filters

Requests wait at their entry router; schedulers grant slots by extrapolated service; entry routers bind a request to an upstream when a grant arrives.

Not measured yet: nothing ran end to end at this commit.

--- /dev/null
+++ b/src/camphorvalve/controllers/scheduling.py
@@ -0,0 +1,108 @@
+"""The scheduler side of sharing: demand in, grants out."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+from camphorvalve.controllers.runtime import Outgoing
+from camphorvalve.sharing import placement
+from camphorvalve.wire.messages import Demand, FreeSlots, GrantReturn, Progress
+
+if TYPE_CHECKING:
+    import random
+    from collections.abc import Iterator
+
+    from camphorvalve.controllers.membership import MembershipController
+    from camphorvalve.controllers.runtime import Sender
+    from camphorvalve.model.upstreams import Upstream
+    from camphorvalve.sharing.scheduler import Scheduler
+
+FREE_SLOTS_EVERY_S = 0.5
+FREE_SLOTS_PEERS_COUNT = 8
+"""Routers that one ``FreeSlots`` message goes to; more would grow with the fleet."""
+
+
+class SchedulingController:
+    """Owns the slots of the upstreams that this router schedules."""
+
+    name = "scheduling"
+    tick_s = 0.25
+    accepts = (Demand, Progress, GrantReturn)
+
+    def __init__(
+        self, scheduler: Scheduler, membership: MembershipController, rng: random.Random
+    ) -> None:
+        """
+        Start without upstreams.
+
+        :param scheduler: the decisions
+        :param membership: this router's view of the deployment
+        :param rng: picks the receivers of ``FreeSlots``
+        """
+        self._scheduler = scheduler
+        self._membership = membership
+        self._rng = rng
+        self._seen_version = -1
+        self._free_slots_due_s = 0.0
+
+    def handle(self, sender: Sender, message: Any, now_s: float) -> Iterator[Outgoing]:
+        """
+        Take in demand, progress or a returned grant, and grant what is free.
+
+        :param sender: the entry router
+        :param message: ``Demand``, ``Progress`` or ``GrantReturn``
+        :param now_s: current time
+        :return: grants
+        """
+        self._refresh()
+        match message:
+            case Demand():
+                self._scheduler.announce(sender.host_id, message, now_s)
+            case Progress(grants):
+                for report in grants:
+                    self._scheduler.progress(sender.host_id, report, now_s)
+            case GrantReturn(grant_id=grant_id, connect_failed=connect_failed):
+                self._scheduler.give_back(sender.host_id, grant_id, connect_failed, now_s)
+        yield from self._grant(now_s)
+
+    def tick(self, now_s: float) -> Iterator[Outgoing]:
+        """
+        Expire what is old, grant what is free, offer slots for which nothing waits.
+
+        :param now_s: current time
+        :return: grants and offers
+        """
+        self._refresh()
+        for host_id in self._membership.gone_routers():
+            self._scheduler.forget_entry(host_id, now_s)
+        self._scheduler.expire(now_s)
+        yield from self._grant(now_s)
+        if now_s >= self._free_slots_due_s:
+            self._free_slots_due_s = now_s + FREE_SLOTS_EVERY_S
+            yield from self._offer()
+
+    def _refresh(self) -> None:
+        if self._seen_version == self._membership.version:
+            return
+        self._seen_version = self._membership.version
+        routers = self._membership.live_routers()
+        owned: dict[str, Upstream] = {}
+        pool_slots: dict[str, int] = {}
+        for upstream in self._membership.upstreams():
+            pool_slots[upstream.pool] = pool_slots.get(upstream.pool, 0) + upstream.slots_count
+            if placement.scheduler_of(upstream, routers) == self._membership.self_id:
+                owned[upstream.upstream_id] = upstream
+        self._scheduler.set_upstreams(owned, pool_slots)
+
+    def _grant(self, now_s: float) -> Iterator[Outgoing]:
+        for entry_id, grant in self._scheduler.choose(now_s):
+            yield Outgoing(entry_id, grant)
+
+    def _offer(self) -> Iterator[Outgoing]:
+        peers = [host.host_id for host in self._membership.live_routers()]
+        for pool, slots_count in self._scheduler.free_slots().items():
+            for peer_id in self._rng.sample(peers, min(FREE_SLOTS_PEERS_COUNT, len(peers))):
+                yield Outgoing(peer_id, FreeSlots(pool, slots_count))
+
+
+__all__ = ["SchedulingController"]
--- /dev/null
+++ b/src/camphorvalve/controllers/work.py
@@ -0,0 +1,143 @@
+"""Runs accepted work on this router, from its own callers or assigned by the leader."""
+
+from __future__ import annotations
+
+import time
+from contextlib import aclosing
+from typing import TYPE_CHECKING
+
+import msgspec
+import structlog
+
+from camphorvalve.model.errors import RequestError
+from camphorvalve.model.requests import Call, Completion, Exchange, Request, ServiceCall
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from anyio.abc import TaskGroup
+
+    from camphorvalve.controllers.following import ConfigurationFollower
+    from camphorvalve.filters.chain import Handler
+    from camphorvalve.wire.messages import Assignment
+
+_log = structlog.get_logger(__name__)
+
+
+class _StoredCall(msgspec.Struct, array_like=True):
+    """Fields of both kinds of call; ``streamed`` is null for a service call."""
+
+    streamed: bool | None
+    method: str = ""
+    path: str = ""
+
+
+def encode_request(request: Request) -> bytes:
+    """
+    Encode a request for the records.
+
+    :param request: the request
+    :return: MessagePack
+    """
+    match request.call:
+        case Completion(streamed):
+            call = _StoredCall(streamed)
+        case ServiceCall(method, path):
+            call = _StoredCall(None, method, path)
+    return msgspec.msgpack.encode((call, request._replace(call=None)))
+
+
+def decode_request(payload: bytes) -> Request:
+    """
+    Decode a request from the records.
+
+    :param payload: bytes from ``encode_request``
+    :return: the request
+    :raises msgspec.MsgspecError: the bytes are no request
+    """
+    stored, fields = msgspec.msgpack.decode(payload, type=tuple[_StoredCall, list])
+    call: Call
+    if stored.streamed is None:
+        call = ServiceCall(stored.method, stored.path)
+    else:
+        call = Completion(stored.streamed)
+    return Request(*fields)._replace(call=call)
+
+
+class WorkController:
+    """Owns the accepted work that this router runs."""
+
+    def __init__(self, following: ConfigurationFollower) -> None:
+        """
+        Start without work.
+
+        :param following: the configuration in force
+        """
+        self._following = following
+        self._running: dict[str, int] = {}
+        self._spawn: Callable[[str, int, bytes], None] | None = None
+        self._handler: Handler | None = None
+
+    def connect(self, tasks: TaskGroup, handler: Handler) -> None:
+        """
+        Set where work runs.
+
+        :param tasks: task group of the process
+        :param handler: the part of the chain after the acceptance
+        """
+        self._handler = handler
+        self._spawn = lambda *work: tasks.start_soon(self._run, *work)
+
+    def assigned(self, assignment: Assignment) -> None:
+        """
+        Take in work from the leader; one that runs here already is left alone.
+
+        :param assignment: the work
+        """
+        self.start(assignment.work_id, assignment.attempt, assignment.payload)
+
+    def start(self, work_id: str, attempt: int, payload: bytes) -> None:
+        """
+        Run accepted work in the background.
+
+        :param work_id: id of the work
+        :param attempt: attempt that this router may start
+        :param payload: from ``encode_request``
+        """
+        if self._running.get(work_id, 0) >= attempt or self._spawn is None:
+            return
+        self._running[work_id] = attempt
+        self._spawn(work_id, attempt, payload)
+
+    def running_count(self) -> int:
+        """:return: accepted work that waits or runs here"""
+        return len(self._running)
+
+    async def _run(self, work_id: str, attempt: int, payload: bytes) -> None:
+        try:
+            await self._answer(work_id, attempt, payload)
+        except RequestError as error:
+            _log.warning("accepted work failed", work=work_id, code=error.code, run=error.run)
+        finally:
+            if self._running.get(work_id) == attempt:
+                del self._running[work_id]
+
+    async def _answer(self, work_id: str, attempt: int, payload: bytes) -> None:
+        assert self._handler is not None
+        request = decode_request(payload)
+        team = self._following.configuration.parameters(request.team or "")
+        parameters = team.kinds.get(request.kind or "") if team is not None else None
+        if team is None or parameters is None:
+            raise RequestError("unknown_team", f"team {request.team!r} or its kind was removed")
+        exchange = Exchange(request, time.monotonic())
+        exchange.team = team
+        exchange.kind = request.kind or ""
+        exchange.parameters = parameters
+        exchange.record_id = work_id
+        exchange.claim_attempt = attempt
+        async with aclosing(self._handler(exchange)) as parts:
+            async for _ in parts:
+                pass
+
+
+__all__ = ["WorkController", "decode_request", "encode_request"]
--- /dev/null
+++ b/src/camphorvalve/filters/admission.py
@@ -0,0 +1,115 @@
+"""Waits for a grant, and frees the slot when the answer has ended."""
+
+from __future__ import annotations
+
+import time
+from contextlib import aclosing
+from typing import TYPE_CHECKING
+
+import anyio
+
+from camphorvalve.model.errors import RequestError
+from camphorvalve.sharing.backlog import Waiter
+from camphorvalve.sharing.ledger import TeamKey
+from camphorvalve.upstreams.errors import NotSentError
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+    from camphorvalve.controllers.demand import DemandController
+    from camphorvalve.controllers.runtime import Runtime
+    from camphorvalve.filters.chain import Handler
+    from camphorvalve.model.answers import Part
+    from camphorvalve.model.requests import Exchange
+
+WAIT_FACTOR = 10.0
+"""A request waits at most this many times its objective; accepted work waits without bound."""
+WAIT_MIN_S = 60.0
+
+
+class AdmissionFilter:
+    """Binds a request to an upstream as late as possible."""
+
+    def __init__(self, demand: DemandController, runtime: Runtime) -> None:
+        """
+        Prepare the filter.
+
+        :param demand: owns the waiting requests
+        :param runtime: sends messages
+        """
+        self._demand = demand
+        self._runtime = runtime
+
+    async def __call__(self, exchange: Exchange, inner: Handler) -> AsyncIterator[Part]:
+        """
+        Wait for a grant, run the rest of the chain, free the slot.
+
+        :param exchange: the request
+        :param inner: the rest of the chain
+        :return: parts of the answer
+        :raises RequestError: the request was shed, waited too long, or no upstream serves its pool
+        """
+        waiter = await self._wait(exchange)
+        running = self._demand.started(waiter)
+        exchange.upstream_id = running.grant.upstream_id
+        exchange.served_units = 0.0
+        exchange.note(time.monotonic(), f"granted {exchange.upstream_id} by {waiter.scheduler_id}")
+        ending = None
+        try:
+            async with aclosing(inner(exchange)) as parts:
+                async for part in parts:
+                    running.units = exchange.served_units
+                    yield part
+        except NotSentError:
+            ending = self._demand.returned(running.grant, waiter.scheduler_id, True)
+            raise
+        finally:
+            running.units = exchange.served_units
+            self._runtime.send(ending or self._demand.finished(running))
+
+    async def _wait(self, exchange: Exchange) -> Waiter:
+        waiter, event = self._enqueue(exchange)
+        try:
+            await event.wait()
+        except BaseException:
+            self._leave(waiter)
+            raise
+        if waiter.error is not None:
+            raise waiter.error
+        return waiter
+
+    def _leave(self, waiter: Waiter) -> None:
+        if waiter.grant is None:
+            self._demand.withdraw(waiter)
+            return
+        self._runtime.send(self._demand.returned(waiter.grant, waiter.scheduler_id, False))
+
+    def _enqueue(self, exchange: Exchange) -> tuple[Waiter, anyio.Event]:
+        parameters, team = exchange.parameters, exchange.team
+        assert parameters is not None and team is not None  # noqa: PT018 -- set by classify
+        now_s = time.monotonic()
+        if not self._demand.has_upstreams(parameters.pool):
+            raise RequestError(
+                "no_upstream", f"no upstream of pool {parameters.pool!r} is live", retry_after_s=1.0
+            )
+        event = anyio.Event()
+        longest_s = max(WAIT_MIN_S, WAIT_FACTOR * parameters.objective_s)
+        waiter = Waiter(
+            key=TeamKey(parameters.pool, team.name),
+            kind=exchange.kind,
+            urgency=parameters.urgency,
+            size_bytes=len(exchange.request.body),
+            estimate_units=self._demand.estimates.estimate_units(
+                parameters.pool, team.name, exchange.kind, exchange.request.cost_hint_units
+            ),
+            arrived_s=exchange.received_s,
+            deadline_s=float("inf") if exchange.request.deferred else now_s + longest_s,
+            wake=event.set,
+            excluded_upstreams=frozenset(exchange.failed_upstreams),
+        )
+        exchange.note(now_s, f"waits in {parameters.pool}, {parameters.urgency.name.lower()}")
+        self._runtime.send(self._demand.enqueue(waiter, now_s))
+        return waiter, event
+
+
+__all__ = ["AdmissionFilter"]
--- /dev/null
+++ b/src/camphorvalve/filters/defer.py
@@ -0,0 +1,117 @@
+"""Accepts deferred work: acknowledged once a quorum has synced it, run in the background."""
+
+from __future__ import annotations
+
+import time
+from contextlib import aclosing
+from typing import TYPE_CHECKING
+
+import msgspec
+import xxhash
+
+from camphorvalve.controllers.work import encode_request
+from camphorvalve.model.answers import Body, Head
+from camphorvalve.model.errors import RequestError
+from camphorvalve.registry.commands import AcceptWork, Conflict, Done, Finished, Lost, Running
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+    from camphorvalve.controllers.records import Records
+    from camphorvalve.controllers.work import WorkController
+    from camphorvalve.filters.chain import Handler
+    from camphorvalve.model.answers import Part
+    from camphorvalve.model.requests import Exchange
+
+
+class DeferFilter:
+    """Gives deferred work to the controllers, and everything else to the rest of the chain."""
+
+    def __init__(
+        self, records: Records, work: WorkController, host_id: str, incarnation: int
+    ) -> None:
+        """
+        Prepare the filter.
+
+        :param records: commits commands
+        :param work: runs accepted work
+        :param host_id: this router
+        :param incarnation: its incarnation
+        """
+        self._records = records
+        self._work = work
+        self._host_id = host_id
+        self._incarnation = incarnation
+
+    async def __call__(self, exchange: Exchange, inner: Handler) -> AsyncIterator[Part]:
+        """
+        Accept deferred work, or pass the request on.
+
+        :param exchange: the request
+        :param inner: the rest of the chain
+        :return: parts of the answer
+        :raises RequestError: no quorum, or the work could not be accepted
+        """
+        exchange.record_id = record_id(exchange)
+        if not exchange.request.deferred:
+            async with aclosing(inner(exchange)) as parts:
+                async for part in parts:
+                    yield part
+            return
+        accept = self._accept(exchange)
+        outcome = await self._records.submit(accept)
+        match outcome:
+            case Done():
+                self._work.start(accept.work_id, 1, accept.payload)
+            case Running() | Finished() | Lost():
+                pass
+            case Conflict(reason=reason):
+                raise RequestError("conflict", reason)
+            case _:
+                raise RequestError("bad_body", f"the work was not accepted: {outcome}")
+        exchange.note(time.monotonic(), f"accepted as {accept.work_id}")
+        location = f"/v1/deferred/{accept.work_id}"
+        yield Head(202, (("content-type", "application/json"), ("location", location)))
+        yield Body(msgspec.json.encode({"id": accept.work_id, "state": "waiting"}))
+
+    def _accept(self, exchange: Exchange) -> AcceptWork:
+        assert exchange.team is not None and exchange.parameters is not None  # noqa: PT018
+        request = exchange.request._replace(
+            token="", team=exchange.team.name, kind=exchange.kind, pool=exchange.parameters.pool
+        )
+        return AcceptWork(
+            work_id=work_id(exchange),
+            team=exchange.team.name,
+            kind=exchange.kind,
+            idempotent=exchange.parameters.idempotent,
+            router_id=self._host_id,
+            incarnation=self._incarnation,
+            payload=encode_request(request),
+            accepted_at_s=time.time(),
+        )
+
+
+def record_id(exchange: Exchange) -> str | None:
+    """
+    Name the at-most-once record of a request.
+
+    :param exchange: the request, its team known
+    :return: team and key, or ``None`` without an idempotency key
+    """
+    if exchange.request.idempotency_key is None or exchange.team is None:
+        return None
+    return f"{exchange.team.name}/{exchange.request.idempotency_key}"
+
+
+def work_id(exchange: Exchange) -> str:
+    """
+    Name accepted work; the same team and key get the same id.
+
+    :param exchange: the request, its team known
+    :return: the id, hard to guess without the key
+    """
+    name = record_id(exchange)
+    return exchange.request.request_id if name is None else xxhash.xxh3_128_hexdigest(name)
+
+
+__all__ = ["DeferFilter", "record_id", "work_id"]
--- a/src/camphorvalve/model/requests.py
+++ b/src/camphorvalve/model/requests.py
@@ -56,8 +56,14 @@
     attempt: int = 0
     upstream_id: str | None = None
     served_units: float = 0.0
-    sent_upstream: bool = False
-    """Whether a byte of the request may have reached an upstream."""
+    record_id: str | None = None
+    """Record that has to be started before the first byte goes out."""
+    claim_attempt: int | None = None
+    """Attempt that the controllers have assigned, for accepted work."""
+    failed_upstreams: set[str] = field(default_factory=set)
+    """Upstreams that this request is not sent to again."""
+    delivered: list[bytes] = field(default_factory=list)
+    """Body bytes that the caller has got, kept while a stream may have to be continued."""
     notes: list[tuple[float, str]] = field(default_factory=list)
 
     def note(self, now_s: float, text: str) -> None:
--- /dev/null
+++ b/src/camphorvalve/sharing/scheduler.py
@@ -0,0 +1,350 @@
+"""Grants slots of upstreams to teams; pure, the time is an argument."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, NamedTuple
+
+from camphorvalve.model.policies import FirstCome, FleetFair, LocalFair
+from camphorvalve.sharing.ledger import Ledger, TeamKey
+from camphorvalve.wire.messages import Demand, Grant, GrantProgress
+
+if TYPE_CHECKING:
+    import random
+    from collections.abc import Iterator, Mapping
+
+    from camphorvalve.model.policies import Policy
+    from camphorvalve.model.upstreams import Upstream
+
+GRANT_LIFETIME_S = 1.0
+GRANT_SILENCE_S = 3.5
+"""A grant that no progress message named for this long is free again."""
+DEMAND_LIFETIME_S = 6.0
+BLOCK_S = 5.0
+"""How long an entry router gets no grant for an upstream that it could not connect to."""
+EJECT_REPORTERS_COUNT = 2
+"""One router's view must not take an upstream away from all."""
+RATE_DECAY_S = 10.0
+
+
+class GrantTo(NamedTuple):
+    """A grant and the entry router that gets it."""
+
+    entry_id: str
+    grant: Grant
+
+
+@dataclass(slots=True)
+class _Running:
+    upstream_id: str
+    key: TeamKey
+    entry_id: str
+    pending_units: float
+    units: float
+    heard_s: float
+
+
+@dataclass(slots=True)
+class _Waiting:
+    demand: Demand
+    waiting_count: int
+    urgent_count: int
+    heard_s: float
+
+    def age_s(self, now_s: float) -> float:
+        return self.demand.oldest_age_s + now_s - self.heard_s
+
+
+@dataclass(slots=True)
+class _Rate:
+    """Decaying units served, and the slot time that they took."""
+
+    units: float = 0.0
+    slot_s: float = 0.0
+    counted_s: float = 0.0
+
+
+class Scheduler:
+    """Demand, running grants and free slots of the upstreams that one router schedules."""
+
+    def __init__(self, policy: Policy, ledger: Ledger, rng: random.Random) -> None:
+        """
+        Start without upstreams.
+
+        :param policy: how teams are ranked
+        :param ledger: the service counters
+        :param rng: source of grant ids
+        """
+        self.policy = policy
+        self._rng = rng
+        self._upstreams: dict[str, Upstream] = {}
+        self._pool_slots: Mapping[str, int] = {}
+        self._running: dict[int, _Running] = {}
+        self._used: dict[str, int] = {}
+        self._demand: dict[TeamKey, dict[str, _Waiting]] = {}
+        self._blocked_until_s: dict[tuple[str, str], float] = {}
+        self._rates: dict[str, _Rate] = {}
+        self.ledger = ledger
+
+    def set_upstreams(
+        self, upstreams: Mapping[str, Upstream], pool_slots: Mapping[str, int]
+    ) -> None:
+        """
+        Set what this router schedules.
+
+        :param upstreams: upstreams that may get new work, by id
+        :param pool_slots: slots of each pool in the whole deployment
+        """
+        self._upstreams = dict(upstreams)
+        self._pool_slots = pool_slots
+
+    def announce(self, entry_id: str, demand: Demand, now_s: float) -> None:
+        """
+        Replace what an entry router has announced for one team.
+
+        :param entry_id: the entry router
+        :param demand: what waits there now
+        :param now_s: current time
+        """
+        key = TeamKey(demand.pool, demand.team)
+        entries = self._demand.setdefault(key, {})
+        if demand.waiting_count <= 0:
+            entries.pop(entry_id, None)
+            self._drop_if_idle(key, now_s)
+            return
+        entries[entry_id] = _Waiting(demand, demand.waiting_count, demand.urgent_count, now_s)
+        self.ledger.set_waiting(key, demand.share, now_s)
+
+    def progress(self, entry_id: str, report: GrantProgress, now_s: float) -> None:
+        """
+        Count service of a granted request; an unknown grant of a known upstream is adopted.
+
+        :param entry_id: the entry router
+        :param report: service so far
+        :param now_s: current time
+        """
+        running = self._running.get(report.grant_id)
+        if running is None:
+            if report.done:
+                return
+            key = TeamKey(report.pool, report.team)
+            # Service from before the adoption is in the counters of the earlier scheduler.
+            running = _Running(report.upstream_id, key, entry_id, 0.0, report.units, now_s)
+            self._running[report.grant_id] = running
+            self._count_used(report.upstream_id, 1)
+        running.heard_s = now_s
+        served_units = max(0.0, report.units - running.units)
+        self._serve(running, served_units)
+        if report.done:
+            self._release(report.grant_id)
+
+    def give_back(self, entry_id: str, grant_id: int, connect_failed: bool, now_s: float) -> None:
+        """
+        Take back a grant that was not used.
+
+        :param entry_id: the entry router
+        :param grant_id: id of the grant
+        :param connect_failed: whether the upstream could not be reached
+        :param now_s: current time
+        """
+        running = self._running.get(grant_id)
+        if running is None:
+            return
+        if connect_failed:
+            self._blocked_until_s[(entry_id, running.upstream_id)] = now_s + BLOCK_S
+        self._release(grant_id)
+
+    def forget_entry(self, entry_id: str, now_s: float) -> None:
+        """
+        Drop demand and grants of an entry router that is gone.
+
+        :param entry_id: the entry router
+        :param now_s: current time
+        """
+        for key, entries in list(self._demand.items()):
+            if entries.pop(entry_id, None):
+                self._drop_if_idle(key, now_s)
+        for grant_id in [g for g, one in self._running.items() if one.entry_id == entry_id]:
+            self._release(grant_id)
+
+    def expire(self, now_s: float) -> None:
+        """
+        Drop demand and grants that nobody has spoken of for too long.
+
+        :param now_s: current time
+        """
+        for key, entries in list(self._demand.items()):
+            for entry_id, waiting in list(entries.items()):
+                if now_s - waiting.heard_s > DEMAND_LIFETIME_S:
+                    del entries[entry_id]
+            self._drop_if_idle(key, now_s)
+        silent = [g for g, one in self._running.items() if now_s - one.heard_s > GRANT_SILENCE_S]
+        for grant_id in silent:
+            self._release(grant_id)
+        for pair in [p for p, until_s in self._blocked_until_s.items() if until_s <= now_s]:
+            del self._blocked_until_s[pair]
+        self._decay(now_s)
+
+    def choose(self, now_s: float) -> Iterator[GrantTo]:
+        """
+        Grant free slots to waiting teams until one of both runs out.
+
+        :param now_s: current time
+        :return: grants with their receivers
+        """
+        for pool in {key.pool for key in self._demand}:
+            self._cap_debt(pool)
+            while (grant := self._choose_one(pool, now_s)) is not None:
+                yield grant
+
+    def free_slots(self) -> dict[str, int]:
+        """
+        Count free slots of pools for which nothing is announced here.
+
+        :return: free slots by pool
+        """
+        waiting = {key.pool for key, entries in self._demand.items() if entries}
+        free: dict[str, int] = {}
+        for upstream in self._upstreams.values():
+            slots_count = upstream.slots_count - self._used.get(upstream.upstream_id, 0)
+            if upstream.pool not in waiting and slots_count > 0:
+                free[upstream.pool] = free.get(upstream.pool, 0) + slots_count
+        return free
+
+    def running_count(self) -> int:
+        """:return: grants that are out"""
+        return len(self._running)
+
+    def pool_rate(self, pool: str) -> float:
+        """
+        Estimate the rate of the whole pool with every slot busy.
+
+        :param pool: name of the pool
+        :return: units per second, zero before anything has run
+        """
+        rate = self._rates.get(pool)
+        if rate is None or rate.slot_s <= 0:
+            return 0.0
+        return rate.units / rate.slot_s * self._pool_slots.get(pool, 0)
+
+    def _choose_one(self, pool: str, now_s: float) -> GrantTo | None:
+        keys = [key for key, entries in self._demand.items() if key.pool == pool and entries]
+        for key in sorted(keys, key=lambda one: self._rank(one, now_s)):
+            for entry_id in self._entries_by_urgency(key, now_s):
+                upstream = self._freest_upstream(pool, entry_id, now_s)
+                if upstream is not None:
+                    return self._grant(key, entry_id, upstream, now_s)
+        return None
+
+    def _rank(self, key: TeamKey, now_s: float) -> float:
+        entries = self._demand[key].values()
+        match self.policy:
+            case FirstCome():
+                return -max(waiting.age_s(now_s) for waiting in entries)
+            case LocalFair():
+                return self.ledger.virtual(key)
+            case FleetFair(advance_s=advance_s):
+                urgent = any(waiting.urgent_count > 0 for waiting in entries)
+                advance = self._virtual_of(key.pool, advance_s) if urgent else 0.0
+                return self.ledger.virtual(key) - advance
+
+    def _virtual_of(self, pool: str, duration_s: float) -> float:
+        """Convert seconds of the pool's whole rate to virtual service of a mean share."""
+        shares = [
+            self.ledger.account(key).share
+            for key, entries in self._demand.items()
+            if key.pool == pool and entries
+        ]
+        if not shares:
+            return 0.0
+        return duration_s * self.pool_rate(pool) * len(shares) / sum(shares)
+
+    def _cap_debt(self, pool: str) -> None:
+        match self.policy:
+            case FleetFair(debt_cap_s=cap_s) if self.pool_rate(pool) > 0:
+                self.ledger.cap_debt(pool, self._virtual_of(pool, cap_s))
+            case _:
+                return
+
+    def _entries_by_urgency(self, key: TeamKey, now_s: float) -> list[str]:
+        entries = self._demand[key]
+        return sorted(
+            entries,
+            key=lambda one: (-min(entries[one].urgent_count, 1), -entries[one].age_s(now_s)),
+        )
+
+    def _freest_upstream(self, pool: str, entry_id: str, now_s: float) -> Upstream | None:
+        candidates = [
+            upstream
+            for upstream in self._upstreams.values()
+            if upstream.pool == pool
+            and self._used.get(upstream.upstream_id, 0) < upstream.slots_count
+            and self._may_use(entry_id, upstream.upstream_id, now_s)
+        ]
+        return min(
+            candidates,
+            key=lambda one: (self._used.get(one.upstream_id, 0) / one.slots_count, one.upstream_id),
+            default=None,
+        )
+
+    def _may_use(self, entry_id: str, upstream_id: str, now_s: float) -> bool:
+        reporters = [
+            reporter
+            for (reporter, blocked_id), until_s in self._blocked_until_s.items()
+            if blocked_id == upstream_id and until_s > now_s
+        ]
+        return entry_id not in reporters and len(reporters) < EJECT_REPORTERS_COUNT
+
+    def _grant(self, key: TeamKey, entry_id: str, upstream: Upstream, now_s: float) -> GrantTo:
+        waiting = self._demand[key][entry_id]
+        waiting.waiting_count -= 1
+        waiting.urgent_count = max(0, waiting.urgent_count - 1)
+        pending_units = waiting.demand.estimate_units
+        grant_id = self._rng.getrandbits(53)
+        self._running[grant_id] = _Running(
+            upstream.upstream_id, key, entry_id, pending_units, 0.0, now_s
+        )
+        self.ledger.account(key).pending_units += pending_units
+        self._count_used(upstream.upstream_id, 1)
+        if waiting.waiting_count <= 0:
+            del self._demand[key][entry_id]
+            self._drop_if_idle(key, now_s)
+        grant = Grant(grant_id, key.pool, upstream.upstream_id, key.team, GRANT_LIFETIME_S)
+        return GrantTo(entry_id, grant)
+
+    def _serve(self, running: _Running, served_units: float) -> None:
+        settled_units = min(served_units, running.pending_units)
+        running.pending_units -= settled_units
+        self.ledger.account(running.key).pending_units -= settled_units
+        running.units += served_units
+        self.ledger.serve(running.key, served_units)
+        rate = self._rates.setdefault(running.key.pool, _Rate())
+        rate.units += served_units
+
+    def _release(self, grant_id: int) -> None:
+        running = self._running.pop(grant_id)
+        self.ledger.account(running.key).pending_units -= running.pending_units
+        self._count_used(running.upstream_id, -1)
+
+    def _count_used(self, upstream_id: str, change: int) -> None:
+        self._used[upstream_id] = self._used.get(upstream_id, 0) + change
+
+    def _drop_if_idle(self, key: TeamKey, now_s: float) -> None:
+        if not self._demand.get(key):
+            self._demand.pop(key, None)
+            self.ledger.set_idle(key, now_s)
+
+    def _decay(self, now_s: float) -> None:
+        busy: dict[str, int] = {}
+        for running in self._running.values():
+            busy[running.key.pool] = busy.get(running.key.pool, 0) + 1
+        for pool in busy.keys() | self._rates.keys():
+            rate = self._rates.setdefault(pool, _Rate(counted_s=now_s))
+            elapsed_s = max(0.0, now_s - rate.counted_s) if rate.counted_s else 0.0
+            keep_ratio = max(0.0, 1.0 - elapsed_s / RATE_DECAY_S)
+            rate.units *= keep_ratio
+            rate.slot_s = rate.slot_s * keep_ratio + busy.get(pool, 0) * elapsed_s
+            rate.counted_s = now_s
+
+
+__all__ = ["GrantTo", "Scheduler"]
