--- a/tests/builders.py
+++ b/tests/builders.py
@@ -53,4 +53,46 @@
     return Upstream(**{**values, **fields})
 
 
-__all__ = ["POOL", "a_kind", "a_router", "a_team", "a_template", "an_upstream"]
+def a_settings_document(**fields: Any) -> dict[str, Any]:
+    addresses = [
+        {"host_id": f"controller-{n}", "peer_address": f"tcp://127.0.0.1:700{n}"} for n in (1, 2, 3)
+    ]
+    values = {
+        "host_id": "controller-1",
+        "data_centre": "perth-a",
+        "operator_bind": "127.0.0.1:8081",
+        "peer_bind": "tcp://127.0.0.1:7001",
+        "controllers": addresses,
+        "platform_url": "http://127.0.0.1:9000",
+        "keys": None,
+        "operator_token": None,
+    }
+    return {**values, **fields}
+
+
+def a_router_document(**fields: Any) -> dict[str, Any]:
+    values = {
+        "host_id": "router-1",
+        "caller_bind": "127.0.0.1:8080",
+        "caller_url": "http://127.0.0.1:8080",
+        "peer_bind": "tcp://127.0.0.1:7000",
+        "callers": None,
+    }
+    return a_settings_document(**{**values, **fields})
+
+
+def a_controller_document(**fields: Any) -> dict[str, Any]:
+    values = {"operator_url": "http://127.0.0.1:8081", "data_folder": "/var/lib/camphorvalve"}
+    return a_settings_document(**{**values, **fields})
+
+
+__all__ = [
+    "POOL",
+    "a_controller_document",
+    "a_kind",
+    "a_router",
+    "a_router_document",
+    "a_team",
+    "a_template",
+    "an_upstream",
+]
