--- /dev/null
+++ b/tests/reports/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of what the fleet tells its operators."""
