--- /dev/null
+++ b/src/camphorvalve/settings/changes.py
@@ -0,0 +1,212 @@
+"""Checks of operators' changes and orders before they enter the replicated log."""
+
+from __future__ import annotations
+
+import re
+from collections.abc import Iterator, Mapping
+from typing import Any, NamedTuple
+
+from camphorvalve.model.teams import KindParameters, Limits, Team, Template
+from camphorvalve.registry.commands import (
+    Change,
+    ChangeRole,
+    DeleteTeam,
+    EngineAction,
+    LoadAdapter,
+    LoadModel,
+    PutTeam,
+    PutTemplate,
+    SetDrain,
+)
+from camphorvalve.settings.convert import convert
+from camphorvalve.settings.problems import FieldError, Problem, problem_at
+
+MAX_COUNT = 1 << 50
+"""Above every revision and size in use, and exact in JSON readers that use doubles."""
+
+_NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,62}")
+_ID = re.compile(r"[!-~]{1,128}")
+_WEIGHT = re.compile(r"[!-~]{1,256}")
+
+
+class ChangeRequest(NamedTuple):
+    """Body of a change of the configuration."""
+
+    operation_id: str
+    expected_revision: int
+    change: Change
+
+
+class OrderRequest(NamedTuple):
+    """Body of an order to an engine."""
+
+    operation_id: str
+    upstream_id: str
+    action: EngineAction
+
+
+def parse_change(body: Any) -> ChangeRequest:
+    """
+    Convert and check the body of a change.
+
+    :param body: JSON value
+    :return: the change
+    :raises ExceptionGroup: of one ``FieldError`` for each wrong value
+    """
+    request, problems = convert(ChangeRequest, body)
+    found = [*problems]
+    if isinstance(request, ChangeRequest):
+        found.extend(_check_id("operation_id", request.operation_id))
+        found.extend(_in_range("expected_revision", request.expected_revision, 0, MAX_COUNT))
+        found.extend(check_change(request.change, "change"))
+    _raise_if(found)
+    return request
+
+
+def parse_order(body: Any) -> OrderRequest:
+    """
+    Convert and check the body of an order.
+
+    :param body: JSON value
+    :return: the order
+    :raises ExceptionGroup: of one ``FieldError`` for each wrong value
+    """
+    request, problems = convert(OrderRequest, body)
+    found = [*problems]
+    if isinstance(request, OrderRequest):
+        found.extend(_check_id("operation_id", request.operation_id))
+        found.extend(_check_id("upstream_id", request.upstream_id))
+        found.extend(_check_action(request.action))
+    _raise_if(found)
+    return request
+
+
+def check_change(change: Any, path: str) -> Iterator[Problem]:
+    """
+    Check a converted change; values that failed the conversion are passed over.
+
+    :param change: the change
+    :param path: where it stands
+    :return: what is wrong
+    """
+    match change:
+        case PutTemplate(template):
+            yield from check_template(template, f"{path}.template")
+        case PutTeam(team):
+            yield from check_team(team, f"{path}.team")
+        case DeleteTeam(name):
+            yield from _check_name(f"{path}.name", name)
+        case SetDrain(member_id, _):
+            yield from _check_id(f"{path}.member_id", member_id)
+
+
+def check_template(template: Any, path: str) -> Iterator[Problem]:
+    """
+    Check a template.
+
+    :param template: the template
+    :param path: where it stands
+    :return: what is wrong
+    """
+    if not isinstance(template, Template):
+        return
+    yield from _check_name(f"{path}.name", template.name)
+    yield from _check_share(f"{path}.share", template.share)
+    yield from _check_kinds(f"{path}.kinds", template.kinds)
+    if isinstance(template.kinds, Mapping) and not template.kinds:
+        yield Problem(f"{path}.kinds", "no kinds", "at least one kind of work")
+    yield from _check_limits(f"{path}.limits", template.limits)
+
+
+def check_team(team: Any, path: str) -> Iterator[Problem]:
+    """
+    Check a team.
+
+    :param team: the team
+    :param path: where it stands
+    :return: what is wrong
+    """
+    if not isinstance(team, Team):
+        return
+    yield from _check_name(f"{path}.name", team.name)
+    yield from _check_name(f"{path}.template", team.template)
+    yield from _check_share(f"{path}.share", team.share)
+    yield from _check_kinds(f"{path}.kinds", team.kinds)
+    yield from _check_limits(f"{path}.limits", team.limits)
+
+
+def _check_action(action: EngineAction) -> Iterator[Problem]:
+    match action:
+        case LoadModel(model, version, size_bytes):
+            yield from _check_text("action.model", model)
+            yield from _check_text("action.version", version)
+            yield from _in_range("action.size_bytes", size_bytes, 1, MAX_COUNT)
+        case LoadAdapter(model, adapter, size_bytes):
+            yield from _check_text("action.model", model)
+            yield from _check_text("action.adapter", adapter)
+            yield from _in_range("action.size_bytes", size_bytes, 1, MAX_COUNT)
+        case ChangeRole(role):
+            yield from _check_text("action.role", role)
+
+
+def _check_kinds(path: str, kinds: Any) -> Iterator[Problem]:
+    if not isinstance(kinds, Mapping):
+        return
+    for name, kind in kinds.items():
+        yield from _check_name(f"{path} key", name)
+        if isinstance(kind, KindParameters):
+            yield from _check_name(f"{path}.{name}.pool", kind.pool)
+            yield from _in_range(f"{path}.{name}.objective_s", kind.objective_s, 0.001, 86400)
+            yield from _in_range(f"{path}.{name}.objective_ratio", kind.objective_ratio, 0.01, 1)
+
+
+def _check_limits(path: str, limits: Any) -> Iterator[Problem]:
+    if not isinstance(limits, Limits):
+        return
+    for field, value in limits._asdict().items():
+        yield from _in_range(f"{path}.{field}", value, 1, 1 << 31)
+    whole = [limits.request_bytes, limits.queue_bytes]
+    if all(isinstance(value, int) for value in whole) and whole != sorted(whole):
+        expected = f"at most queue_bytes ({limits.queue_bytes}), since a request waits as a whole"
+        yield problem_at(f"{path}.request_bytes", limits.request_bytes, expected)
+
+
+def _check_share(path: str, share: Any) -> Iterator[Problem]:
+    yield from _in_range(path, share, 1e-6, 1e6)
+
+
+def _check_name(path: str, value: Any) -> Iterator[Problem]:
+    if isinstance(value, str) and not _NAME.fullmatch(value):
+        yield problem_at(path, value, "1 to 63 letters, digits, '.', '_' or '-'")
+
+
+def _check_id(path: str, value: Any) -> Iterator[Problem]:
+    if isinstance(value, str) and not _ID.fullmatch(value):
+        yield problem_at(path, value, "1 to 128 printable ASCII characters without spaces")
+
+
+def _check_text(path: str, value: Any) -> Iterator[Problem]:
+    if isinstance(value, str) and not _WEIGHT.fullmatch(value):
+        yield problem_at(path, value, "1 to 256 printable ASCII characters without spaces")
+
+
+def _in_range(path: str, value: Any, low: float, high: float) -> Iterator[Problem]:
+    if isinstance(value, (int, float)) and not low <= value <= high:
+        yield problem_at(path, value, f"{low:g} to {high:g}")
+
+
+def _raise_if(problems: list[Problem]) -> None:
+    if problems:
+        errors = [FieldError(problem) for problem in problems]
+        raise ExceptionGroup(f"{len(errors)} wrong values", errors)
+
+
+__all__ = [
+    "ChangeRequest",
+    "OrderRequest",
+    "check_change",
+    "check_team",
+    "check_template",
+    "parse_change",
+    "parse_order",
+]
--- /dev/null
+++ b/tests/http/test_operators.py
@@ -0,0 +1,136 @@
+"""Guards against operator ports that admit strangers or answer bad changes vaguely."""
+
+from __future__ import annotations
+
+import unittest
+from typing import Any
+
+import httpx
+
+from camphorvalve.http.operators import controller_app, router_app
+from camphorvalve.registry.commands import ACTION_CODEC, LoadModel
+from camphorvalve.settings.convert import to_json
+from tests.builders import a_team, a_template
+from tests.fakes import FakeController, FakeRouter
+
+LOAD = {"type": "load_model", "model": "m", "version": "v1", "size_bytes": 9}
+
+
+def a_change(**fields: Any) -> dict[str, Any]:
+    change = {"type": "put_template", "template": to_json(a_template())}
+    return {"operation_id": "op-1", "expected_revision": 0, "change": change, **fields}
+
+
+def a_put_team(**fields: Any) -> dict[str, Any]:
+    return a_change(change={"type": "put_team", "team": {**to_json(a_team()), **fields}})
+
+
+def an_order(**fields: Any) -> dict[str, Any]:
+    return {"operation_id": "op-2", "upstream_id": "engine-1", "action": LOAD, **fields}
+
+
+# Path, body, and what the error has to name: field and expectation.
+BAD_BODIES = [
+    ("/v1/changes", [], ("", "an object with operation_id, expected_revision, change")),
+    ("/v1/changes", a_change(expected_revision="4"), ("expected_revision", "a whole number")),
+    ("/v1/changes", a_change(expected_revision=1 << 70), ("expected_revision", "0 to")),
+    ("/v1/changes", a_change(operation_id=""), ("operation_id", "1 to 128")),
+    ("/v1/changes", a_change(extra=1), ("extra", "only known keys")),
+    ("/v1/changes", a_change(change={"type": "rename"}), ("change.type", "one of put_template")),
+    ("/v1/changes", a_change(change={"type": "delete_team"}), ("change.name", "a string")),
+    ("/v1/changes", a_put_team(share=0), ("change.team.share", "1e-06 to")),
+    ("/v1/changes", a_put_team(name="a b"), ("change.team.name", "1 to 63 letters")),
+    ("/v1/changes", a_put_team(kinds={"chat": {}}), ("change.team.kinds.chat.pool", "a string")),
+    (
+        "/v1/changes",
+        a_put_team(kinds={"chat": {"pool": "p", "urgency": "soon"}}),
+        ("change.team.kinds.chat.urgency", "one of deferrable, normal, urgent"),
+    ),
+    (
+        "/v1/changes",
+        a_put_team(limits={"request_bytes": 9, "queue_bytes": 8}),
+        ("change.team.limits.request_bytes", "at most queue_bytes (8)"),
+    ),
+    ("/v1/orders", an_order(upstream_id=None), ("upstream_id", "a string")),
+    ("/v1/orders", an_order(action={**LOAD, "size_bytes": 0}), ("action.size_bytes", "1 to")),
+    ("/v1/orders", an_order(action={**LOAD, "size_gb": 1}), ("action.size_gb", "size_bytes")),
+]
+
+
+class OperatorsTest(unittest.IsolatedAsyncioTestCase):
+    def client(self, app: Any, **options: Any) -> httpx.AsyncClient:
+        transport = httpx.ASGITransport(app=app)
+        return httpx.AsyncClient(transport=transport, base_url="http://operators", **options)
+
+    async def test_only_the_operator_token_is_admitted(self) -> None:
+        token = "correct-horse"
+        for make, backend in ((controller_app, FakeController()), (router_app, FakeRouter())):
+            for given in (None, "Bearer wrong", "Bearer ", f"Basic {token}", "Bearer caf\xe9"):
+                headers = {} if given is None else {"Authorization": given.encode("latin-1")}
+                async with self.client(make(backend, token), headers=headers) as client:
+                    answer = await client.get("/v1/status")
+                with self.subTest(given=given):
+                    self.assertEqual(answer.status_code, 401)
+                    self.assertEqual(answer.json()["error"]["code"], "unauthorised")
+            for expected in (token, None):
+                headers = {"Authorization": f"Bearer {token}"}
+                async with self.client(make(backend, expected), headers=headers) as client:
+                    self.assertEqual((await client.get("/v1/status")).status_code, 200)
+
+    async def test_bad_bodies_name_field_and_expectation(self) -> None:
+        backend = FakeController()
+        async with self.client(controller_app(backend, None)) as client:
+            for path, body, (field, expected) in BAD_BODIES:
+                answer = await client.post(path, json=body)
+                with self.subTest(path=path, field=field):
+                    self.assertEqual(answer.status_code, 400)
+                    wrong = {one["field"]: one["expected"] for one in answer.json()["fields"]}
+                    self.assertIn(expected, wrong[field])
+            for content, status in ((b"{", 400), (b"\xff", 400), (b" " * (2 << 20), 413)):
+                answer = await client.post("/v1/changes", content=content)
+                self.assertEqual(
+                    (answer.status_code, answer.json()["error"]["run"]), (status, "no")
+                )
+        self.assertEqual(backend.commands, [])
+
+    async def test_outcomes_become_documented_answers(self) -> None:
+        backend = FakeController()
+        async with self.client(controller_app(backend, None)) as client:
+            done = await client.post("/v1/changes", json=a_change())
+            again = await client.post("/v1/changes", json=a_change())
+            late = await client.post("/v1/changes", json=a_change(operation_id="op-3"))
+            self.assertEqual((done.status_code, done.json()["revision"]), (200, 1))
+            self.assertEqual(again.json(), done.json())
+            self.assertEqual((late.status_code, late.json()["revision"]), (409, 1))
+            self.assertEqual(late.json()["error"]["code"], "conflict")
+            absent = a_put_team(template="absent") | {"operation_id": "x", "expected_revision": 1}
+            invalid = await client.post("/v1/changes", json=absent)
+            self.assertIn("'absent' does not exist", invalid.json()["error"]["message"])
+            order = await client.post("/v1/orders", json=an_order())
+            self.assertEqual(order.status_code, 200)
+            action = ACTION_CODEC.decode(backend.orders()[0].action)
+            self.assertEqual(action, LoadModel("m", "v1", 9))
+            orders = (await client.get("/v1/orders")).json()["orders"]
+            self.assertEqual(orders[0]["action"], LOAD)
+            listed = (await client.get("/v1/configuration")).json()
+            self.assertEqual(listed["templates"]["orchestra"]["kinds"]["chat"]["urgency"], "urgent")
+            self.assertEqual((await client.get("/v1/nothing")).status_code, 404)
+            for code in ("not_leader", "no_quorum", "outcome_unknown"):
+                backend.failures = [code]
+                answer = await client.post("/v1/changes", json=a_change(operation_id="op-4"))
+                self.assertEqual(answer.json()["error"]["code"], code)
+
+    async def test_follower_names_the_leader_and_submits_nothing(self) -> None:
+        backend = FakeController(leads=False, leader="http://127.0.0.1:8082")
+        async with self.client(controller_app(backend, None)) as client:
+            answer = await client.post("/v1/changes", json=a_change())
+        self.assertEqual((answer.status_code, answer.json()["error"]["code"]), (409, "not_leader"))
+        self.assertEqual(answer.json()["leader_url"], "http://127.0.0.1:8082")
+        self.assertEqual(backend.commands, [])
+
+    async def test_router_explains_what_it_knows(self) -> None:
+        cases = {"requests/r1": 200, "requests/r2": 404, "teams/kalamunda": 200, "teams/x": 404}
+        async with self.client(router_app(FakeRouter(), None)) as client:
+            for path, status in {**cases, "burn": 200, "status": 200}.items():
+                with self.subTest(path):
+                    self.assertEqual((await client.get(f"/v1/{path}")).status_code, status)
