--- /dev/null
+++ b/tools/standins/network.py
@@ -0,0 +1,141 @@
+"""Stand-in of the network: ``python -m tools.standins.network``, a forwarder per directed pair."""
+
+from __future__ import annotations
+
+import fnmatch
+from contextlib import asynccontextmanager
+from typing import TYPE_CHECKING, Any
+
+import anyio
+import defopt
+
+from tools.standins.asgi import read_call, send_json
+from tools.standins.forwarder import Forwarder
+from tools.standins.serving import LOOPBACK, run_until_stopped
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator, Iterator
+
+    from tools.standins.asgi import Receive, Scope, Send
+
+
+class Network:
+    """All forwarders by source and target; names may be patterns such as ``router-*``."""
+
+    def __init__(self) -> None:
+        """Start without routes."""
+        self._routes: dict[tuple[str, str], Forwarder] = {}
+
+    async def open_route(self, source: str, target: str, host: str, port: int) -> int:
+        """
+        Open a port for one directed pair.
+
+        :param source: who will connect
+        :param target: whom the port leads to
+        :param host: address of the target
+        :param port: port of the target
+        :return: the port to connect to
+        """
+        forwarder = Forwarder(host, port)
+        await forwarder.open()
+        self._routes[source, target] = forwarder
+        return forwarder.port
+
+    async def cut(self, source: str, target: str, mode: str | None = "refuse") -> int:
+        """
+        Cut pairs off, or heal them.
+
+        :param source: name or pattern
+        :param target: name or pattern
+        :param mode: ``refuse``, ``blackhole``, or ``None`` to heal
+        :return: how many pairs this concerns
+        """
+        chosen = list(self._chosen(source, target))
+        for forwarder in chosen:
+            await forwarder.set_cut(mode)
+        return len(chosen)
+
+    def delay(self, source: str, target: str, one_way_ms: float) -> int:
+        """
+        Delay everything that pairs send from now on.
+
+        :param source: name or pattern
+        :param target: name or pattern
+        :param one_way_ms: the delay in each direction
+        :return: how many pairs this concerns
+        """
+        chosen = list(self._chosen(source, target))
+        for forwarder in chosen:
+            forwarder.delay_ms = one_way_ms
+        return len(chosen)
+
+    async def close(self) -> None:
+        """Close every port and connection."""
+        for forwarder in self._routes.values():
+            await forwarder.close()
+        self._routes.clear()
+
+    async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
+        """Serve one ASGI connection of the control port."""
+        if scope["type"] == "lifespan":
+            while True:
+                message = await receive()
+                await send({"type": f"{message['type']}.complete"})
+                if message["type"] == "lifespan.shutdown":
+                    await self.close()
+                    return
+        call = await read_call(scope, receive)
+        if call.method != "POST":
+            await send_json(send, {"error": "not found"}, status=404)
+            return
+        await send_json(send, await self._control(call.path, call.json()))
+
+    async def _control(self, path: str, body: dict[str, Any]) -> dict[str, Any]:
+        pair = (body.get("source", "*"), body.get("target", "*"))
+        match path:
+            case "/v1/routes":
+                port = await self.open_route(*pair, body.get("host", LOOPBACK), body["port"])
+                return {"port": port}
+            case "/v1/cut":
+                return {"pairs_count": await self.cut(*pair, body.get("mode", "refuse"))}
+            case "/v1/heal":
+                return {"pairs_count": await self.cut(*pair, None)}
+            case "/v1/delay":
+                return {"pairs_count": self.delay(*pair, body["one_way_ms"])}
+            case _:
+                return {"error": "not found"}
+
+    def _chosen(self, source: str, target: str) -> Iterator[Forwarder]:
+        for (one_source, one_target), forwarder in self._routes.items():
+            if fnmatch.fnmatch(one_source, source) and fnmatch.fnmatch(one_target, target):
+                yield forwarder
+
+
+@asynccontextmanager
+async def network() -> AsyncIterator[Network]:
+    """
+    Provide a network inside the running loop.
+
+    :return: the network, closed at the end
+    """
+    one = Network()
+    try:
+        yield one
+    finally:
+        await one.close()
+
+
+def main(*, port: int = 0) -> None:
+    """
+    Run a stand-in network.
+
+    :param port: control port; 0 lets the system choose
+    """
+    anyio.run(lambda: run_until_stopped(Network(), port, id="network"))
+
+
+if __name__ == "__main__":
+    defopt.run(main)
+
+
+__all__ = ["Network", "main", "network"]
