--- a/src/camphorvalve/controllers/recording.py
+++ b/src/camphorvalve/controllers/recording.py
@@ -9,7 +9,7 @@
 
 from camphorvalve.controllers.runtime import Outgoing
 from camphorvalve.registry.commands import COMMAND_CODEC, OUTCOME_CODEC
-from camphorvalve.wire.messages import Assignment, Submit, SubmitReply
+from camphorvalve.wire.messages import Assignment, Lookup, Submit, SubmitReply
 
 if TYPE_CHECKING:
     import random
@@ -24,9 +24,9 @@
 
 @dataclass(slots=True)
 class Pending:
-    """A submitted command; ``event`` is set once ``outcome`` is known."""
+    """A submitted command or lookup; ``event`` is set once ``outcome`` is known."""
 
-    submit: Submit
+    message: Submit | Lookup
     sent_s: float
     deadline_s: float
     event: anyio.Event = field(default_factory=anyio.Event)
@@ -68,10 +68,19 @@
         :param timeout_s: after this long it is no longer sent
         :return: the pending command
         """
-        submit = Submit(f"{self._rng.getrandbits(64):016x}", COMMAND_CODEC.encode(command))
-        pending = Pending(submit, now_s, now_s + timeout_s)
-        self._pending[submit.submit_id] = pending
-        return pending
+        message = Submit(self._new_id(), COMMAND_CODEC.encode(command))
+        return self._register(message, now_s, timeout_s)
+
+    def begin_lookup(self, record_id: str, now_s: float, timeout_s: float) -> Pending:
+        """
+        Register a lookup; ``resend`` sends it.
+
+        :param record_id: record or work
+        :param now_s: current time
+        :param timeout_s: after this long it is no longer sent
+        :return: the pending lookup
+        """
+        return self._register(Lookup(self._new_id(), record_id), now_s, timeout_s)
 
     def resend(self, pending: Pending, now_s: float) -> Iterator[Outgoing]:
         """
@@ -82,7 +91,7 @@
         :return: the message
         """
         pending.sent_s = now_s
-        yield Outgoing(self._leader_id, pending.submit)
+        yield Outgoing(self._leader_id, pending.message)
 
     def drop(self, pending: Pending) -> None:
         """
@@ -90,7 +99,7 @@
 
         :param pending: from ``begin``
         """
-        self._pending.pop(pending.submit.submit_id, None)
+        self._pending.pop(pending.message.submit_id, None)
 
     def handle(self, sender: Sender, message: Any, now_s: float) -> Iterator[Outgoing]:
         """
@@ -135,5 +144,13 @@
         for pending in late:
             yield from self.resend(pending, now_s)
 
+    def _new_id(self) -> str:
+        return f"{self._rng.getrandbits(64):016x}"
+
+    def _register(self, message: Submit | Lookup, now_s: float, timeout_s: float) -> Pending:
+        pending = Pending(message, now_s, now_s + timeout_s)
+        self._pending[message.submit_id] = pending
+        return pending
+
 
 __all__ = ["Pending", "RecordingController"]
--- a/src/camphorvalve/controllers/records.py
+++ b/src/camphorvalve/controllers/records.py
@@ -10,7 +10,7 @@
 from camphorvalve.model.errors import RequestError
 
 if TYPE_CHECKING:
-    from camphorvalve.controllers.recording import RecordingController
+    from camphorvalve.controllers.recording import Pending, RecordingController
     from camphorvalve.controllers.runtime import Runtime
     from camphorvalve.registry.commands import Command, Outcome
 
@@ -41,8 +41,22 @@
         :return: its outcome
         :raises RequestError: no quorum in time; the command may still be committed later
         """
+        return await self._settle(self._recording.begin(command, time.monotonic(), self._timeout_s))
+
+    async def look_up(self, record_id: str) -> Outcome:
+        """
+        Read the state of a record or of accepted work.
+
+        :param record_id: id of the record or the work
+        :return: ``Done`` while it waits, else the state; ``Invalid`` when there is none
+        :raises RequestError: no leader answered in time
+        """
+        return await self._settle(
+            self._recording.begin_lookup(record_id, time.monotonic(), self._timeout_s)
+        )
+
+    async def _settle(self, pending: Pending) -> Outcome:
         now_s = time.monotonic()
-        pending = self._recording.begin(command, now_s, self._timeout_s)
         self._runtime.send(self._recording.resend(pending, now_s))
         with anyio.move_on_after(self._timeout_s):
             await pending.event.wait()
--- a/src/camphorvalve/controllers/work.py
+++ b/src/camphorvalve/controllers/work.py
@@ -6,6 +6,7 @@
 from contextlib import aclosing
 from typing import TYPE_CHECKING
 
+import anyio
 import msgspec
 import structlog
 
@@ -21,6 +22,11 @@
     from camphorvalve.filters.chain import Handler
     from camphorvalve.wire.messages import Assignment
 
+PAUSE_S = 0.5
+PAUSE_MAX_S = 30.0
+ENDING_CODES = frozenset({"conflict", "outcome_unknown", "unknown_team", "bad_body"})
+"""Codes after which a further try would be refused in the same way."""
+
 _log = structlog.get_logger(__name__)
 
 
@@ -114,14 +120,24 @@
         return len(self._running)
 
     async def _run(self, work_id: str, attempt: int, payload: bytes) -> None:
+        pause_s = PAUSE_S
         try:
-            await self._answer(work_id, attempt, payload)
-        except RequestError as error:
-            _log.warning("accepted work failed", work=work_id, code=error.code, run=error.run)
+            while not await self._try(work_id, attempt, payload):
+                await anyio.sleep(pause_s)
+                pause_s = min(2 * pause_s, PAUSE_MAX_S)
         finally:
             if self._running.get(work_id) == attempt:
                 del self._running[work_id]
 
+    async def _try(self, work_id: str, attempt: int, payload: bytes) -> bool:
+        """Run the work once; returns whether it has ended or is no longer this router's."""
+        try:
+            await self._answer(work_id, attempt, payload)
+        except RequestError as error:
+            _log.warning("accepted work failed", work=work_id, code=error.code, run=error.run)
+            return error.code in ENDING_CODES
+        return True
+
     async def _answer(self, work_id: str, attempt: int, payload: bytes) -> None:
         assert self._handler is not None
         request = decode_request(payload)
--- a/src/camphorvalve/filters/admission.py
+++ b/src/camphorvalve/filters/admission.py
@@ -11,7 +11,7 @@
 from camphorvalve.model.errors import RequestError
 from camphorvalve.sharing.backlog import Waiter
 from camphorvalve.sharing.ledger import TeamKey
-from camphorvalve.upstreams.errors import NotSentError
+from camphorvalve.upstreams.errors import NotSent
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
@@ -60,7 +60,7 @@
                 async for part in parts:
                     running.units = exchange.served_units
                     yield part
-        except NotSentError:
+        except NotSent:
             ending = self._demand.returned(running.grant, waiter.scheduler_id, True)
             raise
         finally:
--- a/src/camphorvalve/filters/deduplicate.py
+++ b/src/camphorvalve/filters/deduplicate.py
@@ -20,7 +20,7 @@
     Running,
     StartRun,
 )
-from camphorvalve.upstreams.errors import NotSentError
+from camphorvalve.upstreams.errors import NotSent
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
@@ -110,26 +110,25 @@
     async def _run(
         self, exchange: Exchange, start: StartRun, inner: Handler
     ) -> AsyncIterator[Part]:
-        head = Head(200, ())
-        stored: list[bytes] = []
         key = (start.record_id, start.request_id, start.attempt)
         try:
             async with aclosing(inner(exchange)) as parts:
                 async for part in parts:
                     match part:
                         case Head():
-                            head = part
+                            exchange.head = exchange.head or part
                         case Body(content):
-                            stored.append(content)
+                            exchange.stored.append(content)
                     yield part
-        except NotSentError:
+        except NotSent:
             self._records.submit_later(AbortRun(*key))
             raise
         except BaseException:
             if not start.idempotent:
                 self._records.submit_later(LoseRun(*key))
             raise
-        body = b"".join(stored)
+        head = exchange.head or Head(200, ())
+        body = b"".join(exchange.stored)
         if len(body) > STORED_BYTES and exchange.claim_attempt is None:
             self._records.submit_later(LoseRun(*key))
             return
--- a/src/camphorvalve/filters/defer.py
+++ b/src/camphorvalve/filters/defer.py
@@ -111,7 +111,7 @@
     :return: the id, hard to guess without the key
     """
     name = record_id(exchange)
-    return exchange.request.request_id if name is None else xxhash.xxh3_128_hexdigest(name)
+    return exchange.request.request_id if name is None else xxhash.xxh3_128_hexdigest(name.encode())
 
 
 __all__ = ["DeferFilter", "record_id", "work_id"]
--- a/src/camphorvalve/filters/retry.py
+++ b/src/camphorvalve/filters/retry.py
@@ -7,13 +7,13 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-from camphorvalve.model.answers import Head
+from camphorvalve.model.answers import Body, Head
 from camphorvalve.model.errors import RequestError
-from camphorvalve.model.requests import Completion
-from camphorvalve.upstreams.errors import BrokenError, NoAnswerError, NotSentError, UpstreamError
+from camphorvalve.model.requests import BrokenStream, Completion
+from camphorvalve.upstreams.errors import Broken, NoAnswer, NotSent, UpstreamError
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator
+    from collections.abc import AsyncIterator, Iterator
 
     from camphorvalve.filters.chain import Handler
     from camphorvalve.model.answers import Part
@@ -21,6 +21,8 @@
     from camphorvalve.sharing.budget import RetryBudget
 
 MAX_ATTEMPTS_COUNT = 4
+HELD_BYTES = 256 << 10
+"""A longer plain answer is passed on before it is whole, and can't be tried again then."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -51,27 +53,27 @@
     idempotent = exchange.parameters.idempotent
     last = exchange.attempt >= MAX_ATTEMPTS_COUNT or not has_budget
     match error:
-        case NotSentError() if last:
+        case NotSent() if last:
             message = f"no upstream could be reached in {exchange.attempt} attempts"
             return GiveUp(RequestError("no_upstream", message, retry_after_s=1.0))
-        case NotSentError():
+        case NotSent():
             return Again()
-        case NoAnswerError() if idempotent and not last:
+        case NoAnswer() if idempotent and not last:
             return Again()
-        case NoAnswerError():
+        case NoAnswer():
             return GiveUp(RequestError("upstream_failed", f"the upstream gave no answer: {error}"))
-        case BrokenError() if idempotent and not last and _can_continue(exchange):
+        case Broken() if idempotent and not last and _can_continue(exchange):
             return Again()
         case _:
             return GiveUp(RequestError("stream_broken", f"the answer broke off: {error}"))
 
 
 def _can_continue(exchange: Exchange) -> bool:
-    if not exchange.delivered:
+    if not exchange.output_started:
         return True
     match exchange.request.call:
         case Completion(streamed=True):
-            return True
+            return exchange.broken is not None
         case _:
             return False
 
@@ -99,16 +101,16 @@
         assert exchange.parameters is not None
         pool = exchange.parameters.pool
         self._budget.first_try(pool, time.monotonic())
-        has_head = False
+        output = _Output(exchange)
         while True:
             exchange.attempt += 1
             try:
                 async with aclosing(inner(exchange)) as parts:
                     async for part in parts:
-                        if isinstance(part, Head) and has_head:
-                            continue
-                        has_head = True
-                        yield part
+                        for ready in output.take(part):
+                            yield ready
+                for ready in output.rest():
+                    yield ready
                 return
             except UpstreamError as error:
                 self._note_failure(exchange, error)
@@ -117,12 +119,52 @@
                     case GiveUp(answer):
                         raise answer from error
                     case Again():
-                        continue
+                        output.restart()
 
     def _note_failure(self, exchange: Exchange, error: UpstreamError) -> None:
         exchange.note(time.monotonic(), f"attempt {exchange.attempt} failed: {error}")
         if exchange.upstream_id is not None:
             exchange.failed_upstreams.add(exchange.upstream_id)
+        match error:
+            case Broken(events_count=events_count, text=text) if events_count > 0:
+                exchange.broken = BrokenStream(events_count, text)
+            case _:
+                pass
+
+
+class _Output:
+    """Passes on one head, and holds an answer back while it could still be tried again whole."""
+
+    def __init__(self, exchange: Exchange) -> None:
+        self._exchange = exchange
+        self._streams = exchange.request.call == Completion(streamed=True)
+        self._held: list[Part] = []
+        self._held_bytes = 0
+
+    def take(self, part: Part) -> Iterator[Part]:
+        """Yield what may go out now that ``part`` has arrived."""
+        if isinstance(part, Head) and self._exchange.output_started:
+            return
+        self._held.append(part)
+        if isinstance(part, Body):
+            self._held_bytes += len(part.content)
+        if self._streams or self._exchange.output_started or self._held_bytes > HELD_BYTES:
+            yield from self.rest()
+
+    def rest(self) -> Iterator[Part]:
+        """Yield what is held."""
+        held, self._held = self._held, []
+        if held:
+            self._exchange.output_started = True
+        yield from held
+
+    def restart(self) -> None:
+        """Drop what is held of a failed attempt."""
+        self._held.clear()
+        self._held_bytes = 0
+        if not self._exchange.output_started:
+            self._exchange.stored.clear()
+            self._exchange.head = None
 
 
 __all__ = ["Again", "Decision", "GiveUp", "RetryFilter", "decide"]
--- a/src/camphorvalve/model/requests.py
+++ b/src/camphorvalve/model/requests.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING, NamedTuple
 
 if TYPE_CHECKING:
+    from camphorvalve.model.answers import Head
     from camphorvalve.model.teams import KindParameters, TeamParameters
 
 
@@ -44,6 +45,13 @@
     cost_hint_units: float | None
 
 
+class BrokenStream(NamedTuple):
+    """How far a stream got before it broke."""
+
+    events_count: int
+    text: str
+
+
 @dataclass(slots=True)
 class Exchange:
     """One request on its way through the chain; filters fill in what they learn."""
@@ -62,8 +70,14 @@
     """Attempt that the controllers have assigned, for accepted work."""
     failed_upstreams: set[str] = field(default_factory=set)
     """Upstreams that this request is not sent to again."""
-    delivered: list[bytes] = field(default_factory=list)
-    """Body bytes that the caller has got, kept while a stream may have to be continued."""
+    output_started: bool = False
+    """Whether the caller has got a part of the answer."""
+    head: Head | None = None
+    """First head of the answer, kept for the record."""
+    stored: list[bytes] = field(default_factory=list)
+    """Body so far, over all attempts, kept for the record."""
+    broken: BrokenStream | None = None
+    """Where a later attempt continues the stream."""
     notes: list[tuple[float, str]] = field(default_factory=list)
 
     def note(self, now_s: float, text: str) -> None:
@@ -76,4 +90,4 @@
         self.notes.append((now_s, text))
 
 
-__all__ = ["Call", "Completion", "Exchange", "Request", "ServiceCall"]
+__all__ = ["BrokenStream", "Call", "Completion", "Exchange", "Request", "ServiceCall"]
--- a/src/camphorvalve/sharing/placement.py
+++ b/src/camphorvalve/sharing/placement.py
@@ -21,7 +21,7 @@
 
 
 def _score(key: str, member: str) -> int:
-    return xxhash.xxh64_intdigest(f"{key}|{member}")
+    return xxhash.xxh64_intdigest(f"{key}|{member}".encode())
 
 
 def ranked(key: str, members: Iterable[str]) -> list[str]:
--- a/src/camphorvalve/sharing/scheduler.py
+++ b/src/camphorvalve/sharing/scheduler.py
@@ -25,6 +25,9 @@
 EJECT_REPORTERS_COUNT = 2
 """One router's view must not take an upstream away from all."""
 RATE_DECAY_S = 10.0
+OVERDUE_FACTOR = 2.0
+"""A team without a grant for this many times its due interval goes first, whatever it owes. A team
+that was ahead at the end of a partition would otherwise get nothing until all others caught up."""
 
 
 class GrantTo(NamedTuple):
@@ -83,6 +86,7 @@
         self._used: dict[str, int] = {}
         self._demand: dict[TeamKey, dict[str, _Waiting]] = {}
         self._blocked_until_s: dict[tuple[str, str], float] = {}
+        self._granted_s: dict[TeamKey, float] = {}
         self._rates: dict[str, _Rate] = {}
         self.ledger = ledger
 
@@ -229,13 +233,45 @@
 
     def _choose_one(self, pool: str, now_s: float) -> GrantTo | None:
         keys = [key for key, entries in self._demand.items() if key.pool == pool and entries]
-        for key in sorted(keys, key=lambda one: self._rank(one, now_s)):
+        overdue = self._overdue(keys, now_s)
+        for key in sorted(keys, key=lambda one: (one not in overdue, self._rank(one, now_s))):
             for entry_id in self._entries_by_urgency(key, now_s):
                 upstream = self._freest_upstream(pool, entry_id, now_s)
                 if upstream is not None:
                     return self._grant(key, entry_id, upstream, now_s)
         return None
 
+    def _overdue(self, keys: list[TeamKey], now_s: float) -> set[TeamKey]:
+        """Find teams that have waited for ``OVERDUE_FACTOR`` times the interval of their share."""
+        match self.policy:
+            case FleetFair():
+                pass
+            case _:
+                return set()
+        if not keys:
+            return set()
+        rate = self._own_rate(keys[0].pool)
+        weights = {key: self._local_weight(key) for key in keys}
+        total = sum(weights.values())
+        overdue = set()
+        for key, weight in weights.items():
+            since_s = now_s - self._granted_s.setdefault(key, now_s)
+            estimate_units = max(one.demand.estimate_units for one in self._demand[key].values())
+            if since_s * rate * weight > OVERDUE_FACTOR * estimate_units * total:
+                overdue.add(key)
+        return overdue
+
+    def _local_weight(self, key: TeamKey) -> float:
+        account = self.ledger.account(key)
+        return account.share / max(1, account.schedulers_count)
+
+    def _own_rate(self, pool: str) -> float:
+        rate = self._rates.get(pool)
+        if rate is None or rate.slot_s <= 0:
+            return 0.0
+        slots = sum(one.slots_count for one in self._upstreams.values() if one.pool == pool)
+        return rate.units / rate.slot_s * slots
+
     def _rank(self, key: TeamKey, now_s: float) -> float:
         entries = self._demand[key].values()
         match self.policy:
@@ -304,6 +340,7 @@
         self._running[grant_id] = _Running(
             upstream.upstream_id, key, entry_id, pending_units, 0.0, now_s
         )
+        self._granted_s[key] = now_s
         self.ledger.account(key).pending_units += pending_units
         self._count_used(upstream.upstream_id, 1)
         if waiting.waiting_count <= 0:
@@ -332,6 +369,7 @@
     def _drop_if_idle(self, key: TeamKey, now_s: float) -> None:
         if not self._demand.get(key):
             self._demand.pop(key, None)
+            self._granted_s.pop(key, None)
             self.ledger.set_idle(key, now_s)
 
     def _decay(self, now_s: float) -> None:
--- a/src/camphorvalve/wire/messages.py
+++ b/src/camphorvalve/wire/messages.py
@@ -140,8 +140,15 @@
     command: bytes
 
 
+class Lookup(NamedTuple):
+    """Asks the leader for the state of a record; answered by ``SubmitReply``."""
+
+    submit_id: str
+    record_id: str
+
+
 class SubmitReply(NamedTuple):
-    """Outcome of a command once it is committed and applied."""
+    """Outcome of a command once it is committed and applied, or state of a record."""
 
     submit_id: str
     accepted: bool
@@ -171,6 +178,7 @@
     ConfigPoll,
     ConfigUpdate,
     Submit,
+    Lookup,
     SubmitReply,
     Assignment,
 )
@@ -185,6 +193,7 @@
     "Grant",
     "GrantProgress",
     "GrantReturn",
+    "Lookup",
     "Ping",
     "Pong",
     "Progress",
--- /dev/null
+++ b/tools/fleet.py
@@ -0,0 +1,533 @@
+"""Starts a whole deployment on loopback: stand-ins, controllers and routers as processes."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+import os
+import signal
+import socket
+import sys
+import tempfile
+import time
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import TYPE_CHECKING, Any, NamedTuple
+
+import httpx
+
+from camphorvalve.wire import keys
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator, Sequence
+    from types import TracebackType
+
+ROOT = Path(__file__).resolve().parent.parent
+START_TIMEOUT_S = 20.0
+OPERATOR_TOKEN = "operator"
+CALLER_TOKEN = "caller"
+
+
+class UpstreamShape(NamedTuple):
+    """A group of equal upstreams of one pool."""
+
+    pool: str
+    role: str
+    count: int
+    slots_count: int
+    arguments: tuple[str, ...] = ()
+
+
+class Shape(NamedTuple):
+    """What a deployment consists of."""
+
+    name: str
+    data_centres: tuple[str, ...]
+    routers_count: int
+    controllers_count: int
+    upstreams: tuple[UpstreamShape, ...]
+    delay_ms: float = 0.0
+    """One-way delay between data centres; above zero every pair goes through the network."""
+    policy: str = "fleet_fair"
+    with_network: bool = False
+    with_keys: bool = True
+    router_settings: dict[str, Any] = {}  # noqa: RUF012 -- never changed in place
+
+
+PERTH = Shape(
+    name="perth",
+    data_centres=("perth-a", "perth-b", "perth-c", "perth-d"),
+    routers_count=8,
+    controllers_count=3,
+    upstreams=(
+        UpstreamShape("camphor-pool", "engine", 9, 4),
+        UpstreamShape("booking-desk", "service", 4, 4),
+    ),
+)
+KHOMAS = Shape(
+    name="khomas",
+    data_centres=("khomas-a", "khomas-b", "khomas-c"),
+    routers_count=8,
+    controllers_count=3,
+    upstreams=(
+        UpstreamShape("stylist-models", "engine", 9, 4),
+        UpstreamShape("orders-app", "service", 3, 4),
+    ),
+)
+SMALL = PERTH._replace(
+    routers_count=3,
+    upstreams=(
+        UpstreamShape("camphor-pool", "engine", 2, 4),
+        UpstreamShape("booking-desk", "service", 1, 4),
+    ),
+)
+
+
+def free_port() -> int:
+    """
+    Let the system choose a port.
+
+    :return: a port that was free a moment ago
+    """
+    with socket.socket() as one:
+        one.bind(("127.0.0.1", 0))
+        return one.getsockname()[1]
+
+
+@dataclass(slots=True)
+class Member:
+    """One started process."""
+
+    member_id: str
+    role: str
+    data_centre: str
+    command: tuple[str, ...]
+    url: str = ""
+    operator_url: str = ""
+    peer_port: int = 0
+    entry: dict[str, Any] = field(default_factory=dict)
+    process: asyncio.subprocess.Process | None = None
+
+    @property
+    def pid(self) -> int:
+        """:return: id of the running process"""
+        assert self.process is not None
+        return self.process.pid
+
+
+class Fleet:
+    """A running deployment; ends every process that it started."""
+
+    def __init__(self, shape: Shape, folder: Path | None = None) -> None:
+        """
+        Plan a deployment.
+
+        :param shape: what it consists of
+        :param folder: where settings, logs and data go; a temporary one by default
+        """
+        self.shape = shape
+        self._temporary = None if folder else tempfile.TemporaryDirectory(prefix="camphorvalve-")
+        self.folder = folder or Path(self._temporary.name)
+        self.members: dict[str, Member] = {}
+        self.platform_url = ""
+        self.network_url = ""
+        self._keys = keys.generate()._asdict() if shape.with_keys else None
+        self.client = httpx.AsyncClient(timeout=60.0, limits=httpx.Limits(max_connections=None))
+
+    async def __aenter__(self) -> Fleet:
+        """:return: the fleet, every process ready"""
+        try:
+            await self.start()
+        except BaseException:
+            await self.stop()
+            raise
+        return self
+
+    async def __aexit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        """Stop every process."""
+        await self.stop()
+
+    async def start(self) -> None:
+        """Start stand-ins, then controllers, then routers."""
+        platform = await self._standin("platform", "platform", ("tools.standins.platform",))
+        self.platform_url = platform.url
+        if self._has_network:
+            network = await self._standin("network", "network", ("tools.standins.network",))
+            self.network_url = network.url
+        await self._start_upstreams()
+        self._plan_own_processes()
+        await self._register()
+        own = [one for one in self.members.values() if one.role in ("controller", "router")]
+        for member in own:
+            await self._write_settings(member)
+        for member in own:
+            if member.role == "controller":
+                await self._bootstrap(member)
+        for member in own:
+            await self.launch(member.member_id)
+        for member in own:
+            await self._wait_ready(member)
+
+    async def stop(self) -> None:
+        """End every process; those that do not end in time are killed."""
+        running = [one for one in self.members.values() if one.process is not None]
+        for member in running:
+            self._signal(member, signal.SIGCONT)
+            self._signal(member, signal.SIGKILL if member.role == "router" else signal.SIGTERM)
+        for member in running:
+            assert member.process is not None
+            try:
+                await asyncio.wait_for(member.process.wait(), 5)
+            except TimeoutError:
+                self._signal(member, signal.SIGKILL)
+                await member.process.wait()
+        await self.client.aclose()
+        if self._temporary is not None:
+            self._temporary.cleanup()
+
+    def ids(self, role: str) -> list[str]:
+        """
+        List members of one role.
+
+        :param role: ``router``, ``controller``, ``engine`` or ``service``
+        :return: their ids
+        """
+        return [one.member_id for one in self.members.values() if one.role == role]
+
+    def kill(self, member_id: str, number: signal.Signals = signal.SIGKILL) -> None:
+        """
+        Send a signal to a process that this fleet started.
+
+        :param member_id: id of the member
+        :param number: the signal
+        """
+        self._signal(self.members[member_id], number)
+
+    async def launch(self, member_id: str) -> None:
+        """
+        Start a planned process, or start one again after it ended.
+
+        :param member_id: id of the member
+        """
+        member = self.members[member_id]
+        with (self.folder / f"{member_id}.log").open("ab") as log:
+            member.process = await asyncio.create_subprocess_exec(
+                *member.command, stdout=log, stderr=log, cwd=ROOT, env=_environment()
+            )
+
+    async def restart(self, member_id: str) -> None:
+        """
+        Start a process again and wait until it is ready.
+
+        :param member_id: id of the member
+        """
+        member = self.members[member_id]
+        if member.process is not None:
+            await member.process.wait()
+        await self.launch(member_id)
+        await self._wait_ready(member)
+
+    async def set_members(self, *entries: dict[str, Any]) -> None:
+        """
+        Change entries of the membership feed.
+
+        :param entries: entries with ``id`` and what changes
+        """
+        body = {"members": list(entries)}
+        (await self.client.post(f"{self.platform_url}/v1/members", json=body)).raise_for_status()
+
+    async def network(self, path: str, **body: Any) -> dict[str, Any]:
+        """
+        Control the stand-in network.
+
+        :param path: ``cut``, ``heal`` or ``delay``
+        :param body: ``source`` and ``target`` patterns, ``mode`` or ``one_way_ms``
+        :return: what it answered
+        """
+        answer = await self.client.post(f"{self.network_url}/v1/{path}", json=body)
+        return answer.raise_for_status().json()
+
+    async def operate(self, member_id: str, method: str, path: str, **options: Any) -> Any:
+        """
+        Call an operator port.
+
+        :param member_id: a router or a controller
+        :param method: HTTP method
+        :param path: path with query
+        :param options: further arguments of httpx
+        :return: the decoded JSON
+        """
+        headers = {"authorization": f"Bearer {OPERATOR_TOKEN}"}
+        url = f"{self.members[member_id].operator_url}{path}"
+        answer = await self.client.request(method, url, headers=headers, **options)
+        return answer.json()
+
+    async def change(self, change: dict[str, Any], operation_id: str | None = None) -> Any:
+        """
+        Change the configuration at whichever controller leads.
+
+        :param change: the change with its ``type``
+        :param operation_id: drawn when absent
+        :return: the answer
+        """
+        operation_id = operation_id or os.urandom(8).hex()
+        deadline_s = time.monotonic() + START_TIMEOUT_S
+        while time.monotonic() < deadline_s:
+            for controller_id in self.ids("controller"):
+                with contextlib.suppress(httpx.HTTPError, KeyError):
+                    current = await self.operate(controller_id, "GET", "/v1/configuration")
+                    body = {
+                        "operation_id": operation_id,
+                        "expected_revision": current["revision"],
+                        "change": change,
+                    }
+                    answer = await self.operate(controller_id, "POST", "/v1/changes", json=body)
+                    if "revision" in answer:
+                        return answer
+            await asyncio.sleep(0.1)
+        raise TimeoutError(f"no controller took the change {change}")
+
+    async def wait_configured(self, revision: int) -> None:
+        """
+        Wait until every running router has a revision in force.
+
+        :param revision: the revision
+        :raises TimeoutError: a router does not get there
+        """
+        for router_id in self.ids("router"):
+            await self._poll(router_id, lambda status: status["revision"] >= revision)
+
+    async def stream(
+        self, url: str, body: dict[str, Any], headers: dict[str, str]
+    ) -> AsyncIterator[str]:
+        """
+        Send a streamed completion and yield its lines.
+
+        :param url: address of a router
+        :param body: body of the request
+        :param headers: further headers
+        :return: lines of the event stream
+        """
+        headers = {"authorization": f"Bearer {CALLER_TOKEN}", **headers}
+        request = self.client.stream("POST", f"{url}/v1/completions", json=body, headers=headers)
+        async with request as answer:
+            async for line in answer.aiter_lines():
+                yield line
+
+    @property
+    def _has_network(self) -> bool:
+        return self.shape.with_network or self.shape.delay_ms > 0
+
+    async def _standin(
+        self, member_id: str, role: str, arguments: Sequence[str], data_centre: str = ""
+    ) -> Member:
+        command = (sys.executable, "-m", *arguments)
+        member = Member(member_id, role, data_centre, command)
+        self.members[member_id] = member
+        with (self.folder / f"{member_id}.log").open("ab") as log:
+            member.process = await asyncio.create_subprocess_exec(
+                *command,
+                stdin=asyncio.subprocess.PIPE,
+                stdout=asyncio.subprocess.PIPE,
+                stderr=log,
+                cwd=ROOT,
+                env=_environment(),
+            )
+        assert member.process.stdout is not None
+        line = await asyncio.wait_for(member.process.stdout.readline(), START_TIMEOUT_S)
+        member.url = json.loads(line)["url"]
+        return member
+
+    async def _start_upstreams(self) -> None:
+        starting = []
+        for group in self.shape.upstreams:
+            for number in range(group.count):
+                member_id = f"{group.pool}-{number + 1}"
+                data_centre = self.shape.data_centres[number % len(self.shape.data_centres)]
+                arguments = (
+                    f"tools.standins.{group.role}",
+                    "--id",
+                    member_id,
+                    "--slots",
+                    str(group.slots_count),
+                    *group.arguments,
+                )
+                starting.append(self._start_upstream(group, member_id, arguments, data_centre))
+        await asyncio.gather(*starting)
+
+    async def _start_upstream(
+        self, group: UpstreamShape, member_id: str, arguments: Sequence[str], data_centre: str
+    ) -> None:
+        member = await self._standin(member_id, group.role, arguments, data_centre)
+        member.entry = {
+            "id": member_id,
+            "role": group.role,
+            "pool": group.pool,
+            "data_centre": data_centre,
+            "url": member.url,
+            "slots": group.slots_count,
+            "fencing": "ignores" if "--ignore-fencing" in group.arguments else "checks",
+            "state": "live",
+        }
+
+    def _plan_own_processes(self) -> None:
+        for role, count in (
+            ("controller", self.shape.controllers_count),
+            ("router", self.shape.routers_count),
+        ):
+            for number in range(count):
+                member_id = f"{role}-{number + 1}"
+                data_centre = self.shape.data_centres[number % len(self.shape.data_centres)]
+                settings = str(self.folder / f"{member_id}.json")
+                command = (sys.executable, "-m", "camphorvalve", role, settings)
+                member = Member(member_id, role, data_centre, command)
+                member.peer_port = free_port()
+                member.operator_url = f"http://127.0.0.1:{free_port()}"
+                caller_url = f"http://127.0.0.1:{free_port()}"
+                member.url = caller_url if role == "router" else member.operator_url
+                member.entry = {
+                    "id": member_id,
+                    "role": role,
+                    "data_centre": data_centre,
+                    "url": member.url,
+                    "peer_address": f"tcp://127.0.0.1:{member.peer_port}",
+                    "state": "live",
+                }
+                self.members[member_id] = member
+
+    async def _register(self) -> None:
+        entries = [one.entry for one in self.members.values() if one.entry]
+        routes = []
+        if self._has_network:
+            own = [one for one in self.members.values() if one.peer_port]
+            for source in own:
+                for target in own:
+                    if source is not target:
+                        routes.append(await self._route(source, target))
+        body = {"members": entries, "routes": routes, "at_once": True}
+        (await self.client.post(f"{self.platform_url}/v1/members", json=body)).raise_for_status()
+
+    async def _route(self, source: Member, target: Member) -> dict[str, str]:
+        pair = {"source": source.member_id, "target": target.member_id}
+        port = (await self.network("routes", **pair, port=target.peer_port))["port"]
+        if self.shape.delay_ms > 0 and source.data_centre != target.data_centre:
+            await self.network("delay", **pair, one_way_ms=self.shape.delay_ms)
+        address = f"tcp://127.0.0.1:{port}"
+        self.members[source.member_id].entry.setdefault("_routes", {})[target.member_id] = address
+        return {
+            "asker_id": source.member_id,
+            "member_id": target.member_id,
+            "peer_address": address,
+        }
+
+    async def _write_settings(self, member: Member) -> None:
+        routes = member.entry.get("_routes", {})
+        settings: dict[str, Any] = {
+            "host_id": member.member_id,
+            "data_centre": member.data_centre,
+            "operator_bind": member.operator_url.removeprefix("http://"),
+            "peer_bind": f"tcp://127.0.0.1:{member.peer_port}",
+            "controllers": [
+                {
+                    "host_id": one_id,
+                    "peer_address": routes.get(one_id, self.members[one_id].entry["peer_address"]),
+                }
+                for one_id in self.ids("controller")
+            ],
+            "platform_url": self.platform_url,
+            "keys": self._keys,
+            "operator_token": OPERATOR_TOKEN,
+        }
+        if member.role == "router":
+            settings |= {
+                "caller_bind": member.url.removeprefix("http://"),
+                "caller_url": member.url,
+                "callers": [{"token": CALLER_TOKEN, "teams": self.team_names()}],
+                "policy": self.shape.policy,
+                **self.shape.router_settings,
+            }
+        else:
+            settings |= {
+                "operator_url": member.operator_url,
+                "data_folder": str(self.folder / f"{member.member_id}-data"),
+            }
+        (self.folder / f"{member.member_id}.json").write_text(json.dumps(settings, indent=2))
+
+    def team_names(self) -> list[str]:
+        """:return: teams of the deployment's example configuration"""
+        return [team["name"] for team in self.configuration()["teams"]]
+
+    def configuration(self) -> dict[str, Any]:
+        """:return: the deployment's example configuration"""
+        import json5  # noqa: PLC0415 -- slow to import, needed once
+
+        return json5.loads((ROOT / "examples" / self.shape.name / "configuration.json").read_text())
+
+    async def apply_configuration(self) -> int:
+        """
+        Send the example configuration as a series of changes.
+
+        :return: the last revision
+        """
+        configuration = self.configuration()
+        revision = 0
+        for kind in ("template", "team"):
+            for value in configuration[f"{kind}s"]:
+                answer = await self.change({"type": f"put_{kind}", kind: value})
+                revision = answer["revision"]
+        return revision
+
+    async def _bootstrap(self, member: Member) -> None:
+        settings = str(self.folder / f"{member.member_id}.json")
+        process = await asyncio.create_subprocess_exec(
+            sys.executable, "-m", "camphorvalve", "bootstrap", settings, cwd=ROOT,
+            env=_environment(), stdout=asyncio.subprocess.DEVNULL,
+        )  # fmt: skip
+        if await process.wait() != 0:
+            raise RuntimeError(f"bootstrap of {member.member_id} failed")
+
+    async def _wait_ready(self, member: Member) -> None:
+        await self._poll(member.member_id, lambda status: True)
+
+    async def _poll(self, member_id: str, ready: Any) -> None:
+        deadline_s = time.monotonic() + START_TIMEOUT_S
+        member = self.members[member_id]
+        while time.monotonic() < deadline_s:
+            if member.process is not None and member.process.returncode is not None:
+                break
+            with contextlib.suppress(httpx.HTTPError):
+                if ready(await self.operate(member_id, "GET", "/v1/status")):
+                    return
+            await asyncio.sleep(0.05)
+        log = (self.folder / f"{member_id}.log").read_text()[-2000:]
+        raise TimeoutError(f"{member_id} does not get ready:\n{log}")
+
+    def _signal(self, member: Member, number: signal.Signals) -> None:
+        if member.process is not None and member.process.returncode is None:
+            with contextlib.suppress(ProcessLookupError):
+                member.process.send_signal(number)
+
+
+def _environment() -> dict[str, str]:
+    path = os.pathsep.join([str(ROOT / "src"), str(ROOT)])
+    return {**os.environ, "PYTHONPATH": path, "PYTHONDONTWRITEBYTECODE": "1"}
+
+
+__all__ = [
+    "CALLER_TOKEN",
+    "KHOMAS",
+    "OPERATOR_TOKEN",
+    "PERTH",
+    "SMALL",
+    "Fleet",
+    "Member",
+    "Shape",
+    "UpstreamShape",
+    "free_port",
+]
