--- /dev/null
+++ b/src/camphorvalve/consensus/election.py
@@ -0,0 +1,131 @@
+"""Elections: pre-vote, votes, and the first entry of a new leader."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from camphorvalve.consensus.events import LeaderChanged, SaveVote, Send
+from camphorvalve.consensus.members import is_quorum
+from camphorvalve.consensus.messages import Vote, VoteRequest
+from camphorvalve.consensus.replication import open_term
+from camphorvalve.consensus.roles import Candidate, Follower, Leader, follow
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from camphorvalve.consensus.events import Effect
+    from camphorvalve.consensus.roles import ReplicaState
+
+
+def check_deadline(state: ReplicaState, now_s: float) -> Iterator[Effect]:
+    """
+    Start an election when no leader was heard for long enough.
+
+    :param state: the replica
+    :param now_s: current time
+    :return: effects
+    """
+    match state.role:
+        case Follower(deadline_s=deadline_s) | Candidate(deadline_s=deadline_s):
+            if now_s >= deadline_s and state.is_member:
+                yield from _campaign(state, now_s, pre=True)
+
+
+def on_request(state: ReplicaState, request: VoteRequest, now_s: float) -> Iterator[Effect]:
+    """
+    Answer a candidate; a replica that is not a member stays silent.
+
+    :param state: the replica
+    :param request: the request
+    :param now_s: current time
+    :return: effects
+    """
+    if not state.is_member:
+        return
+    has_leader = isinstance(state.role, Leader) or _heard_recently(state, now_s)
+    newest = (state.log.last_term, state.log.last_index)
+    up_to_date = (request.last_term, request.last_index) >= newest
+    if request.pre:
+        granted = request.term > state.term and up_to_date and not has_leader
+        term = request.term if granted else state.term
+        yield Send(Vote(state.identity, request.sender, term, granted, True))
+        return
+    # A live leader's lease rests on the members' refusal to elect another one.
+    if has_leader and request.term > state.term:
+        return
+    if request.term > state.term:
+        yield from follow(state, request.term, None, now_s)
+    free = state.voted_for in (None, request.sender)
+    granted = request.term == state.term and up_to_date and free
+    if granted and state.voted_for is None:
+        state.voted_for = request.sender
+        yield SaveVote(state.term, state.voted_for)
+        yield from _postpone(state, now_s)
+    yield Send(Vote(state.identity, request.sender, state.term, granted, False))
+
+
+def on_vote(state: ReplicaState, vote: Vote, now_s: float) -> Iterator[Effect]:
+    """
+    Count a vote.
+
+    :param state: the replica
+    :param vote: the answer of a member
+    :param now_s: current time
+    :return: effects
+    """
+    if not vote.granted:
+        if vote.term > state.term:
+            yield from follow(state, vote.term, None, now_s)
+        return
+    match state.role:
+        case Candidate(pre=pre, votes=votes) if pre == vote.pre:
+            if vote.term == state.term + pre:
+                votes.add(vote.sender)
+                yield from _count(state, now_s)
+
+
+def _campaign(state: ReplicaState, now_s: float, *, pre: bool) -> Iterator[Effect]:
+    known_leader = state.leader
+    if not pre:
+        state.term += 1
+        state.voted_for = state.identity
+        yield SaveVote(state.term, state.identity)
+    state.role = Candidate(pre, {state.identity}, state.next_deadline_s(now_s))
+    if known_leader is not None:
+        yield LeaderChanged(state.term, None)
+    for member in state.others():
+        yield Send(
+            VoteRequest(
+                state.identity,
+                member,
+                state.term + pre,
+                state.log.last_index,
+                state.log.last_term,
+                pre,
+            )
+        )
+    yield from _count(state, now_s)
+
+
+def _count(state: ReplicaState, now_s: float) -> Iterator[Effect]:
+    match state.role:
+        case Candidate(pre=pre, votes=votes) if is_quorum(state.log.members, votes):
+            if pre:
+                yield from _campaign(state, now_s, pre=False)
+            else:
+                yield from open_term(state, now_s)
+
+
+def _postpone(state: ReplicaState, now_s: float) -> Iterator[Effect]:
+    match state.role:
+        case Follower() as role:
+            role.deadline_s = state.next_deadline_s(now_s)
+        case _:
+            yield from follow(state, state.term, None, now_s)
+
+
+def _heard_recently(state: ReplicaState, now_s: float) -> bool:
+    return now_s - state.heard_s < state.timing.election_timeout_s
+
+
+__all__ = ["check_deadline", "on_request", "on_vote"]
--- /dev/null
+++ b/src/camphorvalve/consensus/replica.py
@@ -0,0 +1,144 @@
+"""One replica of the log: takes events, yields effects, does no input or output itself."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, NamedTuple
+
+from camphorvalve.consensus import election, following, replication, transfer
+from camphorvalve.consensus.events import (
+    Compacted,
+    Flush,
+    Propose,
+    Received,
+    Synced,
+    Tick,
+)
+from camphorvalve.consensus.log import Log
+from camphorvalve.consensus.messages import (
+    Append,
+    Appended,
+    ChunkStored,
+    Entry,
+    Join,
+    Snapshot,
+    SnapshotChunk,
+    Vote,
+    VoteRequest,
+)
+from camphorvalve.consensus.roles import Follower, ReplicaState, Role, Timing
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+    from random import Random
+
+    from camphorvalve.consensus.events import Effect, Event
+    from camphorvalve.consensus.messages import Message
+
+
+class Stored(NamedTuple):
+    """What a replica's files hold."""
+
+    identity: str
+    term: int
+    voted_for: str | None
+    snapshot: Snapshot
+    entries: tuple[Entry, ...]
+
+
+class Replica:
+    """Raft with pre-vote, check-quorum, leader lease, snapshots and single-step member changes."""
+
+    def __init__(
+        self,
+        stored: Stored,
+        timing: Timing,
+        random: Random,
+        now_s: float,
+        opening: bytes = b"",
+    ) -> None:
+        """
+        Create a replica from what its storage holds.
+
+        :param stored: identity, term, vote, snapshot and entries
+        :param timing: intervals of the protocol
+        :param random: source of the election timeouts
+        :param now_s: current time
+        :param opening: command that this replica appends first whenever it becomes leader
+        """
+        log = Log(stored.snapshot, stored.entries)
+        self.state = ReplicaState(
+            identity=stored.identity,
+            timing=timing,
+            random=random,
+            opening=opening,
+            term=stored.term,
+            voted_for=stored.voted_for,
+            log=log,
+            commit_index=stored.snapshot.index,
+            synced_index=log.last_index,
+            # Before the restart this replica may have answered a leader whose lease still holds.
+            heard_s=now_s,
+            role=Follower(None, 0.0),
+        )
+        self.state.role = Follower(None, self.state.next_deadline_s(now_s))
+
+    def step(self, event: Event, now_s: float) -> Iterator[Effect]:
+        """
+        Take one event.
+
+        :param event: the event
+        :param now_s: monotonic time
+        :return: effects in the order in which they have to be carried out; has to be exhausted
+        """
+        state = self.state
+        yield from replication.check_quorum(state, now_s)
+        match event:
+            case Received(message):
+                yield from self._receive(message, now_s)
+            case Tick():
+                yield from replication.send_heartbeats(state, now_s)
+                yield from election.check_deadline(state, now_s)
+            case Propose():
+                yield from replication.propose(state, event)
+            case Flush():
+                yield from replication.send_pending(state, now_s, heartbeat=False)
+            case Synced(index):
+                state.synced_index = max(state.synced_index, index)
+                yield from replication.advance(state)
+            case Compacted(snapshot):
+                state.log.compact(snapshot)
+
+    def lease_valid(self, now_s: float) -> bool:
+        """
+        Tell whether this replica leads and no other one can lead yet.
+
+        :param now_s: monotonic time
+        :return: whether the lease holds
+        """
+        until_s = replication.lease_until_s(self.state, now_s)
+        return until_s is not None and now_s < until_s
+
+    def _receive(self, message: Message, now_s: float) -> Iterator[Effect]:
+        state = self.state
+        if isinstance(message, Join):
+            replication.on_join(state, message.sender, now_s)
+            return
+        # A message for another disk of this host, such as one that was lost, is not for us.
+        if message.receiver != state.identity:
+            return
+        match message:
+            case VoteRequest():
+                yield from election.on_request(state, message, now_s)
+            case Vote():
+                yield from election.on_vote(state, message, now_s)
+            case Append():
+                yield from following.on_append(state, message, now_s)
+            case Appended():
+                yield from replication.on_appended(state, message, now_s)
+            case SnapshotChunk():
+                yield from transfer.on_chunk(state, message, now_s)
+            case ChunkStored():
+                yield from transfer.on_stored(state, message, now_s)
+
+
+__all__ = ["Replica", "Role", "Stored", "Timing"]
