Add the replicated state machine: configuration, records and orders

Records decide which request may be sent; every replica has to come to the same decision from the same commands. Transitions are pure functions on one record; the store only indexes them.

--- /dev/null
+++ b/src/camphorvalve/registry/records.py
@@ -0,0 +1,128 @@
+"""All records of accepted work and of runs that may happen at most once."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from camphorvalve.registry.commands import Done, ExpireRecords, Outcome
+from camphorvalve.registry.runs import Record, Transition, advance, record_of, time_of
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable, Iterator
+
+
+class Records:
+    """All records; every replica holds the same after the same commands."""
+
+    def __init__(self) -> None:
+        """Start without records."""
+        self._records: dict[str, Record] = {}
+        self._settled: dict[str, None] = {}
+        self._unsettled_work: dict[str, None] = {}
+        self._answers_bytes = 0
+        self._latest_s = 0.0
+
+    @property
+    def answers_bytes(self) -> int:
+        """:return: size of all stored answers"""
+        return self._answers_bytes
+
+    def get(self, record_id: str) -> Record | None:
+        """
+        Look up a record.
+
+        :param record_id: work id, or team and idempotency key
+        :return: the record
+        """
+        return self._records.get(record_id)
+
+    def all(self) -> Iterator[Record]:
+        """:return: all records in the order in which they were last changed"""
+        return iter(self._records.values())
+
+    def unsettled(self) -> Iterator[Record]:
+        """:return: records with accepted work or a start, and without an outcome"""
+        return (self._records[record_id] for record_id in self._unsettled_work)
+
+    def expired_before_s(self, before_s: float, limit_bytes: int) -> float | None:
+        """
+        Find up to which time records have to be removed.
+
+        :param before_s: retention; everything older goes
+        :param limit_bytes: bound of all stored answers
+        :return: the time, or ``None`` when nothing has to be removed
+        """
+        ordered = sorted(
+            (record.touched_s, record.answer_bytes)
+            for record in (self._records[record_id] for record_id in self._settled)
+        )
+        surplus_bytes = self._answers_bytes - limit_bytes
+        oldest = before_s
+        for touched_s, answer_bytes in ordered:
+            if surplus_bytes <= 0:
+                break
+            surplus_bytes -= answer_bytes
+            # The bound is exclusive, so that it has to lie above the record's own time.
+            oldest = max(oldest, touched_s + 1e-6)
+        return oldest if ordered and ordered[0][0] < oldest else None
+
+    def apply(self, index: int, command: Transition | ExpireRecords, revision: int) -> Outcome:
+        """
+        Apply a committed command.
+
+        :param index: its log index
+        :param command: the command
+        :param revision: revision of the configuration, for the outcome
+        :return: its outcome
+        """
+        done = Done(revision, index)
+        if isinstance(command, ExpireRecords):
+            self._expire(command.before_s)
+            return done
+        self._latest_s = max(self._latest_s, time_of(command))
+        record = self._records.get(record_of(command))
+        step = advance(record, command, done, self._latest_s)
+        if step.record is not None:
+            self._put(step.record)
+        return step.outcome
+
+    def load(self, records: Iterable[Record], latest_s: float) -> None:
+        """
+        Replace all records.
+
+        :param records: the records
+        :param latest_s: from ``latest_s`` of the saved records
+        """
+        self.__init__()  # type: ignore[misc]
+        self._latest_s = latest_s
+        for record in records:
+            self._put(record)
+
+    @property
+    def latest_s(self) -> float:
+        """:return: newest time that any command has named"""
+        return self._latest_s
+
+    def _expire(self, before_s: float) -> None:
+        for record_id in list(self._settled):
+            if self._records[record_id].touched_s < before_s:
+                self._drop(record_id)
+
+    def _put(self, record: Record) -> None:
+        self._drop(record.record_id)
+        self._records[record.record_id] = record
+        self._answers_bytes += record.answer_bytes
+        if record.settled or (record.work is None and record.start is None):
+            self._settled[record.record_id] = None
+        else:
+            self._unsettled_work[record.record_id] = None
+
+    def _drop(self, record_id: str) -> None:
+        old = self._records.pop(record_id, None)
+        if old is not None:
+            self._answers_bytes -= old.answer_bytes
+            self._settled.pop(record_id, None)
+            self._unsettled_work.pop(record_id, None)
+
+
+__all__ = ["Record", "Records"]
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -7,6 +7,20 @@
 from camphorvalve.model.hosts import Host, HostState, Role
 from camphorvalve.model.teams import KindParameters, Team, Template, Urgency
 from camphorvalve.model.upstreams import ChecksFencing, ModelEngine, Upstream
+from camphorvalve.registry.commands import (
+    ACTION_CODEC,
+    CHANGE_CODEC,
+    AbortRun,
+    AcceptWork,
+    AssignWork,
+    Change,
+    ChangeConfiguration,
+    FinishRun,
+    LoadModel,
+    LoseRun,
+    StartRun,
+    SubmitOrder,
+)
 
 POOL = "camphor-pool"
 
@@ -53,4 +67,78 @@
     return Upstream(**{**values, **fields})
 
 
-__all__ = ["POOL", "a_kind", "a_router", "a_team", "a_template", "an_upstream"]
+def a_change(change: Change, expected_revision: int, **fields: Any) -> ChangeConfiguration:
+    values = {
+        "operation_id": f"operation-{expected_revision}",
+        "expected_revision": expected_revision,
+        "change": CHANGE_CODEC.encode(change),
+    }
+    return ChangeConfiguration(**{**values, **fields})
+
+
+def an_acceptance(**fields: Any) -> AcceptWork:
+    values = {
+        "work_id": "work-1",
+        "team": "perth-youth",
+        "kind": "summary",
+        "idempotent": True,
+        "router_id": "router-1",
+        "incarnation": 1,
+        "payload": b"request",
+        "accepted_at_s": 10.0,
+    }
+    return AcceptWork(**{**values, **fields})
+
+
+def an_assignment(**fields: Any) -> AssignWork:
+    values = {"work_id": "work-1", "attempt": 2, "router_id": "router-2", "incarnation": 1}
+    return AssignWork(**{**values, **fields})
+
+
+def _a_run(**fields: Any) -> dict[str, Any]:
+    return {"record_id": "work-1", "request_id": "request-1", "attempt": 1, **fields}
+
+
+def a_start(**fields: Any) -> StartRun:
+    values = {"router_id": "router-1", "incarnation": 1, "idempotent": False, "started_at_s": 20.0}
+    return StartRun(**_a_run(**{**values, **fields}))
+
+
+def an_abort(**fields: Any) -> AbortRun:
+    return AbortRun(**_a_run(**fields))
+
+
+def a_finish(**fields: Any) -> FinishRun:
+    values = {"status": 200, "headers": (), "body": b"answer", "finished_at_s": 30.0}
+    return FinishRun(**_a_run(**{**values, **fields}))
+
+
+def a_loss(**fields: Any) -> LoseRun:
+    return LoseRun(**_a_run(**fields))
+
+
+def an_order(**fields: Any) -> SubmitOrder:
+    values = {
+        "operation_id": "order-1",
+        "upstream_id": "engine-1",
+        "action": ACTION_CODEC.encode(LoadModel("chorale", "1", 1 << 20)),
+    }
+    return SubmitOrder(**{**values, **fields})
+
+
+__all__ = [
+    "POOL",
+    "a_change",
+    "a_finish",
+    "a_kind",
+    "a_loss",
+    "a_router",
+    "a_start",
+    "a_team",
+    "a_template",
+    "an_abort",
+    "an_acceptance",
+    "an_assignment",
+    "an_order",
+    "an_upstream",
+]
--- /dev/null
+++ b/tests/registry/test_records.py
@@ -0,0 +1,134 @@
+"""Guards against a request that runs twice, work that is lost, and outcomes that change."""
+
+from __future__ import annotations
+
+import unittest
+
+from camphorvalve.registry.commands import (
+    Command,
+    Conflict,
+    Done,
+    ExpireRecords,
+    Finished,
+    Invalid,
+    Lost,
+    Outcome,
+    Running,
+)
+from camphorvalve.registry.state import RegistryState
+from tests.builders import a_finish, a_loss, a_start, an_abort, an_acceptance, an_assignment
+
+FINISHED = Finished("request-1", 1, 200, (), b"answer")
+ONCE = {"idempotent": False}
+
+# Commands in order; the last one's outcome is compared. A type stands for any value of it.
+TRANSITIONS: dict[str, tuple[list[Command], Outcome | type]] = {
+    "accept": ([an_acceptance()], Done(0, 1)),
+    "accept again": ([an_acceptance(), an_acceptance()], Done(0, 1)),
+    "accept again after a move": (
+        [an_acceptance(), an_assignment(), an_acceptance()],
+        Done(0, 1),
+    ),
+    "accept other content": ([an_acceptance(), an_acceptance(payload=b"other")], Conflict),
+    "start": ([a_start()], Done(0, 1)),
+    "same start again": ([a_start(), a_start()], Done(0, 1)),
+    "second request": ([a_start(), a_start(request_id="request-2")], Running("router-1", 1, 1)),
+    "second attempt": ([a_start(), a_start(attempt=2)], Running("router-1", 1, 1)),
+    "second router": ([a_start(), a_start(router_id="router-2")], Running("router-1", 1, 1)),
+    "restarted router": ([a_start(), a_start(incarnation=2)], Running("router-1", 1, 1)),
+    "start after abort": ([a_start(), an_abort(), a_start(attempt=2)], Done(0, 3)),
+    "start of another request after abort": (
+        [a_start(), an_abort(), a_start(request_id="request-2")],
+        Done(0, 3),
+    ),
+    "late copy of an aborted start": ([a_start(), an_abort(), a_start()], Conflict),
+    "start that its abort overtook": ([an_abort(), a_start()], Conflict),
+    "abort of another run": ([a_start(), an_abort(attempt=2)], Conflict),
+    "abort after the answer": ([a_start(), a_finish(), an_abort()], Conflict),
+    "start after the answer": ([a_start(), a_finish(), a_start(attempt=2)], FINISHED),
+    "start after the loss": ([a_start(), a_loss(), a_start(attempt=2)], Lost(1)),
+    "answer again": ([a_start(), a_finish(), a_finish()], Done(0, 2)),
+    "second answer": (
+        [an_acceptance(), a_start(), a_finish(), a_finish(attempt=2, body=b"other")],
+        FINISHED,
+    ),
+    "answer after the loss": ([a_start(), a_loss(), a_finish()], Lost(1)),
+    "answer of an aborted run": ([a_start(), an_abort(), a_finish()], Conflict),
+    "answer without record": ([a_finish()], Invalid),
+    "loss after the answer": ([a_start(), a_finish(), a_loss()], FINISHED),
+    "loss of another attempt": ([a_start(), a_loss(attempt=2)], Conflict),
+    "assign unknown work": ([an_assignment()], Invalid),
+    "assign a record without work": ([a_start(), an_assignment()], Invalid),
+    "assign": ([an_acceptance(), an_assignment()], Done(0, 2)),
+    "assign again": ([an_acceptance(), an_assignment(), an_assignment()], Done(0, 2)),
+    "assign with a gap": ([an_acceptance(), an_assignment(attempt=3)], Conflict),
+    "assign started work": ([an_acceptance(), a_start(), an_assignment()], Done(0, 3)),
+    "assign started work that runs once": (
+        [an_acceptance(**ONCE), a_start(**ONCE), an_assignment()],
+        Conflict,
+    ),
+    "assign answered work": ([an_acceptance(), a_start(), a_finish(), an_assignment()], Conflict),
+    "start by the claimant": ([an_acceptance(), a_start()], Done(0, 2)),
+    "start with a lost claim": ([an_acceptance(), an_assignment(), a_start()], Conflict),
+    "start by a restarted claimant": ([an_acceptance(), a_start(incarnation=2)], Conflict),
+    "start by the next claimant": (
+        [an_acceptance(), a_start(), an_assignment(), a_start(router_id="router-2", attempt=2)],
+        Done(0, 4),
+    ),
+    "start with an old attempt": (
+        [an_acceptance(), a_start(attempt=2), a_start(attempt=1)],
+        Conflict,
+    ),
+    "claimed start that runs once, twice": (
+        [an_acceptance(**ONCE), a_start(), a_start(request_id="request-2")],
+        Running("router-1", 1, 1),
+    ),
+    "answer with a lost claim": (
+        [an_acceptance(), a_start(), an_assignment(), a_finish()],
+        Done(0, 4),
+    ),
+    "expired answer": ([a_start(), a_finish(), ExpireRecords(1e6), a_start()], Done(0, 4)),
+    "answer that is kept": ([a_start(), a_finish(), ExpireRecords(20.0), a_start()], FINISHED),
+    "start is never expired": (
+        [a_start(), ExpireRecords(1e6), a_start(attempt=2)],
+        Running("router-1", 1, 1),
+    ),
+    "work is never expired": ([an_acceptance(), ExpireRecords(1e6), a_start()], Done(0, 3)),
+}
+
+
+class TransitionsTest(unittest.TestCase):
+    def test_each_transition_with_and_without_snapshots(self) -> None:
+        for name, (commands, expected) in TRANSITIONS.items():
+            for restored in (False, True):
+                with self.subTest(name, restored=restored):
+                    state = RegistryState()
+                    for index, command in enumerate(commands, 1):
+                        outcome = state.apply(index, command)
+                        if restored:
+                            data = state.snapshot()
+                            state = RegistryState()
+                            state.restore(data)
+                            self.assertEqual(state.snapshot(), data)
+                    if isinstance(expected, type):
+                        self.assertIsInstance(outcome, expected)
+                    else:
+                        self.assertEqual(outcome, expected)
+
+    def test_the_oldest_answers_go_first_when_the_store_is_full(self) -> None:
+        state = RegistryState()
+        for number in range(10):
+            record_id = f"key-{number}"
+            state.apply(2 * number, a_start(record_id=record_id))
+            finish = a_finish(record_id=record_id, body=b"x" * 100, finished_at_s=100.0 + number)
+            state.apply(2 * number + 1, finish)
+        before_s = state.records.expired_before_s(0.0, 450)
+        self.assertIsNotNone(before_s)
+        state.apply(99, ExpireRecords(before_s or 0.0))
+        kept = [record.record_id for record in state.records.all()]
+        self.assertEqual(kept, ["key-6", "key-7", "key-8", "key-9"])
+        self.assertIsNone(state.records.expired_before_s(0.0, 450))
+
+
+if __name__ == "__main__":
+    unittest.main()
