Serve callers over HTTP

The chain had no front end. The caller port decodes requests, runs the chain and sends its parts; errors have their documented codes. After the head was sent, an error ends an event stream with an error event, and any other body by closing the connection without its end. A caller that leaves cancels the chain. The server stops without cutting answers.

A new code internal_error (500, run unknown) covers faults of the router itself.

--- a/src/camphorvalve/model/errors.py
+++ b/src/camphorvalve/model/errors.py
@@ -49,6 +49,7 @@
     "too_large": _Code(413, Run.NO),
     "queue_full": _Code(429, Run.NO),
     "wait_too_long": _Code(429, Run.NO),
+    "internal_error": _Code(500, Run.UNKNOWN),
     "upstream_failed": _Code(502, Run.UNKNOWN),
     "stream_broken": _Code(502, Run.UNKNOWN),
     "no_upstream": _Code(503, Run.NO),
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -4,8 +4,17 @@
 
 from typing import Any
 
+from camphorvalve.model.answers import Body, Head
 from camphorvalve.model.hosts import Host, HostState, Role
-from camphorvalve.model.teams import KindParameters, Team, Template, Urgency
+from camphorvalve.model.requests import Completion, Exchange, Request
+from camphorvalve.model.teams import (
+    KindParameters,
+    Team,
+    TeamParameters,
+    Template,
+    Urgency,
+    resolve,
+)
 from camphorvalve.model.upstreams import ChecksFencing, ModelEngine, Upstream
 
 POOL = "camphor-pool"
@@ -53,4 +62,63 @@
     return Upstream(**{**values, **fields})
 
 
-__all__ = ["POOL", "a_kind", "a_router", "a_team", "a_template", "an_upstream"]
+def team_parameters(name: str = "perth-youth", **fields: Any) -> TeamParameters:
+    return resolve(a_team(name=name), a_template(**fields))
+
+
+def a_request(**fields: Any) -> Request:
+    values = {
+        "request_id": "request-1",
+        "call": Completion(streamed=False),
+        "pool": None,
+        "body": b'{"model": "m", "prompt": "p"}',
+        "content_type": "application/json",
+        "token": "secret",
+        "team": None,
+        "kind": None,
+        "idempotency_key": None,
+        "deferred": False,
+        "cost_hint_units": None,
+    }
+    return Request(**{**values, **fields})
+
+
+def an_exchange(received_s: float = 0.0, **fields: Any) -> Exchange:
+    """An exchange that no filter has seen; the fields are those of its request."""
+    return Exchange(a_request(**fields), received_s)
+
+
+def a_classified_exchange(
+    team: TeamParameters | None = None, kind: str = "draft", **fields: Any
+) -> Exchange:
+    """An exchange as it leaves the classify filter."""
+    exchange = an_exchange(**fields)
+    exchange.team = team or team_parameters()
+    exchange.kind = kind
+    exchange.parameters = exchange.team.kinds[kind]
+    return exchange
+
+
+def a_head(status: int = 200, content_type: str = "application/json", **headers: str) -> Head:
+    named = ((name.replace("_", "-"), value) for name, value in headers.items())
+    return Head(status, (("content-type", content_type), *named))
+
+
+def an_answer(*contents: bytes, **head: Any) -> tuple[Head | Body, ...]:
+    return (a_head(**head), *(Body(content) for content in contents))
+
+
+__all__ = [
+    "POOL",
+    "a_classified_exchange",
+    "a_head",
+    "a_kind",
+    "a_request",
+    "a_router",
+    "a_team",
+    "a_template",
+    "an_answer",
+    "an_exchange",
+    "an_upstream",
+    "team_parameters",
+]
--- /dev/null
+++ b/tests/filters/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the filter chain."""
--- /dev/null
+++ b/tests/http/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the HTTP front ends."""
--- /dev/null
+++ b/tests/http/serving.py
@@ -0,0 +1,66 @@
+"""Serves an application on loopback for the length of a test."""
+
+from __future__ import annotations
+
+from contextlib import asynccontextmanager
+from typing import TYPE_CHECKING, Any, NamedTuple
+
+import anyio
+
+from camphorvalve.http.callers import CallerApp, JsonAnswer, Lookups
+from camphorvalve.http.server import listen, serve
+from camphorvalve.model.errors import RequestError
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+    from camphorvalve.filters.chain import Handler
+
+
+class Served(NamedTuple):
+    port: int
+    shutdown: anyio.Event
+    stopped: anyio.Event
+
+    @property
+    def url(self) -> str:
+        return f"http://127.0.0.1:{self.port}"
+
+
+async def _deferred(work_id: str, token: str) -> JsonAnswer:
+    if work_id != "work-1":
+        raise RequestError("not_found", f"work {work_id!r} is not known")
+    return JsonAnswer(200, {"state": "waiting", "token": token})
+
+
+def caller_app(handler: Handler, **options: Any) -> CallerApp:
+    lookups = Lookups(
+        addresses=lambda: JsonAnswer(200, {"addresses": [], "lifetime_s": 2.0}),
+        deferred=_deferred,
+        health=lambda: JsonAnswer(200, {"state": "live"}),
+    )
+    return CallerApp(handler, lookups, host_id="router-1", **options)
+
+
+@asynccontextmanager
+async def serving(app: Any, **options: Any) -> AsyncIterator[Served]:
+    """Serve an application; fails when a connection keeps the server from stopping."""
+    listener = listen("127.0.0.1:0")
+    served = Served(listener.getsockname()[1], anyio.Event(), anyio.Event())
+
+    async def run() -> None:
+        limits = {"graceful_timeout_s": 10.0, "linger_s": 0.05, **options}
+        await serve(app, listener, served.shutdown, **limits)
+        served.stopped.set()
+
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(run)
+        try:
+            yield served
+        finally:
+            served.shutdown.set()
+        with anyio.fail_after(5):
+            await served.stopped.wait()
+
+
+__all__ = ["Served", "caller_app", "serving"]
--- /dev/null
+++ b/tests/http/test_callers.py
@@ -0,0 +1,210 @@
+"""Guards against wrong error codes, silently short answers, and work for callers who left."""
+
+from __future__ import annotations
+
+import unittest
+from typing import TYPE_CHECKING, Any
+
+import anyio
+import httpx
+
+from camphorvalve.http.callers import CallerLimits
+from camphorvalve.model.answers import Body
+from camphorvalve.model.errors import RequestError
+from camphorvalve.model.requests import Completion, ServiceCall
+from tests.builders import a_head, an_answer
+from tests.http.serving import caller_app, serving
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+    from camphorvalve.model.answers import Part
+    from camphorvalve.model.requests import Exchange
+
+
+class _Chain:
+    """Yields given parts, raises exceptions among them, and keeps the exchanges it got."""
+
+    def __init__(self, *parts: Part | Exception) -> None:
+        self.parts = parts
+        self.exchanges: list[Exchange] = []
+
+    async def __call__(self, exchange: Exchange) -> AsyncIterator[Part]:
+        self.exchanges.append(exchange)
+        exchange.attempt = 1
+        exchange.upstream_id = "engine-1"
+        for part in self.parts:
+            if isinstance(part, Exception):
+                raise part
+            yield part
+
+
+async def _raw(port: int, text: str) -> bytes:
+    """Send bytes on a connection of its own and read until the server closes it."""
+    received = b""
+    async with await anyio.connect_tcp("127.0.0.1", port) as stream:
+        await stream.send(text.replace("\n", "\r\n").encode())
+        with anyio.fail_after(5):
+            async for chunk in stream:
+                received += chunk
+    return received
+
+
+class CallerPortTest(unittest.IsolatedAsyncioTestCase):
+    async def test_a_call_reaches_the_chain_and_its_answer_the_caller(self) -> None:
+        chain = _Chain(*an_answer(b"one ", b"two", x_kept="1", connection="close", x_attempt="9"))
+        headers = {"Authorization": "Bearer secret", "X-Team": "t", "X-Cost-Hint": "12.5"}
+        cases = [
+            ("POST", "/v1/completions", None, Completion(streamed=False)),
+            ("PUT", "/v1/services/desk/a%2Fb?c=d", "desk", ServiceCall("PUT", "/a%2Fb?c=d")),
+            ("GET", "/v1/services/desk/", "desk", ServiceCall("GET", "/")),
+        ]
+        async with serving(caller_app(chain)) as served, httpx.AsyncClient() as client:
+            for method, path, pool, call in cases:
+                with self.subTest(path):
+                    answer = await client.request(
+                        method, served.url + path, headers=headers, content=b"body"
+                    )
+                    request = chain.exchanges[-1].request
+                    self.assertEqual((request.call, request.pool), (call, pool))
+                    self.assertEqual((request.token, request.team), ("secret", "t"))
+                    self.assertEqual((request.body, request.cost_hint_units), (b"body", 12.5))
+                    self.assertEqual((answer.status_code, answer.content), (200, b"one two"))
+                    self.assertEqual(answer.headers["x-request-id"], request.request_id)
+                    self.assertEqual(answer.headers["x-served-by"], "router-1")
+                    self.assertEqual(answer.headers["x-attempt"], "1")
+                    self.assertEqual(answer.headers["x-upstream"], "engine-1")
+                    self.assertEqual(answer.headers["x-kept"], "1")
+                    self.assertNotIn("connection", answer.headers)
+
+    async def test_bad_requests_get_their_code_and_never_reach_the_chain(self) -> None:
+        big = b"x" * 3_000_000
+        cases: list[tuple[str, str, dict[str, Any], str, int]] = [
+            ("GET", "/", {}, "not_found", 404),
+            ("GET", "/v1/completions", {}, "not_found", 404),
+            ("GET", "/v1/services/desk", {}, "not_found", 404),
+            ("POST", "/v1/services//x", {}, "not_found", 404),
+            ("GET", "/v1/deferred/work-2", {}, "not_found", 404),
+            ("POST", "/v1/addresses", {"content": big}, "not_found", 404),
+            ("POST", "/v1/completions", {"headers": {"X-Cost-Hint": "-1"}}, "bad_body", 400),
+            ("POST", "/v1/completions", {"headers": {"X-Cost-Hint": "nan"}}, "bad_body", 400),
+            ("POST", "/v1/completions", {"headers": {"X-Deferred": "maybe"}}, "bad_body", 400),
+            ("POST", "/v1/completions", {"headers": {"Idempotency-Key": ""}}, "bad_body", 400),
+            ("POST", "/v1/completions", {"content": big}, "too_large", 413),
+        ]
+        chain = _Chain()
+        app = caller_app(chain, limits=CallerLimits(body_bytes=1000))
+        async with serving(app) as served, httpx.AsyncClient() as client:
+            for method, path, options, code, status in cases:
+                with self.subTest(path=path, **options.get("headers", {})):
+                    answer = await client.request(method, served.url + path, **options)
+                    error = answer.json()["error"]
+                    self.assertEqual((answer.status_code, error["code"]), (status, code))
+                    self.assertEqual(error["run"], "no")
+                    self.assertEqual(error["request_id"], answer.headers["x-request-id"])
+        self.assertEqual(chain.exchanges, [])
+
+    async def test_a_body_without_declared_length_is_not_read_beyond_the_limit(self) -> None:
+        sent_count = 0
+
+        async def chunks() -> AsyncIterator[bytes]:
+            nonlocal sent_count
+            for _ in range(1000):
+                sent_count += 1
+                yield b"x" * 65536
+
+        app = caller_app(_Chain(), limits=CallerLimits(body_bytes=100_000, held_bytes=1 << 30))
+        async with serving(app) as served, httpx.AsyncClient() as client:
+            try:
+                answer = await client.post(f"{served.url}/v1/completions", content=chunks())
+                self.assertEqual(answer.json()["error"]["code"], "too_large")
+            except httpx.TransportError:
+                self.assertLess(sent_count, 1000)
+
+    async def test_bodies_of_all_requests_together_are_bounded(self) -> None:
+        app = caller_app(_Chain(*an_answer(b"{}")), limits=CallerLimits(held_bytes=100))
+        async with serving(app) as served, httpx.AsyncClient() as client:
+            url = f"{served.url}/v1/completions"
+            for size_bytes, status in [(101, 429), (100, 200), (100, 200)]:
+                answer = await client.post(url, content=b"x" * size_bytes)
+                self.assertEqual(answer.status_code, status, "held bytes are given back")
+
+    async def test_lookups(self) -> None:
+        headers = {"Authorization": "Bearer secret"}
+        async with serving(caller_app(_Chain())) as served, httpx.AsyncClient() as client:
+            for path, expected in [
+                ("/v1/addresses", {"addresses": [], "lifetime_s": 2.0}),
+                ("/v1/deferred/work-1", {"state": "waiting", "token": "secret"}),
+                ("/healthz", {"state": "live"}),
+            ]:
+                answer = await client.get(served.url + path, headers=headers)
+                self.assertEqual((answer.status_code, answer.json()), (200, expected))
+
+    async def test_errors_before_the_head(self) -> None:
+        cases = [
+            (RequestError("queue_full", "full", retry_after_s=1.2), 429, "queue_full", "no", "2"),
+            (RequestError("outcome_unknown", "?"), 409, "outcome_unknown", "unknown", None),
+            (ValueError("a fault"), 500, "internal_error", "unknown", None),
+        ]
+        for error, status, code, run, retry_after in cases:
+            async with serving(caller_app(_Chain(error))) as served, httpx.AsyncClient() as client:
+                answer = await client.post(f"{served.url}/v1/completions")
+            detail = answer.json()["error"]
+            self.assertEqual((answer.status_code, detail["code"]), (status, code))
+            self.assertEqual(detail["run"], run)
+            self.assertEqual(answer.headers.get("retry-after"), retry_after)
+            self.assertNotIn("a fault", answer.text)
+
+    async def test_an_error_after_the_head_is_never_a_short_answer(self) -> None:
+        error = RequestError("stream_broken", "engine-1 closed the connection")
+        call = "POST /v1/completions HTTP/1.1\nHost: x\nConnection: close\nContent-Length: 0\n\n"
+        cases = [
+            ("chunked", a_head(), b"part"),
+            ("declared length", a_head(content_length="100"), b"part"),
+        ]
+        for name, head, content in cases:
+            with self.subTest(name):
+                async with serving(caller_app(_Chain(head, Body(content), error))) as served:
+                    received = await _raw(served.port, call)
+                self.assertIn(b"part", received)
+                self.assertFalse(received.endswith(b"0\r\n\r\n"), "end of a whole answer")
+        stream = a_head(content_type="text/event-stream")
+        for content in (b"data: 1\n\n", b"data: 1"):
+            chain = _Chain(stream, Body(content), error)
+            async with serving(caller_app(chain)) as served, httpx.AsyncClient() as client:
+                answer = await client.post(f"{served.url}/v1/completions")
+            first, last = answer.text.removesuffix("\n\n").split("\n\n")
+            self.assertEqual(first, "data: 1")
+            self.assertTrue(last.startswith('event: error\ndata: {"error":{"code":"stream_broken"'))
+
+    async def test_http_1_0_is_refused_since_its_answers_end_with_the_connection(self) -> None:
+        async with serving(caller_app(_Chain(*an_answer(b"x")))) as served:
+            received = await _raw(served.port, "POST /v1/completions HTTP/1.0\n\n")
+        self.assertIn(b"HTTP/1.1 is required", received)
+
+    async def test_a_caller_that_leaves_closes_the_generators(self) -> None:
+        for name, parts_count in [("before the head", 0), ("within the body", 1)]:
+            started, closed = anyio.Event(), anyio.Event()
+
+            async def chain(
+                exchange: Exchange,
+                count: int = parts_count,
+                started: anyio.Event = started,
+                closed: anyio.Event = closed,
+            ) -> AsyncIterator[Part]:
+                try:
+                    for part in an_answer(b"x")[: 2 * count]:
+                        yield part
+                    started.set()
+                    await anyio.sleep(30)
+                finally:
+                    closed.set()
+
+            with self.subTest(name):
+                async with serving(caller_app(chain)) as served:
+                    stream = await anyio.connect_tcp("127.0.0.1", served.port)
+                    await stream.send(b"GET /v1/services/p/x HTTP/1.1\r\nHost: x\r\n\r\n")
+                    with anyio.fail_after(5):
+                        await started.wait()
+                        await stream.aclose()
+                        await closed.wait()
--- /dev/null
+++ b/tests/http/test_server.py
@@ -0,0 +1,79 @@
+"""Guards against a stop that cuts a running answer or leaves connections open."""
+
+from __future__ import annotations
+
+import unittest
+from typing import TYPE_CHECKING
+
+import anyio
+import anyio.lowlevel
+import httpx
+
+from camphorvalve.http.server import listen
+from camphorvalve.model.answers import Body
+from tests.builders import a_head
+from tests.http.serving import caller_app, serving
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+    from camphorvalve.model.answers import Part
+    from camphorvalve.model.requests import Exchange
+
+
+class ServerTest(unittest.IsolatedAsyncioTestCase):
+    async def test_a_stop_waits_for_running_answers_and_closes_idle_connections(self) -> None:
+        started, proceed = anyio.Event(), anyio.Event()
+
+        async def chain(exchange: Exchange) -> AsyncIterator[Part]:
+            yield a_head(content_type="text/event-stream")
+            started.set()
+            await proceed.wait()
+            for number in range(50):
+                await anyio.lowlevel.checkpoint()
+                yield Body(b"data: %d\n\n" % number)
+
+        answers: list[httpx.Response] = []
+
+        async def call(client: httpx.AsyncClient, url: str) -> None:
+            answers.append(await client.post(f"{url}/v1/completions"))
+
+        async with (
+            serving(caller_app(chain)) as served,
+            httpx.AsyncClient() as client,
+            anyio.create_task_group() as tasks,
+        ):
+            await client.get(f"{served.url}/healthz")
+            for _ in range(5):
+                tasks.start_soon(call, client, served.url)
+            await started.wait()
+            served.shutdown.set()
+            await anyio.sleep(0.05)
+            self.assertFalse(served.stopped.is_set())
+            proceed.set()
+            with anyio.fail_after(5):
+                await served.stopped.wait()
+            with self.assertRaises(httpx.ConnectError):
+                await httpx.AsyncClient().get(f"{served.url}/healthz")
+        self.assertEqual([answer.text.count("data:") for answer in answers], [50] * 5)
+
+    async def test_a_leaving_router_asks_callers_to_close_their_connections(self) -> None:
+        leaving = False
+
+        async def chain(exchange: Exchange) -> AsyncIterator[Part]:
+            yield a_head()
+
+        app = caller_app(chain)
+        async with serving(app, leaving=lambda: leaving) as served, httpx.AsyncClient() as client:
+            for leaving in (False, True):
+                for path in ("/v1/services/p/x", "/healthz"):
+                    answer = await client.get(served.url + path)
+                    self.assertEqual(answer.headers.get("connection") == "close", leaving)
+
+    def test_bind_addresses(self) -> None:
+        for bind in ("127.0.0.1", "127.0.0.1:", "127.0.0.1:http"):
+            with self.subTest(bind), self.assertRaises(ValueError):
+                listen(bind)
+        for bind in ("127.0.0.1:0", "[::1]:0"):
+            with self.subTest(bind), listen(bind) as listener:
+                self.assertGreater(listener.getsockname()[1], 0)
--- /dev/null
+++ b/tests/sharing/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the decisions on sharing."""
