--- a/src/camphorvalve/controllers/demand.py
+++ b/src/camphorvalve/controllers/demand.py
@@ -176,11 +176,12 @@
         )
         yield Outgoing(scheduler_id, message)
 
-    def predicted_wait_s(self, key: TeamKey, now_s: float) -> float | None:
+    def predicted_wait_s(self, key: TeamKey, urgency: Urgency, now_s: float) -> float | None:
         """
         Predict the wait of a new request from the recent rate of grants.
 
         :param key: pool and team
+        :param urgency: only work that is as urgent or more goes before it
         :param now_s: current time
         :return: seconds, or ``None`` without enough grants to tell
         """
@@ -188,7 +189,8 @@
         if rate is None or rate.count < 5:
             return None
         per_s = rate.count / max(1.0, min(RATE_WINDOW_S, now_s - rate.since_s))
-        return len(self.backlog.waiting(key)) / per_s
+        ahead_count = sum(one.urgency >= urgency for one in self.backlog.waiting(key))
+        return ahead_count / per_s
 
     def has_upstreams(self, pool: str) -> bool:
         """
@@ -227,7 +229,7 @@
         """
         due = {
             key
-            for key in self.backlog.keys()
+            for key in self.backlog.keys_waiting()
             if now_s - self._announced_s.get(key, 0.0) > ANNOUNCE_EVERY_S
         }
         for key in self._dirty | due:
@@ -265,7 +267,7 @@
 
     def _offer(self, scheduler_id: str, pool: str, now_s: float) -> Iterator[Outgoing]:
         self._free_until_s[(pool, scheduler_id)] = now_s + FREE_LIFETIME_S
-        for key in [key for key in self.backlog.keys() if key.pool == pool]:
+        for key in [key for key in self.backlog.keys_waiting() if key.pool == pool]:
             if scheduler_id not in self._announced.get(key, ()):
                 yield from self._announce(key, now_s)
 
--- a/src/camphorvalve/controllers/membership.py
+++ b/src/camphorvalve/controllers/membership.py
@@ -16,7 +16,7 @@
 
     from camphorvalve.controllers.runtime import Sender
     from camphorvalve.model.hosts import Host
-    from camphorvalve.model.upstreams import Upstream
+    from camphorvalve.model.upstreams import Upstream, UpstreamInterface
 
 PINGS_PER_TICK_COUNT = 8
 MISSED_PINGS_COUNT = 3
@@ -141,6 +141,15 @@
         """
         return self._upstreams.get(upstream_id)
 
+    def interface_of(self, pool: str) -> UpstreamInterface | None:
+        """
+        Tell how the upstreams of a pool are spoken to.
+
+        :param pool: name of the pool
+        :return: the interface, ``None`` for a pool without upstreams
+        """
+        return next((one.interface for one in self._upstreams.values() if one.pool == pool), None)
+
     def scheduler_of(self, upstream_id: str) -> str | None:
         """
         Find the router that schedules an upstream.
--- a/src/camphorvalve/controllers/stopping.py
+++ b/src/camphorvalve/controllers/stopping.py
@@ -35,15 +35,30 @@
 
     async def run(self) -> None:
         """Set ``shutdown`` once no caller can hold an answer that names this router."""
-        with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
-            async for number in signals:
-                _log.info("stopping", signal=number.name, lifetime_s=self._lifetime_s)
-                break
+        await _signal()
+        _log.info("leaving", address_lifetime_s=self._lifetime_s)
         self._membership.set_leaving()
         await anyio.sleep(NOTICE_S + self._lifetime_s)
         self.shutdown.set()
 
 
+async def wait_for_signal(shutdown: anyio.Event) -> None:
+    """
+    Set an event when the process is told to stop.
+
+    :param shutdown: the event
+    """
+    await _signal()
+    shutdown.set()
+
+
+async def _signal() -> None:
+    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+        async for number in signals:
+            _log.info("stopping", signal=number.name)
+            return
+
+
 async def wait_until(is_done: Callable[[], bool], timeout_s: float) -> bool:
     """
     Wait for a condition that nothing announces.
@@ -53,9 +68,9 @@
     :return: whether it came true in time
     """
     with anyio.move_on_after(timeout_s):
-        while not is_done():
+        while not is_done():  # noqa: ASYNC110 -- the condition has several owners
             await anyio.sleep(0.1)
     return is_done()
 
 
-__all__ = ["Stopping", "wait_until"]
+__all__ = ["Stopping", "wait_for_signal", "wait_until"]
--- a/src/camphorvalve/controllers/work.py
+++ b/src/camphorvalve/controllers/work.py
@@ -122,24 +122,31 @@
     async def _run(self, work_id: str, attempt: int, payload: bytes) -> None:
         pause_s = PAUSE_S
         try:
-            while not await self._try(work_id, attempt, payload):
+            claimed = attempt
+            while (tried_count := await self._try(work_id, claimed, payload)) > 0:
+                claimed += tried_count
                 await anyio.sleep(pause_s)
                 pause_s = min(2 * pause_s, PAUSE_MAX_S)
         finally:
             if self._running.get(work_id) == attempt:
                 del self._running[work_id]
 
-    async def _try(self, work_id: str, attempt: int, payload: bytes) -> bool:
-        """Run the work once; returns whether it has ended or is no longer this router's."""
+    async def _try(self, work_id: str, attempt: int, payload: bytes) -> int:
+        """Run the work; returns the attempts to go on after, zero when there is nothing to do."""
+        assert self._handler is not None
         try:
-            await self._answer(work_id, attempt, payload)
+            exchange = self._exchange(work_id, attempt, payload)
+            async with aclosing(self._handler(exchange)) as parts:
+                async for _ in parts:
+                    pass
         except RequestError as error:
             _log.warning("accepted work failed", work=work_id, code=error.code, run=error.run)
-            return error.code in ENDING_CODES
-        return True
+            if error.code in ENDING_CODES:
+                return 0
+            return max(1, exchange.attempt)
+        return 0
 
-    async def _answer(self, work_id: str, attempt: int, payload: bytes) -> None:
-        assert self._handler is not None
+    def _exchange(self, work_id: str, attempt: int, payload: bytes) -> Exchange:
         request = decode_request(payload)
         team = self._following.configuration.parameters(request.team or "")
         parameters = team.kinds.get(request.kind or "") if team is not None else None
@@ -151,9 +158,7 @@
         exchange.parameters = parameters
         exchange.record_id = work_id
         exchange.claim_attempt = attempt
-        async with aclosing(self._handler(exchange)) as parts:
-            async for _ in parts:
-                pass
+        return exchange
 
 
 __all__ = ["WorkController", "decode_request", "encode_request"]
--- a/src/camphorvalve/filters/admission.py
+++ b/src/camphorvalve/filters/admission.py
@@ -86,7 +86,7 @@
 
     def _enqueue(self, exchange: Exchange) -> tuple[Waiter, anyio.Event]:
         parameters, team = exchange.parameters, exchange.team
-        assert parameters is not None and team is not None  # noqa: PT018 -- set by classify
+        assert parameters is not None and team is not None
         now_s = time.monotonic()
         if not self._demand.has_upstreams(parameters.pool):
             raise RequestError(
@@ -105,6 +105,7 @@
             arrived_s=exchange.received_s,
             deadline_s=float("inf") if exchange.request.deferred else now_s + longest_s,
             wake=event.set,
+            accepted=exchange.request.deferred,
             excluded_upstreams=frozenset(exchange.failed_upstreams),
         )
         exchange.note(now_s, f"waits in {parameters.pool}, {parameters.urgency.name.lower()}")
--- a/src/camphorvalve/filters/defer.py
+++ b/src/camphorvalve/filters/defer.py
@@ -75,9 +75,14 @@
         yield Body(msgspec.json.encode({"id": accept.work_id, "state": "waiting"}))
 
     def _accept(self, exchange: Exchange) -> AcceptWork:
-        assert exchange.team is not None and exchange.parameters is not None  # noqa: PT018
+        assert exchange.team is not None and exchange.parameters is not None
+        # The same key and content lead to the same bytes, so that a resend is recognised.
         request = exchange.request._replace(
-            token="", team=exchange.team.name, kind=exchange.kind, pool=exchange.parameters.pool
+            request_id=work_id(exchange),
+            token="",
+            team=exchange.team.name,
+            kind=exchange.kind,
+            pool=exchange.parameters.pool,
         )
         return AcceptWork(
             work_id=work_id(exchange),
--- a/src/camphorvalve/http/lookups.py
+++ b/src/camphorvalve/http/lookups.py
@@ -11,10 +11,10 @@
 
 if TYPE_CHECKING:
     import random
-    from collections.abc import Callable
 
     from camphorvalve.controllers.membership import MembershipController
     from camphorvalve.controllers.records import Records
+    from camphorvalve.filters.identify import Tokens
     from camphorvalve.registry.commands import Outcome
 
 ADDRESSES_COUNT = 8
@@ -31,7 +31,7 @@
         rng: random.Random,
         *,
         lifetime_s: float,
-        check_token: Callable[[str], None],
+        tokens: Tokens | None,
     ) -> None:
         """
         Prepare the answers.
@@ -40,13 +40,13 @@
         :param records: reads accepted work
         :param rng: source of the order of addresses
         :param lifetime_s: how long a caller may keep the addresses
-        :param check_token: raises ``RequestError`` for an unknown token
+        :param tokens: known tokens; ``None`` admits every caller
         """
         self._membership = membership
         self._records = records
         self._rng = rng
         self._lifetime_s = lifetime_s
-        self._check_token = check_token
+        self._tokens = tokens
 
     def bundle(self) -> Lookups:
         """:return: the callables that ``CallerApp`` takes"""
@@ -71,7 +71,10 @@
         :return: state, with the answer once it is done
         :raises RequestError: unknown token or work, or no leader answers
         """
-        self._check_token(token)
+        if self._tokens is not None and self._tokens.teams(token) is None:
+            raise RequestError(
+                "unauthorised", "header Authorization: expected Bearer <known token>"
+            )
         outcome = await self._records.look_up(work_id)
         return JsonAnswer(200, _describe(work_id, outcome))
 
--- a/src/camphorvalve/sharing/backlog.py
+++ b/src/camphorvalve/sharing/backlog.py
@@ -3,15 +3,14 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field
-from typing import TYPE_CHECKING
-
-from camphorvalve.sharing.ledger import TeamKey
+from typing import TYPE_CHECKING, NamedTuple
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterator
 
     from camphorvalve.model.errors import RequestError
     from camphorvalve.model.teams import Urgency
+    from camphorvalve.sharing.ledger import TeamKey
     from camphorvalve.wire.messages import Grant
 
 FLOOR_EVERY_COUNT = 10
@@ -31,6 +30,8 @@
     deadline_s: float
     """When the wait ends without a grant."""
     wake: Callable[[], None]
+    accepted: bool = False
+    """Accepted work is never shed."""
     excluded_upstreams: frozenset[str] = frozenset()
     grant: Grant | None = None
     scheduler_id: str = ""
@@ -43,12 +44,40 @@
     granted_count: int = 0
 
 
+class Size(NamedTuple):
+    """How much waits."""
+
+    count: int = 0
+    size_bytes: int = 0
+
+    def plus(self, waiter: Waiter, sign: int) -> Size:
+        """
+        Add or remove one request.
+
+        :param waiter: the request
+        :param sign: 1 or -1
+        :return: the new size
+        """
+        return Size(self.count + sign, self.size_bytes + sign * waiter.size_bytes)
+
+
 class Backlog:
     """Waiting requests by pool and team, in order of arrival."""
 
     def __init__(self) -> None:
         """Start empty."""
         self._queues: dict[TeamKey, _Queue] = {}
+        self._team_sizes: dict[str, Size] = {}
+        self.total = Size()
+
+    def team_size(self, team: str) -> Size:
+        """
+        Tell how much waits for a team in all pools.
+
+        :param team: name of the team
+        :return: count and bytes
+        """
+        return self._team_sizes.get(team, Size())
 
     def add(self, waiter: Waiter) -> None:
         """
@@ -57,6 +86,7 @@
         :param waiter: the request
         """
         self._queues.setdefault(waiter.key, _Queue()).waiters.append(waiter)
+        self._count(waiter, 1)
 
     def remove(self, waiter: Waiter) -> None:
         """
@@ -67,6 +97,7 @@
         queue = self._queues.get(waiter.key)
         if queue is not None and waiter in queue.waiters:
             queue.waiters.remove(waiter)
+            self._count(waiter, -1)
             self._drop_if_empty(waiter.key)
 
     def pick(self, key: TeamKey, upstream_id: str) -> Waiter | None:
@@ -89,6 +120,7 @@
         else:
             chosen = max(fitting, key=lambda one: one.urgency)
         queue.waiters.remove(chosen)
+        self._count(chosen, -1)
         self._drop_if_empty(key)
         return chosen
 
@@ -105,7 +137,7 @@
             for key, queue in self._queues.items()
             if key.team == team
             for one in queue.waiters
-            if one.kind == kind
+            if one.kind == kind and not one.accepted
         ]
         return max(waiters, key=lambda one: one.arrived_s, default=None)
 
@@ -119,7 +151,7 @@
         queue = self._queues.get(key)
         return queue.waiters if queue is not None else []
 
-    def keys(self) -> Iterator[TeamKey]:
+    def keys_waiting(self) -> Iterator[TeamKey]:
         """:return: pools and teams for which something waits"""
         yield from self._queues
 
@@ -128,9 +160,18 @@
         for queue in self._queues.values():
             yield from queue.waiters
 
+    def _count(self, waiter: Waiter, sign: int) -> None:
+        team = waiter.key.team
+        self.total = self.total.plus(waiter, sign)
+        size = self.team_size(team).plus(waiter, sign)
+        if size.count > 0:
+            self._team_sizes[team] = size
+        else:
+            self._team_sizes.pop(team, None)
+
     def _drop_if_empty(self, key: TeamKey) -> None:
         if not self._queues[key].waiters:
             del self._queues[key]
 
 
-__all__ = ["Backlog", "Waiter"]
+__all__ = ["Backlog", "Size", "Waiter"]
--- a/src/camphorvalve/sharing/scheduler.py
+++ b/src/camphorvalve/sharing/scheduler.py
@@ -215,6 +215,10 @@
                 free[upstream.pool] = free.get(upstream.pool, 0) + slots_count
         return free
 
+    def upstream_ids(self) -> list[str]:
+        """:return: upstreams that this router schedules"""
+        return sorted(self._upstreams)
+
     def running_count(self) -> int:
         """:return: grants that are out"""
         return len(self._running)
--- a/src/camphorvalve/wiring.py
+++ b/src/camphorvalve/wiring.py
@@ -3,39 +3,47 @@
 from __future__ import annotations
 
 import random
-import signal
 import time
+from functools import partial
 from typing import TYPE_CHECKING, NamedTuple
 
 import anyio
 import structlog
 
+from camphorvalve.consensus.messages import MESSAGES as CONSENSUS_MESSAGES
+from camphorvalve.consensus.storage import open_storage
+from camphorvalve.controllers.backend import ControllerBackend
 from camphorvalve.controllers.demand import DemandController
 from camphorvalve.controllers.following import ConfigurationFollower, Load
 from camphorvalve.controllers.ledgers import LedgerController
 from camphorvalve.controllers.membership import MembershipController
+from camphorvalve.controllers.queues import Queues
 from camphorvalve.controllers.recording import RecordingController
 from camphorvalve.controllers.records import Records
+from camphorvalve.controllers.replication import ReplicationController
 from camphorvalve.controllers.runtime import Runtime
 from camphorvalve.controllers.scheduling import SchedulingController
-from camphorvalve.controllers.stopping import Stopping
+from camphorvalve.controllers.stopping import Stopping, wait_for_signal, wait_until
 from camphorvalve.controllers.work import WorkController
-from camphorvalve.filters.account import AccountFilter
+from camphorvalve.filters.account import account
 from camphorvalve.filters.admission import AdmissionFilter
 from camphorvalve.filters.chain import compose
-from camphorvalve.filters.classify import ClassifyFilter
+from camphorvalve.filters.classify import classify
 from camphorvalve.filters.deduplicate import DeduplicateFilter
 from camphorvalve.filters.defer import DeferFilter
 from camphorvalve.filters.dispatch import Dispatch
-from camphorvalve.filters.identify import IdentifyFilter
-from camphorvalve.filters.limit import LimitFilter
+from camphorvalve.filters.identify import Tokens, identify
+from camphorvalve.filters.limit import limit
 from camphorvalve.filters.retry import RetryFilter
-from camphorvalve.http.callers import CallerApp, Lookups
+from camphorvalve.http.callers import CallerApp
 from camphorvalve.http.lookups import RouterLookups
 from camphorvalve.http.operators import controller_app, router_app
 from camphorvalve.http.server import serve
 from camphorvalve.model.hosts import Host, HostState, Role
 from camphorvalve.model.policies import FirstCome, FleetFair, LocalFair
+from camphorvalve.model.upstreams import Upstream
+from camphorvalve.reports.burn import Burn
+from camphorvalve.reports.decisions import Decisions
 from camphorvalve.reports.explain import RouterReport
 from camphorvalve.reports.logs import configure
 from camphorvalve.sharing.aggregate import Aggregator
@@ -49,9 +57,20 @@
 from camphorvalve.wire.messages import MESSAGES
 
 if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+    import httpx
+
+    from camphorvalve.filters.chain import Handler
+    from camphorvalve.http.asgi import App
     from camphorvalve.model.policies import Policy
+    from camphorvalve.model.teams import TeamParameters
     from camphorvalve.settings.schema import ControllerSettings, Keys, RouterSettings
 
+ALL_MESSAGES = (*MESSAGES, *CONSENSUS_MESSAGES)
+WORK_STOP_TIMEOUT_S = 10.0
+"""How long a stopping router waits for accepted work; the leader assigns the rest to others."""
+
 _log = structlog.get_logger(__name__)
 
 
@@ -81,3 +100,242 @@
     :return: wall-clock time in microseconds
     """
     return time.time_ns() // 1000
+
+
+async def run_controller(settings: ControllerSettings) -> None:
+    """
+    Run a controller until it is told to stop.
+
+    :param settings: checked settings
+    """
+    configure(settings.host_id, settings.logging)
+    incarnation = new_incarnation()
+    _warn_open(settings.keys, settings.operator_token)
+    storage = open_storage(settings.data_folder, settings.host_id)
+    replication = ReplicationController(settings, storage, random.Random(incarnation))
+    link = _link(settings, incarnation)
+    runtime = Runtime(link, (replication,))
+    client = create_client()
+    backend = ControllerBackend(settings, replication)
+    link.open()
+    link.connect({one.host_id: one.peer_address for one in settings.controllers})
+    shutdown = anyio.Event()
+    async with client, anyio.create_task_group() as tasks:
+        tasks.start_soon(runtime.run)
+        tasks.start_soon(replication.run, runtime.send)
+        tasks.start_soon(_follow_as_controller, settings, client, link, backend)
+        tasks.start_soon(wait_for_signal, shutdown)
+        _log.info("controller started", identity=replication.status()["identity"])
+        app = controller_app(backend, settings.operator_token)
+        await serve(app, settings.operator_bind, shutdown, graceful_timeout_s=5.0)
+        tasks.cancel_scope.cancel()
+    storage.close()
+    link.close()
+    _log.info("controller stopped")
+
+
+async def _follow_as_controller(
+    settings: ControllerSettings,
+    client: httpx.AsyncClient,
+    link: Link,
+    backend: ControllerBackend,
+) -> None:
+    addresses = {one.host_id: one.peer_address for one in settings.controllers}
+    async for members in platform.follow(client, settings.platform_url, settings.host_id, 1.0):
+        for member in members:
+            match member:
+                case Host(role=Role.ROUTER, host_id=host_id, peer_address=peer_address):
+                    addresses[host_id] = peer_address
+                case Host(role=Role.CONTROLLER):
+                    backend.operator_urls[member.host_id] = member.url
+                case Upstream():
+                    backend.upstreams[member.upstream_id] = member
+        link.connect(addresses)
+
+
+async def run_router(settings: RouterSettings) -> None:
+    """
+    Run a router until it has stopped gracefully.
+
+    :param settings: checked settings
+    """
+    configure(settings.host_id, settings.logging)
+    incarnation = new_incarnation()
+    rng = random.Random(incarnation)
+    router = build_router(settings, incarnation, rng)
+    _warn_open(settings.keys, settings.operator_token)
+    router.runtime.link.open()
+    async with router.client, anyio.create_task_group() as tasks:
+        router.work.connect(tasks, router.background)
+        for one in (router.runtime.run, router.feed, router.stopping.run):
+            tasks.start_soon(one)
+        shutdown = router.stopping.shutdown
+        _log.info("router started", caller_bind=settings.caller_bind, incarnation=incarnation)
+        async with anyio.create_task_group() as servers:
+            operators_stop = anyio.Event()
+            servers.start_soon(serve, router.operators, settings.operator_bind, operators_stop)
+            await serve(
+                router.callers,
+                settings.caller_bind,
+                shutdown,
+                graceful_timeout_s=settings.stop_timeout_s,
+                leaving=lambda: router.membership.leaving,
+            )
+            await wait_until(lambda: router.work.running_count() == 0, WORK_STOP_TIMEOUT_S)
+            operators_stop.set()
+        tasks.cancel_scope.cancel()
+    router.runtime.link.close()
+    _log.info("router stopped")
+
+
+class Router(NamedTuple):
+    """The parts of a router that its tasks need."""
+
+    runtime: Runtime
+    membership: MembershipController
+    work: WorkController
+    background: Handler
+    callers: CallerApp
+    operators: App
+    stopping: Stopping
+    client: httpx.AsyncClient
+    feed: Callable[[], Awaitable[None]]
+
+
+def build_router(settings: RouterSettings, incarnation: int, rng: random.Random) -> Router:
+    """
+    Wire the parts of a router.
+
+    :param settings: checked settings
+    :param incarnation: number of this start
+    :param rng: source of randomness
+    :return: the parts
+    """
+    policy = policy_of(settings.policy)
+    membership = MembershipController(_self_host(settings), rng)
+    demand: DemandController | None = None
+
+    def load() -> Load:
+        assert demand is not None
+        return Load(membership.leaving, demand.backlog.total.count, demand.running_count())
+
+    controller_ids = [one.host_id for one in settings.controllers]
+    following = ConfigurationFollower(controller_ids, settings.caller_url, load)
+    following.subscribe(lambda configuration: membership.set_draining(configuration.draining))
+    demand = DemandController(policy, membership, following)
+    ledger = Ledger(policy)
+    scheduler = Scheduler(policy, ledger, rng)
+    work = WorkController(following)
+    recording = RecordingController(controller_ids, rng, work.assigned)
+    link = _link(settings, incarnation)
+    runtime = Runtime(
+        link,
+        (
+            membership,
+            following,
+            demand,
+            SchedulingController(scheduler, membership, rng),
+            LedgerController(ledger, Aggregator(), membership, policy),
+            recording,
+        ),
+    )
+    records = Records(recording, runtime, settings.record_timeout_s)
+    client = create_client()
+    background = compose(
+        (
+            RetryFilter(RetryBudget()),
+            AdmissionFilter(demand, runtime),
+            DeduplicateFilter(records, settings.host_id, incarnation),
+        ),
+        Dispatch(client, membership),
+    )
+    burn = Burn()
+    decisions = Decisions()
+    report = RouterReport(
+        settings.host_id, membership, following, demand, scheduler, runtime, burn, decisions
+    )
+    parameters = partial(_parameters, following)
+    handler = compose(
+        (
+            account(report.recorders()),
+            identify(settings.callers, parameters),
+            classify(membership.interface_of),
+            limit(
+                Queues(demand, following), settings.queue_total_count, settings.queue_total_bytes
+            ),
+            DeferFilter(records, work, settings.host_id, incarnation),
+        ),
+        background,
+    )
+    lookups = RouterLookups(
+        membership,
+        records,
+        rng,
+        lifetime_s=settings.address_lifetime_s,
+        tokens=None if settings.callers is None else Tokens(settings.callers),
+    )
+    callers = CallerApp(
+        handler,
+        lookups.bundle(),
+        host_id=settings.host_id,
+        leaving=lambda: membership.leaving,
+    )
+    return Router(
+        runtime,
+        membership,
+        work,
+        background,
+        callers,
+        router_app(report, settings.operator_token),
+        Stopping(membership, settings.address_lifetime_s),
+        client,
+        partial(_follow_feed, settings, client, membership, link),
+    )
+
+
+def _parameters(following: ConfigurationFollower, team: str) -> TeamParameters | None:
+    return following.configuration.parameters(team)
+
+
+async def _follow_feed(
+    settings: RouterSettings,
+    client: httpx.AsyncClient,
+    membership: MembershipController,
+    link: Link,
+) -> None:
+    controllers = {one.host_id: one.peer_address for one in settings.controllers}
+    link.connect(controllers)
+    changes = platform.follow(
+        client, settings.platform_url, settings.host_id, settings.feed_interval_s
+    )
+    async for members in changes:
+        hosts = [one for one in members if isinstance(one, Host)]
+        upstreams = [one for one in members if isinstance(one, Upstream)]
+        membership.apply_feed(hosts, upstreams)
+        link.connect({**membership.peer_addresses(), **controllers})
+
+
+def _self_host(settings: RouterSettings) -> Host:
+    return Host(
+        settings.host_id,
+        Role.ROUTER,
+        settings.data_centre,
+        settings.caller_url,
+        settings.peer_bind,
+        HostState.LIVE,
+    )
+
+
+def _link(settings: RouterSettings | ControllerSettings, incarnation: int) -> Link:
+    pair = None if settings.keys is None else KeyPair(*settings.keys)
+    return Link(settings.host_id, incarnation, settings.peer_bind, ALL_MESSAGES, pair)
+
+
+def _warn_open(keys: Keys | None, operator_token: str | None) -> None:
+    if keys is None:
+        _log.warning("links between processes are open", setting="keys")
+    if operator_token is None:
+        _log.warning("the operator port is open", setting="operator_token")
+
+
+__all__ = ["Router", "build_router", "new_incarnation", "policy_of", "run_controller", "run_router"]
