--- a/src/camphorvalve/settings/changes.py
+++ b/src/camphorvalve/settings/changes.py
@@ -91,48 +91,48 @@
     """
     match change:
         case PutTemplate(template):
-            yield from check_template(template, f"{path}.template")
+            yield from check_template(template, f"{path}.template.")
         case PutTeam(team):
-            yield from check_team(team, f"{path}.team")
+            yield from check_team(team, f"{path}.team.")
         case DeleteTeam(name):
             yield from _check_name(f"{path}.name", name)
         case SetDrain(member_id, _):
             yield from _check_id(f"{path}.member_id", member_id)
 
 
-def check_template(template: Any, path: str) -> Iterator[Problem]:
+def check_template(template: Any, prefix: str) -> Iterator[Problem]:
     """
     Check a template.
 
     :param template: the template
-    :param path: where it stands
+    :param prefix: where its fields stand, such as ``change.team.``
     :return: what is wrong
     """
     if not isinstance(template, Template):
         return
-    yield from _check_name(f"{path}.name", template.name)
-    yield from _check_share(f"{path}.share", template.share)
-    yield from _check_kinds(f"{path}.kinds", template.kinds)
+    yield from _check_name(f"{prefix}name", template.name)
+    yield from _check_share(f"{prefix}share", template.share)
+    yield from _check_kinds(f"{prefix}kinds", template.kinds)
     if isinstance(template.kinds, Mapping) and not template.kinds:
-        yield Problem(f"{path}.kinds", "no kinds", "at least one kind of work")
-    yield from _check_limits(f"{path}.limits", template.limits)
+        yield Problem(f"{prefix}kinds", "no kinds", "at least one kind of work")
+    yield from _check_limits(f"{prefix}limits", template.limits)
 
 
-def check_team(team: Any, path: str) -> Iterator[Problem]:
+def check_team(team: Any, prefix: str) -> Iterator[Problem]:
     """
     Check a team.
 
     :param team: the team
-    :param path: where it stands
+    :param prefix: where its fields stand, such as ``change.team.``
     :return: what is wrong
     """
     if not isinstance(team, Team):
         return
-    yield from _check_name(f"{path}.name", team.name)
-    yield from _check_name(f"{path}.template", team.template)
-    yield from _check_share(f"{path}.share", team.share)
-    yield from _check_kinds(f"{path}.kinds", team.kinds)
-    yield from _check_limits(f"{path}.limits", team.limits)
+    yield from _check_name(f"{prefix}name", team.name)
+    yield from _check_name(f"{prefix}template", team.template)
+    yield from _check_share(f"{prefix}share", team.share)
+    yield from _check_kinds(f"{prefix}kinds", team.kinds)
+    yield from _check_limits(f"{prefix}limits", team.limits)
 
 
 def _check_action(action: EngineAction) -> Iterator[Problem]:
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -2,8 +2,16 @@
 
 from __future__ import annotations
 
+import asyncio
+import contextlib
+import socket
+from contextlib import asynccontextmanager
 from typing import TYPE_CHECKING, Any
 
+import httpx
+from hypercorn.asyncio import serve
+from hypercorn.config import Config
+
 from camphorvalve.model.errors import RequestError
 from camphorvalve.registry.commands import (
     CHANGE_CODEC,
@@ -18,7 +26,9 @@
 from camphorvalve.registry.configuration import EMPTY, ChangeError, Configuration, apply_change
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import AsyncIterator, Iterable
+
+    from camphorvalve.http.asgi import App
 
 
 class FakeController:
@@ -91,4 +101,49 @@
         return {"rows": [{"team": "kalamunda", "kind": "chat", "burn_ratio": 0.5}]}
 
 
-__all__ = ["FakeController", "FakeRouter"]
+@asynccontextmanager
+async def served(app: App) -> AsyncIterator[str]:
+    """Serve an application on a port that the system chooses; yields its URL."""
+    listener = socket.create_server(("127.0.0.1", 0))
+    config = Config()
+    config.bind = [f"fd://{listener.fileno()}"]
+    config.errorlog = None
+    config.graceful_timeout = 0.2
+    stop = asyncio.Event()
+    server = asyncio.create_task(serve(app, config, shutdown_trigger=stop.wait))
+    try:
+        yield f"http://127.0.0.1:{listener.getsockname()[1]}"
+    finally:
+        stop.set()
+        await server
+        listener.detach()
+
+
+@asynccontextmanager
+async def lossy(url: str, lost_posts_count: int) -> AsyncIterator[str]:
+    """Forward requests to a URL, and drop the answers of the first posts; yields its URL."""
+    left = [lost_posts_count]
+
+    async def forward(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        with contextlib.suppress(asyncio.IncompleteReadError):
+            head = await reader.readuntil(b"\r\n\r\n")
+            method, path, _ = head.split(b" ", 2)
+            sizes = [line[15:] for line in head.lower().splitlines() if b"content-length:" in line]
+            body = await reader.readexactly(int(sizes[0])) if sizes else b""
+            async with httpx.AsyncClient() as client:
+                answer = await client.request(method.decode(), url + path.decode(), content=body)
+            if method == b"POST" and left[0] > 0:
+                left[0] -= 1
+            else:
+                length = len(answer.content)
+                writer.write(f"HTTP/1.1 {answer.status_code} -\r\n".encode())
+                writer.write(f"connection: close\r\ncontent-length: {length}\r\n\r\n".encode())
+                writer.write(answer.content)
+        writer.close()
+
+    server = await asyncio.start_server(forward, "127.0.0.1", 0)
+    async with server:
+        yield f"http://127.0.0.1:{server.sockets[0].getsockname()[1]}"
+
+
+__all__ = ["FakeController", "FakeRouter", "lossy", "served"]
