--- a/tests/builders.py
+++ b/tests/builders.py
@@ -9,6 +9,7 @@
 from camphorvalve.model.requests import Completion, Exchange, Request
 from camphorvalve.model.teams import (
     KindParameters,
+    Limits,
     Team,
     TeamParameters,
     Template,
@@ -16,6 +17,7 @@
     resolve,
 )
 from camphorvalve.model.upstreams import ChecksFencing, ModelEngine, Upstream
+from camphorvalve.sharing.shedding import Backlog, Bounds, Holding, Newcomer
 
 POOL = "camphor-pool"
 
@@ -108,11 +110,49 @@
     return (a_head(**head), *(Body(content) for content in contents))
 
 
+def a_newcomer(**fields: Any) -> Newcomer:
+    values = {
+        "team": "a",
+        "kind": "draft",
+        "urgency": Urgency.NORMAL,
+        "share": 1.0,
+        "size_bytes": 10,
+        "objective_s": 10.0,
+    }
+    return Newcomer(**{**values, **fields})
+
+
+def a_holding(**fields: Any) -> Holding:
+    values = {"team": "a", "kind": "draft", "urgency": Urgency.NORMAL, "share": 1.0, "count": 1}
+    merged = {**values, **fields}
+    return Holding(**{"size_bytes": 10 * merged["count"], **merged})
+
+
+def a_backlog(*holdings: Holding, team: str = "a", wait_s: float | None = None) -> Backlog:
+    own = [one for one in holdings if one.team == team]
+    return Backlog(
+        sum(one.count for one in own),
+        sum(one.size_bytes for one in own),
+        sum(one.count for one in holdings),
+        sum(one.size_bytes for one in holdings),
+        wait_s,
+        holdings,
+    )
+
+
+def queue_bounds(**fields: Any) -> Bounds:
+    limits = Limits(queue_count=20, queue_bytes=200, request_bytes=50)
+    return Bounds(**{"limits": limits, "total_count": 100, "total_bytes": 1000, **fields})
+
+
 __all__ = [
     "POOL",
+    "a_backlog",
     "a_classified_exchange",
     "a_head",
+    "a_holding",
     "a_kind",
+    "a_newcomer",
     "a_request",
     "a_router",
     "a_team",
@@ -120,5 +160,6 @@
     "an_answer",
     "an_exchange",
     "an_upstream",
+    "queue_bounds",
     "team_parameters",
 ]
--- /dev/null
+++ b/tests/filters/running.py
@@ -0,0 +1,39 @@
+"""Runs one filter in front of a given end of the chain."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from tests.builders import an_answer
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+    from camphorvalve.filters.chain import Filter, Handler
+    from camphorvalve.model.answers import Part
+    from camphorvalve.model.requests import Exchange
+
+
+def answering(*contents: bytes, status: int = 200, error: Exception | None = None) -> Handler:
+    async def handler(exchange: Exchange) -> AsyncIterator[Part]:
+        for part in an_answer(*contents, status=status):
+            yield part
+        if error is not None:
+            raise error
+
+    return handler
+
+
+def failing(error: Exception) -> Handler:
+    async def handler(exchange: Exchange) -> AsyncIterator[Part]:
+        raise error
+        yield
+
+    return handler
+
+
+async def run(filter_: Filter, exchange: Exchange, inner: Handler) -> list[Part]:
+    return [part async for part in filter_(exchange, inner)]
+
+
+__all__ = ["answering", "failing", "run"]
--- /dev/null
+++ b/tests/sharing/test_shedding.py
@@ -0,0 +1,108 @@
+"""Guards against a flood that takes queue room from other work, and against needless rejections."""
+
+from __future__ import annotations
+
+import unittest
+from collections import Counter
+
+from camphorvalve.model.teams import Limits, Urgency
+from camphorvalve.sharing.shedding import Admit, Reject, Shed, decide
+from tests.builders import a_backlog, a_holding, a_newcomer, queue_bounds
+
+URGENCIES = {"chat": Urgency.URGENT, "draft": Urgency.NORMAL, "summary": Urgency.DEFERRABLE}
+
+
+def _holding(team: str, kind: str, count: int, **fields):
+    return a_holding(team=team, kind=kind, urgency=URGENCIES[kind], count=count, **fields)
+
+
+def _newcomer(team: str, kind: str, **fields):
+    return a_newcomer(team=team, kind=kind, urgency=URGENCIES[kind], **fields)
+
+
+class DecideTest(unittest.TestCase):
+    def test_decisions(self) -> None:
+        full_a = [_holding("a", "summary", 20)]
+        one = _holding("other-8", "draft", 1)
+        most_of_a = _holding("a", "draft", 19)
+        crowd = [_holding(f"other-{number}", "draft", 10) for number in range(8)]
+        flood = [_holding("a", "chat", 18), _holding("a", "summary", 2)]
+        small = a_holding(team="small", share=0.02, count=1)
+        cases = [
+            ("room for all", _newcomer("a", "draft"), [], None, Admit()),
+            ("body too large", _newcomer("a", "draft", size_bytes=51), [], None, "too_large"),
+            ("wait at the objective", _newcomer("a", "draft"), [], 10.0, Admit()),
+            ("wait too long", _newcomer("a", "draft"), [], 10.1, "wait_too_long"),
+            ("deferred work may wait", _newcomer("a", "draft", objective_s=None), [], 99, Admit()),
+            ("team full, same kind", _newcomer("a", "summary"), full_a, None, "queue_full"),
+            ("team full, more urgent", _newcomer("a", "chat"), full_a, None, Shed("a", "summary")),
+            ("team full, other team", _newcomer("b", "summary"), full_a, None, Admit()),
+            ("urgent flood", _newcomer("a", "chat"), flood, None, "queue_full"),
+            ("floor of the least", _newcomer("a", "summary"), flood, None, "queue_full"),
+            ("below it", _newcomer("a", "draft"), flood, None, Shed("a", "chat")),
+            ("router full", _newcomer("b", "draft"), full_a + crowd, None, Shed("a", "summary")),
+            ("and I flood", _newcomer("a", "draft"), [most_of_a, *crowd, one], None, "queue_full"),
+            (
+                "small team within its share",
+                _newcomer("other-0", "draft"),
+                [*full_a, small, *crowd],
+                None,
+                Shed("a", "summary"),
+            ),
+            (
+                "bytes count too",
+                _newcomer("b", "draft"),
+                [
+                    _holding("a", "draft", 5, size_bytes=995),
+                    _holding("b", "draft", 6, size_bytes=0),
+                ],
+                None,
+                Shed("a", "draft"),
+            ),
+        ]
+        for name, newcomer, holdings, wait_s, expected in cases:
+            with self.subTest(name):
+                backlog = a_backlog(*holdings, team=newcomer.team, wait_s=wait_s)
+                decision = decide(newcomer, backlog, queue_bounds())
+                if isinstance(expected, str):
+                    self.assertIsInstance(decision, Reject)
+                    self.assertEqual(decision.code, expected)
+                    expected_retry = None if expected == "too_large" else 1.0
+                    self.assertEqual(decision.retry_after_s, expected_retry)
+                else:
+                    self.assertEqual(decision, expected)
+
+    def test_a_flood_takes_no_room_from_other_work(self) -> None:
+        """Each round the flooding team sends 50 of one kind, all others send one of each kind."""
+        for flooding_kind in URGENCIES:
+            with self.subTest(flooding_kind):
+                waiting, rejected = Counter(), Counter()
+                roomy = queue_bounds(limits=Limits(100, 10_000, 50))
+                for number in range(2000):
+                    if number % 50:
+                        team, kind = "flood", flooding_kind
+                    else:
+                        team = ("flood", "other-1", "other-2")[number // 50 % 3]
+                        kind = list(URGENCIES)[number // 150 % 3]
+                    self._offer(team, kind, waiting, rejected, roomy)
+                rejected_others = {
+                    key: count for key, count in rejected.items() if key != ("flood", flooding_kind)
+                }
+                self.assertEqual(rejected_others, {})
+                self.assertEqual(waiting.total(), 100)
+
+    def _offer(self, team, kind, waiting, rejected, bounds) -> None:
+        for _ in range(10):
+            holdings = [_holding(*key, count) for key, count in waiting.items()]
+            backlog = a_backlog(*holdings, team=team)
+            match decide(_newcomer(team, kind), backlog, bounds):
+                case Admit():
+                    waiting[team, kind] += 1
+                    return
+                case Shed(other_team, other_kind):
+                    waiting[other_team, other_kind] -= 1
+                    rejected[other_team, other_kind] += 1
+                case Reject():
+                    rejected[team, kind] += 1
+                    return
+        self.fail("no decision after ten displaced requests")
