--- a/tests/builders.py
+++ b/tests/builders.py
@@ -9,6 +9,7 @@
 from camphorvalve.model.requests import Completion, Exchange, Request
 from camphorvalve.model.teams import (
     KindParameters,
+    Limits,
     Team,
     TeamParameters,
     Template,
@@ -30,6 +31,7 @@
     StartRun,
     SubmitOrder,
 )
+from camphorvalve.sharing.shedding import Backlog, Bounds, Holding, Newcomer
 
 POOL = "camphor-pool"
 
@@ -214,15 +216,53 @@
     return (a_head(**head), *(Body(content) for content in contents))
 
 
+def a_newcomer(**fields: Any) -> Newcomer:
+    values = {
+        "team": "a",
+        "kind": "draft",
+        "urgency": Urgency.NORMAL,
+        "share": 1.0,
+        "size_bytes": 10,
+        "objective_s": 10.0,
+    }
+    return Newcomer(**{**values, **fields})
+
+
+def a_holding(**fields: Any) -> Holding:
+    values = {"team": "a", "kind": "draft", "urgency": Urgency.NORMAL, "share": 1.0, "count": 1}
+    merged = {**values, **fields}
+    return Holding(**{"size_bytes": 10 * merged["count"], **merged})
+
+
+def a_backlog(*holdings: Holding, team: str = "a", wait_s: float | None = None) -> Backlog:
+    own = [one for one in holdings if one.team == team]
+    return Backlog(
+        sum(one.count for one in own),
+        sum(one.size_bytes for one in own),
+        sum(one.count for one in holdings),
+        sum(one.size_bytes for one in holdings),
+        wait_s,
+        holdings,
+    )
+
+
+def queue_bounds(**fields: Any) -> Bounds:
+    limits = Limits(queue_count=20, queue_bytes=200, request_bytes=50)
+    return Bounds(**{"limits": limits, "total_count": 100, "total_bytes": 1000, **fields})
+
+
 __all__ = [
     "POOL",
+    "a_backlog",
     "a_change",
     "a_classified_exchange",
     "a_controller_document",
     "a_finish",
     "a_head",
+    "a_holding",
     "a_kind",
     "a_loss",
+    "a_newcomer",
     "a_request",
     "a_router",
     "a_router_document",
@@ -236,5 +276,6 @@
     "an_exchange",
     "an_order",
     "an_upstream",
+    "queue_bounds",
     "team_parameters",
 ]
