Add the controller process's state controller

Routers and operators need one place that appends commands, answers with outcomes, serves configuration and moves the work of lost routers. Waiting messages are flushed together, so that one sync serves all of them.

The five kinds of unsettled work end as designed for a silent and for a restarted router.

--- /dev/null
+++ b/src/camphorvalve/controllers/presence.py
@@ -0,0 +1,89 @@
+"""What a controller knows of the routers, from their polls; never replicated."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from camphorvalve.controllers.runtime import Sender
+    from camphorvalve.wire.messages import ConfigPoll
+
+FORGET_S = 3600.0
+"""Silence after which a router is no longer reported; its host was replaced by then."""
+
+
+@dataclass(slots=True)
+class Router:
+    """One router as its polls describe it."""
+
+    router_id: str
+    incarnation: int
+    heard_s: float
+    poll: ConfigPoll
+
+
+@dataclass(slots=True)
+class Presence:
+    """All routers that have polled this controller."""
+
+    lost_s: float
+    """Silence after which a router counts as lost."""
+    started_s: float
+    """When this controller began to listen as leader; silence is counted from then at least."""
+    routers: dict[str, Router] = field(default_factory=dict)
+
+    def note(self, sender: Sender, poll: ConfigPoll, now_s: float) -> None:
+        """
+        Take a poll; one of an older incarnation than the newest is dropped.
+
+        :param sender: the router
+        :param poll: its poll
+        :param now_s: monotonic time
+        """
+        known = self.routers.get(sender.host_id)
+        if known is None or sender.incarnation >= known.incarnation:
+            self.routers[sender.host_id] = Router(sender.host_id, sender.incarnation, now_s, poll)
+
+    def is_lost(self, router_id: str, incarnation: int, now_s: float) -> bool:
+        """
+        Tell whether an incarnation of a router is gone for good or silent for too long.
+
+        :param router_id: id of the router
+        :param incarnation: its incarnation
+        :param now_s: monotonic time
+        :return: whether its work may move
+        """
+        known = self.routers.get(router_id)
+        if known is not None and known.incarnation > incarnation:
+            return True
+        heard_s = self.started_s
+        if known is not None and known.incarnation == incarnation:
+            heard_s = max(heard_s, known.heard_s)
+        return now_s - heard_s > self.lost_s
+
+    def live(self, now_s: float) -> Iterator[Router]:
+        """
+        Find the routers that may get work.
+
+        :param now_s: monotonic time
+        :return: routers that were heard recently and are not leaving
+        """
+        for router in self.routers.values():
+            if now_s - router.heard_s <= self.lost_s and not router.poll.leaving:
+                yield router
+
+    def forget(self, now_s: float) -> None:
+        """
+        Drop routers that have been silent for very long.
+
+        :param now_s: monotonic time
+        """
+        for router_id in list(self.routers):
+            if now_s - self.routers[router_id].heard_s > FORGET_S:
+                del self.routers[router_id]
+
+
+__all__ = ["Presence", "Router"]
--- /dev/null
+++ b/src/camphorvalve/controllers/replication.py
@@ -0,0 +1,297 @@
+"""The replicated log and state machine of a controller process, and who talks to them."""
+
+from __future__ import annotations
+
+import time
+from typing import TYPE_CHECKING, Any
+
+import anyio
+import anyio.lowlevel
+import structlog
+
+from camphorvalve.consensus.driver import Applied, Driver, Report, Restored
+from camphorvalve.consensus.events import (
+    Accepted,
+    LeaderChanged,
+    Propose,
+    Received,
+    Refused,
+    Send,
+    Tick,
+)
+from camphorvalve.consensus.members import host_of
+from camphorvalve.consensus.messages import MESSAGES, Join
+from camphorvalve.consensus.replica import Replica
+from camphorvalve.consensus.roles import Timing
+from camphorvalve.controllers.machine import RegistryMachine
+from camphorvalve.controllers.presence import Presence
+from camphorvalve.controllers.recovery import Recovery
+from camphorvalve.controllers.runtime import Outgoing
+from camphorvalve.controllers.status import ControllerStatus, describe
+from camphorvalve.controllers.submissions import Pending, Submissions, Waiter
+from camphorvalve.registry.commands import COMMAND_CODEC, OUTCOME_CODEC, Invalid, TakeLeadership
+from camphorvalve.wire.codec import DecodeError
+from camphorvalve.wire.messages import ConfigPoll, ConfigUpdate, Submit, SubmitReply
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterable, Iterator
+    from random import Random
+
+    from camphorvalve.consensus.storage import Storage
+    from camphorvalve.controllers.runtime import Sender
+    from camphorvalve.registry.commands import Command
+    from camphorvalve.registry.state import RegistryState
+    from camphorvalve.settings.schema import ControllerSettings
+
+TICK_S = 0.05
+RECOVERY_INTERVAL_S = 0.5
+JOIN_INTERVAL_S = 0.5
+
+_log = structlog.get_logger(__name__)
+
+
+class ReplicationController:
+    """Owns the replica, its files and the replicated state of one controller process."""
+
+    name = "replication"
+    tick_s = TICK_S
+    accepts: tuple[type, ...] = (*MESSAGES, ConfigPoll, Submit)
+
+    def __init__(
+        self,
+        settings: ControllerSettings,
+        storage: Storage,
+        random: Random,
+        *,
+        clock: Callable[[], float] = time.monotonic,
+        wall_clock: Callable[[], float] = time.time,
+    ) -> None:
+        """
+        Restore the state from the files.
+
+        :param settings: settings of this controller
+        :param storage: the opened files; closed by their owner
+        :param random: source of the election timeouts
+        :param clock: monotonic time
+        :param wall_clock: wall-clock time, for the retention of records
+        """
+        started_s = clock()
+        self._settings = settings
+        self._clock = clock
+        self._wall_clock = wall_clock
+        self._machine = RegistryMachine()
+        opening = COMMAND_CODEC.encode(TakeLeadership(settings.host_id))
+        timing = Timing(settings.election_timeout_s, settings.heartbeat_s)
+        self._replica = Replica(storage.stored, timing, random, started_s, opening)
+        self._driver = Driver(self._replica, storage, self._machine, settings.snapshot_every_count)
+        self._presence = Presence(settings.router_lost_s, started_s)
+        self._recovery = self._new_recovery()
+        self._submissions = Submissions()
+        self._others = tuple(
+            one.host_id for one in settings.controllers if one.host_id != settings.host_id
+        )
+        self._outbox: list[Outgoing] = []
+        self._count = 0
+        self._join_due_s = started_s
+        self._recovery_due_s = started_s
+        self._wake = anyio.Event()
+
+    @property
+    def state(self) -> RegistryState:
+        """:return: the replicated state as far as it is committed here; not to be changed"""
+        return self._machine.state
+
+    @property
+    def leads(self) -> bool:
+        """:return: whether this controller believes that it is the leader"""
+        return self._replica.state.leader == self._replica.state.identity
+
+    @property
+    def leader_id(self) -> str | None:
+        """:return: host id of the leader, if known"""
+        leader = self._replica.state.leader
+        return None if leader is None else host_of(leader)
+
+    def lease_valid(self, now_s: float) -> bool:
+        """
+        Tell whether this controller leads and no other one can lead yet.
+
+        :param now_s: monotonic time
+        :return: whether the lease holds
+        """
+        return self._replica.lease_valid(now_s)
+
+    def status(self) -> ControllerStatus:
+        """
+        Describe this controller for operators.
+
+        :return: the body of the status answer
+        """
+        return describe(self._replica, self._machine.state, self._presence, self._clock())
+
+    async def run(self, send: Callable[[Iterable[Outgoing]], None]) -> None:
+        """
+        Flush whenever something waits; without it the ticks flush, later.
+
+        :param send: sends messages
+        """
+        while True:
+            await self._wake.wait()
+            self._wake = anyio.Event()
+            # Lets the link hand over all messages that have arrived, so that one sync serves them.
+            await anyio.lowlevel.checkpoint()
+            # One by one, so that entries leave for the other controllers before the sync here.
+            for outgoing in self.flush(self._clock()):
+                send((outgoing,))
+
+    def handle(self, sender: Sender, message: Any, now_s: float) -> Iterator[Outgoing]:
+        """
+        Take one message; answers that need a sync come from ``flush``.
+
+        :param sender: the sending process
+        :param message: value of one of the types in ``accepts``
+        :param now_s: monotonic time
+        :return: messages to send
+        """
+        match message:
+            case ConfigPoll():
+                self._presence.note(sender, message, now_s)
+                yield from self._update(sender, message)
+            case Submit():
+                yield from self._submit(sender, message, now_s)
+            case _:
+                if self._trusts(sender, message):
+                    yield from self._carry_out(self._driver.step(Received(message), now_s), now_s)
+        self._rouse()
+
+    def tick(self, now_s: float) -> Iterator[Outgoing]:
+        """
+        Do what is due: heartbeats, elections, lost routers, expiry.
+
+        :param now_s: monotonic time
+        :return: messages to send
+        """
+        yield from self._carry_out(self._driver.step(Tick(), now_s), now_s)
+        if now_s >= self._join_due_s and not self._replica.state.is_member:
+            self._join_due_s = now_s + JOIN_INTERVAL_S
+            join = Join(self._replica.state.identity)
+            yield from (Outgoing(host_id, join) for host_id in self._others)
+        if now_s >= self._recovery_due_s:
+            self._recovery_due_s = now_s + RECOVERY_INTERVAL_S
+            self._submissions.expire(now_s)
+            self._presence.forget(now_s)
+            if self.leads:
+                yield from self._recover(now_s)
+        yield from self.flush(now_s)
+
+    def flush(self, now_s: float) -> Iterator[Outgoing]:
+        """
+        Make everything durable that has come up, then send what waited for it.
+
+        :param now_s: monotonic time
+        :return: messages to send
+        """
+        outbox, self._outbox = self._outbox, []
+        yield from outbox
+        yield from self._carry_out(self._driver.flush(now_s), now_s)
+
+    def submit(self, command: Command, now_s: float) -> Pending:
+        """
+        Submit a command of this process.
+
+        :param command: the command
+        :param now_s: monotonic time
+        :return: to wait for the outcome
+        """
+        pending = Pending()
+        self._outbox.extend(self._propose(command, pending, now_s))
+        self._rouse()
+        return pending
+
+    def _submit(self, sender: Sender, message: Submit, now_s: float) -> Iterator[Outgoing]:
+        proposal_id = f"{sender.host_id}/{sender.incarnation}/{message.submit_id}"
+        if self._submissions.knows(proposal_id):
+            return
+        try:
+            COMMAND_CODEC.decode(message.command)
+        except DecodeError as error:
+            outcome = OUTCOME_CODEC.encode(Invalid(str(error)))
+            reply = SubmitReply(message.submit_id, True, self.leader_id, outcome)
+            yield Outgoing(sender.host_id, reply)
+            return
+        waiter = Waiter(sender.host_id, message.submit_id)
+        self._submissions.add(proposal_id, waiter, now_s)
+        event = Propose(proposal_id, message.command)
+        yield from self._carry_out(self._driver.step(event, now_s), now_s)
+
+    def _propose(
+        self, command: Command, pending: Pending | None, now_s: float
+    ) -> Iterator[Outgoing]:
+        self._count += 1
+        proposal_id = f"local/{self._count}"
+        self._submissions.add(proposal_id, pending, now_s)
+        event = Propose(proposal_id, COMMAND_CODEC.encode(command))
+        yield from self._carry_out(self._driver.step(event, now_s), now_s)
+
+    def _update(self, sender: Sender, poll: ConfigPoll) -> Iterator[Outgoing]:
+        update = self.state.history.update_from(poll.revision)
+        if update is not None:
+            term = self._replica.state.term
+            message = ConfigUpdate(update.from_revision, update.to_revision, term, update.payload)
+            yield Outgoing(sender.host_id, message)
+
+    def _recover(self, now_s: float) -> Iterator[Outgoing]:
+        # A new leader first applies what older ones have committed.
+        if not self.lease_valid(now_s):
+            return
+        records = self.state.records
+        commands = list(self._recovery.proposals(records, self._presence, now_s))
+        expiry = self._recovery.expiry(records, self._wall_clock(), now_s)
+        for command in commands if expiry is None else [*commands, expiry]:
+            yield from self._propose(command, None, now_s)
+        yield from self._recovery.assignments(records, self._presence, now_s)
+
+    def _carry_out(self, reports: Iterable[Report], now_s: float) -> Iterator[Outgoing]:
+        for report in reports:
+            match report:
+                case Send(message=message):
+                    yield Outgoing(host_of(message.receiver), message)
+                case Accepted(proposal_id, index, term):
+                    self._submissions.place(proposal_id, index, term)
+                case Refused(proposal_id, _):
+                    yield from self._submissions.refuse(proposal_id, self.leader_id)
+                case Applied(index, term, outcome):
+                    yield from self._submissions.answer(index, term, outcome, self.leader_id)
+                case LeaderChanged(term, leader):
+                    self._change_leader(term, leader, now_s)
+                case Restored(index):
+                    _log.info("state restored from the leader's snapshot", index=index)
+
+    def _change_leader(self, term: int, leader: str | None, now_s: float) -> None:
+        _log.info("leader changed", term=term, leader=leader)
+        if leader == self._replica.state.identity:
+            # This host may have been cut off or frozen, so that silence counts from now on only.
+            self._presence.started_s = now_s
+            self._recovery = self._new_recovery()
+        else:
+            self._submissions.abandon()
+
+    def _new_recovery(self) -> Recovery:
+        return Recovery(self._settings.result_retention_s, self._settings.result_store_bytes)
+
+    def _trusts(self, sender: Sender, message: Any) -> bool:
+        if sender.host_id in self._others and host_of(message.sender) == sender.host_id:
+            return True
+        _log.warning(
+            "message of an unexpected sender dropped",
+            host_id=sender.host_id,
+            message_type=type(message).__name__,
+        )
+        return False
+
+    def _rouse(self) -> None:
+        if self._driver.unflushed or self._outbox:
+            self._wake.set()
+
+
+__all__ = ["ReplicationController"]
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 from camphorvalve.model.hosts import Host, HostState, Role
 from camphorvalve.model.teams import KindParameters, Team, Template, Urgency
@@ -21,6 +21,11 @@
     StartRun,
     SubmitOrder,
 )
+from camphorvalve.settings.schema import ControllerAddress, ControllerSettings
+from camphorvalve.wire.messages import ConfigPoll
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
 
 POOL = "camphor-pool"
 
@@ -126,12 +131,42 @@
     return SubmitOrder(**{**values, **fields})
 
 
+def a_poll(**fields: Any) -> ConfigPoll:
+    values = {
+        "revision": 0,
+        "term": 0,
+        "leaving": False,
+        "waiting_count": 0,
+        "running_count": 0,
+        "url": "http://127.0.0.1:1",
+    }
+    return ConfigPoll(**{**values, **fields})
+
+
+def controller_settings(host_id: str, host_ids: Sequence[str], **fields: Any) -> ControllerSettings:
+    addresses = (ControllerAddress(one, f"tcp://127.0.0.1:1/{one}") for one in host_ids)
+    values = {
+        "host_id": host_id,
+        "data_centre": "perth-a",
+        "operator_bind": "127.0.0.1:0",
+        "operator_url": "http://127.0.0.1:1",
+        "peer_bind": "tcp://127.0.0.1:0",
+        "controllers": tuple(addresses),
+        "platform_url": "http://127.0.0.1:1",
+        "data_folder": "",
+        "keys": None,
+        "operator_token": None,
+    }
+    return ControllerSettings(**{**values, **fields})
+
+
 __all__ = [
     "POOL",
     "a_change",
     "a_finish",
     "a_kind",
     "a_loss",
+    "a_poll",
     "a_router",
     "a_start",
     "a_team",
@@ -141,4 +176,5 @@
     "an_assignment",
     "an_order",
     "an_upstream",
+    "controller_settings",
 ]
--- /dev/null
+++ b/tests/controllers/test_replication.py
@@ -0,0 +1,235 @@
+"""Guards against commands that take effect twice or unseen, and against lost accepted work."""
+
+from __future__ import annotations
+
+import unittest
+from typing import Any
+
+import anyio
+import anyio.lowlevel
+
+from camphorvalve.consensus.messages import Join
+from camphorvalve.controllers.submissions import NotLeaderError, OutcomeUnknownError
+from camphorvalve.registry import configuration
+from camphorvalve.registry.commands import (
+    COMMAND_CODEC,
+    OUTCOME_CODEC,
+    Command,
+    Conflict,
+    Done,
+    Invalid,
+    Lost,
+    PutTemplate,
+    SetDrain,
+)
+from camphorvalve.registry.history import decode_changes
+from camphorvalve.wire.messages import Assignment, ConfigUpdate, Submit, SubmitReply
+from tests.builders import (
+    a_change,
+    a_finish,
+    a_poll,
+    a_start,
+    a_template,
+    an_acceptance,
+)
+from tests.consensus.pump import MemoryFiles
+from tests.controllers.group import HOSTS, Group
+
+
+def assignments(group: Group, router_id: str) -> list[Assignment]:
+    return [one for one in group.inboxes.get(router_id, []) if isinstance(one, Assignment)]
+
+
+class SubmitTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.group = Group()
+        self.leader = self.group.leader()
+
+    def test_a_follower_names_the_leader_and_appends_nothing(self) -> None:
+        follower = next(host for host in HOSTS if host != self.group.host(self.leader))
+        reply = self.group.submit(an_acceptance(), follower)
+        self.assertEqual(reply, SubmitReply("1", False, self.group.host(self.leader), b""))
+        self.assertIsNone(self.leader.state.records.get("work-1"))
+
+    def test_a_command_sent_again_while_it_waits_is_appended_once(self) -> None:
+        group, host = self.group, self.group.host(self.leader)
+        before = self.leader.status()["commit_index"]
+        submit = Submit("again", COMMAND_CODEC.encode(an_acceptance()))
+        for _ in range(3):
+            group.send("router-0", host, submit)
+        group.run(0.3)
+        self.assertEqual(self.leader.status()["commit_index"], before + 1)
+        self.assertEqual(len(group.inboxes["router-0"]), 1)
+
+    def test_a_malformed_command_is_invalid(self) -> None:
+        self.group.send("router-0", self.group.host(self.leader), Submit("bad", b"\xc1"))
+        self.group.run(0.1)
+        (reply,) = self.group.inboxes["router-0"]
+        self.assertIsInstance(OUTCOME_CODEC.decode(reply.outcome), Invalid)
+
+    def test_a_leader_that_is_cut_off_answers_nothing(self) -> None:
+        host = self.group.host(self.leader)
+        pending = self.leader.submit(an_acceptance(), self.group.now_s)
+        self.group.cut.add(host)
+        self.group.run(3)
+        with self.assertRaises(OutcomeUnknownError):
+            anyio.run(pending.wait)
+        self.assertFalse(self.leader.leads)
+        self.assertIsNone(self.leader.state.records.get("work-1"))
+        refused = self.leader.submit(an_acceptance(), self.group.now_s)
+        with self.assertRaises(NotLeaderError):
+            anyio.run(refused.wait)
+        following = self.group.leader()
+        self.assertIsInstance(self.group.outcome(an_acceptance()), Done)
+        self.group.cut.clear()
+        self.group.run(1)
+        self.assertEqual(self.leader.state.snapshot(), following.state.snapshot())
+
+    def test_local_commands_get_their_outcome(self) -> None:
+        pending = self.leader.submit(a_change(SetDrain("router-1", True), 7), self.group.now_s)
+        self.group.run(0.2)
+        self.assertIsInstance(anyio.run(pending.wait), Conflict)
+
+    def test_a_flush_follows_without_a_tick(self) -> None:
+        sent: list[Any] = []
+
+        async def use() -> None:
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(self.leader.run, sent.extend)
+                self.leader.submit(an_acceptance(), self.group.now_s)
+                with anyio.fail_after(5):
+                    while not sent:
+                        await anyio.lowlevel.checkpoint()
+                tasks.cancel_scope.cancel()
+
+        anyio.run(use)
+        self.assertTrue(sent)
+
+
+class ConfigurationTest(unittest.TestCase):
+    def test_polls_are_answered_with_what_is_newer_only(self) -> None:
+        group = Group()
+        self.assertEqual(group.outcome(a_change(PutTemplate(a_template()), 0)).revision, 1)
+        self.assertEqual(group.outcome(a_change(SetDrain("r", True), 1)).revision, 2)
+        group.run(0.5)
+        expected = group.leader().state.configuration
+        for host in HOSTS:
+            for revision, answers in {0: [(0, 2)], 1: [(1, 2)], 2: [], 9: []}.items():
+                with self.subTest(host=host, revision=revision):
+                    group.inboxes.clear()
+                    group.send("router-1", host, a_poll(revision=revision))
+                    group.run(0.05)
+                    updates = [
+                        one
+                        for one in group.inboxes.get("router-1", [])
+                        if isinstance(one, ConfigUpdate)
+                    ]
+                    self.assertEqual([(u.from_revision, u.to_revision) for u in updates], answers)
+                    if revision == 0:
+                        self.assertEqual(configuration.decode(updates[0].payload), expected)
+                    if revision == 1:
+                        changes = decode_changes(updates[0].payload)
+                        self.assertEqual(changes, (SetDrain("r", True),))
+        (router,) = group.leader().status()["routers"]
+        self.assertEqual((router["router_id"], router["lag_count"]), ("router-1", -7))
+
+
+class RecoveryTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.group = Group()
+        self.group.polling = {"router-1": 1, "router-2": 1}
+        self.group.run(3)
+
+    def submit(self, *commands: Command) -> None:
+        for number, command in enumerate(commands):
+            self.assertIsInstance(self.group.outcome(command, f"s{number}"), Done)
+
+    def lose_router(self, how: str) -> None:
+        if how == "silent":
+            del self.group.polling["router-1"]
+        else:
+            self.group.polling["router-1"] = 2
+        self.group.run(10)
+
+    def test_work_of_lost_routers(self) -> None:
+        once = {"idempotent": False}
+        cases: dict[str, tuple[list[Command], bool]] = {
+            "waiting": ([an_acceptance()], True),
+            "started": ([an_acceptance(), a_start()], True),
+            "waiting, runs once": ([an_acceptance(**once)], True),
+            "started, runs once": ([an_acceptance(**once), a_start()], False),
+            "started without acceptance": ([a_start()], False),
+        }
+        for name, (commands, moves) in cases.items():
+            for how in ("silent", "restarted"):
+                with self.subTest(name, how=how):
+                    self.setUp()
+                    self.submit(*commands)
+                    self.lose_router(how)
+                    record = self.group.leader().state.records.get("work-1")
+                    given = assignments(self.group, "router-2") + assignments(
+                        self.group, "router-1"
+                    )
+                    if moves:
+                        self.assertEqual(record.claim.attempt, 2)
+                        self.assertEqual({one.attempt for one in given}, {2})
+                        self.assertGreater(len(given), 1, "not sent again")
+                    else:
+                        self.assertEqual(record.lost, Lost(1))
+                        self.assertEqual(given, [])
+
+    def test_work_of_routers_that_are_heard_stays_through_a_change_of_leader(self) -> None:
+        self.submit(an_acceptance(), a_start(record_id="key"))
+        self.group.cut.add(self.group.host(self.group.leader()))
+        self.group.run(10)
+        records = self.group.leader().state.records
+        self.assertEqual(records.get("work-1").claim.attempt, 1)
+        self.assertFalse(records.get("key").settled)
+
+    def test_assignments_end_with_the_start(self) -> None:
+        self.submit(an_acceptance())
+        self.lose_router("silent")
+        self.submit(a_start(router_id="router-2", attempt=2))
+        self.group.inboxes.clear()
+        self.group.run(5)
+        self.assertEqual(assignments(self.group, "router-2"), [])
+
+    def test_old_answers_are_removed(self) -> None:
+        self.submit(a_start(), a_finish(finished_at_s=self.group.wall_s))
+        self.group.run(6)
+        self.assertIsNotNone(self.group.leader().state.records.get("work-1"))
+        self.group.wall_s += 3601
+        self.group.run(6)
+        self.assertIsNone(self.group.leader().state.records.get("work-1"))
+
+
+class MembersTest(unittest.TestCase):
+    def test_a_lost_disk_is_replaced_under_a_new_identity(self) -> None:
+        group = Group(snapshot_every_count=5)
+        leader = group.leader()
+        for number in range(12):
+            group.outcome(an_acceptance(work_id=f"work-{number}"), f"s{number}")
+        lost = next(host for host in HOSTS if host != group.host(leader))
+        group.files[lost] = MemoryFiles(f"{lost}#new", ())
+        group.start(lost, 9)
+        self.assertEqual(group.controllers[lost].status()["role"], "learner")
+        group.run(3)
+        status = leader.status()
+        self.assertEqual(
+            {one["identity"] for one in status["members"] if one["host_id"] == lost},
+            {f"{lost}#new"},
+        )
+        replaced = group.controllers[lost]
+        self.assertEqual(replaced.state.snapshot(), leader.state.snapshot())
+
+    def test_strangers_do_not_join(self) -> None:
+        group = Group()
+        leader = group.host(group.leader())
+        for sender, message in (("stranger", Join("stranger#1")), (HOSTS[0], Join("stranger#1"))):
+            group.send(sender, leader, message)
+        group.run(1)
+        self.assertEqual(len(group.leader().status()["members"]), 3)
+
+
+if __name__ == "__main__":
+    unittest.main()
