--- a/tests/builders.py
+++ b/tests/builders.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 from camphorvalve.model.answers import Body, Head
 from camphorvalve.model.hosts import Host, HostState, Role
@@ -31,7 +31,12 @@
     StartRun,
     SubmitOrder,
 )
+from camphorvalve.settings.schema import ControllerAddress, ControllerSettings
 from camphorvalve.sharing.shedding import Backlog, Bounds, Holding, Newcomer
+from camphorvalve.wire.messages import ConfigPoll
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
 
 POOL = "camphor-pool"
 
@@ -251,6 +256,35 @@
     return Bounds(**{"limits": limits, "total_count": 100, "total_bytes": 1000, **fields})
 
 
+def a_poll(**fields: Any) -> ConfigPoll:
+    values = {
+        "revision": 0,
+        "term": 0,
+        "leaving": False,
+        "waiting_count": 0,
+        "running_count": 0,
+        "url": "http://127.0.0.1:1",
+    }
+    return ConfigPoll(**{**values, **fields})
+
+
+def controller_settings(host_id: str, host_ids: Sequence[str], **fields: Any) -> ControllerSettings:
+    addresses = (ControllerAddress(one, f"tcp://127.0.0.1:1/{one}") for one in host_ids)
+    values = {
+        "host_id": host_id,
+        "data_centre": "perth-a",
+        "operator_bind": "127.0.0.1:0",
+        "operator_url": "http://127.0.0.1:1",
+        "peer_bind": "tcp://127.0.0.1:0",
+        "controllers": tuple(addresses),
+        "platform_url": "http://127.0.0.1:1",
+        "data_folder": "",
+        "keys": None,
+        "operator_token": None,
+    }
+    return ControllerSettings(**{**values, **fields})
+
+
 __all__ = [
     "POOL",
     "a_backlog",
@@ -263,6 +297,7 @@
     "a_kind",
     "a_loss",
     "a_newcomer",
+    "a_poll",
     "a_request",
     "a_router",
     "a_router_document",
@@ -276,6 +311,7 @@
     "an_exchange",
     "an_order",
     "an_upstream",
+    "controller_settings",
     "queue_bounds",
     "team_parameters",
 ]
