--- /dev/null
+++ b/src/camphorvalve/upstreams/reports.py
@@ -0,0 +1,188 @@
+"""Load reports and cache events of engines; both are hints with an age."""
+
+from __future__ import annotations
+
+import hashlib
+from collections import OrderedDict
+from typing import TYPE_CHECKING, Any, Literal, NamedTuple, TypedDict
+
+import httpx
+import msgspec
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from camphorvalve.model.upstreams import Upstream
+
+REPORT_TIMEOUT_S = 2.0
+PREFIX_BLOCK_CHARACTERS = 64
+"""Engines name a cached prefix by a hash over whole blocks of this size."""
+MAX_PREFIXES_COUNT = 4096
+"""Prefixes remembered for each engine; about 0.5 MB."""
+
+
+class ReportError(Exception):
+    """A report could not be read; the text names the upstream and the cause."""
+
+
+class LoadReport(NamedTuple):
+    """How busy an engine said it was."""
+
+    running_count: int
+    waiting_count: int
+    slots_count: int
+    age_s: float
+
+
+class _Load(TypedDict):
+    running: int
+    waiting: int
+    slots: int
+    measured_at_s: float
+
+
+class CacheEvent(TypedDict):
+    """One change of an engine's prefix cache."""
+
+    number: int
+    at_s: float
+    kind: Literal["stored", "evicted"]
+    prefix: str
+
+
+class CacheFeed(TypedDict):
+    """Events after the number that was asked for."""
+
+    last: int
+    events: list[CacheEvent]
+
+
+async def read_load(client: httpx.AsyncClient, upstream: Upstream, now_s: float) -> LoadReport:
+    """
+    Read an engine's load report.
+
+    :param client: HTTP client
+    :param upstream: the engine
+    :param now_s: wall-clock time
+    :return: the report; its age is never negative, whatever the clocks say
+    :raises ReportError: no or no valid report
+    """
+    load: _Load = await _read(client, upstream, "/v1/load", _Load)
+    age_s = max(0.0, now_s - load["measured_at_s"])
+    return LoadReport(load["running"], load["waiting"], load["slots"], age_s)
+
+
+async def read_cache_events(client: httpx.AsyncClient, upstream: Upstream, after: int) -> CacheFeed:
+    """
+    Read the changes of an engine's prefix cache.
+
+    :param client: HTTP client
+    :param upstream: the engine
+    :param after: number of the last event that is known
+    :return: later events
+    :raises ReportError: no or no valid answer
+    """
+    return await _read(client, upstream, f"/v1/cache-events?after={after}", CacheFeed)
+
+
+def prefix_keys(prompt: str) -> Iterator[str]:
+    """
+    Name the cacheable prefixes of a prompt as engines do.
+
+    :param prompt: the prompt
+    :return: keys, shortest prefix first
+    """
+    digest = hashlib.blake2b(digest_size=8)
+    for end in range(PREFIX_BLOCK_CHARACTERS, len(prompt) + 1, PREFIX_BLOCK_CHARACTERS):
+        digest.update(prompt[end - PREFIX_BLOCK_CHARACTERS : end].encode())
+        yield digest.hexdigest()
+
+
+class PrefixHints:
+    """What one engine's cache probably holds."""
+
+    def __init__(self) -> None:
+        """Start without knowledge."""
+        self.after = 0
+        """Number of the last event that was applied."""
+        self.newest_at_s = 0.0
+        self._prefixes: OrderedDict[str, None] = OrderedDict()
+
+    def apply(self, feed: CacheFeed) -> None:
+        """
+        Apply events; a gap or a restart of the numbers drops what was known before it.
+
+        :param feed: answer to a request for the events after ``after``
+        """
+        if feed["last"] < self.after:
+            self._reset(0)
+            return
+        for event in feed["events"]:
+            if event["number"] <= self.after:
+                continue
+            # A lost event may have been an eviction, so older entries cannot be trusted.
+            if event["number"] != self.after + 1:
+                self._reset(event["number"] - 1)
+            self._apply(event)
+
+    def age_s(self, now_s: float) -> float:
+        """
+        Say how old the newest knowledge is.
+
+        :param now_s: wall-clock time
+        :return: age of the newest event
+        """
+        return max(0.0, now_s - self.newest_at_s)
+
+    def cached_blocks_count(self, prompt: str) -> int:
+        """
+        Estimate how much of a prompt the engine has cached.
+
+        :param prompt: the prompt
+        :return: blocks from the start of the prompt
+        """
+        count = 0
+        for key in prefix_keys(prompt):
+            if key not in self._prefixes:
+                break
+            count += 1
+        return count
+
+    def _apply(self, event: CacheEvent) -> None:
+        self.after = event["number"]
+        self.newest_at_s = event["at_s"]
+        match event["kind"]:
+            case "stored":
+                self._prefixes[event["prefix"]] = None
+                self._prefixes.move_to_end(event["prefix"])
+                if len(self._prefixes) > MAX_PREFIXES_COUNT:
+                    self._prefixes.popitem(last=False)
+            case "evicted":
+                self._prefixes.pop(event["prefix"], None)
+
+    def _reset(self, after: int) -> None:
+        self.after = after
+        self._prefixes.clear()
+
+
+async def _read(client: httpx.AsyncClient, upstream: Upstream, path: str, kind: Any) -> Any:
+    try:
+        url = f"{upstream.url.rstrip('/')}{path}"
+        response = await client.get(url, timeout=REPORT_TIMEOUT_S)
+        response.raise_for_status()
+        return msgspec.json.decode(response.content, type=kind)
+    except (httpx.HTTPError, msgspec.MsgspecError) as error:
+        cause = f"{type(error).__name__}: {error}"
+        raise ReportError(f"upstream {upstream.upstream_id!r}: {cause}") from error
+
+
+__all__ = [
+    "CacheEvent",
+    "CacheFeed",
+    "LoadReport",
+    "PrefixHints",
+    "ReportError",
+    "prefix_keys",
+    "read_cache_events",
+    "read_load",
+]
--- /dev/null
+++ b/src/camphorvalve/upstreams/service.py
@@ -0,0 +1,69 @@
+"""One attempt of a call to a plain service."""
+
+from __future__ import annotations
+
+import time
+from typing import TYPE_CHECKING
+
+import anyio
+import httpx
+
+from camphorvalve.model.answers import Body, Head
+from camphorvalve.upstreams.errors import Broken
+from camphorvalve.upstreams.opening import Sending, UpstreamCall, open_response, response_headers
+from camphorvalve.upstreams.pump import coalesced
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncGenerator
+
+    from camphorvalve.model.answers import Part
+    from camphorvalve.model.requests import Exchange, ServiceCall
+    from camphorvalve.model.upstreams import Upstream
+    from camphorvalve.upstreams.options import AttemptOptions
+
+
+async def attempt_service_call(
+    client: httpx.AsyncClient,
+    upstream: Upstream,
+    exchange: Exchange,
+    call: ServiceCall,
+    attempt: int,
+    options: AttemptOptions,
+) -> AsyncGenerator[Part, None]:
+    """
+    Run a call; closing the generator early closes the connection.
+
+    :param client: client from ``create_client``
+    :param upstream: the service
+    :param exchange: the caller's request; ``served_units`` grows by the milliseconds taken
+    :param call: method and path
+    :param attempt: number of this attempt
+    :param options: timeouts and kind of connection
+    :return: the head, then the body
+    :raises NotSent: no byte went out
+    :raises NoAnswer: no usable answer started
+    :raises Broken: the answer ended before it was complete
+    """
+    started_s = time.monotonic()
+    units_before = exchange.served_units
+    sent = UpstreamCall(call.method, call.path, exchange.request.body)
+    response = await open_response(client, upstream, exchange, attempt, options, sent, Sending())
+    try:
+        yield Head(response.status_code, response_headers(response))
+        async with coalesced(response.aiter_raw()) as pieces:
+            async for piece in pieces:
+                exchange.served_units = units_before + _elapsed_ms(started_s)
+                yield Body(piece)
+    except httpx.HTTPError as error:
+        raise Broken(upstream.upstream_id, f"{type(error).__name__}: {error}") from error
+    finally:
+        exchange.served_units = units_before + _elapsed_ms(started_s)
+        with anyio.CancelScope(shield=True):
+            await response.aclose()
+
+
+def _elapsed_ms(started_s: float) -> float:
+    return (time.monotonic() - started_s) * 1000
+
+
+__all__ = ["attempt_service_call"]
--- /dev/null
+++ b/src/camphorvalve/upstreams/transcript.py
@@ -0,0 +1,77 @@
+"""Server-sent events of one stream: whole events, their count, and their text when needed."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, TypedDict
+
+import msgspec
+
+if TYPE_CHECKING:
+    from camphorvalve.upstreams.options import Begin
+
+END_OF_EVENT = b"\n\n"
+DONE = b"data: [DONE]\n\n"
+_DATA = b"data: "
+
+
+class _EventData(TypedDict):
+    text: str
+
+
+_decoder = msgspec.json.Decoder(_EventData)
+
+
+class Transcript:
+    """Cuts a stream at the ends of events and remembers it until it is complete."""
+
+    def __init__(self, begin: Begin) -> None:
+        """
+        Start at the beginning, or after the events of earlier attempts.
+
+        :param begin: how the attempt begins
+        """
+        self.events_count = getattr(begin, "events_count", 0)
+        self.done = False
+        self._earlier_text = getattr(begin, "text", "")
+        self._tail = b""
+        self._parts: list[bytes] = []
+
+    def add(self, content: bytes) -> tuple[bytes, int]:
+        """
+        Take bytes as they arrive.
+
+        :param content: the next bytes of the stream
+        :return: the whole events that are complete now, and how many of them are tokens
+        """
+        joined = self._tail + content if self._tail else content
+        end = joined.rfind(END_OF_EVENT) + len(END_OF_EVENT)
+        if end < len(END_OF_EVENT):
+            self._tail = joined
+            return b"", 0
+        whole = joined[:end]
+        self._tail = joined[end:]
+        self.done = whole.endswith(DONE)
+        count = whole.count(END_OF_EVENT) - self.done
+        self.events_count += count
+        self._parts.append(whole)
+        return whole, count
+
+    def text(self) -> str:
+        """
+        Decode the text so far; only needed after a break.
+
+        :return: text of the events of all attempts
+        """
+        lines = b"".join(self._parts).split(b"\n")
+        texts = (_text_of(line) for line in lines if line.startswith(_DATA))
+        return self._earlier_text + "".join(texts)
+
+
+def _text_of(line: bytes) -> str:
+    try:
+        return _decoder.decode(line[len(_DATA) :])["text"]
+    except msgspec.MsgspecError:
+        return ""
+
+
+__all__ = ["DONE", "Transcript"]
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -5,8 +5,9 @@
 from typing import Any
 
 from camphorvalve.model.hosts import Host, HostState, Role
+from camphorvalve.model.requests import Completion, Exchange, Request, ServiceCall
 from camphorvalve.model.teams import KindParameters, Team, Template, Urgency
-from camphorvalve.model.upstreams import ChecksFencing, ModelEngine, Upstream
+from camphorvalve.model.upstreams import ChecksFencing, ModelEngine, PlainService, Upstream
 
 POOL = "camphor-pool"
 
@@ -53,4 +54,61 @@
     return Upstream(**{**values, **fields})
 
 
-__all__ = ["POOL", "a_kind", "a_router", "a_team", "a_template", "an_upstream"]
+def a_request(**fields: Any) -> Request:
+    values = {
+        "request_id": "request-1",
+        "call": Completion(streamed=True),
+        "pool": None,
+        "body": b'{"model":"m","prompt":"first violins","max_tokens":5,"stream":true}',
+        "content_type": "application/json",
+        "token": "token-1",
+        "team": "perth-youth",
+        "kind": "draft",
+        "idempotency_key": None,
+        "deferred": False,
+        "cost_hint_units": None,
+    }
+    return Request(**{**values, **fields})
+
+
+def an_exchange(**fields: Any) -> Exchange:
+    return Exchange(a_request(**fields), received_s=0.0)
+
+
+def a_service_exchange(**fields: Any) -> Exchange:
+    call = ServiceCall(fields.pop("method", "POST"), fields.pop("path", "/slots?service_ms=1"))
+    return an_exchange(**{"call": call, "pool": "booking-desk", "body": b"{}", **fields})
+
+
+def a_service(upstream_id: str = "service-1", **fields: Any) -> Upstream:
+    values = {"pool": "booking-desk", "interface": PlainService()}
+    return an_upstream(upstream_id, **{**values, **fields})
+
+
+def a_member(member_id: str = "engine-1", **fields: Any) -> dict[str, Any]:
+    values = {
+        "id": member_id,
+        "role": "engine",
+        "pool": POOL,
+        "data_centre": "perth-a",
+        "url": f"http://127.0.0.1:1/{member_id}",
+        "slots": 4,
+        "fencing": "checks",
+        "state": "live",
+    }
+    return {**values, **fields}
+
+
+__all__ = [
+    "POOL",
+    "a_kind",
+    "a_member",
+    "a_request",
+    "a_router",
+    "a_service",
+    "a_service_exchange",
+    "a_team",
+    "a_template",
+    "an_exchange",
+    "an_upstream",
+]
--- /dev/null
+++ b/tests/upstreams/test_attempt.py
@@ -0,0 +1,207 @@
+"""Guards against lost, mixed-up or repeated answers when upstreams fail."""
+
+from __future__ import annotations
+
+import unittest
+from contextlib import AsyncExitStack, aclosing
+from typing import TYPE_CHECKING, Any, NamedTuple
+
+import anyio
+from tools.standins.batch import BatchSettings, token_text
+from tools.standins.engine import Engine
+from tools.standins.faults import BreakAfter, Garble, Hang, Refuse
+from tools.standins.network import network
+from tools.standins.service import Service
+from tools.standins.serving import running
+
+from camphorvalve.model.answers import Body, Head
+from camphorvalve.model.errors import RequestError
+from camphorvalve.upstreams.attempt import open_attempt
+from camphorvalve.upstreams.client import create_client
+from camphorvalve.upstreams.errors import Broken, NoAnswer, NotSent, UpstreamError, WrongAnswer
+from camphorvalve.upstreams.options import AttemptOptions, ContinueText, ResumeStream
+from tests.builders import a_service, a_service_exchange, an_exchange, an_upstream
+
+if TYPE_CHECKING:
+    from camphorvalve.model.requests import Exchange
+    from camphorvalve.model.upstreams import Upstream
+
+QUICK = AttemptOptions(silence_timeout_s=0.3)
+JSON_BODY = b'{"prompt":"first violins","max_tokens":5}'
+EXPECTED_TEXT = "".join(token_text("first violins", index) for index in range(1, 6))
+
+
+class Seen(NamedTuple):
+    """What an attempt yielded and how it ended."""
+
+    status: int | None
+    content: bytes
+    error: UpstreamError | None
+
+
+async def collect(attempt: Any) -> Seen:
+    status = None
+    contents: list[bytes] = []
+    try:
+        async with aclosing(attempt) as parts:
+            async for part in parts:
+                match part:
+                    case Head(found, _):
+                        status = found
+                    case Body(content):
+                        contents.append(content)
+    except UpstreamError as error:
+        return Seen(status, b"".join(contents), error)
+    return Seen(status, b"".join(contents), None)
+
+
+class AttemptTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        stack = await self.enterAsyncContext(AsyncExitStack())
+        self.engine = Engine("engine-1", BatchSettings(token_ms=2.0, orphan_s=30.0))
+        self.service = Service()
+        engine_url = await stack.enter_async_context(running(self.engine))
+        service_url = await stack.enter_async_context(running(self.service))
+        self.engine_at = an_upstream(url=engine_url)
+        self.service_at = a_service(url=service_url)
+        self.client = await stack.enter_async_context(create_client())
+        self.network = await stack.enter_async_context(network())
+
+    async def run_attempt(
+        self, upstream: Upstream, exchange: Exchange, options: AttemptOptions = QUICK
+    ) -> Seen:
+        return await collect(open_attempt(self.client, upstream, exchange, 1, options))
+
+    async def behind_network(self, upstream: Upstream) -> Upstream:
+        port = int(upstream.url.rsplit(":", 1)[1])
+        near = await self.network.open_route("router", "upstream", "127.0.0.1", port)
+        return upstream._replace(url=f"http://127.0.0.1:{near}")
+
+    async def test_faults_of_an_engine_are_told_apart(self) -> None:
+        cases = {
+            "no fault": (None, b"", 200, None),
+            "hang": (Hang(), b"", None, NoAnswer),
+            "break at once": (BreakAfter(0), b"", 200, Broken),
+            "break mid-stream": (BreakAfter(2), b"", 200, Broken),
+            "answer of another request": (Garble(), b"", None, WrongAnswer),
+            "error status": (Refuse(503), b"", 503, None),
+            "whole answer": (None, JSON_BODY, 200, None),
+            "broken whole answer": (BreakAfter(1), JSON_BODY, None, Broken),
+        }
+        for number, (name, (fault, body, status, error)) in enumerate(cases.items()):
+            with self.subTest(name):
+                self.engine.faults.replace([fault] if fault else [])
+                fields = {"body": body} if body else {}
+                exchange = an_exchange(request_id=f"request-{number}", **fields)
+                seen = await self.run_attempt(self.engine_at, exchange)
+                self.assertEqual(seen.status, status)
+                self.assertIs(type(seen.error), error or type(None))
+                self.assertTrue(exchange.sent_upstream)
+
+    async def test_faults_of_a_service_are_told_apart(self) -> None:
+        cases = {
+            "no fault": (None, 200, None),
+            "hang": (Hang(), None, NoAnswer),
+            "break in the body": (BreakAfter(7), 200, Broken),
+            "answer of another request": (Garble(), None, WrongAnswer),
+            "error status": (Refuse(500), 500, None),
+        }
+        for name, (fault, status, error) in cases.items():
+            with self.subTest(name):
+                self.service.faults.replace([fault] if fault else [])
+                seen = await self.run_attempt(self.service_at, a_service_exchange())
+                self.assertEqual(seen.status, status)
+                self.assertIs(type(seen.error), error or type(None))
+
+    async def test_only_a_request_that_never_left_counts_as_not_sent(self) -> None:
+        for upstream, exchange in (
+            (self.engine_at, an_exchange()),
+            (self.service_at, a_service_exchange()),
+        ):
+            with self.subTest(upstream.upstream_id):
+                far = await self.behind_network(upstream)
+                await self.network.cut("router", "upstream", "refuse")
+                seen = await self.run_attempt(far, exchange)
+                self.assertIsInstance(seen.error, NotSent)
+                self.assertFalse(exchange.sent_upstream)
+                await self.network.cut("router", "upstream", "blackhole")
+                seen = await self.run_attempt(far, exchange)
+                self.assertIs(type(seen.error), NoAnswer)
+                self.assertTrue(exchange.sent_upstream)
+
+    async def test_non_idempotent_calls_never_reuse_a_connection(self) -> None:
+        far = await self.behind_network(self.service_at)
+        await self.run_attempt(far, a_service_exchange())
+        # The cut closes the idle connection; only a fresh one finds out before it sends.
+        await self.network.cut("router", "upstream", "refuse")
+        options = QUICK._replace(fresh_connection=True)
+        seen = await self.run_attempt(far, a_service_exchange(), options)
+        self.assertIsInstance(seen.error, NotSent)
+        await self.network.cut("router", "upstream", None)
+        for _ in range(3):
+            await self.run_attempt(far, a_service_exchange(), options)
+        self.assertEqual(len(self.service.log), 4)
+        self.assertEqual(self.network.opened_count("router", "upstream"), 4)
+
+    async def test_a_broken_stream_goes_on_without_a_repeated_or_missing_event(self) -> None:
+        whole = (await self.run_attempt(self.engine_at, an_exchange(request_id="whole"))).content
+        prompt_units = 0.1 * len(an_exchange().request.body) / 4
+        for begin_type, prompts_count in ((ResumeStream, 1), (ContinueText, 3)):
+            with self.subTest(begin_type.__name__):
+                exchange = an_exchange(request_id=begin_type.__name__)
+                content = b""
+                options = QUICK
+                self.engine.faults.replace([BreakAfter(2), BreakAfter(1)])
+                for _ in range(3):
+                    seen = await self.run_attempt(self.engine_at, exchange, options)
+                    content += seen.content
+                    if isinstance(seen.error, Broken):
+                        begin = begin_type(seen.error.events_count, seen.error.text)
+                        self.assertTrue(EXPECTED_TEXT.startswith(begin.text))
+                        options = QUICK._replace(begin=begin)
+                self.assertIsNone(seen.error)
+                self.assertEqual(content, whole)
+                units = 5 + prompts_count * prompt_units
+                self.assertAlmostEqual(exchange.served_units, units)
+
+    async def test_a_stream_that_is_not_kept_cannot_be_resumed(self) -> None:
+        options = QUICK._replace(begin=ResumeStream(2, "x"))
+        seen = await self.run_attempt(self.engine_at, an_exchange(request_id="lost"), options)
+        self.assertEqual((seen.status, type(seen.error)), (None, NoAnswer))
+
+    async def test_giving_up_cancels_the_run_at_the_engine(self) -> None:
+        body = b'{"prompt":"x","max_tokens":100000,"stream":true}'
+        with self.subTest("generator closed"):
+            exchange = an_exchange(request_id="closed", body=body)
+            async with aclosing(open_attempt(self.client, self.engine_at, exchange, 1)) as parts:
+                await anext(parts)
+                await anext(parts)
+            self.assertEqual(self.engine.batch.find("closed").outcome, "cancelled")
+        with self.subTest("task cancelled before the answer"):
+            self.engine.faults.replace([Hang()])
+            exchange = an_exchange(request_id="hung", body=body)
+            with anyio.move_on_after(0.1):
+                await collect(open_attempt(self.client, self.engine_at, exchange, 1))
+            self.assertEqual(self.engine.batch.find("hung").outcome, "cancelled")
+
+    async def test_service_received_is_counted(self) -> None:
+        prompt_units = 0.1 * len(an_exchange().request.body) / 4
+        cases = {
+            "stream": (an_exchange(request_id="a"), self.engine_at, 5 + prompt_units),
+            "whole answer": (an_exchange(body=JSON_BODY), self.engine_at, 5 + 0.1 * 3),
+        }
+        for name, (exchange, upstream, units) in cases.items():
+            with self.subTest(name):
+                await self.run_attempt(upstream, exchange)
+                self.assertAlmostEqual(exchange.served_units, units)
+        exchange = a_service_exchange(path="/slots?service_ms=30")
+        await self.run_attempt(self.service_at, exchange)
+        self.assertGreaterEqual(exchange.served_units, 30)
+
+    async def test_a_call_of_the_wrong_kind_is_rejected(self) -> None:
+        with self.assertRaises(RequestError):
+            open_attempt(self.client, self.engine_at, a_service_exchange(), 1)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/upstreams/test_transcript.py
@@ -0,0 +1,36 @@
+"""Guards against events that are cut in two, lost or counted twice."""
+
+from __future__ import annotations
+
+import unittest
+
+from camphorvalve.upstreams.options import ContinueText, FromStart
+from camphorvalve.upstreams.transcript import DONE, Transcript
+
+EVENTS = b'id: 1\ndata: {"text":" a\\n\\n","index":1}\n\nid: 2\ndata: {"text":" b","index":2}\n\n'
+
+
+class TranscriptTest(unittest.TestCase):
+    def test_only_whole_events_leave_wherever_the_bytes_are_cut(self) -> None:
+        stream = EVENTS + DONE
+        for cut in range(len(stream) + 1):
+            with self.subTest(cut=cut):
+                transcript = Transcript(FromStart())
+                first, first_count = transcript.add(stream[:cut])
+                self.assertTrue(first == b"" or first.endswith(b"\n\n"))
+                self.assertEqual(first_count, transcript.events_count)
+                second, second_count = transcript.add(stream[cut:])
+                self.assertEqual(first + second, stream)
+                self.assertEqual(first_count + second_count, 2)
+                self.assertTrue(transcript.done)
+                self.assertEqual(transcript.text(), " a\n\n b")
+
+    def test_a_continued_stream_keeps_earlier_events_and_text(self) -> None:
+        transcript = Transcript(ContinueText(7, "before"))
+        transcript.add(EVENTS)
+        self.assertEqual((transcript.events_count, transcript.text()), (9, "before a\n\n b"))
+        self.assertFalse(transcript.done)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tools/standins/engine.py
+++ b/tools/standins/engine.py
@@ -67,13 +67,12 @@
             case ("GET", ["v1", "streams", request_id]):
                 await self._resume(call, request_id, receive, send)
             case ("POST", ["v1", "streams", request_id, "cancel"]):
-                await self._cancel(request_id, send)
+                await self._cancel(call, request_id, send)
             case ("GET", ["v1", "load"]):
                 await send_json(send, self._load())
             case ("GET", ["v1", "cache-events"]):
                 after = int(call.query.get("after", "0"))
-                events = [e._asdict() for e in self.cache.events(after, time.time())]
-                await send_json(send, {"events": events})
+                await send_json(send, self.cache.feed(after, time.time()))
             case ("POST", ["v1", "orders"]):
                 await self._order(call, send)
             case ("GET", ["v1", "state"]):
@@ -159,11 +158,13 @@
         after = int(call.query.get("after", "0"))
         await self._respond(run, receive, send, streamed=True, after=after)
 
-    async def _cancel(self, request_id: str, send: Send) -> None:
+    async def _cancel(self, call: HttpCall, request_id: str, send: Send) -> None:
         run = self.batch.find(request_id)
-        if run is not None:
+        attempt = call.query.get("attempt")
+        found = run is not None and attempt in {None, str(run.attempt)}
+        if run is not None and found:
             self.batch.cancel(run)
-        await send_json(send, {"cancelled": run is not None})
+        await send_json(send, {"cancelled": found})
 
     async def _order(self, call: HttpCall, send: Send) -> None:
         if not self.state.authorised(call.headers.get("authorization")):
--- a/tools/standins/forwarder.py
+++ b/tools/standins/forwarder.py
@@ -112,6 +112,8 @@
         self.cut: str | None = None
         """``refuse``, ``blackhole`` or ``None``."""
         self.delay_ms = 0.0
+        self.opened_count = 0
+        """Connections accepted so far."""
         self.ends: set[_End] = set()
         self.port = 0
         self._holder: socket.socket | None = None
@@ -168,6 +170,7 @@
             self._server = None
 
     def _accept(self) -> _End:
+        self.opened_count += 1
         near = _End(self)
         far = _End(self)
         near.other = far
--- a/tools/standins/network.py
+++ b/tools/standins/network.py
@@ -69,6 +69,16 @@
             forwarder.delay_ms = one_way_ms
         return len(chosen)
 
+    def opened_count(self, source: str, target: str) -> int:
+        """
+        Count the connections that pairs have opened so far.
+
+        :param source: name or pattern
+        :param target: name or pattern
+        :return: the number of connections
+        """
+        return sum(forwarder.opened_count for forwarder in self._chosen(source, target))
+
     async def close(self) -> None:
         """Close every port and connection."""
         for forwarder in self._routes.values():
--- a/tools/standins/prefixes.py
+++ b/tools/standins/prefixes.py
@@ -5,7 +5,7 @@
 import hashlib
 import random
 from collections import OrderedDict
-from typing import TYPE_CHECKING, NamedTuple
+from typing import TYPE_CHECKING, Any, NamedTuple
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -80,16 +80,20 @@
             self._store(key, now_s)
         return max(0, missed_count)
 
-    def events(self, after: int, now_s: float) -> list[CacheEvent]:
+    def feed(self, after: int, now_s: float) -> dict[str, Any]:
         """
-        List the events that are old enough to be known.
+        Give the events that are old enough to be known.
 
         :param after: number of the last event that the reader has
         :param now_s: wall-clock time
-        :return: events in order, with gaps
+        :return: number of the last event, and the events after ``after`` in order, with gaps
         """
         visible_s = now_s - self._settings.event_lag_s
-        return [e for e in self._events if e.number > after and e.at_s <= visible_s]
+        visible = [event for event in self._events if event.at_s <= visible_s]
+        return {
+            "last": visible[-1].number if visible else 0,
+            "events": [event._asdict() for event in visible if event.number > after],
+        }
 
     def _store(self, key: str, now_s: float) -> None:
         if key not in self._blocks:
--- a/tools/standins/serving.py
+++ b/tools/standins/serving.py
@@ -10,7 +10,6 @@
 from contextlib import asynccontextmanager, suppress
 from typing import TYPE_CHECKING, Any
 
-import anyio
 import msgspec
 from hypercorn.asyncio import serve
 from hypercorn.config import Config
@@ -62,17 +61,17 @@
     """
     bound = listening_socket(port)
     url = f"http://{LOOPBACK}:{bound.getsockname()[1]}"
-    stopped = anyio.Event()
-    async with anyio.create_task_group() as tasks:
-        tasks.start_soon(_serve, app, _config(bound), stopped)
-        try:
-            yield url
-        finally:
-            stopped.set()
-            tasks.cancel_scope.deadline = anyio.current_time() + 2.0
+    stopped = asyncio.Event()
+    # A bare task, as unittest enters and leaves this context in different tasks.
+    task = asyncio.create_task(_serve(app, _config(bound), stopped))
+    try:
+        yield url
+    finally:
+        stopped.set()
+        await task
 
 
-async def _serve(app: App, config: Config, stopped: anyio.Event) -> None:
+async def _serve(app: App, config: Config, stopped: asyncio.Event) -> None:
     await serve(app, config, shutdown_trigger=stopped.wait, mode="asgi")
 
 
