--- a/tests/builders.py
+++ b/tests/builders.py
@@ -37,6 +37,9 @@
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
+from camphorvalve.model.requests import Completion, Exchange, Request, ServiceCall
+from camphorvalve.model.teams import KindParameters, Team, Template, Urgency
+from camphorvalve.model.upstreams import ChecksFencing, ModelEngine, PlainService, Upstream
 
 POOL = "camphor-pool"
 
@@ -189,6 +192,18 @@
         "token": "secret",
         "team": None,
         "kind": None,
+
+
+def a_request(**fields: Any) -> Request:
+    values = {
+        "request_id": "request-1",
+        "call": Completion(streamed=True),
+        "pool": None,
+        "body": b'{"model":"m","prompt":"first violins","max_tokens":5,"stream":true}',
+        "content_type": "application/json",
+        "token": "token-1",
+        "team": "perth-youth",
+        "kind": "draft",
         "idempotency_key": None,
         "deferred": False,
         "cost_hint_units": None,
@@ -285,6 +300,34 @@
     return ControllerSettings(**{**values, **fields})
 
 
+def an_exchange(**fields: Any) -> Exchange:
+    return Exchange(a_request(**fields), received_s=0.0)
+
+
+def a_service_exchange(**fields: Any) -> Exchange:
+    call = ServiceCall(fields.pop("method", "POST"), fields.pop("path", "/slots?service_ms=1"))
+    return an_exchange(**{"call": call, "pool": "booking-desk", "body": b"{}", **fields})
+
+
+def a_service(upstream_id: str = "service-1", **fields: Any) -> Upstream:
+    values = {"pool": "booking-desk", "interface": PlainService()}
+    return an_upstream(upstream_id, **{**values, **fields})
+
+
+def a_member(member_id: str = "engine-1", **fields: Any) -> dict[str, Any]:
+    values = {
+        "id": member_id,
+        "role": "engine",
+        "pool": POOL,
+        "data_centre": "perth-a",
+        "url": f"http://127.0.0.1:1/{member_id}",
+        "slots": 4,
+        "fencing": "checks",
+        "state": "live",
+    }
+    return {**values, **fields}
+
+
 __all__ = [
     "POOL",
     "a_backlog",
@@ -296,11 +339,14 @@
     "a_holding",
     "a_kind",
     "a_loss",
+    "a_member",
     "a_newcomer",
     "a_poll",
     "a_request",
     "a_router",
     "a_router_document",
+    "a_service",
+    "a_service_exchange",
     "a_start",
     "a_team",
     "a_template",
