--- a/tests/builders.py
+++ b/tests/builders.py
@@ -37,9 +37,8 @@
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
-from camphorvalve.model.requests import Completion, Exchange, Request, ServiceCall
-from camphorvalve.model.teams import KindParameters, Team, Template, Urgency
-from camphorvalve.model.upstreams import ChecksFencing, ModelEngine, PlainService, Upstream
+from camphorvalve.model.requests import ServiceCall
+from camphorvalve.model.upstreams import PlainService
 
 POOL = "camphor-pool"
 
@@ -192,9 +191,14 @@
         "token": "secret",
         "team": None,
         "kind": None,
+        "idempotency_key": None,
+        "deferred": False,
+        "cost_hint_units": None,
+    }
+    return Request(**{**values, **fields})
 
 
-def a_request(**fields: Any) -> Request:
+def a_stream_request(**fields: Any) -> Request:
     values = {
         "request_id": "request-1",
         "call": Completion(streamed=True),
@@ -211,6 +215,20 @@
     return Request(**{**values, **fields})
 
 
+def a_stream_exchange(**fields: Any) -> Exchange:
+    return Exchange(a_stream_request(**fields), received_s=0.0)
+
+
+def a_service_exchange(**fields: Any) -> Exchange:
+    call = ServiceCall(fields.pop("method", "POST"), fields.pop("path", "/slots?service_ms=1"))
+    return a_stream_exchange(**{"call": call, "pool": "booking-desk", "body": b"{}", **fields})
+
+
+def a_service(upstream_id: str = "service-1", **fields: Any) -> Upstream:
+    values = {"pool": "booking-desk", "interface": PlainService()}
+    return an_upstream(upstream_id, **{**values, **fields})
+
+
 def an_exchange(received_s: float = 0.0, **fields: Any) -> Exchange:
     """An exchange that no filter has seen; the fields are those of its request."""
     return Exchange(a_request(**fields), received_s)
@@ -300,20 +318,6 @@
     return ControllerSettings(**{**values, **fields})
 
 
-def an_exchange(**fields: Any) -> Exchange:
-    return Exchange(a_request(**fields), received_s=0.0)
-
-
-def a_service_exchange(**fields: Any) -> Exchange:
-    call = ServiceCall(fields.pop("method", "POST"), fields.pop("path", "/slots?service_ms=1"))
-    return an_exchange(**{"call": call, "pool": "booking-desk", "body": b"{}", **fields})
-
-
-def a_service(upstream_id: str = "service-1", **fields: Any) -> Upstream:
-    values = {"pool": "booking-desk", "interface": PlainService()}
-    return an_upstream(upstream_id, **{**values, **fields})
-
-
 def a_member(member_id: str = "engine-1", **fields: Any) -> dict[str, Any]:
     values = {
         "id": member_id,
@@ -347,7 +351,10 @@
     "a_router_document",
     "a_service",
     "a_service_exchange",
+    "a_settings_document",
     "a_start",
+    "a_stream_exchange",
+    "a_stream_request",
     "a_team",
     "a_template",
     "an_abort",
--- a/tests/upstreams/test_attempt.py
+++ b/tests/upstreams/test_attempt.py
@@ -20,7 +20,7 @@
 from camphorvalve.upstreams.client import create_client
 from camphorvalve.upstreams.errors import Broken, NoAnswer, NotSent, UpstreamError, WrongAnswer
 from camphorvalve.upstreams.options import AttemptOptions, ContinueText, ResumeStream
-from tests.builders import a_service, a_service_exchange, an_exchange, an_upstream
+from tests.builders import a_service, a_service_exchange, a_stream_exchange, an_upstream
 
 if TYPE_CHECKING:
     from camphorvalve.model.requests import Exchange
@@ -92,7 +92,7 @@
             with self.subTest(name):
                 self.engine.faults.replace([fault] if fault else [])
                 fields = {"body": body} if body else {}
-                exchange = an_exchange(request_id=f"request-{number}", **fields)
+                exchange = a_stream_exchange(request_id=f"request-{number}", **fields)
                 seen = await self.run_attempt(self.engine_at, exchange)
                 self.assertEqual(seen.status, status)
                 self.assertIs(type(seen.error), error or type(None))
@@ -115,7 +115,7 @@
 
     async def test_only_a_request_that_never_left_counts_as_not_sent(self) -> None:
         for upstream, exchange in (
-            (self.engine_at, an_exchange()),
+            (self.engine_at, a_stream_exchange()),
             (self.service_at, a_service_exchange()),
         ):
             with self.subTest(upstream.upstream_id):
@@ -144,11 +144,13 @@
         self.assertEqual(self.network.opened_count("router", "upstream"), 4)
 
     async def test_a_broken_stream_goes_on_without_a_repeated_or_missing_event(self) -> None:
-        whole = (await self.run_attempt(self.engine_at, an_exchange(request_id="whole"))).content
-        prompt_units = 0.1 * len(an_exchange().request.body) / 4
+        whole = (
+            await self.run_attempt(self.engine_at, a_stream_exchange(request_id="whole"))
+        ).content
+        prompt_units = 0.1 * len(a_stream_exchange().request.body) / 4
         for begin_type, prompts_count in ((ResumeStream, 1), (ContinueText, 3)):
             with self.subTest(begin_type.__name__):
-                exchange = an_exchange(request_id=begin_type.__name__)
+                exchange = a_stream_exchange(request_id=begin_type.__name__)
                 content = b""
                 options = QUICK
                 self.engine.faults.replace([BreakAfter(2), BreakAfter(1)])
@@ -166,29 +168,29 @@
 
     async def test_a_stream_that_is_not_kept_cannot_be_resumed(self) -> None:
         options = QUICK._replace(begin=ResumeStream(2, "x"))
-        seen = await self.run_attempt(self.engine_at, an_exchange(request_id="lost"), options)
+        seen = await self.run_attempt(self.engine_at, a_stream_exchange(request_id="lost"), options)
         self.assertEqual((seen.status, type(seen.error)), (None, NoAnswer))
 
     async def test_giving_up_cancels_the_run_at_the_engine(self) -> None:
         body = b'{"prompt":"x","max_tokens":100000,"stream":true}'
         with self.subTest("generator closed"):
-            exchange = an_exchange(request_id="closed", body=body)
+            exchange = a_stream_exchange(request_id="closed", body=body)
             async with aclosing(open_attempt(self.client, self.engine_at, exchange, 1)) as parts:
                 await anext(parts)
                 await anext(parts)
             self.assertEqual(self.engine.batch.find("closed").outcome, "cancelled")
         with self.subTest("task cancelled before the answer"):
             self.engine.faults.replace([Hang()])
-            exchange = an_exchange(request_id="hung", body=body)
+            exchange = a_stream_exchange(request_id="hung", body=body)
             with anyio.move_on_after(0.1):
                 await collect(open_attempt(self.client, self.engine_at, exchange, 1))
             self.assertEqual(self.engine.batch.find("hung").outcome, "cancelled")
 
     async def test_service_received_is_counted(self) -> None:
-        prompt_units = 0.1 * len(an_exchange().request.body) / 4
+        prompt_units = 0.1 * len(a_stream_exchange().request.body) / 4
         cases = {
-            "stream": (an_exchange(request_id="a"), self.engine_at, 5 + prompt_units),
-            "whole answer": (an_exchange(body=JSON_BODY), self.engine_at, 5 + 0.1 * 3),
+            "stream": (a_stream_exchange(request_id="a"), self.engine_at, 5 + prompt_units),
+            "whole answer": (a_stream_exchange(body=JSON_BODY), self.engine_at, 5 + 0.1 * 3),
         }
         for name, (exchange, upstream, units) in cases.items():
             with self.subTest(name):
--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -25,8 +25,8 @@
 
 ROOT = Path(__file__).resolve().parent.parent
 START_TIMEOUT_S = 20.0
-OPERATOR_TOKEN = "operator"
-CALLER_TOKEN = "caller"
+OPERATOR_TOKEN = "operator-token"
+CALLER_TOKEN = "caller-token"
 
 
 class UpstreamShape(NamedTuple):
@@ -465,7 +465,7 @@
 
     def configuration(self) -> dict[str, Any]:
         """:return: the deployment's example configuration"""
-        import json5  # noqa: PLC0415 -- slow to import, needed once
+        import json5
 
         return json5.loads((ROOT / "examples" / self.shape.name / "configuration.json").read_text())
 
