Convert large configurations in several turns of the loop

GET /v1/configuration converted all teams at once: 154 ms for 11,000 teams in a trial, close to the heartbeat interval of 0.2 s. It now gives the loop a turn after every 200 teams.

Without the turns the new test counts 0 turns of another task where 4 are expected.

--- a/src/camphorvalve/http/operators.py
+++ b/src/camphorvalve/http/operators.py
@@ -5,6 +5,7 @@
 from collections.abc import Awaitable, Callable
 from typing import TYPE_CHECKING, Any, NamedTuple, Protocol
 
+import anyio.lowlevel
 import msgspec
 import structlog
 
@@ -41,6 +42,8 @@
 
 MAX_BODY_BYTES = 1 << 20
 """A template with 1,000 kinds is about 200 KB."""
+TEAMS_PER_TURN_COUNT = 200
+"""Teams converted before the loop gets a turn; all 11,000 at once took 154 ms in a trial."""
 
 _log = structlog.get_logger(__name__)
 
@@ -128,7 +131,7 @@
             case "GET", ["v1", "orders"]:
                 return Answer(200, {"orders": [_order_json(order) for order in backend.orders()]})
             case "GET", ["v1", "configuration"]:
-                return Answer(200, to_json(backend.configuration()))
+                return Answer(200, await _configuration_json(backend.configuration()))
             case "GET", ["v1", "status"]:
                 return Answer(200, _controller_status(backend))
         raise _no_such_path(method, segments)
@@ -221,6 +224,15 @@
     return SubmitOrder(request.operation_id, request.upstream_id, action)
 
 
+async def _configuration_json(configuration: Configuration) -> dict[str, Any]:
+    body = to_json(configuration._replace(teams={}))
+    for position, (name, team) in enumerate(configuration.teams.items()):
+        body["teams"][name] = to_json(team)
+        if position % TEAMS_PER_TURN_COUNT == 0:
+            await anyio.lowlevel.checkpoint()
+    return body
+
+
 def _order_json(order: Any) -> dict[str, Any]:
     fields = to_json(order)
     match fields:
--- a/tests/http/test_operators.py
+++ b/tests/http/test_operators.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import unittest
 from typing import Any
 
@@ -128,6 +129,27 @@
         self.assertEqual(answer.json()["leader_url"], "http://127.0.0.1:8082")
         self.assertEqual(backend.commands, [])
 
+    async def test_large_configuration_leaves_turns_to_the_loop(self) -> None:
+        backend = FakeController()
+        teams = {f"team-{number}": a_team(name=f"team-{number}") for number in range(1000)}
+        backend.current = backend.current._replace(teams=teams)
+        turns = []
+
+        async def count() -> None:
+            while True:
+                turns.append(1)
+                await asyncio.sleep(0)
+
+        async with self.client(controller_app(backend, None)) as client:
+            await client.get("/v1/status")
+            counting = asyncio.create_task(count())
+            await client.get("/v1/status")
+            status_turns = len(turns)
+            listed = (await client.get("/v1/configuration")).json()
+            counting.cancel()
+        self.assertEqual(len(listed["teams"]), 1000)
+        self.assertGreaterEqual(len(turns) - 2 * status_turns, 1000 // 200 - 1)
+
     async def test_router_explains_what_it_knows(self) -> None:
         cases = {"requests/r1": 200, "requests/r2": 404, "teams/kalamunda": 200, "teams/x": 404}
         async with self.client(router_app(FakeRouter(), None)) as client:
