--- a/tests/cli/test_main.py
+++ b/tests/cli/test_main.py
@@ -6,6 +6,7 @@
 import io
 import json
 import os
+import re
 import sys
 import tempfile
 import unittest
@@ -17,7 +18,7 @@
 import structlog
 
 from camphorvalve.cli import client
-from camphorvalve.cli.main import COMMANDS, execute
+from camphorvalve.cli.main import COMMANDS, execute, parse
 from camphorvalve.cli.output import ExitCode
 from camphorvalve.http.operators import controller_app, router_app
 from camphorvalve.registry.commands import DeleteTeam
@@ -83,6 +84,17 @@
                 code, output, _ = await self.run_command(*path, "--help")
                 self.assertEqual((code, "usage:" in output), (0, True))
 
+    async def test_documented_commands_exist(self) -> None:
+        text = (EXAMPLES.parent / "docs" / "operations.md").read_text()
+        lines = re.findall(r"(?m)(?:^    |`)camphorvalve ([^`#\n]+)", text)
+        self.assertGreater(len(lines), 20)
+        for line in lines:
+            argv = line.split()
+            # These two are no coroutines, so parsing would run them.
+            if argv[0] not in ("keys", "check"):
+                with self.subTest(line), contextlib.redirect_stderr(io.StringIO()):
+                    parse(argv).close()
+
     async def test_operator_session(self) -> None:
         controller = FakeController()
         async with served(controller_app(controller, "tok-tok-tok")) as url:
