--- a/src/camphorvalve/cli/daemons.py
+++ b/src/camphorvalve/cli/daemons.py
@@ -61,7 +61,7 @@
     try:
         identity = create(loaded.data_folder, loaded.host_id, members, **further)
     except (OSError, ValueError) as error:
-        raise CommandError(ExitCode.FAILED, f"{loaded.data_folder}: {error}") from error
+        raise CommandError(ExitCode.FAILED, str(error)) from error
     say(f"created {loaded.data_folder} for replica {identity}")
 
 
