--- a/src/camphorvalve/controllers/replication.py
+++ b/src/camphorvalve/controllers/replication.py
@@ -31,7 +31,7 @@
 from camphorvalve.controllers.submissions import Pending, Submissions, Waiter
 from camphorvalve.registry.commands import COMMAND_CODEC, OUTCOME_CODEC, Invalid, TakeLeadership
 from camphorvalve.wire.codec import DecodeError
-from camphorvalve.wire.messages import ConfigPoll, ConfigUpdate, Submit, SubmitReply
+from camphorvalve.wire.messages import ConfigPoll, ConfigUpdate, Lookup, Submit, SubmitReply
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable, Iterator
@@ -55,7 +55,7 @@
 
     name = "replication"
     tick_s = TICK_S
-    accepts: tuple[type, ...] = (*MESSAGES, ConfigPoll, Submit)
+    accepts: tuple[type, ...] = (*MESSAGES, ConfigPoll, Submit, Lookup)
 
     def __init__(
         self,
@@ -159,6 +159,8 @@
                 yield from self._update(sender, message)
             case Submit():
                 yield from self._submit(sender, message, now_s)
+            case Lookup():
+                yield self._look_up(sender, message, now_s)
             case _:
                 if self._trusts(sender, message):
                     yield from self._carry_out(self._driver.step(Received(message), now_s), now_s)
@@ -233,6 +235,17 @@
         event = Propose(proposal_id, COMMAND_CODEC.encode(command))
         yield from self._carry_out(self._driver.step(event, now_s), now_s)
 
+    def _look_up(self, sender: Sender, message: Lookup, now_s: float) -> Outgoing:
+        # Only a leader with a valid lease knows that no later command has been committed.
+        if not self.lease_valid(now_s):
+            reply = SubmitReply(message.submit_id, False, self.leader_id, b"")
+            return Outgoing(sender.host_id, reply)
+        outcome = self.state.records.state_of(message.record_id)
+        encoded = OUTCOME_CODEC.encode(outcome)
+        return Outgoing(
+            sender.host_id, SubmitReply(message.submit_id, True, self.leader_id, encoded)
+        )
+
     def _update(self, sender: Sender, poll: ConfigPoll) -> Iterator[Outgoing]:
         update = self.state.history.update_from(poll.revision)
         if update is not None:
--- a/src/camphorvalve/model/requests.py
+++ b/src/camphorvalve/model/requests.py
@@ -64,6 +64,8 @@
     attempt: int = 0
     upstream_id: str | None = None
     served_units: float = 0.0
+    sent_upstream: bool = False
+    """Whether a byte of the request may have reached an upstream."""
     record_id: str | None = None
     """Record that has to be started before the first byte goes out."""
     claim_attempt: int | None = None
--- a/src/camphorvalve/registry/records.py
+++ b/src/camphorvalve/registry/records.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from camphorvalve.registry.commands import Done, ExpireRecords, Outcome
+from camphorvalve.registry.commands import Done, ExpireRecords, Invalid, Outcome, Running
 from camphorvalve.registry.runs import Record, Transition, advance, record_of, time_of
 
 if TYPE_CHECKING:
@@ -36,6 +36,22 @@
         """
         return self._records.get(record_id)
 
+    def state_of(self, record_id: str) -> Outcome:
+        """
+        Describe a record to its caller.
+
+        :param record_id: work id, or team and idempotency key
+        :return: ``Done`` while it waits, ``Running``, ``Finished`` or ``Lost``; ``Invalid`` when
+            there is no such record
+        """
+        record = self._records.get(record_id)
+        if record is None:
+            return Invalid(f"record {record_id!r} does not exist")
+        if record.start is not None:
+            start = record.start
+            return Running(start.router_id, start.incarnation, start.attempt)
+        return record.answer or record.lost or Done(0, record.accepted_index)
+
     def all(self) -> Iterator[Record]:
         """:return: all records in the order in which they were last changed"""
         return iter(self._records.values())
--- a/src/camphorvalve/wire/link.py
+++ b/src/camphorvalve/wire/link.py
@@ -141,7 +141,11 @@
         :return: envelopes in order of arrival
         """
         while True:
-            frame = await self._receiver.recv()
+            try:
+                frame = await self._receiver.recv()
+            except zmq.Again:
+                # pyzmq 27 reports a frame as readable that a closing connection has taken back.
+                continue
             self._counts[2] += 1
             self._counts[3] += len(frame)
             try:
--- a/src/camphorvalve/wiring.py
+++ b/src/camphorvalve/wiring.py
@@ -274,12 +274,7 @@
         lifetime_s=settings.address_lifetime_s,
         tokens=None if settings.callers is None else Tokens(settings.callers),
     )
-    callers = CallerApp(
-        handler,
-        lookups.bundle(),
-        host_id=settings.host_id,
-        leaving=lambda: membership.leaving,
-    )
+    callers = CallerApp(handler, lookups.bundle(), host_id=settings.host_id)
     return Router(
         runtime,
         membership,
--- /dev/null
+++ b/tools/quickstart.py
@@ -0,0 +1,111 @@
+"""Starts a small fleet on loopback, serves requests end to end and prints what came back."""
+
+from __future__ import annotations
+
+import signal
+import sys
+import uuid
+from typing import Any
+
+import anyio
+
+from tools.fleet import CALLER_TOKEN, SMALL, Fleet
+
+TEAM = "fremantle"
+
+
+def _headers(kind: str, **more: str) -> dict[str, str]:
+    named = {name.replace("_", "-"): value for name, value in more.items()}
+    return {"authorization": f"Bearer {CALLER_TOKEN}", "x-team": TEAM, "x-kind": kind, **named}
+
+
+async def _find_address(fleet: Fleet) -> str:
+    any_router = fleet.members[fleet.ids("router")[0]]
+    answer = (await fleet.client.get(f"{any_router.url}/v1/addresses")).json()
+    address = answer["addresses"][0]
+    print(f"discovery: use {address['url']} ({address['router']}), {answer['lifetime_s']} s")
+    return address["url"]
+
+
+async def _serve_streamed(fleet: Fleet, url: str) -> None:
+    body = {"model": "chorale", "prompt": "Draft the audition day.", "max_tokens": 8}
+    lines = fleet.stream(url, {**body, "stream": True}, _headers("schedule-draft"))
+    text = [line async for line in lines if line.startswith("data:")]
+    print(f"streamed answer: {' '.join(text)}")
+
+
+async def _serve_plain(fleet: Fleet, url: str) -> None:
+    key = uuid.uuid4().hex
+    headers = _headers("slot-confirmation", idempotency_key=key)
+    path = f"{url}/v1/services/booking-desk/slots/17"
+    answer = await fleet.client.post(path, headers=headers, json={"confirm": True})
+    _print_answer("plain answer", answer)
+    answer = await fleet.client.post(path, headers=headers, json={"confirm": True})
+    _print_answer("same key again", answer)
+
+
+async def _serve_deferred(fleet: Fleet, url: str) -> None:
+    body = {"model": "chorale", "prompt": "Summarise the repertoire.", "max_tokens": 8}
+    headers = _headers("summary", x_deferred="true")
+    accepted = await fleet.client.post(f"{url}/v1/completions", headers=headers, json=body)
+    print(f"deferred: {accepted.status_code} {accepted.text}")
+    location = accepted.headers["location"]
+    for _ in range(100):
+        answer = (await fleet.client.get(f"{url}{location}", headers=headers)).json()
+        if answer.get("state") == "done":
+            break
+        await anyio.sleep(0.1)
+    print(f"deferred answer: {answer}")
+
+
+def _print_answer(what: str, answer: Any) -> None:
+    served = answer.headers.get("x-served-by")
+    upstream = answer.headers.get("x-upstream")
+    print(f"{what}: {answer.status_code} from {upstream} by {served}: {answer.text}")
+
+
+async def _print_fleet(fleet: Fleet) -> None:
+    for controller_id in fleet.ids("controller"):
+        status = await fleet.operate(controller_id, "GET", "/v1/status")
+        print(f"{controller_id}: {status['role']}, revision {status['revision']}")
+    for router_id in fleet.ids("router"):
+        status = await fleet.operate(router_id, "GET", "/v1/status")
+        print(f"{router_id}: revision {status['revision']}, schedules {status['schedules']}")
+    for upstream_id in [*fleet.ids("engine"), *fleet.ids("service")]:
+        log = (await fleet.client.get(f"{fleet.members[upstream_id].url}/v1/log")).json()
+        print(f"{upstream_id}: served {len(log['runs'])} runs")
+
+
+async def _wait_for_interrupt(fleet: Fleet) -> None:
+    for member in fleet.members.values():
+        print(f"{member.member_id}: pid {member.pid}, {member.operator_url or member.url}")
+    print(f"settings and logs are in {fleet.folder}; press Ctrl-C to stop", flush=True)
+    with anyio.open_signal_receiver(signal.SIGINT, signal.SIGTERM) as signals:
+        async for _ in signals:
+            return
+
+
+async def run(*, keep: bool) -> None:
+    """
+    Run the tour.
+
+    :param keep: leave the fleet running until interrupted
+    """
+    async with Fleet(SMALL) as fleet:
+        revision = await fleet.apply_configuration()
+        await fleet.wait_configured(revision)
+        print(f"configuration: revision {revision} is in force on every router")
+        url = await _find_address(fleet)
+        await _serve_streamed(fleet, url)
+        await _serve_plain(fleet, url)
+        await _serve_deferred(fleet, url)
+        await _print_fleet(fleet)
+        if keep:
+            await _wait_for_interrupt(fleet)
+
+
+if __name__ == "__main__":
+    anyio.run(lambda: run(keep="--keep" in sys.argv[1:]))
+
+
+__all__ = ["run"]
