--- /dev/null
+++ b/src/camphorvalve/reports/decisions.py
@@ -0,0 +1,154 @@
+"""Traces of the latest requests, and per team how requests ended."""
+
+from __future__ import annotations
+
+from collections import Counter, OrderedDict
+from typing import TYPE_CHECKING, TypedDict
+
+from camphorvalve.reports.outcomes import Failed, outcome_name
+
+if TYPE_CHECKING:
+    from camphorvalve.model.requests import Exchange
+    from camphorvalve.reports.outcomes import Finished
+
+TRACE_LIMIT_COUNT = 1024
+NOTE_LIMIT_COUNT = 16
+NOTE_LIMIT_CHARS = 160
+TEAM_LIMIT_COUNT = 1024
+
+LIMIT_CODES = ("too_large", "queue_full", "wait_too_long")
+
+
+class NoteBody(TypedDict):
+    """One decision on a request."""
+
+    at_ms: float
+    """Since the request's arrival; the gaps between notes are the waits."""
+    text: str
+
+
+class TraceBody(TypedDict):
+    """What was decided on one request."""
+
+    request_id: str
+    team: str | None
+    kind: str | None
+    pool: str | None
+    outcome: str
+    run: str | None
+    """Only for errors."""
+    attempt: int
+    upstream_id: str | None
+    units: float
+    first_byte_ms: float | None
+    total_ms: float
+    notes: list[NoteBody]
+
+
+class TeamBody(TypedDict):
+    """How the requests of a team ended since this router started to track it."""
+
+    team: str
+    outcomes: dict[str, int]
+    limits_hit: dict[str, int]
+
+
+class Decisions:
+    """
+    Keeps the latest traces and counters per team.
+
+    A trace with five short notes takes 2.3 KB. It holds at most 16 notes of 160 characters, so that
+    1024 traces take 2 to 8 MB.
+    """
+
+    def __init__(
+        self, *, traces_count: int = TRACE_LIMIT_COUNT, teams_count: int = TEAM_LIMIT_COUNT
+    ) -> None:
+        """
+        Start empty.
+
+        :param traces_count: most traces; the oldest is dropped first
+        :param teams_count: most teams; the one without requests for longest is dropped first
+        """
+        self._traces_count = traces_count
+        self._teams_count = teams_count
+        self._traces: OrderedDict[str, TraceBody] = OrderedDict()
+        self._teams: OrderedDict[str, Counter[str]] = OrderedDict()
+
+    def record(self, finished: Finished) -> None:
+        """
+        Keep the trace of a request.
+
+        :param finished: the request
+        """
+        trace = _trace(finished)
+        self._traces[trace["request_id"]] = trace
+        while len(self._traces) > self._traces_count:
+            self._traces.popitem(last=False)
+        team = finished.exchange.team
+        if team is not None:
+            self._count(team.name, trace["outcome"])
+
+    def find(self, request_id: str) -> TraceBody | None:
+        """
+        Look a trace up.
+
+        :param request_id: id of the request
+        :return: the trace, ``None`` when it is not or no longer known
+        """
+        return self._traces.get(request_id)
+
+    def team(self, name: str) -> TeamBody:
+        """
+        Look up how a team's requests ended.
+
+        :param name: name of the team
+        :return: counters; all zero for a team without requests
+        """
+        counts = self._teams.get(name, Counter())
+        limits_hit = {code: counts[code] for code in LIMIT_CODES}
+        return {"team": name, "outcomes": dict(counts), "limits_hit": limits_hit}
+
+    def _count(self, team: str, outcome: str) -> None:
+        self._teams.setdefault(team, Counter())[outcome] += 1
+        self._teams.move_to_end(team)
+        while len(self._teams) > self._teams_count:
+            self._teams.popitem(last=False)
+
+
+def _trace(finished: Finished) -> TraceBody:
+    exchange = finished.exchange
+    outcome = finished.outcome
+    return {
+        "request_id": exchange.request.request_id,
+        "team": exchange.team.name if exchange.team is not None else exchange.request.team,
+        "kind": exchange.kind or exchange.request.kind,
+        "pool": exchange.request.pool,
+        "outcome": outcome_name(outcome),
+        "run": outcome.run.value if isinstance(outcome, Failed) else None,
+        "attempt": exchange.attempt,
+        "upstream_id": exchange.upstream_id,
+        "units": exchange.served_units,
+        "first_byte_ms": _milliseconds(finished.first_byte_s),
+        "total_ms": _milliseconds(finished.total_s),
+        "notes": _notes(exchange),
+    }
+
+
+def _notes(exchange: Exchange) -> list[NoteBody]:
+    """Keep the first and the last notes; a long trace repeats itself in the middle."""
+    notes = exchange.notes
+    if len(notes) > NOTE_LIMIT_COUNT:
+        half = NOTE_LIMIT_COUNT // 2
+        notes = [*notes[:half], *notes[-half:]]
+    return [
+        {"at_ms": _milliseconds(at_s - exchange.received_s), "text": text[:NOTE_LIMIT_CHARS]}
+        for at_s, text in notes
+    ]
+
+
+def _milliseconds(duration_s: float | None) -> float | None:
+    return None if duration_s is None else round(duration_s * 1000, 3)
+
+
+__all__ = ["Decisions", "NoteBody", "TeamBody", "TraceBody"]
--- /dev/null
+++ b/src/camphorvalve/reports/metrics.py
@@ -0,0 +1,169 @@
+"""Metrics as statsd datagrams; ``docs/metrics.md`` lists the names."""
+
+from __future__ import annotations
+
+import re
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, NamedTuple
+
+from statsd import StatsClient
+
+from camphorvalve.reports.outcomes import outcome_name
+
+if TYPE_CHECKING:
+    from camphorvalve.reports.outcomes import Finished
+    from camphorvalve.settings import schema
+
+
+@dataclass(frozen=True, slots=True)
+class Statsd:
+    """Datagrams go to a statsd server."""
+
+    host: str
+    """An IP number: a name would be resolved on the event loop."""
+    port: int
+    prefix: str
+
+
+@dataclass(frozen=True, slots=True)
+class Disabled:
+    """No metrics."""
+
+
+Destination = Statsd | Disabled
+
+
+class Metric(NamedTuple):
+    """A documented metric."""
+
+    name: str
+    type: str
+    unit: str
+    meaning: str
+
+
+REQUESTS = Metric("requests.<team>.<kind>.<outcome>", "counter", "requests", "finished requests")
+FIRST_BYTE = Metric(
+    "first_byte.<team>.<kind>", "timer", "ms", "arrival to the first byte of the answer's body"
+)
+TOTAL = Metric("total.<team>.<kind>", "timer", "ms", "arrival to the end of the answer")
+UNITS = Metric("units.<team>.<kind>", "counter", "units", "service that finished requests received")
+WAITING_COUNT = Metric("waiting_count", "gauge", "requests", "requests that wait at this router")
+WAITING_BYTES = Metric("waiting_bytes", "gauge", "bytes", "bodies of the waiting requests")
+RUNNING_COUNT = Metric("running_count", "gauge", "requests", "requests at an upstream")
+REVISION = Metric("configuration_revision", "gauge", "revision", "configuration in force")
+
+METRICS = (
+    REQUESTS,
+    FIRST_BYTE,
+    TOTAL,
+    UNITS,
+    WAITING_COUNT,
+    WAITING_BYTES,
+    RUNNING_COUNT,
+    REVISION,
+)
+
+
+class Levels(NamedTuple):
+    """What the gauges show."""
+
+    waiting_count: int
+    waiting_bytes: int
+    running_count: int
+    configuration_revision: int
+
+
+class _Client(StatsClient):
+    """A client whose socket drops datagrams instead of waiting for room in its buffer."""
+
+    def __init__(self, destination: Statsd) -> None:
+        super().__init__(
+            destination.host,
+            destination.port,
+            prefix=destination.prefix,
+            ipv6=":" in destination.host,
+        )
+        self._sock.setblocking(False)
+
+
+class Metrics:
+    """Sends metrics; holds no state besides its socket."""
+
+    def __init__(self, destination: Destination) -> None:
+        """
+        Open the socket, if there is a destination.
+
+        :param destination: where datagrams go
+        """
+        match destination:
+            case Statsd():
+                self._client = _Client(destination)
+            case Disabled():
+                self._client = None
+
+    def record(self, finished: Finished) -> None:
+        """
+        Send the metrics of one request.
+
+        :param finished: the request; one without a team counts for the team ``none``
+        """
+        if self._client is None:
+            return
+        exchange = finished.exchange
+        team = _part(exchange.team.name if exchange.team is not None else "none")
+        kind = _part(exchange.kind or "none")
+        with self._client.pipeline() as batch:
+            batch.incr(f"requests.{team}.{kind}.{outcome_name(finished.outcome)}")
+            batch.timing(f"total.{team}.{kind}", finished.total_s * 1000)
+            if finished.first_byte_s is not None:
+                batch.timing(f"first_byte.{team}.{kind}", finished.first_byte_s * 1000)
+            if exchange.served_units:
+                batch.incr(f"units.{team}.{kind}", round(exchange.served_units))
+
+    def observe(self, levels: Levels) -> None:
+        """
+        Send the gauges.
+
+        :param levels: their values
+        """
+        if self._client is None:
+            return
+        with self._client.pipeline() as batch:
+            for name, value in zip(levels._fields, levels, strict=True):
+                batch.gauge(name, value)
+
+    def close(self) -> None:
+        """Close the socket."""
+        if self._client is not None:
+            self._client.close()
+            self._client = None
+
+
+def destination_of(settings: schema.Metrics | None) -> Destination:
+    """
+    Choose the destination that the settings name.
+
+    :param settings: settings, ``None`` for no metrics
+    :return: the destination
+    """
+    if settings is None:
+        return Disabled()
+    return Statsd(settings.host, settings.port, settings.prefix)
+
+
+def _part(name: str) -> str:
+    """Replace what has a meaning in statsd names."""
+    return re.sub(r"[^A-Za-z0-9_-]", "_", name)
+
+
+__all__ = [
+    "METRICS",
+    "Destination",
+    "Disabled",
+    "Levels",
+    "Metric",
+    "Metrics",
+    "Statsd",
+    "destination_of",
+]
--- /dev/null
+++ b/src/camphorvalve/sharing/budget.py
@@ -0,0 +1,67 @@
+"""Bounds retries to a share of the first tries, so that failures do not multiply the load."""
+
+from __future__ import annotations
+
+from collections import deque
+
+BUCKET_S = 1.0
+
+
+class RetryBudget:
+    """
+    Counts first tries and retries per pool over a sliding window.
+
+    Holds one bucket per second of the window and pool.
+    """
+
+    def __init__(self, *, ratio: float = 0.1, floor_count: int = 3, window_s: float = 10.0) -> None:
+        """
+        Prepare the budget.
+
+        :param ratio: retries per first try
+        :param floor_count: retries per window that are allowed however few first tries there are
+        :param window_s: how long tries count
+        """
+        self._ratio = ratio
+        self._floor_count = floor_count
+        self._window_s = window_s
+        self._pools: dict[str, deque[list[int]]] = {}
+
+    def first_try(self, pool: str, now_s: float) -> None:
+        """
+        Count a first try.
+
+        :param pool: name of the pool
+        :param now_s: monotonic time
+        """
+        self._bucket(pool, now_s)[1] += 1
+
+    def allow(self, pool: str, now_s: float) -> bool:
+        """
+        Spend one retry if the budget has one left.
+
+        :param pool: name of the pool
+        :param now_s: monotonic time
+        :return: whether the retry may be sent
+        """
+        bucket = self._bucket(pool, now_s)
+        first_count = sum(one[1] for one in self._pools[pool])
+        retry_count = sum(one[2] for one in self._pools[pool])
+        if retry_count >= max(self._floor_count, int(self._ratio * first_count)):
+            return False
+        bucket[2] += 1
+        return True
+
+    def _bucket(self, pool: str, now_s: float) -> list[int]:
+        """Find the current bucket: its number, first tries, retries."""
+        buckets = self._pools.setdefault(pool, deque())
+        number = int(now_s // BUCKET_S)
+        oldest = number - int(self._window_s // BUCKET_S)
+        while buckets and buckets[0][0] <= oldest:
+            buckets.popleft()
+        if not buckets or buckets[-1][0] != number:
+            buckets.append([number, 0, 0])
+        return buckets[-1]
+
+
+__all__ = ["RetryBudget"]
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -17,6 +17,7 @@
     resolve,
 )
 from camphorvalve.model.upstreams import ChecksFencing, ModelEngine, Upstream
+from camphorvalve.reports.outcomes import Answered, Finished
 from camphorvalve.sharing.shedding import Backlog, Bounds, Holding, Newcomer
 
 POOL = "camphor-pool"
@@ -110,6 +111,17 @@
     return (a_head(**head), *(Body(content) for content in contents))
 
 
+def a_finished(team: TeamParameters | None = None, kind: str = "draft", **fields: Any) -> Finished:
+    values = {
+        "exchange": a_classified_exchange(team, kind),
+        "outcome": Answered(200),
+        "ended_s": 0.0,
+        "first_byte_s": 0.5,
+        "total_s": fields.get("first_byte_s") or 0.5,
+    }
+    return Finished(**{**values, **fields})
+
+
 def a_newcomer(**fields: Any) -> Newcomer:
     values = {
         "team": "a",
@@ -149,6 +161,7 @@
     "POOL",
     "a_backlog",
     "a_classified_exchange",
+    "a_finished",
     "a_head",
     "a_holding",
     "a_kind",
