--- a/tests/builders.py
+++ b/tests/builders.py
@@ -31,6 +31,7 @@
     StartRun,
     SubmitOrder,
 )
+from camphorvalve.reports.outcomes import Answered, Finished
 from camphorvalve.settings.schema import ControllerAddress, ControllerSettings
 from camphorvalve.sharing.shedding import Backlog, Bounds, Holding, Newcomer
 from camphorvalve.wire.messages import ConfigPoll
@@ -254,6 +255,17 @@
     return (a_head(**head), *(Body(content) for content in contents))
 
 
+def a_finished(team: TeamParameters | None = None, kind: str = "draft", **fields: Any) -> Finished:
+    values = {
+        "exchange": a_classified_exchange(team, kind),
+        "outcome": Answered(200),
+        "ended_s": 0.0,
+        "first_byte_s": 0.5,
+        "total_s": fields.get("first_byte_s") or 0.5,
+    }
+    return Finished(**{**values, **fields})
+
+
 def a_newcomer(**fields: Any) -> Newcomer:
     values = {
         "team": "a",
@@ -339,6 +351,7 @@
     "a_classified_exchange",
     "a_controller_document",
     "a_finish",
+    "a_finished",
     "a_head",
     "a_holding",
     "a_kind",
