--- a/src/camphorvalve/reports/explain.py
+++ b/src/camphorvalve/reports/explain.py
@@ -16,6 +16,7 @@
     from camphorvalve.controllers.runtime import Runtime
     from camphorvalve.reports.burn import Burn
     from camphorvalve.reports.decisions import Decisions
+    from camphorvalve.reports.metrics import Metrics
     from camphorvalve.reports.outcomes import Finished
     from camphorvalve.sharing.scheduler import Scheduler
 
@@ -45,6 +46,7 @@
         runtime: Runtime,
         burn: Burn,
         decisions: Decisions,
+        metrics: Metrics,
     ) -> None:
         """
         Prepare the report.
@@ -57,6 +59,7 @@
         :param runtime: messages carried
         :param burn: service-level burn
         :param decisions: traces of requests
+        :param metrics: statsd metrics
         """
         self._host_id = host_id
         self._membership = membership
@@ -66,6 +69,7 @@
         self._runtime = runtime
         self._burn = burn
         self._decisions = decisions
+        self._metrics = metrics
 
     def status(self) -> dict[str, Any]:
         """:return: revision, load, peers and traffic of this router"""
@@ -96,7 +100,7 @@
         :param request_id: id of the request
         :return: where it waited, for what, which decisions and attempts
         """
-        return self._decisions.explain(request_id)
+        return self._decisions.find(request_id)
 
     def explain_team(self, name: str) -> Any | None:
         """
@@ -114,7 +118,7 @@
             "router": self._host_id,
             "share": parameters.share,
             "pools": [self._pool_share(TeamKey(pool, name)) for pool in pools],
-            "limits": self._decisions.explain_team(name),
+            "limits": self._decisions.team(name),
         }
 
     def burn(self) -> Any:
@@ -123,7 +127,7 @@
 
     def recorders(self) -> list[Callable[[Finished], None]]:
         """:return: what takes each finished request"""
-        return [self._decisions.record, self._burn.record]
+        return [self._decisions.record, self._burn.record, self._metrics.record]
 
     def _pool_share(self, key: TeamKey) -> PoolShare:
         waiting = self._demand.backlog.waiting(key)
--- a/src/camphorvalve/wiring.py
+++ b/src/camphorvalve/wiring.py
@@ -46,6 +46,7 @@
 from camphorvalve.reports.decisions import Decisions
 from camphorvalve.reports.explain import RouterReport
 from camphorvalve.reports.logs import configure
+from camphorvalve.reports.metrics import Metrics, destination_of
 from camphorvalve.sharing.aggregate import Aggregator
 from camphorvalve.sharing.budget import RetryBudget
 from camphorvalve.sharing.ledger import Ledger
@@ -249,10 +250,16 @@
         ),
         Dispatch(client, membership),
     )
-    burn = Burn()
-    decisions = Decisions()
     report = RouterReport(
-        settings.host_id, membership, following, demand, scheduler, runtime, burn, decisions
+        settings.host_id,
+        membership,
+        following,
+        demand,
+        scheduler,
+        runtime,
+        Burn(settings.host_id),
+        Decisions(),
+        Metrics(destination_of(settings.metrics)),
     )
     parameters = partial(_parameters, following)
     handler = compose(
