Settle records of idempotent runs, and test routers and filters without processes

Cause: an idempotent request under a key left its record without an outcome when it failed, so that the record was never removed; without quorum it was refused although it may run without a record. Change: such a run is taken back by AbortRun, also by the leader when its router is lost; idempotent work goes on without a record while there is no quorum.

--- a/src/camphorvalve/controllers/recovery.py
+++ b/src/camphorvalve/controllers/recovery.py
@@ -7,7 +7,7 @@
 from typing import TYPE_CHECKING
 
 from camphorvalve.controllers.runtime import Outgoing
-from camphorvalve.registry.commands import AssignWork, Command, ExpireRecords, LoseRun
+from camphorvalve.registry.commands import AbortRun, AssignWork, Command, ExpireRecords, LoseRun
 from camphorvalve.wire.messages import Assignment
 
 if TYPE_CHECKING:
@@ -112,6 +112,10 @@
         if presence.is_lost(start.router_id, start.incarnation, now_s):
             return LoseRun(record.record_id, start.request_id, start.attempt)
         return None
+    if start is not None and claim is None:
+        if presence.is_lost(start.router_id, start.incarnation, now_s):
+            return AbortRun(record.record_id, start.request_id, start.attempt)
+        return None
     if claim is None or not live:
         return None
     if not presence.is_lost(claim.router_id, claim.incarnation, now_s):
--- a/src/camphorvalve/filters/deduplicate.py
+++ b/src/camphorvalve/filters/deduplicate.py
@@ -29,6 +29,7 @@
     from camphorvalve.filters.chain import Handler
     from camphorvalve.model.answers import Part
     from camphorvalve.model.requests import Exchange
+    from camphorvalve.registry.commands import Outcome
 
 STORED_BYTES = 256 << 10
 """Largest answer that a record keeps."""
@@ -65,7 +66,7 @@
                 async for part in parts:
                     yield part
             return
-        outcome = await self._submit_start(start)
+        outcome = await self._submit_start(exchange, start)
         exchange.note(time.monotonic(), f"record start: {type(outcome).__name__.lower()}")
         match outcome:
             case Done():
@@ -99,12 +100,15 @@
             started_at_s=time.time(),
         )
 
-    async def _submit_start(self, start: StartRun) -> object:
+    async def _submit_start(self, exchange: Exchange, start: StartRun) -> Outcome:
+        key = (start.record_id, start.request_id, start.attempt)
         try:
             return await self._records.submit(start)
-        except BaseException:
+        except BaseException as error:
             # The start may still be committed later; nothing was sent, so it is taken back.
-            self._records.submit_later(AbortRun(start.record_id, start.request_id, start.attempt))
+            self._records.submit_later(AbortRun(*key))
+            if isinstance(error, RequestError) and _may_run_unrecorded(exchange):
+                return Done(0, 0)
             raise
 
     async def _run(
@@ -124,8 +128,9 @@
             self._records.submit_later(AbortRun(*key))
             raise
         except BaseException:
-            if not start.idempotent:
-                self._records.submit_later(LoseRun(*key))
+            # An idempotent run may start again under the same key.
+            settle = AbortRun if start.idempotent else LoseRun
+            self._records.submit_later(settle(*key))
             raise
         head = exchange.head or Head(200, ())
         body = b"".join(exchange.stored)
@@ -136,4 +141,10 @@
         self._records.submit_later(finish)
 
 
+def _may_run_unrecorded(exchange: Exchange) -> bool:
+    """Tell whether a request goes on without its record while there is no quorum."""
+    assert exchange.parameters is not None
+    return exchange.parameters.idempotent and exchange.claim_attempt is None
+
+
 __all__ = ["STORED_BYTES", "DeduplicateFilter"]
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -33,6 +33,8 @@
 )
 from camphorvalve.reports.outcomes import Answered, Finished
 from camphorvalve.settings.schema import ControllerAddress, ControllerSettings
+from camphorvalve.sharing.backlog import Waiter
+from camphorvalve.sharing.ledger import TeamKey
 from camphorvalve.sharing.shedding import Backlog, Bounds, Holding, Newcomer
 from camphorvalve.wire.messages import ConfigPoll
 
@@ -344,7 +346,22 @@
     return {**values, **fields}
 
 
+def a_waiter(team: str = "perth-youth", **fields: Any) -> Waiter:
+    values = {
+        "key": TeamKey(POOL, team),
+        "kind": "draft",
+        "urgency": Urgency.NORMAL,
+        "size_bytes": 10,
+        "estimate_units": 10.0,
+        "arrived_s": 0.0,
+        "deadline_s": float("inf"),
+        "wake": lambda: None,
+    }
+    return Waiter(**{**values, **fields})
+
+
 __all__ = [
+    "a_waiter",
     "POOL",
     "a_backlog",
     "a_change",
--- /dev/null
+++ b/tests/controllers/routers.py
@@ -0,0 +1,153 @@
+"""Routers of one fleet that exchange messages in memory, without callers and upstreams."""
+
+from __future__ import annotations
+
+import random
+from typing import TYPE_CHECKING, Any, NamedTuple
+
+from camphorvalve.controllers.demand import DemandController
+from camphorvalve.controllers.following import ConfigurationFollower, Load
+from camphorvalve.controllers.ledgers import LedgerController
+from camphorvalve.controllers.membership import MembershipController
+from camphorvalve.controllers.runtime import Outgoing, Sender
+from camphorvalve.controllers.scheduling import SchedulingController
+from camphorvalve.model.policies import FleetFair
+from camphorvalve.registry import configuration
+from camphorvalve.registry.commands import PutTeam, PutTemplate
+from camphorvalve.sharing.aggregate import Aggregator
+from camphorvalve.sharing.ledger import Ledger
+from camphorvalve.sharing.scheduler import Scheduler
+from camphorvalve.wire.messages import ConfigUpdate
+from tests.builders import a_router, a_team, a_template, a_waiter, an_upstream
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable, Iterator
+
+    from camphorvalve.controllers.demand import Running
+    from camphorvalve.model.upstreams import Upstream
+    from camphorvalve.sharing.backlog import Waiter
+
+STEP_S = 0.05
+
+
+class Parts(NamedTuple):
+    """The state controllers of one router."""
+
+    membership: MembershipController
+    following: ConfigurationFollower
+    demand: DemandController
+    scheduler: Scheduler
+    controllers: tuple[Any, ...]
+
+
+class Routers:
+    """A few routers with a clock of their own; ``cut`` and ``dropped`` are the faults."""
+
+    def __init__(self, ids: Iterable[str], upstreams: Iterable[Upstream]) -> None:
+        self.now_s = 100.0
+        self.cut: set[str] = set()
+        self.dropped: set[type] = set()
+        self.sent: list[tuple[str, Outgoing]] = []
+        self.incarnations: dict[str, int] = {}
+        self.parts: dict[str, Parts] = {}
+        self._upstreams = list(upstreams)
+        self._hosts = [a_router(one) for one in ids]
+        self._due_s: dict[tuple[str, str], float] = {}
+        for host in self._hosts:
+            self.start(host.host_id)
+
+    def start(self, router_id: str) -> None:
+        """Start a router with empty state, under a new incarnation."""
+        self.incarnations[router_id] = self.incarnations.get(router_id, 0) + 1
+        rng = random.Random(f"{router_id}/{self.incarnations[router_id]}")
+        policy = FleetFair()
+        host = next(one for one in self._hosts if one.host_id == router_id)
+        membership = MembershipController(host, rng)
+        following = ConfigurationFollower([], host.url, lambda: Load(False, 0, 0))
+        demand = DemandController(policy, membership, following)
+        ledger = Ledger(policy)
+        scheduler = Scheduler(policy, ledger, rng)
+        controllers = (
+            membership,
+            demand,
+            SchedulingController(scheduler, membership, rng),
+            LedgerController(ledger, Aggregator(), membership, policy),
+        )
+        membership.apply_feed(self._hosts, self._upstreams)
+        self.parts[router_id] = Parts(membership, following, demand, scheduler, controllers)
+        self._configure(following)
+
+    def add(self, router_id: str, **fields: Any) -> Waiter:
+        """Let a request wait at a router."""
+        waiter = a_waiter(arrived_s=self.now_s, **fields)
+        self.send(router_id, self.parts[router_id].demand.enqueue(waiter, self.now_s))
+        return waiter
+
+    def begin(self, router_id: str, waiter: Waiter) -> Running:
+        """Let a granted request start."""
+        return self.parts[router_id].demand.started(waiter)
+
+    def end(self, router_id: str, running: Running) -> None:
+        """Let a request end."""
+        self.send(router_id, self.parts[router_id].demand.finished(running))
+
+    def run(self, duration_s: float) -> None:
+        """Advance the clock and tick every router that is not cut off."""
+        end_s = self.now_s + duration_s
+        while self.now_s < end_s:
+            self.now_s += STEP_S
+            for router_id, parts in list(self.parts.items()):
+                for controller in parts.controllers:
+                    self._tick(router_id, controller)
+
+    def send(self, sender_id: str, outgoing: Iterator[Outgoing]) -> None:
+        """Deliver messages, and what follows from them."""
+        pending = [(sender_id, one) for one in outgoing]
+        while pending:
+            source, one = pending.pop(0)
+            self.sent.append((source, one))
+            if self._is_lost(source, one):
+                continue
+            sender = Sender(source, self.incarnations[source])
+            replies = self._deliver(sender, one)
+            pending.extend((one.peer_id, reply) for reply in replies)
+
+    def scheduler_id(self, upstream_id: str) -> str:
+        """Name the router that schedules an upstream, as the first router sees it."""
+        first = next(iter(self.parts.values()))
+        return first.membership.scheduler_of(upstream_id) or ""
+
+    def count(self, kind: type) -> int:
+        """Count messages of a type."""
+        return sum(isinstance(one.message, kind) for _, one in self.sent)
+
+    def _deliver(self, sender: Sender, one: Outgoing) -> list[Outgoing]:
+        for controller in self.parts[one.peer_id].controllers:
+            if isinstance(one.message, controller.accepts):
+                return list(controller.handle(sender, one.message, self.now_s))
+        raise AssertionError(f"{type(one.message).__name__} has no receiver")
+
+    def _is_lost(self, source: str, one: Outgoing) -> bool:
+        between = source != one.peer_id and bool({source, one.peer_id} & self.cut)
+        return between or type(one.message) in self.dropped
+
+    def _tick(self, router_id: str, controller: Any) -> None:
+        key = (router_id, controller.name)
+        if self.now_s >= self._due_s.get(key, 0.0):
+            self._due_s[key] = self.now_s + controller.tick_s
+            self.send(router_id, controller.tick(self.now_s))
+
+    def _configure(self, following: ConfigurationFollower) -> None:
+        current = configuration.EMPTY
+        for change in (PutTemplate(a_template()), PutTeam(a_team()), PutTeam(a_team(name="b"))):
+            current = configuration.apply_change(current, change)
+        update = ConfigUpdate(0, current.revision, 1, configuration.encode(current))
+        list(following.handle(Sender("controller-1", 1), update, self.now_s))
+
+
+def engines(count: int, **fields: Any) -> list[Upstream]:
+    """Build engines of one pool."""
+    return [an_upstream(f"engine-{number}", **fields) for number in range(1, count + 1)]
+
+
+__all__ = ["Parts", "Routers", "engines"]
--- /dev/null
+++ b/tests/filters/test_retry.py
@@ -0,0 +1,128 @@
+"""Guards against requests that run twice, answers that are cut, and false statements on runs."""
+
+from __future__ import annotations
+
+import unittest
+from typing import TYPE_CHECKING
+
+from camphorvalve.filters.retry import MAX_ATTEMPTS_COUNT, RetryFilter
+from camphorvalve.model.answers import Body, Head
+from camphorvalve.model.errors import RequestError
+from camphorvalve.model.requests import Completion, ServiceCall
+from camphorvalve.sharing.budget import RetryBudget
+from camphorvalve.upstreams.errors import Broken, NoAnswer, NotSent, WrongAnswer
+from tests.builders import a_classified_exchange, a_kind, team_parameters
+from tests.filters.running import run
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+    from camphorvalve.filters.chain import Handler
+    from camphorvalve.model.answers import Part
+    from camphorvalve.model.requests import Exchange
+    from camphorvalve.upstreams.errors import UpstreamError
+
+PARTS = (Head(200, ()), Body(b"one"), Body(b"two"))
+
+
+class Script:
+    """Plays one attempt after another: parts that are yielded, then an error or the end."""
+
+    def __init__(self, *attempts: tuple[int, UpstreamError | None]) -> None:
+        self.attempts = list(attempts)
+        self.runs_count = 0
+
+    def handler(self) -> Handler:
+        async def play(exchange: Exchange) -> AsyncIterator[Part]:
+            exchange.upstream_id = f"engine-{self.runs_count}"
+            parts_count, error = self.attempts[min(self.runs_count, len(self.attempts) - 1)]
+            self.runs_count += 1
+            for part in PARTS[:parts_count]:
+                yield part
+            if error is not None:
+                raise error
+
+        return play
+
+
+def _exchange(*, idempotent: bool, streamed: bool) -> Exchange:
+    kinds = {"draft": a_kind(idempotent=idempotent)}
+    call = Completion(True) if streamed else ServiceCall("POST", "/slots")
+    return a_classified_exchange(team_parameters(kinds=kinds), call=call)
+
+
+NOT_SENT = NotSent("engine-0", "refused")
+NO_ANSWER = NoAnswer("engine-0", "reset")
+WRONG = WrongAnswer("engine-0", "another request's answer")
+BROKEN = Broken("engine-0", "reset", 2, "onetwo")
+BROKEN_EARLY = Broken("engine-0", "reset")
+WHOLE = (3, None)
+
+
+class RetryTest(unittest.IsolatedAsyncioTestCase):
+    async def test_what_is_tried_again(self) -> None:
+        cases = {
+            # name: (idempotent, streamed, attempts, runs, code or None)
+            "not sent, idempotent": (True, False, [(0, NOT_SENT), WHOLE], 2, None),
+            "not sent, non-idempotent": (False, False, [(0, NOT_SENT), WHOLE], 2, None),
+            "not sent for ever": (False, False, [(0, NOT_SENT)], MAX_ATTEMPTS_COUNT, "no_upstream"),
+            "no answer, idempotent": (True, False, [(0, NO_ANSWER), WHOLE], 2, None),
+            "no answer, non-idempotent": (False, False, [(0, NO_ANSWER)], 1, "upstream_failed"),
+            "wrong answer, idempotent": (True, False, [(0, WRONG), WHOLE], 2, None),
+            "wrong answer, non-idempotent": (False, False, [(0, WRONG)], 1, "upstream_failed"),
+            "plain, broken, idempotent": (True, False, [(2, BROKEN_EARLY), WHOLE], 2, None),
+            "plain, broken, non-idempotent": (
+                False,
+                False,
+                [(2, BROKEN_EARLY)],
+                1,
+                "stream_broken",
+            ),
+            "stream, broken": (True, True, [(2, BROKEN), (3, None)], 2, None),
+            "stream, broken before an event": (True, True, [(2, BROKEN_EARLY)], 1, "stream_broken"),
+            "stream, broken, non-idempotent": (False, True, [(2, BROKEN)], 1, "stream_broken"),
+        }
+        for name, (idempotent, streamed, attempts, runs_count, code) in cases.items():
+            with self.subTest(name):
+                script = Script(*attempts)
+                exchange = _exchange(idempotent=idempotent, streamed=streamed)
+                ended = await self._end(exchange, script)
+                self.assertEqual(ended, code)
+                self.assertEqual(script.runs_count, runs_count)
+
+    async def test_a_plain_answer_is_whole_and_has_one_head(self) -> None:
+        script = Script((2, BROKEN_EARLY), WHOLE)
+        exchange = _exchange(idempotent=True, streamed=False)
+        parts = await run(RetryFilter(RetryBudget()), exchange, script.handler())
+        self.assertEqual(parts, list(PARTS))
+
+    async def test_a_continued_stream_has_one_head(self) -> None:
+        script = Script((2, BROKEN), WHOLE)
+        exchange = _exchange(idempotent=True, streamed=True)
+        parts = await run(RetryFilter(RetryBudget()), exchange, script.handler())
+        self.assertEqual([type(one) for one in parts].count(Head), 1)
+        assert exchange.broken is not None
+        self.assertEqual(exchange.broken, (2, "onetwo"))
+
+    async def test_a_failing_upstream_cannot_multiply_the_load(self) -> None:
+        budget, runs_count = RetryBudget(), 0
+        for _ in range(200):
+            script = Script((0, NO_ANSWER))
+            exchange = _exchange(idempotent=True, streamed=False)
+            await self._end(exchange, script, budget)
+            runs_count += script.runs_count
+        self.assertLessEqual(runs_count, 200 * 1.1 + 3)
+
+    async def test_failed_upstreams_are_not_asked_again(self) -> None:
+        exchange = _exchange(idempotent=True, streamed=False)
+        await self._end(exchange, Script((0, NOT_SENT), (0, NOT_SENT), WHOLE))
+        self.assertEqual(exchange.failed_upstreams, {"engine-0", "engine-1"})
+
+    async def _end(
+        self, exchange: Exchange, script: Script, budget: RetryBudget | None = None
+    ) -> str | None:
+        try:
+            await run(RetryFilter(budget or RetryBudget()), exchange, script.handler())
+        except RequestError as error:
+            return error.code
+        return None
