Carry out orders to engines from the leading controller

An order of an old leader must not take effect after one of its successor. The lease is checked again just before headers and body are written, and the connection has a delivery limit, since the kernel would deliver written bytes after a close. The stand-ins no longer run a request whose body was cut off.

--- /dev/null
+++ b/src/camphorvalve/controllers/orderplan.py
@@ -0,0 +1,284 @@
+"""Decides which order goes to which engine when; pure."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from camphorvalve.controllers.ordersteps import (
+    Leadership,
+    OpenOrder,
+    ReadState,
+    SendOrder,
+    Settle,
+    Step,
+    Timing,
+)
+from camphorvalve.controllers.weightstore import WeightStore
+from camphorvalve.model.upstreams import ChecksFencing, IgnoresFencing, ModelEngine, PlainService
+from camphorvalve.registry.commands import ChangeRole, LoadAdapter, LoadModel
+from camphorvalve.upstreams.orderstates import Accepted, InDoubt, Refused, Stale, Unsent
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable, Iterator, Mapping
+
+    from camphorvalve.model.upstreams import FencingBehaviour, Upstream
+    from camphorvalve.registry.commands import EngineAction
+    from camphorvalve.upstreams.orderstates import EngineView, OrderReply
+
+
+class _Engine:
+    """What is known of one engine under this leadership."""
+
+    def __init__(self) -> None:
+        self.busy = False
+        """Whether a request to the engine is in progress."""
+        self.asked_s = float("-inf")
+        """When the state that is known was asked for."""
+        self.view: EngineView | None = None
+        self.next_read_s = float("-inf")
+        self.needed_s = float("-inf")
+        """Only a state that was asked for at this time or later counts."""
+        self.unread_since_s = float("inf")
+
+
+class _Order:
+    """What happened to one order under this leadership."""
+
+    def __init__(self, now_s: float) -> None:
+        self.seen_s = now_s
+        self.sent = False
+        self.charged = False
+        self.tries_count = 0
+        self.stale = False
+        self.cause = ""
+        self.settled: Settle | None = None
+        self.settled_s = float("-inf")
+
+
+class OrderPlan:
+    """Keeps the progress of the open orders while this controller leads."""
+
+    def __init__(self, weight_store_bytes_per_s: float, timing: Timing = Timing()) -> None:  # noqa: B008 -- immutable
+        """
+        Start without leadership.
+
+        :param weight_store_bytes_per_s: rate at which loads may be started
+        :param timing: waiting times
+        """
+        self._rate_bytes_per_s = weight_store_bytes_per_s
+        self._weights = WeightStore(weight_store_bytes_per_s)
+        self._timing = timing
+        self._since_s: float | None = None
+        self._engines: dict[str, _Engine] = {}
+        self._orders: dict[int, _Order] = {}
+
+    def steps(
+        self,
+        now_s: float,
+        leadership: Leadership | None,
+        orders: Iterable[OpenOrder],
+        upstreams: Mapping[str, Upstream],
+    ) -> Iterator[Step]:
+        """
+        Say what to do now; each step is reported back by one of the other methods.
+
+        :param now_s: monotonic time
+        :param leadership: ``None`` unless this controller leads
+        :param orders: all open orders
+        :param upstreams: upstreams by id
+        :return: steps; none once the lease has ended
+        """
+        if leadership is None or now_s >= leadership.lease_until_s:
+            return
+        if leadership.since_s != self._since_s:
+            self._begin(leadership.since_s)
+        open_orders = sorted(orders)
+        self._orders = {
+            order.index: self._orders.get(order.index) or _Order(now_s) for order in open_orders
+        }
+        handled: set[str] = set()
+        for order in open_orders:
+            # The orders of one engine are carried out one after the other.
+            if order.upstream_id not in handled:
+                handled.add(order.upstream_id)
+                upstream = upstreams.get(order.upstream_id)
+                yield from self._order_steps(now_s, leadership, order, upstream)
+
+    def state_read(self, step: ReadState, asked_s: float, view: EngineView | None) -> None:
+        """
+        Take the result of a ``ReadState`` step.
+
+        :param step: the step
+        :param asked_s: monotonic time at which the request was sent
+        :param view: the state, or ``None`` when it could not be read
+        """
+        if step.since_s != self._since_s:
+            return
+        engine = self._engine(step.upstream.upstream_id)
+        engine.busy = False
+        engine.next_read_s = asked_s + self._timing.poll_s
+        if view is None:
+            engine.unread_since_s = min(engine.unread_since_s, asked_s)
+            return
+        engine.unread_since_s = float("inf")
+        engine.asked_s = asked_s
+        engine.view = view
+
+    def order_answered(self, step: SendOrder, reply: OrderReply, now_s: float) -> None:
+        """
+        Take the result of a ``SendOrder`` step.
+
+        :param step: the step
+        :param reply: what is known of the order
+        :param now_s: monotonic time
+        """
+        if step.since_s != self._since_s:
+            return
+        order = step.order
+        engine = self._engine(order.upstream_id)
+        engine.busy = False
+        engine.needed_s = now_s
+        progress = self._orders.get(order.index)
+        if progress is None:
+            return
+        match reply:
+            case Accepted():
+                progress.sent = True
+            case Stale():
+                progress.stale = True
+            case Refused(cause):
+                progress.settled = Settle(order.index, "refused", cause)
+            case Unsent(cause):
+                progress.cause = cause
+                engine.next_read_s = now_s + self._timing.poll_s
+            case InDoubt(cause):
+                progress.cause = cause
+                # Until then the order may still arrive, whatever the state says.
+                engine.needed_s = now_s + self._timing.delivery_s
+
+    def _begin(self, since_s: float) -> None:
+        self._since_s = since_s
+        self._weights = WeightStore(self._rate_bytes_per_s)
+        self._engines.clear()
+        self._orders.clear()
+
+    def _engine(self, upstream_id: str) -> _Engine:
+        return self._engines.setdefault(upstream_id, _Engine())
+
+    def _order_steps(
+        self, now_s: float, leadership: Leadership, order: OpenOrder, upstream: Upstream | None
+    ) -> Iterator[Step]:
+        progress = self._orders[order.index]
+        if progress.settled is None:
+            progress.settled = self._hopeless(now_s, order, progress, upstream)
+        if progress.settled is not None:
+            yield from self._settle_steps(now_s, progress, progress.settled)
+            return
+        if upstream is None or not isinstance(upstream.interface, ModelEngine):
+            return
+        earliest_s = self._earliest_s(leadership, upstream.interface.fencing)
+        yield from self._engine_steps(now_s, leadership, order, upstream, earliest_s)
+
+    def _hopeless(
+        self, now_s: float, order: OpenOrder, progress: _Order, upstream: Upstream | None
+    ) -> Settle | None:
+        if upstream is None:
+            if now_s < progress.seen_s + self._timing.unknown_s:
+                return None
+            return Settle(order.index, "failed", f"upstream {order.upstream_id!r} is not a member")
+        if isinstance(upstream.interface, PlainService):
+            return Settle(order.index, "refused", "plain services take no orders")
+        if now_s >= self._engine(order.upstream_id).unread_since_s + self._timing.unknown_s:
+            return Settle(order.index, "failed", "the engine's state cannot be read")
+        return None
+
+    def _settle_steps(self, now_s: float, progress: _Order, settle: Settle) -> Iterator[Step]:
+        if now_s >= progress.settled_s + self._timing.settle_s:
+            progress.settled_s = now_s
+            yield settle
+
+    def _earliest_s(self, leadership: Leadership, fencing: FencingBehaviour) -> float:
+        """Give the time from which no order of an older leader can take effect any more."""
+        match fencing:
+            case ChecksFencing():
+                return leadership.since_s
+            case IgnoresFencing():
+                wait_s = self._timing.lease_s + self._timing.drift_s + self._timing.delivery_s
+                return leadership.since_s + wait_s
+
+    def _engine_steps(
+        self,
+        now_s: float,
+        leadership: Leadership,
+        order: OpenOrder,
+        upstream: Upstream,
+        earliest_s: float,
+    ) -> Iterator[Step]:
+        engine = self._engine(order.upstream_id)
+        progress = self._orders[order.index]
+        needed_s = max(earliest_s, engine.needed_s)
+        if engine.busy or now_s < needed_s:
+            return
+        view = engine.view if engine.asked_s >= needed_s else None
+        if view is not None:
+            progress.settled = self._outcome(now_s, order, progress, view)
+        if progress.settled is not None:
+            yield from self._settle_steps(now_s, progress, progress.settled)
+        elif view is not None and not progress.sent:
+            yield from self._send_steps(now_s, leadership, order, upstream)
+        elif now_s >= engine.next_read_s:
+            engine.busy = True
+            yield ReadState(leadership.since_s, upstream)
+
+    def _send_steps(
+        self, now_s: float, leadership: Leadership, order: OpenOrder, upstream: Upstream
+    ) -> Iterator[Step]:
+        progress = self._orders[order.index]
+        if not progress.charged and not self._weights.may_start(order.action, now_s):
+            return
+        self._engine(order.upstream_id).busy = True
+        progress.tries_count += 1
+        self._charge(now_s, order, progress)
+        yield SendOrder(leadership.since_s, order, upstream, leadership.lease_until_s)
+
+    def _outcome(
+        self, now_s: float, order: OpenOrder, progress: _Order, view: EngineView
+    ) -> Settle | None:
+        """Conclude from the engine's state; an order that an older leader sent counts as sent."""
+        states = {entry["order_id"]: entry["state"] for entry in view["orders"]}
+        match states.get(order.order_id):
+            case "done":
+                return Settle(order.index, "done", "")
+            case "failed":
+                return Settle(order.index, "failed", "the engine reports a failure")
+            case "running":
+                progress.sent = True
+                self._charge(now_s, order, progress)
+                return None
+        if _loaded(order.action, view):
+            return Settle(order.index, "done", "already in place")
+        if progress.stale:
+            return Settle(order.index, "refused", f"fencing number {order.index} is stale")
+        if progress.sent or progress.tries_count >= self._timing.tries_count:
+            cause = progress.cause or "the engine does not list the order"
+            return Settle(order.index, "failed", cause)
+        return None
+
+    def _charge(self, now_s: float, order: OpenOrder, progress: _Order) -> None:
+        if not progress.charged:
+            progress.charged = True
+            self._weights.charge(order.action, now_s)
+
+
+def _loaded(action: EngineAction, view: EngineView) -> bool:
+    match action:
+        case LoadModel(model, version, _):
+            return {"model": model, "version": version} in view["models"]
+        case LoadAdapter(model, adapter, _):
+            return {"model": model, "adapter": adapter} in view["adapters"]
+        case ChangeRole():
+            # Not concluded from the role: an order between the two may have changed it back.
+            return False
+
+
+__all__ = ["OrderPlan"]
--- a/src/camphorvalve/upstreams/client.py
+++ b/src/camphorvalve/upstreams/client.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import socket
 import ssl
 
 import httpx
@@ -15,7 +16,7 @@
 class _Transport(httpx.AsyncBaseTransport):
     """Chooses between a pool that keeps connections and one that never does."""
 
-    def __init__(self) -> None:
+    def __init__(self, delivery_limit_s: float | None) -> None:
         verify = ssl.create_default_context()
         pooled = httpx.Limits(
             max_connections=None,
@@ -23,8 +24,11 @@
             keepalive_expiry=KEEPALIVE_S,
         )
         fresh = httpx.Limits(max_connections=None, max_keepalive_connections=0)
-        self._pooled = httpx.AsyncHTTPTransport(verify=verify, limits=pooled, retries=0)
-        self._fresh = httpx.AsyncHTTPTransport(verify=verify, limits=fresh, retries=0)
+        options = _socket_options(delivery_limit_s)
+        self._pooled, self._fresh = (
+            httpx.AsyncHTTPTransport(verify=verify, limits=limits, socket_options=options)
+            for limits in (pooled, fresh)
+        )
 
     async def handle_async_request(self, request: httpx.Request) -> httpx.Response:
         chosen = self._fresh if request.extensions.get(FRESH) else self._pooled
@@ -35,14 +39,25 @@
         await self._fresh.aclose()
 
 
-def create_client() -> httpx.AsyncClient:
+def _socket_options(delivery_limit_s: float | None) -> list[tuple[int, int, int]]:
+    if delivery_limit_s is None:
+        return []
+    # Without this limit the kernel goes on to deliver what was written before a close.
+    limit_ms = int(delivery_limit_s * 1000)
+    return [(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, limit_ms)]
+
+
+def create_client(delivery_limit_s: float | None = None) -> httpx.AsyncClient:
     """
     Create the client that ``open_attempt`` and the readers of reports use.
 
+    :param delivery_limit_s: longest time that written bytes may stay undelivered; for orders
     :return: a client that follows no redirects and reads no proxy settings
     """
     return httpx.AsyncClient(
-        transport=_Transport(), trust_env=False, headers={"Accept-Encoding": "identity"}
+        transport=_Transport(delivery_limit_s),
+        trust_env=False,
+        headers={"Accept-Encoding": "identity"},
     )
 
 
--- /dev/null
+++ b/src/camphorvalve/upstreams/orders.py
@@ -0,0 +1,134 @@
+"""Sends orders to engines and reads back what they have done."""
+
+from __future__ import annotations
+
+import time
+from dataclasses import asdict
+from typing import TYPE_CHECKING, Any, NamedTuple
+
+import httpx
+import msgspec
+
+from camphorvalve.model.upstreams import ChecksFencing, ModelEngine
+from camphorvalve.upstreams.client import FRESH
+from camphorvalve.upstreams.orderstates import (
+    Accepted,
+    EngineView,
+    InDoubt,
+    OrderReply,
+    Refused,
+    Stale,
+    Unsent,
+)
+
+if TYPE_CHECKING:
+    from camphorvalve.model.upstreams import Upstream
+    from camphorvalve.registry.commands import EngineAction
+
+ORDER_TIMEOUT_S = 1.0
+STATE_TIMEOUT_S = 2.0
+_SENDING = frozenset({"http11.send_request_headers.started", "http11.send_request_body.started"})
+
+
+class EngineOrder(NamedTuple):
+    """An order as it goes to an engine."""
+
+    order_id: str
+    fencing_number: int
+    action: EngineAction
+
+
+class OrderingError(Exception):
+    """An engine's state could not be read; the text names the engine and the cause."""
+
+
+class _LeaseEndedError(Exception):
+    """The order was about to be written after the end of the lease."""
+
+
+async def send_order(
+    client: httpx.AsyncClient,
+    upstream: Upstream,
+    order: EngineOrder,
+    token: str | None,
+    until_s: float,
+) -> OrderReply:
+    """
+    Send one order, unless the lease ends before it is written.
+
+    :param client: client with a delivery limit, so that the kernel delivers nothing later
+    :param upstream: the engine
+    :param order: the order
+    :param token: bearer token for engines that check the sender
+    :param until_s: monotonic time at which the lease ends
+    :return: what is known of the order
+    """
+    sent = False
+
+    async def guard(event: str, info: dict[str, Any]) -> None:
+        nonlocal sent
+        if event not in _SENDING:
+            return
+        # A process that was frozen while it connected, or after the headers, stops here.
+        if time.monotonic() >= until_s:
+            raise _LeaseEndedError
+        sent = sent or event.endswith("body.started")
+
+    try:
+        response = await client.post(
+            f"{upstream.url.rstrip('/')}/v1/orders",
+            content=_encode(order),
+            headers={"Content-Type": "application/json", **_authorisation(token)},
+            timeout=ORDER_TIMEOUT_S,
+            extensions={"trace": guard, FRESH: True},
+        )
+    except _LeaseEndedError:
+        return Unsent("the lease ended before the order was written")
+    except httpx.HTTPError as error:
+        cause = f"{type(error).__name__}: {error}"
+        return InDoubt(cause) if sent else Unsent(cause)
+    return _reply(upstream, response)
+
+
+async def read_state(client: httpx.AsyncClient, upstream: Upstream) -> EngineView:
+    """
+    Read back what an engine has done.
+
+    :param client: HTTP client
+    :param upstream: the engine
+    :return: its state
+    :raises OrderingError: no or no valid answer
+    """
+    try:
+        url = f"{upstream.url.rstrip('/')}/v1/state"
+        response = await client.get(url, timeout=STATE_TIMEOUT_S)
+        response.raise_for_status()
+        return msgspec.json.decode(response.content, type=EngineView)
+    except (httpx.HTTPError, msgspec.MsgspecError) as error:
+        cause = f"{type(error).__name__}: {error}"
+        raise OrderingError(f"upstream {upstream.upstream_id!r}: {cause}") from error
+
+
+def _encode(order: EngineOrder) -> bytes:
+    action = {"type": type(order.action).__name__, **asdict(order.action)}
+    return msgspec.json.encode({**order._asdict(), "action": action})
+
+
+def _authorisation(token: str | None) -> dict[str, str]:
+    return {} if token is None else {"Authorization": f"Bearer {token}"}
+
+
+def _reply(upstream: Upstream, response: httpx.Response) -> OrderReply:
+    fencing = upstream.interface.fencing if isinstance(upstream.interface, ModelEngine) else None
+    match (fencing, response.status_code):
+        case (_, 200 | 202):
+            return Accepted()
+        case (ChecksFencing(), 409):
+            return Stale()
+        case (_, status) if status < 500:
+            return Refused(f"status {status}: {response.text[:200]}")
+        case (_, status):
+            return InDoubt(f"status {status}: {response.text[:200]}")
+
+
+__all__ = ["EngineOrder", "OrderingError", "read_state", "send_order"]
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -2,12 +2,17 @@
 
 from __future__ import annotations
 
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
+from camphorvalve.controllers.ordersteps import OpenOrder
 from camphorvalve.model.hosts import Host, HostState, Role
 from camphorvalve.model.requests import Completion, Exchange, Request, ServiceCall
 from camphorvalve.model.teams import KindParameters, Team, Template, Urgency
 from camphorvalve.model.upstreams import ChecksFencing, ModelEngine, PlainService, Upstream
+from camphorvalve.registry.commands import LoadModel
+
+if TYPE_CHECKING:
+    from camphorvalve.upstreams.orderstates import EngineView
 
 POOL = "camphor-pool"
 
@@ -99,9 +104,26 @@
     return {**values, **fields}
 
 
+def a_load(**fields: Any) -> LoadModel:
+    return LoadModel(**{"model": "chorale", "version": "2", "size_bytes": 0, **fields})
+
+
+def an_order(index: int = 10, **fields: Any) -> OpenOrder:
+    values = {"order_id": f"order-{index}", "upstream_id": "engine-1", "action": a_load()}
+    return OpenOrder(**{"index": index, **values, **fields})
+
+
+def an_engine_view(**order_states: str) -> EngineView:
+    orders = [
+        {"order_id": name.replace("_", "-"), "state": state} for name, state in order_states.items()
+    ]
+    return {"orders": orders, "models": [], "adapters": [], "role": "mixed"}
+
+
 __all__ = [
     "POOL",
     "a_kind",
+    "a_load",
     "a_member",
     "a_request",
     "a_router",
@@ -109,6 +131,8 @@
     "a_service_exchange",
     "a_team",
     "a_template",
+    "an_engine_view",
     "an_exchange",
+    "an_order",
     "an_upstream",
 ]
--- /dev/null
+++ b/tests/controllers/test_ordering.py
@@ -0,0 +1,100 @@
+"""Guards against orders that are lost or repeated between two leaders, at a stand-in engine."""
+
+from __future__ import annotations
+
+import time
+import unittest
+from contextlib import AsyncExitStack
+from typing import TYPE_CHECKING
+
+import anyio
+from tools.standins.engine import Engine
+from tools.standins.enginestate import OrderSettings
+from tools.standins.serving import running
+
+from camphorvalve.controllers.ordering import Ordering
+from camphorvalve.controllers.orderplan import OrderPlan
+from camphorvalve.controllers.ordersteps import Leadership, Timing
+from camphorvalve.model.upstreams import IgnoresFencing, ModelEngine
+from camphorvalve.registry.commands import ACTION_CODEC, SettleOrder, SubmitOrder
+from camphorvalve.upstreams.client import create_client
+from tests.builders import a_load, an_upstream
+
+if TYPE_CHECKING:
+    from camphorvalve.model.upstreams import Upstream
+
+TIMING = Timing(lease_s=0.05, drift_s=0.05, delivery_s=0.1, poll_s=0.02, settle_s=0.5)
+
+
+class Book:
+    """Orders of a registry that two leaders share."""
+
+    def __init__(self, upstream: Upstream) -> None:
+        self.orders: dict[int, SubmitOrder] = {}
+        self.settled: list[SettleOrder] = []
+        self.since_s = time.monotonic()
+        self.all_settled = anyio.Event()
+        self._upstreams = {upstream.upstream_id: upstream}
+
+    def leadership(self, now_s: float) -> Leadership:
+        return Leadership(self.since_s, now_s + 2.0)
+
+    def open_orders(self) -> list[tuple[int, SubmitOrder]]:
+        return list(self.orders.items())
+
+    def upstreams(self) -> dict[str, Upstream]:
+        return self._upstreams
+
+    def propose(self, command: SettleOrder) -> None:
+        if self.orders.pop(command.order_index, None) is not None:
+            self.settled.append(command)
+        if not self.orders:
+            self.all_settled.set()
+
+
+class OrderingTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        stack = await self.enterAsyncContext(AsyncExitStack())
+        settings = OrderSettings(checks_fencing=False, token="baton", load_bytes_per_s=1e6)
+        self.engine = Engine(orders=settings)
+        url = await stack.enter_async_context(running(self.engine))
+        self.book = Book(an_upstream(url=url, interface=ModelEngine(IgnoresFencing())))
+        self.client = await stack.enter_async_context(create_client(delivery_limit_s=1.0))
+
+    async def lead(self, token: str, until_s: float | None = None) -> None:
+        """Lead with a new leadership until every order is settled, or for some time."""
+        self.book.since_s = time.monotonic()
+        self.book.all_settled = anyio.Event()
+        ordering = Ordering(self.book, OrderPlan(1e9, TIMING), self.client, token)
+        with anyio.move_on_after(until_s or 10.0):
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(ordering.run)
+                await self.book.all_settled.wait()
+                tasks.cancel_scope.cancel()
+
+    async def test_a_second_leader_finishes_what_the_first_began(self) -> None:
+        action = ACTION_CODEC.encode(a_load(size_bytes=2_000_000))
+        self.book.orders[10] = SubmitOrder("order-10", "engine-1", action)
+        while not self.engine.state.entries:
+            await self.lead("baton", until_s=0.5)
+        self.assertEqual(self.book.settled, [])
+        await self.lead("baton")
+        self.assertEqual(self.book.settled, [SettleOrder(10, "done", "")])
+        self.assertEqual(self.engine.state.runs_count, {"order-10": 1})
+
+    async def test_orders_that_cannot_be_carried_out_are_refused(self) -> None:
+        cases = {
+            "wrong token": ("other", ACTION_CODEC.encode(a_load())),
+            "unreadable action": ("baton", b"\xc1"),
+        }
+        for index, (name, (token, action)) in enumerate(cases.items()):
+            with self.subTest(name):
+                self.book.orders[index] = SubmitOrder(f"order-{index}", "engine-1", action)
+                await self.lead(token)
+                settled = self.book.settled.pop()
+                self.assertEqual((settled.order_index, settled.state), (index, "refused"))
+        self.assertEqual(self.engine.state.runs_count, {})
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/controllers/test_orderplan.py
@@ -0,0 +1,221 @@
+"""Guards against orders that are repeated, come from an old leader, or overload the store."""
+
+from __future__ import annotations
+
+import unittest
+from typing import TYPE_CHECKING
+
+from camphorvalve.controllers.orderplan import OrderPlan
+from camphorvalve.controllers.ordersteps import Leadership, ReadState, SendOrder, Settle, Step
+from camphorvalve.model.upstreams import ChecksFencing, IgnoresFencing, ModelEngine, PlainService
+from camphorvalve.upstreams.orderstates import Accepted, InDoubt, Refused, Stale, Unsent
+from tests.builders import a_load, an_engine_view, an_order, an_upstream
+
+if TYPE_CHECKING:
+    from camphorvalve.controllers.ordersteps import OpenOrder
+    from camphorvalve.model.upstreams import FencingBehaviour, Upstream
+    from camphorvalve.upstreams.orderstates import EngineView, OrderReply
+
+FOREVER = 1e9
+WAIT_S = 3.2
+"""Lease, drift and longest delivery of design 7.8."""
+
+
+class Leader:
+    """A plan with the time, orders and upstreams of a test."""
+
+    def __init__(self, *orders: OpenOrder, fencing: FencingBehaviour | None = None) -> None:
+        self.plan = OrderPlan(weight_store_bytes_per_s=100.0)
+        self.orders = list(orders) or [an_order()]
+        interface = ModelEngine(fencing or ChecksFencing())
+        ids = {order.upstream_id for order in self.orders}
+        self.upstreams: dict[str, Upstream] = {
+            name: an_upstream(name, interface=interface) for name in ids
+        }
+        self.leadership: Leadership | None = Leadership(0.0, FOREVER)
+
+    def steps(self, now_s: float) -> list[Step]:
+        return list(self.plan.steps(now_s, self.leadership, self.orders, self.upstreams))
+
+    def kinds(self, now_s: float) -> list[str]:
+        return [type(step).__name__ for step in self.steps(now_s)]
+
+    def read(self, now_s: float, view: EngineView | None = None) -> None:
+        for step in self.steps(now_s):
+            assert isinstance(step, ReadState), step
+            self.plan.state_read(step, now_s, view or an_engine_view())
+
+    def send(self, now_s: float, reply: OrderReply) -> list[int]:
+        sent = [step for step in self.steps(now_s) if isinstance(step, SendOrder)]
+        for step in sent:
+            self.plan.order_answered(step, reply, now_s)
+        return [step.order.index for step in sent]
+
+
+class OrderPlanTest(unittest.TestCase):
+    def test_an_old_leader_stops_before_its_lease_ends(self) -> None:
+        cases = {
+            "within the lease": (Leadership(0.0, 7.0), ["SendOrder"]),
+            "lease ends now": (Leadership(0.0, 6.0), []),
+            "lease has ended": (Leadership(0.0, 5.0), []),
+            "not the leader": (None, []),
+        }
+        for name, (leadership, expected) in cases.items():
+            with self.subTest(name):
+                leader = Leader()
+                leader.read(5.0 - 4.0)
+                leader.leadership = leadership
+                self.assertEqual(leader.kinds(6.0), expected)
+
+    def test_an_order_may_be_written_only_until_the_lease_ends(self) -> None:
+        leader = Leader()
+        leader.read(1.0)
+        leader.leadership = Leadership(0.0, 2.5)
+        (step,) = leader.steps(2.0)
+        self.assertEqual(step, SendOrder(0.0, an_order(), an_upstream(), until_s=2.5))
+
+    def test_a_new_leader_waits_and_reads_back_where_fencing_is_ignored(self) -> None:
+        cases = {"checks": (ChecksFencing(), 0.0), "ignores": (IgnoresFencing(), WAIT_S)}
+        for name, (fencing, wait_s) in cases.items():
+            with self.subTest(name):
+                leader = Leader(fencing=fencing)
+                leader.leadership = Leadership(100.0, FOREVER)
+                if wait_s:
+                    self.assertEqual(leader.kinds(100.0), [])
+                    self.assertEqual(leader.kinds(100.0 + wait_s - 0.01), [])
+                self.assertEqual(leader.kinds(100.0 + wait_s), ["ReadState"])
+                self.assertEqual(leader.kinds(101.0 + wait_s), [], "sent without the state")
+
+    def test_a_state_from_before_the_leadership_does_not_count(self) -> None:
+        leader = Leader(fencing=IgnoresFencing())
+        leader.read(50.0)
+        leader.leadership = Leadership(100.0, FOREVER)
+        self.assertEqual(leader.kinds(110.0), ["ReadState"])
+
+    def test_results_of_an_earlier_leadership_are_dropped(self) -> None:
+        leader = Leader()
+        (old,) = leader.steps(1.0)
+        leader.leadership = Leadership(100.0, FOREVER)
+        self.assertEqual(leader.kinds(101.0), ["ReadState"])
+        leader.plan.state_read(old, 102.0, an_engine_view())
+        self.assertEqual(leader.kinds(103.0), [])
+
+    def test_what_the_engine_already_has_is_not_repeated(self) -> None:
+        loaded = an_engine_view() | {"models": [{"model": "chorale", "version": "2"}]}
+        other = an_engine_view() | {"models": [{"model": "chorale", "version": "1"}]}
+        cases = {
+            "done": (an_engine_view(order_10="done"), [Settle(10, "done", "")]),
+            "failed": (
+                an_engine_view(order_10="failed"),
+                [Settle(10, "failed", "the engine reports a failure")],
+            ),
+            "loaded before": (loaded, [Settle(10, "done", "already in place")]),
+            "running": (an_engine_view(order_10="running"), [ReadState(0.0, an_upstream())]),
+            "another version": (
+                other,
+                [SendOrder(0.0, an_order(), an_upstream(), FOREVER)],
+            ),
+        }
+        for name, (view, expected) in cases.items():
+            with self.subTest(name):
+                leader = Leader()
+                leader.read(1.0, view)
+                self.assertEqual(leader.steps(2.0), expected)
+
+    def test_replies_lead_to_the_right_next_step(self) -> None:
+        cases = {
+            "accepted, then done": (Accepted(), "done", Settle(10, "done", "")),
+            "accepted, then forgotten": (
+                Accepted(),
+                None,
+                Settle(10, "failed", "the engine does not list the order"),
+            ),
+            "stale, but carried out": (Stale(), "done", Settle(10, "done", "")),
+            "stale": (Stale(), None, Settle(10, "refused", "fencing number 10 is stale")),
+            "in doubt, then found": (InDoubt("timeout"), "done", Settle(10, "done", "")),
+            "in doubt, not found": (
+                InDoubt("timeout"),
+                None,
+                SendOrder(0.0, an_order(), an_upstream(), FOREVER),
+            ),
+            "unsent": (Unsent("x"), None, SendOrder(0.0, an_order(), an_upstream(), FOREVER)),
+        }
+        for name, (reply, state, expected) in cases.items():
+            with self.subTest(name):
+                leader = Leader()
+                leader.read(1.0)
+                self.assertEqual(leader.send(2.0, reply), [10])
+                if isinstance(reply, InDoubt):
+                    self.assertEqual(leader.kinds(2.9), [], "the order may still arrive")
+                leader.read(3.0, an_engine_view(order_10=state) if state else None)
+                self.assertEqual(leader.steps(4.0), [expected])
+
+    def test_hopeless_orders_end(self) -> None:
+        leader = Leader()
+        leader.read(1.0)
+        leader.send(2.0, Refused("no such model"))
+        self.assertEqual(leader.steps(2.1), [Settle(10, "refused", "no such model")])
+        self.assertEqual(leader.steps(2.2), [])
+        self.assertEqual(leader.steps(4.2), [Settle(10, "refused", "no such model")])
+        with self.subTest("in doubt too often"):
+            leader = Leader()
+            for now_s in range(1, 21, 4):
+                leader.read(now_s)
+                leader.send(now_s + 1.0, InDoubt("timeout"))
+            leader.read(30.0)
+            self.assertEqual(leader.steps(31.0), [Settle(10, "failed", "timeout")])
+        with self.subTest("plain service"):
+            leader = Leader()
+            leader.upstreams["engine-1"] = an_upstream(interface=PlainService())
+            self.assertEqual([step.state for step in leader.steps(0.0)], ["refused"])
+        for name in ("unknown engine", "silent engine"):
+            with self.subTest(name):
+                leader = Leader()
+                if name == "unknown engine":
+                    leader.upstreams.clear()
+                for now_s in range(30):
+                    for step in leader.steps(float(now_s)):
+                        leader.plan.state_read(step, float(now_s), None)
+                self.assertEqual([step.state for step in leader.steps(30.0)], ["failed"])
+
+    def test_orders_of_one_engine_go_one_after_the_other(self) -> None:
+        leader = Leader(an_order(12), an_order(11))
+        leader.read(1.0)
+        self.assertEqual(leader.send(2.0, Accepted()), [11])
+        leader.read(3.0, an_engine_view(order_11="running"))
+        self.assertEqual(leader.send(3.1, Accepted()), [])
+
+    def test_loads_are_paced_by_the_weight_store(self) -> None:
+        loads = [
+            an_order(index, upstream_id=f"engine-{index}", action=a_load(size_bytes=1000))
+            for index in range(5)
+        ]
+        leader = Leader(*loads)
+        started: dict[int, float] = {}
+        for tick in range(500):
+            now_s = tick / 10
+            for step in leader.steps(now_s):
+                match step:
+                    case ReadState():
+                        leader.plan.state_read(step, now_s, an_engine_view())
+                    case SendOrder():
+                        started[step.order.index] = now_s
+                        leader.plan.order_answered(step, Accepted(), now_s)
+        self.assertEqual(list(started), [0, 1, 2, 3, 4])
+        # 1000 bytes at 100 bytes/s: one start every ten seconds, give or take a tick.
+        for index, at_s in started.items():
+            self.assertAlmostEqual(at_s, 10.0 * index, delta=0.2)
+
+    def test_a_load_that_an_older_leader_started_counts_for_the_pace(self) -> None:
+        orders = [
+            an_order(1, upstream_id="engine-1", action=a_load(size_bytes=1000)),
+            an_order(2, upstream_id="engine-2", action=a_load(size_bytes=1000)),
+        ]
+        leader = Leader(*orders)
+        leader.read(1.0, an_engine_view(order_1="running"))
+        self.assertEqual(leader.send(1.5, Accepted()), [])
+        self.assertEqual(leader.send(11.6, Accepted()), [2])
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/upstreams/test_orders.py
@@ -0,0 +1,92 @@
+"""Guards against orders of an old leader that reach an engine."""
+
+from __future__ import annotations
+
+import time
+import unittest
+from contextlib import AsyncExitStack
+from unittest import mock
+
+from tools.standins.engine import Engine
+from tools.standins.enginestate import OrderSettings
+from tools.standins.network import network
+from tools.standins.serving import running
+
+from camphorvalve.model.upstreams import ChecksFencing, IgnoresFencing, ModelEngine
+from camphorvalve.upstreams.client import create_client
+from camphorvalve.upstreams.orders import EngineOrder, OrderingError, read_state, send_order
+from camphorvalve.upstreams.orderstates import Accepted, InDoubt, Refused, Stale, Unsent
+from tests.builders import a_load, an_upstream
+
+FOREVER = float("inf")
+
+
+def an_engine_order(number: int, order_id: str = "order") -> EngineOrder:
+    return EngineOrder(order_id, number, a_load())
+
+
+class SendOrderTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        stack = await self.enterAsyncContext(AsyncExitStack())
+        self.client = await stack.enter_async_context(create_client(delivery_limit_s=1.0))
+        self.network = await stack.enter_async_context(network())
+        self.checking = Engine(orders=OrderSettings(token="baton"))
+        self.ignoring = Engine(orders=OrderSettings(checks_fencing=False))
+        checking_url = await stack.enter_async_context(running(self.checking))
+        ignoring_url = await stack.enter_async_context(running(self.ignoring))
+        self.checking_at = an_upstream(url=checking_url)
+        interface = ModelEngine(IgnoresFencing())
+        self.ignoring_at = an_upstream(url=ignoring_url, interface=interface)
+
+    async def test_replies_are_told_apart(self) -> None:
+        first = an_engine_order(10, "first")
+        cases = [
+            ("accepted", self.checking_at, first, "baton", Accepted),
+            ("repeated", self.checking_at, first, "baton", Accepted),
+            ("stale number", self.checking_at, an_engine_order(9), "baton", Stale),
+            ("wrong token", self.checking_at, an_engine_order(11), None, Refused),
+            ("accepted without fencing", self.ignoring_at, first, None, Accepted),
+            ("stale, ignored", self.ignoring_at, an_engine_order(9), None, Accepted),
+            ("refused", an_upstream(), an_engine_order(1), None, Unsent),
+        ]
+        for name, upstream, order, token, expected in cases:
+            with self.subTest(name):
+                reply = await send_order(self.client, upstream, order, token, FOREVER)
+                self.assertIs(type(reply), expected)
+        self.assertEqual(self.checking.state.runs_count, {"first": 1})
+
+    async def test_nothing_is_written_after_the_lease(self) -> None:
+        cases = {
+            "before the headers": [10.0],
+            "frozen after the headers": [0.0, 10.0],
+        }
+        for name, times_s in cases.items():
+            clock = mock.Mock(wraps=time, monotonic=mock.Mock(side_effect=times_s))
+            with self.subTest(name), mock.patch("camphorvalve.upstreams.orders.time", clock):
+                order = an_engine_order(1)
+                reply = await send_order(self.client, self.ignoring_at, order, None, 5.0)
+                self.assertIsInstance(reply, Unsent)
+        # A later order shows that the engine has dealt with the broken connection.
+        await send_order(self.client, self.ignoring_at, an_engine_order(2, "later"), None, FOREVER)
+        self.assertEqual(self.ignoring.state.runs_count, {"later": 1})
+
+    async def test_an_order_without_an_answer_is_in_doubt(self) -> None:
+        port = int(self.ignoring_at.url.rsplit(":", 1)[1])
+        near = await self.network.open_route("controller", "engine", "127.0.0.1", port)
+        await self.network.cut("controller", "engine", "blackhole")
+        far = self.ignoring_at._replace(url=f"http://127.0.0.1:{near}")
+        reply = await send_order(self.client, far, an_engine_order(1), None, FOREVER)
+        self.assertIsInstance(reply, InDoubt)
+
+    async def test_the_state_is_read_back(self) -> None:
+        await send_order(self.client, self.checking_at, an_engine_order(1), "baton", FOREVER)
+        view = await read_state(self.client, self.checking_at)
+        self.assertEqual(view["orders"], [{"order_id": "order", "state": "done"}])
+        self.assertEqual(view["models"], [{"model": "chorale", "version": "2"}])
+        with self.assertRaises(OrderingError) as caught:
+            await read_state(self.client, an_upstream(interface=ModelEngine(ChecksFencing())))
+        self.assertIn("engine-1", str(caught.exception))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tools/standins/asgi.py
+++ b/tools/standins/asgi.py
@@ -43,10 +43,13 @@
     :param scope: ASGI scope of type ``http``
     :param receive: ASGI receive function
     :return: the request
+    :raises ConnectionResetError: the client went away before the end of the body
     """
     pieces: list[bytes] = []
     while True:
         message = await receive()
+        if message["type"] == "http.disconnect":
+            raise ConnectionResetError("request without the end of its body")
         pieces.append(message.get("body", b""))
         if not message.get("more_body", False):
             break
