--- a/tests/builders.py
+++ b/tests/builders.py
@@ -40,9 +40,13 @@
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
+from camphorvalve.controllers.ordersteps import OpenOrder
 from camphorvalve.model.requests import ServiceCall
 from camphorvalve.model.upstreams import PlainService
 
+if TYPE_CHECKING:
+    from camphorvalve.upstreams.orderstates import EngineView
+
 POOL = "camphor-pool"
 
 
@@ -360,8 +364,23 @@
     return Waiter(**{**values, **fields})
 
 
+def a_load(**fields: Any) -> LoadModel:
+    return LoadModel(**{"model": "chorale", "version": "2", "size_bytes": 0, **fields})
+
+
+def an_order(index: int = 10, **fields: Any) -> OpenOrder:
+    values = {"order_id": f"order-{index}", "upstream_id": "engine-1", "action": a_load()}
+    return OpenOrder(**{"index": index, **values, **fields})
+
+
+def an_engine_view(**order_states: str) -> EngineView:
+    orders = [
+        {"order_id": name.replace("_", "-"), "state": state} for name, state in order_states.items()
+    ]
+    return {"orders": orders, "models": [], "adapters": [], "role": "mixed"}
+
+
 __all__ = [
-    "a_waiter",
     "POOL",
     "a_backlog",
     "a_change",
@@ -372,6 +391,7 @@
     "a_head",
     "a_holding",
     "a_kind",
+    "a_load",
     "a_loss",
     "a_member",
     "a_newcomer",
@@ -387,10 +407,12 @@
     "a_stream_request",
     "a_team",
     "a_template",
+    "a_waiter",
     "an_abort",
     "an_acceptance",
     "an_answer",
     "an_assignment",
+    "an_engine_view",
     "an_exchange",
     "an_order",
     "an_upstream",
