--- a/tests/builders.py
+++ b/tests/builders.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 from camphorvalve.model.answers import Body, Head
 from camphorvalve.model.hosts import Host, HostState, Role
@@ -17,8 +17,29 @@
     resolve,
 )
 from camphorvalve.model.upstreams import ChecksFencing, ModelEngine, Upstream
+from camphorvalve.registry.commands import (
+    ACTION_CODEC,
+    CHANGE_CODEC,
+    AbortRun,
+    AcceptWork,
+    AssignWork,
+    Change,
+    ChangeConfiguration,
+    FinishRun,
+    LoadModel,
+    LoseRun,
+    StartRun,
+    SubmitOrder,
+)
 from camphorvalve.reports.outcomes import Answered, Finished
+from camphorvalve.settings.schema import ControllerAddress, ControllerSettings
 from camphorvalve.sharing.shedding import Backlog, Bounds, Holding, Newcomer
+from camphorvalve.wire.messages import ConfigPoll
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+from camphorvalve.model.requests import ServiceCall
+from camphorvalve.model.upstreams import PlainService
 
 POOL = "camphor-pool"
 
@@ -65,6 +86,98 @@
     return Upstream(**{**values, **fields})
 
 
+def a_settings_document(**fields: Any) -> dict[str, Any]:
+    addresses = [
+        {"host_id": f"controller-{n}", "peer_address": f"tcp://127.0.0.1:700{n}"} for n in (1, 2, 3)
+    ]
+    values = {
+        "host_id": "controller-1",
+        "data_centre": "perth-a",
+        "operator_bind": "127.0.0.1:8081",
+        "peer_bind": "tcp://127.0.0.1:7001",
+        "controllers": addresses,
+        "platform_url": "http://127.0.0.1:9000",
+        "keys": None,
+        "operator_token": None,
+    }
+    return {**values, **fields}
+
+
+def a_router_document(**fields: Any) -> dict[str, Any]:
+    values = {
+        "host_id": "router-1",
+        "caller_bind": "127.0.0.1:8080",
+        "caller_url": "http://127.0.0.1:8080",
+        "peer_bind": "tcp://127.0.0.1:7000",
+        "callers": None,
+    }
+    return a_settings_document(**{**values, **fields})
+
+
+def a_controller_document(**fields: Any) -> dict[str, Any]:
+    values = {"operator_url": "http://127.0.0.1:8081", "data_folder": "/var/lib/camphorvalve"}
+    return a_settings_document(**{**values, **fields})
+
+
+def a_change(change: Change, expected_revision: int, **fields: Any) -> ChangeConfiguration:
+    values = {
+        "operation_id": f"operation-{expected_revision}",
+        "expected_revision": expected_revision,
+        "change": CHANGE_CODEC.encode(change),
+    }
+    return ChangeConfiguration(**{**values, **fields})
+
+
+def an_acceptance(**fields: Any) -> AcceptWork:
+    values = {
+        "work_id": "work-1",
+        "team": "perth-youth",
+        "kind": "summary",
+        "idempotent": True,
+        "router_id": "router-1",
+        "incarnation": 1,
+        "payload": b"request",
+        "accepted_at_s": 10.0,
+    }
+    return AcceptWork(**{**values, **fields})
+
+
+def an_assignment(**fields: Any) -> AssignWork:
+    values = {"work_id": "work-1", "attempt": 2, "router_id": "router-2", "incarnation": 1}
+    return AssignWork(**{**values, **fields})
+
+
+def _a_run(**fields: Any) -> dict[str, Any]:
+    return {"record_id": "work-1", "request_id": "request-1", "attempt": 1, **fields}
+
+
+def a_start(**fields: Any) -> StartRun:
+    values = {"router_id": "router-1", "incarnation": 1, "idempotent": False, "started_at_s": 20.0}
+    return StartRun(**_a_run(**{**values, **fields}))
+
+
+def an_abort(**fields: Any) -> AbortRun:
+    return AbortRun(**_a_run(**fields))
+
+
+def a_finish(**fields: Any) -> FinishRun:
+    values = {"status": 200, "headers": (), "body": b"answer", "finished_at_s": 30.0}
+    return FinishRun(**_a_run(**{**values, **fields}))
+
+
+def a_loss(**fields: Any) -> LoseRun:
+    return LoseRun(**_a_run(**fields))
+
+
+def an_order(**fields: Any) -> SubmitOrder:
+    values = {
+        "operation_id": "order-1",
+        "upstream_id": "engine-1",
+        "action": ACTION_CODEC.encode(LoadModel("chorale", "1", 1 << 20)),
+    }
+    return SubmitOrder(**{**values, **fields})
+
+
 def team_parameters(name: str = "perth-youth", **fields: Any) -> TeamParameters:
     return resolve(a_team(name=name), a_template(**fields))
 
@@ -86,6 +199,37 @@
     return Request(**{**values, **fields})
 
 
+def a_stream_request(**fields: Any) -> Request:
+    values = {
+        "request_id": "request-1",
+        "call": Completion(streamed=True),
+        "pool": None,
+        "body": b'{"model":"m","prompt":"first violins","max_tokens":5,"stream":true}',
+        "content_type": "application/json",
+        "token": "token-1",
+        "team": "perth-youth",
+        "kind": "draft",
+        "idempotency_key": None,
+        "deferred": False,
+        "cost_hint_units": None,
+    }
+    return Request(**{**values, **fields})
+
+
+def a_stream_exchange(**fields: Any) -> Exchange:
+    return Exchange(a_stream_request(**fields), received_s=0.0)
+
+
+def a_service_exchange(**fields: Any) -> Exchange:
+    call = ServiceCall(fields.pop("method", "POST"), fields.pop("path", "/slots?service_ms=1"))
+    return a_stream_exchange(**{"call": call, "pool": "booking-desk", "body": b"{}", **fields})
+
+
+def a_service(upstream_id: str = "service-1", **fields: Any) -> Upstream:
+    values = {"pool": "booking-desk", "interface": PlainService()}
+    return an_upstream(upstream_id, **{**values, **fields})
+
+
 def an_exchange(received_s: float = 0.0, **fields: Any) -> Exchange:
     """An exchange that no filter has seen; the fields are those of its request."""
     return Exchange(a_request(**fields), received_s)
@@ -157,22 +301,83 @@
     return Bounds(**{"limits": limits, "total_count": 100, "total_bytes": 1000, **fields})
 
 
+def a_poll(**fields: Any) -> ConfigPoll:
+    values = {
+        "revision": 0,
+        "term": 0,
+        "leaving": False,
+        "waiting_count": 0,
+        "running_count": 0,
+        "url": "http://127.0.0.1:1",
+    }
+    return ConfigPoll(**{**values, **fields})
+
+
+def controller_settings(host_id: str, host_ids: Sequence[str], **fields: Any) -> ControllerSettings:
+    addresses = (ControllerAddress(one, f"tcp://127.0.0.1:1/{one}") for one in host_ids)
+    values = {
+        "host_id": host_id,
+        "data_centre": "perth-a",
+        "operator_bind": "127.0.0.1:0",
+        "operator_url": "http://127.0.0.1:1",
+        "peer_bind": "tcp://127.0.0.1:0",
+        "controllers": tuple(addresses),
+        "platform_url": "http://127.0.0.1:1",
+        "data_folder": "",
+        "keys": None,
+        "operator_token": None,
+    }
+    return ControllerSettings(**{**values, **fields})
+
+
+def a_member(member_id: str = "engine-1", **fields: Any) -> dict[str, Any]:
+    values = {
+        "id": member_id,
+        "role": "engine",
+        "pool": POOL,
+        "data_centre": "perth-a",
+        "url": f"http://127.0.0.1:1/{member_id}",
+        "slots": 4,
+        "fencing": "checks",
+        "state": "live",
+    }
+    return {**values, **fields}
+
+
 __all__ = [
     "POOL",
     "a_backlog",
+    "a_change",
     "a_classified_exchange",
     "a_finished",
+    "a_controller_document",
+    "a_finish",
     "a_head",
     "a_holding",
     "a_kind",
+    "a_loss",
+    "a_member",
     "a_newcomer",
+    "a_poll",
     "a_request",
     "a_router",
+    "a_router_document",
+    "a_service",
+    "a_service_exchange",
+    "a_settings_document",
+    "a_start",
+    "a_stream_exchange",
+    "a_stream_request",
     "a_team",
     "a_template",
+    "an_abort",
+    "an_acceptance",
     "an_answer",
+    "an_assignment",
     "an_exchange",
+    "an_order",
     "an_upstream",
+    "controller_settings",
     "queue_bounds",
     "team_parameters",
 ]
--- a/tests/reports/__init__.py
+++ b/tests/reports/__init__.py
@@ -1,1 +1,1 @@
-"""Tests of the reports."""
+"""Tests of what the fleet tells its operators."""
--- a/tests/sharing/__init__.py
+++ b/tests/sharing/__init__.py
@@ -1,1 +1,1 @@
-"""Tests of the decisions on sharing."""
+"""Tests of the decisions on sharing capacity."""
