Merge the routers' burn reports on the command line

The command expected rows that the report does not have, and printed its JSON as it came. It now merges the reports of all given routers and prints one table, or the merged report as JSON. The fake router of the tests gives a real report, and the test checks that the counts of two add up.

--- a/src/camphorvalve/cli/explain.py
+++ b/src/camphorvalve/cli/explain.py
@@ -5,9 +5,13 @@
 from typing import Any
 from urllib.parse import quote
 
+import msgspec
+
 from camphorvalve.cli.client import connect
-from camphorvalve.cli.output import print_fields, print_json, print_rows
+from camphorvalve.cli.output import CommandError, ExitCode, print_fields, print_json
 from camphorvalve.cli.replies import Reply, answered
+from camphorvalve.reports.burn import BurnReport, merge
+from camphorvalve.reports.tables import burn_table
 
 
 async def request(request_id: str, *, router: tuple[str, ...] = (), json: bool = False) -> None:
@@ -44,22 +48,25 @@
 
 async def burn(*, router: tuple[str, ...] = (), json: bool = False) -> None:
     """
-    Show how fast each team's kinds of work use up their objectives, by router.
+    Show how fast each team's kinds of work use up their objectives, over all given routers.
 
     :param router: operator URL of a router; may be repeated
     :param json: print JSON
     """
     async with connect((), router) as ports:
         replies = await ports.ask_routers("/v1/burn")
-    rows = [row for reply in answered(replies) for row in _burn_rows(reply)]
-    print_rows(rows, json=json)
+    report = merge(_burn_report(reply) for reply in answered(replies))
+    if json:
+        print_json(report)
+    else:
+        print(burn_table(report))
 
 
-def _burn_rows(reply: Reply) -> list[dict[str, Any]]:
-    match reply.body:
-        case {"rows": list(rows)} | list(rows):
-            return [{"router": reply.url, **row} for row in rows]
-    return [_with_url(reply)]
+def _burn_report(reply: Reply) -> BurnReport:
+    try:
+        return msgspec.convert(reply.body, BurnReport)
+    except msgspec.ValidationError as error:
+        raise CommandError(ExitCode.FAILED, f"{reply.url}: burn report: {error}") from error
 
 
 def _with_url(reply: Reply) -> dict[str, Any]:
--- a/tests/cli/test_main.py
+++ b/tests/cli/test_main.py
@@ -220,10 +220,12 @@
             code, _, errors = await self.run_command("explain", "request", "r2", *both)
             self.assertEqual((code, NOBODY in errors), (ExitCode.FAILED, True))
             self.assertEqual(len(await self.run_json("explain", "team", "kalamunda", *both)), 1)
-            self.assertEqual((await self.run_json("burn", *both))[0]["burn_ratio"], 0.5)
+            merged = await self.run_json("burn", *both, f"--router={url}")
+            self.assertEqual(merged["series"][0]["windows"][0]["good_count"], 2)
             self.assertEqual(len(await self.run_json("status", *both)), 2)
             code, output, _ = await self.run_command("burn", *both)
-            self.assertEqual((code, "burn_ratio" in output), (0, True))
+            self.assertEqual((code, output.split()[:2]), (0, ["team", "kind"]))
+            self.assertIn("kalamunda", output)
 
     async def test_host_commands(self) -> None:
         pair = await self.run_json("keys")
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -24,6 +24,8 @@
     SubmitOrder,
 )
 from camphorvalve.registry.configuration import EMPTY, ChangeError, Configuration, apply_change
+from camphorvalve.reports.burn import Burn
+from tests.builders import a_finished, team_parameters
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Iterable
@@ -98,7 +100,9 @@
         return {"team": name, "share": 1.0} if name == "kalamunda" else None
 
     def burn(self) -> Any:
-        return {"rows": [{"team": "kalamunda", "kind": "chat", "burn_ratio": 0.5}]}
+        burn = Burn("router-1")
+        burn.record(a_finished(team_parameters("kalamunda"), "chat"))
+        return burn.report(0.0)
 
 
 @asynccontextmanager
