--- a/src/camphorvalve/reports/burn.py
+++ b/src/camphorvalve/reports/burn.py
@@ -144,7 +144,7 @@
 class Burn:
     """Counts finished requests; memory is bounded by the number of series."""
 
-    def __init__(self, router: str = "", limit_count: int = SERIES_LIMIT_COUNT) -> None:
+    def __init__(self, router: str, limit_count: int = SERIES_LIMIT_COUNT) -> None:
         """
         Start without any counts.
 
--- a/src/camphorvalve/reports/metrics.py
+++ b/src/camphorvalve/reports/metrics.py
@@ -6,15 +6,22 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, NamedTuple
 
+import anyio
 from statsd import StatsClient
 
 from camphorvalve.reports.outcomes import outcome_name
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from camphorvalve.reports.outcomes import Finished
     from camphorvalve.settings import schema
 
 
+OBSERVE_S = 10.0
+"""Time between two values of a gauge; the flush interval of a statsd server by default."""
+
+
 @dataclass(frozen=True, slots=True)
 class Statsd:
     """Datagrams go to a statsd server."""
@@ -140,6 +147,18 @@
             self._client = None
 
 
+async def observe_levels(metrics: Metrics, read: Callable[[], Levels]) -> None:
+    """
+    Send the gauges until cancelled.
+
+    :param metrics: where to
+    :param read: their values
+    """
+    while True:
+        metrics.observe(read())
+        await anyio.sleep(OBSERVE_S)
+
+
 def destination_of(settings: schema.Metrics | None) -> Destination:
     """
     Choose the destination that the settings name.
@@ -166,4 +185,5 @@
     "Metrics",
     "Statsd",
     "destination_of",
+    "observe_levels",
 ]
--- a/src/camphorvalve/wiring.py
+++ b/src/camphorvalve/wiring.py
@@ -46,6 +46,7 @@
 from camphorvalve.reports.decisions import Decisions
 from camphorvalve.reports.explain import RouterReport
 from camphorvalve.reports.logs import configure
+from camphorvalve.reports.metrics import Levels, Metrics, destination_of, observe_levels
 from camphorvalve.sharing.aggregate import Aggregator
 from camphorvalve.sharing.budget import RetryBudget
 from camphorvalve.sharing.ledger import Ledger
@@ -167,7 +168,7 @@
     router.runtime.link.open()
     async with router.client, anyio.create_task_group() as tasks:
         router.work.connect(tasks, router.background)
-        for one in (router.runtime.run, router.feed, router.stopping.run):
+        for one in (router.runtime.run, router.feed, router.stopping.run, router.gauges):
             tasks.start_soon(one)
         shutdown = router.stopping.shutdown
         _log.info("router started", caller_bind=settings.caller_bind, incarnation=incarnation)
@@ -200,6 +201,7 @@
     stopping: Stopping
     client: httpx.AsyncClient
     feed: Callable[[], Awaitable[None]]
+    gauges: Callable[[], Awaitable[None]]
 
 
 def build_router(settings: RouterSettings, incarnation: int, rng: random.Random) -> Router:
@@ -215,6 +217,11 @@
     membership = MembershipController(_self_host(settings), rng)
     demand: DemandController | None = None
 
+    def levels() -> Levels:
+        assert demand is not None
+        waiting = demand.backlog.total
+        return Levels(*waiting, demand.running_count(), following.configuration.revision)
+
     def load() -> Load:
         assert demand is not None
         return Load(membership.leaving, demand.backlog.total.count, demand.running_count())
@@ -249,15 +256,16 @@
         ),
         Dispatch(client, membership),
     )
-    burn = Burn()
+    burn = Burn(settings.host_id)
     decisions = Decisions()
+    metrics = Metrics(destination_of(settings.metrics))
     report = RouterReport(
         settings.host_id, membership, following, demand, scheduler, runtime, burn, decisions
     )
     parameters = partial(_parameters, following)
     handler = compose(
         (
-            account(report.recorders()),
+            account([*report.recorders(), metrics.record]),
             identify(settings.callers, parameters),
             classify(membership.interface_of),
             limit(
@@ -285,6 +293,7 @@
         Stopping(membership, settings.address_lifetime_s),
         client,
         partial(_follow_feed, settings, client, membership, link),
+        partial(observe_levels, metrics, levels),
     )
 
 
