--- a/src/camphorvalve/http/callers.py
+++ b/src/camphorvalve/http/callers.py
@@ -8,6 +8,7 @@
 
 import anyio
 
+from camphorvalve.http.asgi import send_json
 from camphorvalve.http.decoding import (
     GetAddresses,
     GetDeferred,
@@ -18,7 +19,7 @@
     decode_request,
     find_route,
 )
-from camphorvalve.http.sending import AnswerSender, error_headers, send_json, send_json_unread
+from camphorvalve.http.sending import AnswerSender, error_headers, send_json_unread
 from camphorvalve.model.errors import RequestError
 from camphorvalve.model.requests import Exchange
 
@@ -26,7 +27,7 @@
     from collections.abc import Awaitable, Callable, Mapping
 
     from camphorvalve.filters.chain import Handler
-    from camphorvalve.http.server import Receive, Scope, Send
+    from camphorvalve.http.asgi import Receive, Scope, Send
 
 
 class JsonAnswer(NamedTuple):
--- a/src/camphorvalve/http/sending.py
+++ b/src/camphorvalve/http/sending.py
@@ -17,7 +17,7 @@
     from collections.abc import Iterable
 
     from camphorvalve.filters.chain import Handler
-    from camphorvalve.http.server import Receive, Send
+    from camphorvalve.http.asgi import Receive, Send
     from camphorvalve.model.answers import Part
     from camphorvalve.model.requests import Exchange
 
@@ -129,22 +129,6 @@
             self._aborted = True
 
 
-async def send_json(
-    send: Send, status: int, body: Any, headers: Iterable[tuple[str, str]] = ()
-) -> None:
-    """
-    Send a whole JSON answer.
-
-    :param send: the ASGI send function
-    :param status: HTTP status
-    :param body: value to encode
-    :param headers: further headers
-    """
-    content = msgspec.json.encode(body)
-    await send(_start_message(status, _json_headers(content, headers)))
-    await send({"type": "http.response.body", "body": content, "more_body": False})
-
-
 async def send_json_unread(
     receive: Receive, send: Send, status: int, body: Any, headers: Iterable[tuple[str, str]] = ()
 ) -> None:
@@ -219,4 +203,4 @@
     )
 
 
-__all__ = ["AnswerSender", "error_headers", "send_json", "send_json_unread"]
+__all__ = ["AnswerSender", "error_headers", "send_json_unread"]
--- a/src/camphorvalve/http/server.py
+++ b/src/camphorvalve/http/server.py
@@ -12,13 +12,12 @@
 from hypercorn.asyncio import serve as hypercorn_serve
 from hypercorn.config import Config
 
+from camphorvalve.http.asgi import run_lifespan
+
 if TYPE_CHECKING:
-    from collections.abc import Awaitable, Callable
+    from collections.abc import Callable
 
-    Scope = dict[str, Any]
-    Receive = Callable[[], Awaitable[dict[str, Any]]]
-    Send = Callable[[dict[str, Any]], Awaitable[None]]
-    App = Callable[[Scope, Receive, Send], Awaitable[None]]
+    from camphorvalve.http.asgi import App, Receive, Scope, Send
 
 KEEP_ALIVE_S = 75.0
 """Longer than the keep-alive of common clients (5 to 60 s), so that the client closes first and
@@ -122,7 +121,7 @@
             case "http":
                 await self._run(scope, receive, send)
             case "lifespan":
-                await _lifespan(receive, send)
+                await run_lifespan(receive, send)
             case "websocket":
                 await send({"type": "websocket.close"})
 
@@ -149,12 +148,4 @@
             await self._idle.wait()
 
 
-async def _lifespan(receive: Receive, send: Send) -> None:
-    while True:
-        message = await receive()
-        await send({"type": f"{message['type']}.complete"})
-        if message["type"] == "lifespan.shutdown":
-            return
-
-
 __all__ = ["listen", "serve"]
--- a/src/camphorvalve/reports/decisions.py
+++ b/src/camphorvalve/reports/decisions.py
@@ -48,7 +48,6 @@
 class TeamBody(TypedDict):
     """How the requests of a team ended since this router started to track it."""
 
-    team: str
     outcomes: dict[str, int]
     limits_hit: dict[str, int]
 
@@ -89,7 +88,7 @@
         if team is not None:
             self._count(team.name, trace["outcome"])
 
-    def find(self, request_id: str) -> TraceBody | None:
+    def explain(self, request_id: str) -> TraceBody | None:
         """
         Look a trace up.
 
@@ -98,7 +97,7 @@
         """
         return self._traces.get(request_id)
 
-    def team(self, name: str) -> TeamBody:
+    def explain_team(self, name: str) -> TeamBody:
         """
         Look up how a team's requests ended.
 
@@ -107,7 +106,7 @@
         """
         counts = self._teams.get(name, Counter())
         limits_hit = {code: counts[code] for code in LIMIT_CODES}
-        return {"team": name, "outcomes": dict(counts), "limits_hit": limits_hit}
+        return {"outcomes": dict(counts), "limits_hit": limits_hit}
 
     def _count(self, team: str, outcome: str) -> None:
         self._teams.setdefault(team, Counter())[outcome] += 1
