--- a/src/camphorvalve/filters/deduplicate.py
+++ b/src/camphorvalve/filters/deduplicate.py
@@ -6,8 +6,11 @@
 from contextlib import aclosing
 from typing import TYPE_CHECKING
 
+import xxhash
+
 from camphorvalve.model.answers import Body, Head
 from camphorvalve.model.errors import RequestError
+from camphorvalve.model.requests import Completion, ServiceCall
 from camphorvalve.registry.commands import (
     AbortRun,
     Conflict,
@@ -97,6 +100,7 @@
             router_id=self._host_id,
             incarnation=self._incarnation,
             idempotent=exchange.parameters.idempotent,
+            fingerprint="" if exchange.claim_attempt is not None else fingerprint(exchange),
             started_at_s=time.time(),
         )
 
@@ -141,6 +145,23 @@
         self._records.submit_later(finish)
 
 
+def fingerprint(exchange: Exchange) -> str:
+    """
+    Condense what makes two requests under one key the same request.
+
+    :param exchange: the request, classified
+    :return: checksum of kind, call and body
+    """
+    digest = xxhash.xxh3_64(exchange.kind.encode())
+    match exchange.request.call:
+        case ServiceCall(method, path):
+            digest.update(f"\n{method} {path}\n".encode())
+        case Completion(streamed):
+            digest.update(f"\n{streamed}\n".encode())
+    digest.update(exchange.request.body)
+    return digest.hexdigest()
+
+
 def _may_run_unrecorded(exchange: Exchange) -> bool:
     """Tell whether a request goes on without its record while there is no quorum."""
     assert exchange.parameters is not None
--- a/src/camphorvalve/registry/commands.py
+++ b/src/camphorvalve/registry/commands.py
@@ -89,6 +89,8 @@
     router_id: str
     incarnation: int
     idempotent: bool
+    fingerprint: str
+    """Checksum of the request's content; one key stands for one content. Empty for work."""
     started_at_s: float
 
 
--- a/src/camphorvalve/registry/runs.py
+++ b/src/camphorvalve/registry/runs.py
@@ -49,6 +49,8 @@
     idempotent: bool
     touched_s: float
     """Newest time named by a command about this record."""
+    fingerprint: str = ""
+    """Of the first start."""
     work: AcceptWork | None = None
     accepted_index: int = 0
     claim: Claim | None = None
@@ -172,6 +174,8 @@
 def _start(record: Record | None, command: StartRun, done: Done) -> Step:
     if record is None:
         record = Record(command.record_id, command.idempotent, command.started_at_s)
+    if record.fingerprint and command.fingerprint != record.fingerprint:
+        return Step(Conflict(done.revision, "the key was used for another request"))
     if record.answer is not None or record.lost is not None:
         return Step(record.answer or record.lost)
     run = (command.request_id, command.attempt, command.router_id, command.incarnation)
@@ -191,7 +195,10 @@
         claim = claim._replace(attempt=command.attempt)
     start = Start(*run, done.index)
     touched_s = max(record.touched_s, command.started_at_s)
-    return Step(done, record._replace(start=start, claim=claim, touched_s=touched_s))
+    started = record._replace(
+        start=start, claim=claim, touched_s=touched_s, fingerprint=command.fingerprint
+    )
+    return Step(done, started)
 
 
 def _abort(record: Record | None, command: AbortRun, done: Done, latest_s: float) -> Step:
--- a/src/camphorvalve/reports/explain.py
+++ b/src/camphorvalve/reports/explain.py
@@ -16,7 +16,6 @@
     from camphorvalve.controllers.runtime import Runtime
     from camphorvalve.reports.burn import Burn
     from camphorvalve.reports.decisions import Decisions
-    from camphorvalve.reports.metrics import Metrics
     from camphorvalve.reports.outcomes import Finished
     from camphorvalve.sharing.scheduler import Scheduler
 
@@ -46,7 +45,6 @@
         runtime: Runtime,
         burn: Burn,
         decisions: Decisions,
-        metrics: Metrics,
     ) -> None:
         """
         Prepare the report.
@@ -59,7 +57,6 @@
         :param runtime: messages carried
         :param burn: service-level burn
         :param decisions: traces of requests
-        :param metrics: statsd metrics
         """
         self._host_id = host_id
         self._membership = membership
@@ -69,7 +66,6 @@
         self._runtime = runtime
         self._burn = burn
         self._decisions = decisions
-        self._metrics = metrics
 
     def status(self) -> dict[str, Any]:
         """:return: revision, load, peers and traffic of this router"""
@@ -127,7 +123,7 @@
 
     def recorders(self) -> list[Callable[[Finished], None]]:
         """:return: what takes each finished request"""
-        return [self._decisions.record, self._burn.record, self._metrics.record]
+        return [self._decisions.record, self._burn.record]
 
     def _pool_share(self, key: TeamKey) -> PoolShare:
         waiting = self._demand.backlog.waiting(key)
--- a/src/camphorvalve/wiring.py
+++ b/src/camphorvalve/wiring.py
@@ -46,11 +46,7 @@
 from camphorvalve.reports.decisions import Decisions
 from camphorvalve.reports.explain import RouterReport
 from camphorvalve.reports.logs import configure
-<<<<<<< HEAD
-from camphorvalve.reports.metrics import Metrics, destination_of
-=======
 from camphorvalve.reports.metrics import Levels, Metrics, destination_of, observe_levels
->>>>>>> front
 from camphorvalve.sharing.aggregate import Aggregator
 from camphorvalve.sharing.budget import RetryBudget
 from camphorvalve.sharing.ledger import Ledger
@@ -260,12 +256,9 @@
         ),
         Dispatch(client, membership),
     )
-<<<<<<< HEAD
-=======
     burn = Burn(settings.host_id)
     decisions = Decisions()
     metrics = Metrics(destination_of(settings.metrics))
->>>>>>> front
     report = RouterReport(
         settings.host_id,
         membership,
@@ -273,9 +266,8 @@
         demand,
         scheduler,
         runtime,
-        Burn(settings.host_id),
-        Decisions(),
-        Metrics(destination_of(settings.metrics)),
+        burn,
+        decisions,
     )
     parameters = partial(_parameters, following)
     handler = compose(
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -158,7 +158,13 @@
 
 
 def a_start(**fields: Any) -> StartRun:
-    values = {"router_id": "router-1", "incarnation": 1, "idempotent": False, "started_at_s": 20.0}
+    values = {
+        "router_id": "router-1",
+        "incarnation": 1,
+        "idempotent": False,
+        "fingerprint": "",
+        "started_at_s": 20.0,
+    }
     return StartRun(**_a_run(**{**values, **fields}))
 
 
@@ -368,7 +374,7 @@
     return LoadModel(**{"model": "chorale", "version": "2", "size_bytes": 0, **fields})
 
 
-def an_order(index: int = 10, **fields: Any) -> OpenOrder:
+def an_open_order(index: int = 10, **fields: Any) -> OpenOrder:
     values = {"order_id": f"order-{index}", "upstream_id": "engine-1", "action": a_load()}
     return OpenOrder(**{"index": index, **values, **fields})
 
@@ -414,6 +420,7 @@
     "an_assignment",
     "an_engine_view",
     "an_exchange",
+    "an_open_order",
     "an_order",
     "an_upstream",
     "controller_settings",
--- a/tests/controllers/test_orderplan.py
+++ b/tests/controllers/test_orderplan.py
@@ -9,7 +9,7 @@
 from camphorvalve.controllers.ordersteps import Leadership, ReadState, SendOrder, Settle, Step
 from camphorvalve.model.upstreams import ChecksFencing, IgnoresFencing, ModelEngine, PlainService
 from camphorvalve.upstreams.orderstates import Accepted, InDoubt, Refused, Stale, Unsent
-from tests.builders import a_load, an_engine_view, an_order, an_upstream
+from tests.builders import a_load, an_engine_view, an_open_order, an_upstream
 
 if TYPE_CHECKING:
     from camphorvalve.controllers.ordersteps import OpenOrder
@@ -26,7 +26,7 @@
 
     def __init__(self, *orders: OpenOrder, fencing: FencingBehaviour | None = None) -> None:
         self.plan = OrderPlan(weight_store_bytes_per_s=100.0)
-        self.orders = list(orders) or [an_order()]
+        self.orders = list(orders) or [an_open_order()]
         interface = ModelEngine(fencing or ChecksFencing())
         ids = {order.upstream_id for order in self.orders}
         self.upstreams: dict[str, Upstream] = {
@@ -72,7 +72,7 @@
         leader.read(1.0)
         leader.leadership = Leadership(0.0, 2.5)
         (step,) = leader.steps(2.0)
-        self.assertEqual(step, SendOrder(0.0, an_order(), an_upstream(), until_s=2.5))
+        self.assertEqual(step, SendOrder(0.0, an_open_order(), an_upstream(), until_s=2.5))
 
     def test_a_new_leader_waits_and_reads_back_where_fencing_is_ignored(self) -> None:
         cases = {"checks": (ChecksFencing(), 0.0), "ignores": (IgnoresFencing(), WAIT_S)}
@@ -113,7 +113,7 @@
             "running": (an_engine_view(order_10="running"), [ReadState(0.0, an_upstream())]),
             "another version": (
                 other,
-                [SendOrder(0.0, an_order(), an_upstream(), FOREVER)],
+                [SendOrder(0.0, an_open_order(), an_upstream(), FOREVER)],
             ),
         }
         for name, (view, expected) in cases.items():
@@ -136,9 +136,9 @@
             "in doubt, not found": (
                 InDoubt("timeout"),
                 None,
-                SendOrder(0.0, an_order(), an_upstream(), FOREVER),
+                SendOrder(0.0, an_open_order(), an_upstream(), FOREVER),
             ),
-            "unsent": (Unsent("x"), None, SendOrder(0.0, an_order(), an_upstream(), FOREVER)),
+            "unsent": (Unsent("x"), None, SendOrder(0.0, an_open_order(), an_upstream(), FOREVER)),
         }
         for name, (reply, state, expected) in cases.items():
             with self.subTest(name):
@@ -179,7 +179,7 @@
                 self.assertEqual([step.state for step in leader.steps(30.0)], ["failed"])
 
     def test_orders_of_one_engine_go_one_after_the_other(self) -> None:
-        leader = Leader(an_order(12), an_order(11))
+        leader = Leader(an_open_order(12), an_open_order(11))
         leader.read(1.0)
         self.assertEqual(leader.send(2.0, Accepted()), [11])
         leader.read(3.0, an_engine_view(order_11="running"))
@@ -187,7 +187,7 @@
 
     def test_loads_are_paced_by_the_weight_store(self) -> None:
         loads = [
-            an_order(index, upstream_id=f"engine-{index}", action=a_load(size_bytes=1000))
+            an_open_order(index, upstream_id=f"engine-{index}", action=a_load(size_bytes=1000))
             for index in range(5)
         ]
         leader = Leader(*loads)
@@ -208,8 +208,8 @@
 
     def test_a_load_that_an_older_leader_started_counts_for_the_pace(self) -> None:
         orders = [
-            an_order(1, upstream_id="engine-1", action=a_load(size_bytes=1000)),
-            an_order(2, upstream_id="engine-2", action=a_load(size_bytes=1000)),
+            an_open_order(1, upstream_id="engine-1", action=a_load(size_bytes=1000)),
+            an_open_order(2, upstream_id="engine-2", action=a_load(size_bytes=1000)),
         ]
         leader = Leader(*orders)
         leader.read(1.0, an_engine_view(order_1="running"))
