--- a/src/camphorvalve/consensus/replica.py
+++ b/src/camphorvalve/consensus/replica.py
@@ -115,9 +115,18 @@
         :param now_s: monotonic time
         :return: whether the lease holds
         """
-        until_s = replication.lease_until_s(self.state, now_s)
+        until_s = self.lease_until_s(now_s)
         return until_s is not None and now_s < until_s
 
+    def lease_until_s(self, now_s: float) -> float | None:
+        """
+        Tell when the lease ends unless it is renewed.
+
+        :param now_s: monotonic time
+        :return: monotonic time, ``None`` unless this replica leads
+        """
+        return replication.lease_until_s(self.state, now_s)
+
     def _receive(self, message: Message, now_s: float) -> Iterator[Effect]:
         state = self.state
         if isinstance(message, Join):
--- /dev/null
+++ b/src/camphorvalve/controllers/orderbook.py
@@ -0,0 +1,65 @@
+"""What the ordering of a controller process needs from the replicated log and the feed."""
+
+from __future__ import annotations
+
+import time
+from typing import TYPE_CHECKING
+
+from camphorvalve.controllers.ordersteps import Leadership
+from camphorvalve.registry.commands import SettleOrder, SubmitOrder
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator, Mapping
+
+    from camphorvalve.controllers.replication import ReplicationController
+    from camphorvalve.model.upstreams import Upstream
+
+
+class ReplicatedOrderBook:
+    """Open orders of the replicated state, and this controller's right to carry them out."""
+
+    def __init__(
+        self, replication: ReplicationController, upstreams: Mapping[str, Upstream]
+    ) -> None:
+        """
+        Prepare the book.
+
+        :param replication: the replicated log and state
+        :param upstreams: upstreams by id, kept up to date by the reader of the feed
+        """
+        self._replication = replication
+        self._upstreams = upstreams
+
+    def leadership(self, now_s: float) -> Leadership | None:
+        """
+        Tell whether this controller leads.
+
+        :param now_s: monotonic time
+        :return: since when, and the end of its lease
+        """
+        until_s = self._replication.lease_until_s(now_s)
+        if until_s is None:
+            return None
+        return Leadership(self._replication.leads_since_s, until_s)
+
+    def open_orders(self) -> Iterator[tuple[int, SubmitOrder]]:
+        """:return: committed orders that are not settled, with their fencing numbers"""
+        orders = self._replication.state.orders
+        for order in orders.waiting():
+            command = SubmitOrder(order.operation_id, order.upstream_id, order.action)
+            yield order.index, command
+
+    def upstreams(self) -> Mapping[str, Upstream]:
+        """:return: upstreams of the membership feed by id"""
+        return self._upstreams
+
+    def propose(self, command: SettleOrder) -> None:
+        """
+        Propose a command to the replicated log; the outcome is not waited for.
+
+        :param command: the command
+        """
+        self._replication.submit(command, time.monotonic())
+
+
+__all__ = ["ReplicatedOrderBook"]
--- a/src/camphorvalve/controllers/replication.py
+++ b/src/camphorvalve/controllers/replication.py
@@ -95,6 +95,8 @@
         self._join_due_s = started_s
         self._recovery_due_s = started_s
         self._wake = anyio.Event()
+        self.leads_since_s = started_s
+        """Start of the newest leadership of this controller."""
 
     @property
     def state(self) -> RegistryState:
@@ -121,6 +123,15 @@
         """
         return self._replica.lease_valid(now_s)
 
+    def lease_until_s(self, now_s: float) -> float | None:
+        """
+        Tell when this controller's lease ends unless it is renewed.
+
+        :param now_s: monotonic time
+        :return: monotonic time, ``None`` unless it leads
+        """
+        return self._replica.lease_until_s(now_s)
+
     def status(self) -> ControllerStatus:
         """
         Describe this controller for operators.
@@ -285,6 +296,7 @@
         if leader == self._replica.state.identity:
             # This host may have been cut off or frozen, so that silence counts from now on only.
             self._presence.started_s = now_s
+            self.leads_since_s = now_s
             self._recovery = self._new_recovery()
         else:
             self._submissions.abandon()
--- a/src/camphorvalve/wiring.py
+++ b/src/camphorvalve/wiring.py
@@ -17,6 +17,10 @@
 from camphorvalve.controllers.following import ConfigurationFollower, Load
 from camphorvalve.controllers.ledgers import LedgerController
 from camphorvalve.controllers.membership import MembershipController
+from camphorvalve.controllers.orderbook import ReplicatedOrderBook
+from camphorvalve.controllers.ordering import Ordering
+from camphorvalve.controllers.orderplan import OrderPlan
+from camphorvalve.controllers.ordersteps import Timing as OrderTiming
 from camphorvalve.controllers.queues import Queues
 from camphorvalve.controllers.recording import RecordingController
 from camphorvalve.controllers.records import Records
@@ -117,13 +121,22 @@
     link = _link(settings, incarnation)
     runtime = Runtime(link, (replication,))
     client = create_client()
+    timing = OrderTiming()
+    order_client = create_client(timing.delivery_s)
     backend = ControllerBackend(settings, replication)
+    ordering = Ordering(
+        ReplicatedOrderBook(replication, backend.upstreams),
+        OrderPlan(settings.weight_store_bytes_per_s, timing),
+        order_client,
+        settings.order_token,
+    )
     link.open()
     link.connect({one.host_id: one.peer_address for one in settings.controllers})
     shutdown = anyio.Event()
-    async with client, anyio.create_task_group() as tasks:
+    async with client, order_client, anyio.create_task_group() as tasks:
         tasks.start_soon(runtime.run)
         tasks.start_soon(replication.run, runtime.send)
+        tasks.start_soon(ordering.run)
         tasks.start_soon(_follow_as_controller, settings, client, link, backend)
         tasks.start_soon(wait_for_signal, shutdown)
         _log.info("controller started", identity=replication.status()["identity"])
