Require a random seed for bootstrap

Cause: with the default seed a repeated bootstrap on a lost disk brought back an identity that had voted. Change: the seed is a required argument of at least 8 characters.

--- a/src/camphorvalve/cli/daemons.py
+++ b/src/camphorvalve/cli/daemons.py
@@ -40,7 +40,7 @@
     await run_controller(loaded)
 
 
-async def bootstrap(settings: str, *, seed: str = "", controller: tuple[str, ...] = ()) -> None:
+async def bootstrap(settings: str, seed: str, *, controller: tuple[str, ...] = ()) -> None:
     """
     Create the data folder of a first controller; done once for a new fleet.
 
@@ -48,7 +48,7 @@
     a controller with an empty data folder joins the fleet under a new identity.
 
     :param settings: settings file of the controller
-    :param seed: text drawn once for this fleet, the same on every first controller
+    :param seed: text drawn at random for this fleet, the same on every first controller
     :param controller: operator URLs of controllers; the command refuses when one answers
     """
     loaded = load_controller(settings)
@@ -57,9 +57,8 @@
     from camphorvalve.consensus.storage import bootstrap as create
 
     members = [one.host_id for one in loaded.controllers]
-    further = {"seed": seed} if seed else {}
     try:
-        identity = create(loaded.data_folder, loaded.host_id, members, **further)
+        identity = create(loaded.data_folder, loaded.host_id, members, seed)
     except (OSError, ValueError) as error:
         raise CommandError(ExitCode.FAILED, str(error)) from error
     say(f"created {loaded.data_folder} for replica {identity}")
--- a/src/camphorvalve/consensus/storage.py
+++ b/src/camphorvalve/consensus/storage.py
@@ -24,6 +24,8 @@
 SNAPSHOT_FILE = "snapshot"
 LOG_FILE = "log"
 
+SEED_LENGTH = 8
+
 
 class _Vote(NamedTuple):
     term: int
@@ -127,7 +129,7 @@
     )
 
 
-def bootstrap(folder: str | Path, host_id: str, members: Sequence[str], seed: str = "") -> str:
+def bootstrap(folder: str | Path, host_id: str, members: Sequence[str], seed: str) -> str:
     """
     Create the folder of a first member of a new fleet; done once, never after a loss of the disk.
 
@@ -137,8 +139,11 @@
     :param seed: text drawn once for this fleet; a repeated bootstrap has to draw another one
     :return: identity of the new replica
     :raises FileExistsError: the folder holds a replica
-    :raises ValueError: this host is not among the members
+    :raises ValueError: this host is not among the members, or the seed is too short to be random
     """
+    if len(seed) < SEED_LENGTH:
+        # A second bootstrap under the same seed would bring back the identity of a lost disk.
+        raise ValueError(f"seed: expected at least {SEED_LENGTH} random characters")
     path = Path(folder)
     path.mkdir(parents=True, exist_ok=True)
     if (path / IDENTITY_FILE).exists():
--- a/tests/cli/test_main.py
+++ b/tests/cli/test_main.py
@@ -233,7 +233,7 @@
         path.write_text(json.dumps(a_controller_document(keys=pair)))
         self.assertEqual((await self.run_json("check", str(path)))["role"], "controller")
         async with served(controller_app(FakeController(), None)) as url:
-            argv = ("bootstrap", str(path), "--controller", url)
+            argv = ("bootstrap", str(path), "first-fleet", "--controller", url)
             code, _, errors = await self.run_command(*argv)
             self.assertEqual((code, "already run" in errors), (ExitCode.FAILED, True))
 
@@ -243,8 +243,8 @@
         async def run(settings: Any) -> None:
             started.append(settings.host_id)
 
-        def create(folder: str, host_id: str, members: list[str]) -> str:
-            started.append((host_id, len(members)))
+        def create(folder: str, host_id: str, members: list[str], seed: str) -> str:
+            started.append((host_id, len(members), seed))
             return f"{host_id}#1"
 
         modules = {
@@ -256,6 +256,6 @@
                 path = self.folder / f"{role}.json"
                 path.write_text(json.dumps(document()))
                 self.assertEqual((await self.run_command(role, str(path)))[0], 0)
-            self.assertEqual((await self.run_command("bootstrap", str(path)))[0], 0)
+            self.assertEqual((await self.run_command("bootstrap", str(path), "first-fleet"))[0], 0)
             self.assertEqual((await self.run_command("router", str(path)))[0], ExitCode.USAGE)
-        self.assertEqual(started, ["router-1", "controller-1", ("controller-1", 3)])
+        self.assertEqual(started, ["router-1", "controller-1", ("controller-1", 3, "first-fleet")])
--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -131,6 +131,7 @@
         self.folder = folder or Path(self._temporary.name)
         self.members: dict[str, Member] = {}
         self.platform_url = ""
+        self._seed = os.urandom(8).hex()
         self.network_url = ""
         self._keys = keys.generate()._asdict() if shape.with_keys else None
         self.client = httpx.AsyncClient(timeout=60.0, limits=httpx.Limits(max_connections=None))
@@ -486,7 +487,7 @@
     async def _bootstrap(self, member: Member) -> None:
         settings = str(self.folder / f"{member.member_id}.json")
         process = await asyncio.create_subprocess_exec(
-            sys.executable, "-m", "camphorvalve", "bootstrap", settings, cwd=ROOT,
+            sys.executable, "-m", "camphorvalve", "bootstrap", settings, self._seed, cwd=ROOT,
             env=_environment(), stdout=asyncio.subprocess.DEVNULL,
         )  # fmt: skip
         if await process.wait() != 0:
