--- a/src/camphorvalve/consensus/log.py
+++ b/src/camphorvalve/consensus/log.py
@@ -11,6 +11,7 @@
 
 KEPT_COUNT = 1024
 """Entries kept from before the snapshot, so that a replica that lags a little needs no snapshot."""
+KEPT_BYTES = 1 << 20
 
 
 class Log:
@@ -107,7 +108,7 @@
         :param snapshot: the snapshot
         """
         self.snapshot = snapshot
-        base = max(self._base_index, snapshot.index - KEPT_COUNT)
+        base = self._kept_from(snapshot.index)
         self._base_term = self.term(base) or 0
         del self._entries[: base - self._base_index]
         self._base_index = base
@@ -126,10 +127,20 @@
         self.__init__(snapshot, tail)  # type: ignore[misc]
         return tail
 
+    def _kept_from(self, index: int) -> int:
+        """Find the index before the first entry that is kept together with a snapshot."""
+        oldest = max(self._base_index, index - KEPT_COUNT)
+        kept_bytes = 0
+        for entry in reversed(self.between(oldest + 1, index)):
+            kept_bytes += len(entry.payload)
+            if kept_bytes > KEPT_BYTES:
+                return entry.index
+        return oldest
+
     def _note_changes(self, entries: Sequence[Entry]) -> None:
         for entry in entries:
             if entry.members is not None:
                 self._changes.append((entry.index, entry.members))
 
 
-__all__ = ["KEPT_COUNT", "Log"]
+__all__ = ["KEPT_BYTES", "KEPT_COUNT", "Log"]
--- a/src/camphorvalve/controllers/presence.py
+++ b/src/camphorvalve/controllers/presence.py
@@ -1,4 +1,4 @@
-"""What a controller knows of the routers, from their polls; never replicated."""
+"""What a controller knows of the routers, from their messages; never replicated."""
 
 from __future__ import annotations
 
@@ -17,17 +17,17 @@
 
 @dataclass(slots=True)
 class Router:
-    """One router as its polls describe it."""
+    """One router and its newest poll."""
 
     router_id: str
     incarnation: int
     heard_s: float
-    poll: ConfigPoll
+    poll: ConfigPoll | None = None
 
 
 @dataclass(slots=True)
 class Presence:
-    """All routers that have polled this controller."""
+    """All routers that this controller has heard."""
 
     lost_s: float
     """Silence after which a router counts as lost."""
@@ -35,17 +35,21 @@
     """When this controller began to listen as leader; silence is counted from then at least."""
     routers: dict[str, Router] = field(default_factory=dict)
 
-    def note(self, sender: Sender, poll: ConfigPoll, now_s: float) -> None:
+    def note(self, sender: Sender, poll: ConfigPoll | None, now_s: float) -> None:
         """
-        Take a poll; one of an older incarnation than the newest is dropped.
+        Take a message; one of an older incarnation than the newest is dropped.
 
         :param sender: the router
-        :param poll: its poll
+        :param poll: its poll, or ``None`` for another message
         :param now_s: monotonic time
         """
         known = self.routers.get(sender.host_id)
-        if known is None or sender.incarnation >= known.incarnation:
-            self.routers[sender.host_id] = Router(sender.host_id, sender.incarnation, now_s, poll)
+        if known is None or sender.incarnation > known.incarnation:
+            known = Router(sender.host_id, sender.incarnation, now_s)
+            self.routers[sender.host_id] = known
+        if sender.incarnation == known.incarnation:
+            known.heard_s = now_s
+            known.poll = poll or known.poll
 
     def is_lost(self, router_id: str, incarnation: int, now_s: float) -> bool:
         """
@@ -72,7 +76,8 @@
         :return: routers that were heard recently and are not leaving
         """
         for router in self.routers.values():
-            if now_s - router.heard_s <= self.lost_s and not router.poll.leaving:
+            staying = router.poll is not None and not router.poll.leaving
+            if staying and now_s - router.heard_s <= self.lost_s:
                 yield router
 
     def forget(self, now_s: float) -> None:
--- a/src/camphorvalve/controllers/replication.py
+++ b/src/camphorvalve/controllers/replication.py
@@ -158,6 +158,8 @@
                 self._presence.note(sender, message, now_s)
                 yield from self._update(sender, message)
             case Submit():
+                # A router may submit before its first poll arrives, and must not count as lost.
+                self._presence.note(sender, None, now_s)
                 yield from self._submit(sender, message, now_s)
             case _:
                 if self._trusts(sender, message):
--- a/src/camphorvalve/controllers/status.py
+++ b/src/camphorvalve/controllers/status.py
@@ -110,15 +110,16 @@
         {
             "router_id": router.router_id,
             "incarnation": router.incarnation,
-            "revision": router.poll.revision,
-            "lag_count": revision - router.poll.revision,
+            "revision": poll.revision,
+            "lag_count": revision - poll.revision,
             "silent_s": now_s - router.heard_s,
-            "leaving": router.poll.leaving,
-            "waiting_count": router.poll.waiting_count,
-            "running_count": router.poll.running_count,
-            "url": router.poll.url,
+            "leaving": poll.leaving,
+            "waiting_count": poll.waiting_count,
+            "running_count": poll.running_count,
+            "url": poll.url,
         }
         for router in sorted(presence.routers.values(), key=lambda one: one.router_id)
+        if (poll := router.poll) is not None
     ]
 
 
--- a/tests/consensus/pump.py
+++ b/tests/consensus/pump.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 import random
-from typing import TYPE_CHECKING, NamedTuple
+from typing import TYPE_CHECKING, Any, NamedTuple
+from unittest import mock
 
 import msgspec
 
@@ -12,10 +13,11 @@
 from camphorvalve.consensus.members import host_of, identity
 from camphorvalve.consensus.messages import Entry, Join, Message, Snapshot
 from camphorvalve.consensus.replica import Replica, Stored, Timing
-from camphorvalve.consensus.storage import first_identities
+from camphorvalve.consensus.storage import first_identities, open_storage
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable, Sequence
+    from pathlib import Path
 
 TIMING = Timing(election_timeout_s=1.0, heartbeat_s=0.2)
 STEP_S = 0.02
@@ -71,6 +73,21 @@
         self._waiting = []
 
 
+class DiskFiles:
+    """Real files of one host; a crash closes and opens them."""
+
+    def __init__(self, folder: Path, host_id: str) -> None:
+        self._open = lambda: open_storage(folder, host_id)
+        self._storage = self._open()
+
+    def __getattr__(self, name: str) -> Any:
+        return getattr(self._storage, name)
+
+    def crash(self) -> None:
+        self._storage.close()
+        self._storage = self._open()
+
+
 class Faults(NamedTuple):
     """What happens to messages on their way."""
 
@@ -83,7 +100,7 @@
 class Node:
     """One host with its replica."""
 
-    def __init__(self, host_id: str, files: MemoryFiles) -> None:
+    def __init__(self, host_id: str, files: MemoryFiles | DiskFiles) -> None:
         self.host_id = host_id
         self.files = files
         self.machine = Recorder()
@@ -108,7 +125,7 @@
         seed: int = 1,
         faults: Faults | None = None,
         snapshot_every_count: int = 1000,
-        open_files: Callable[[str], MemoryFiles] | None = None,
+        open_files: Callable[[str], DiskFiles] | None = None,
     ) -> None:
         self.random = random.Random(seed)
         self.faults = faults or Faults()
@@ -136,6 +153,11 @@
         node.frozen = False
         node.waiting = []
 
+    def add(self, host: str) -> None:
+        """Start a host with an empty folder."""
+        self.nodes[host] = Node(host, MemoryFiles(identity(host, "first"), ()))
+        self.start(host)
+
     def crash(self, host: str) -> None:
         """End a host's process; entries that are not synced are lost."""
         self.nodes[host].driver = None
@@ -190,6 +212,7 @@
             for node in self._running():
                 if not node.frozen:
                     self._tick(node)
+            self._check_leases()
 
     def settle(self, limit_s: float = 20.0) -> Node:
         """Run until some leader has committed an entry of its own term."""
@@ -211,6 +234,10 @@
             expected = sorted(index for index in self.committed if index <= limit)
             assert indexes == expected, (node.host_id, indexes[-3:], expected[-3:])
 
+    def _check_leases(self) -> None:
+        holders = [node.host_id for node in self._running() if node.replica.lease_valid(self.now_s)]
+        assert len(holders) <= 1, f"leases of {holders} overlap at {self.now_s}"
+
     def _running(self) -> Iterable[Node]:
         return [node for node in self.nodes.values() if node.driver is not None]
 
@@ -260,8 +287,23 @@
                 self.sent.append((due_s, self._count, message, host))
 
 
+def few_kept_entries() -> tuple[Callable[[], Any], Callable[[], Any]]:
+    """Make the module functions that let lagging replicas need snapshots instead of entries."""
+    patch = mock.patch("camphorvalve.consensus.log.KEPT_COUNT", 2)
+    return patch.start, patch.stop
+
+
 def _own(members: Sequence[str], host: str) -> str:
     return next(one for one in members if host_of(one) == host)
 
 
-__all__ = ["TIMING", "Faults", "MemoryFiles", "Node", "Pump", "Recorder"]
+__all__ = [
+    "TIMING",
+    "DiskFiles",
+    "Faults",
+    "MemoryFiles",
+    "Node",
+    "Pump",
+    "Recorder",
+    "few_kept_entries",
+]
--- a/tests/consensus/test_schedules.py
+++ b/tests/consensus/test_schedules.py
@@ -5,8 +5,9 @@
 import random
 import unittest
 
-from tests.consensus.pump import Faults, Pump
+from tests.consensus.pump import Faults, Pump, few_kept_entries
 
+setUpModule, tearDownModule = few_kept_entries()
 SEEDS = range(1, 41)
 STEPS = 60
 
--- a/tests/controllers/group.py
+++ b/tests/controllers/group.py
@@ -28,6 +28,7 @@
         self.cut: set[str] = set()
         self.inboxes: dict[str, list[Any]] = {}
         self.polling: dict[str, int] = {}
+        self.deaf: set[str] = set()
         self.fields = fields
         self._queue: list[tuple[Sender, Outgoing]] = []
         members = first_identities(HOSTS, "test")
@@ -68,7 +69,7 @@
         while self.now_s < end_s:
             self.now_s += TICK_S
             for router_id, incarnation in self.polling.items():
-                for host in HOSTS:
+                for host in sorted(set(HOSTS) - self.deaf):
                     self.send(router_id, host, a_poll(), incarnation)
             for host, controller in self.controllers.items():
                 self._post(host, controller.tick(self.now_s))
--- a/tests/controllers/test_replication.py
+++ b/tests/controllers/test_replication.py
@@ -9,6 +9,7 @@
 import anyio.lowlevel
 
 from camphorvalve.consensus.messages import Join
+from camphorvalve.controllers.runtime import Sender
 from camphorvalve.controllers.submissions import NotLeaderError, OutcomeUnknownError
 from camphorvalve.registry import configuration
 from camphorvalve.registry.commands import (
@@ -85,6 +86,20 @@
         self.group.run(1)
         self.assertEqual(self.leader.state.snapshot(), following.state.snapshot())
 
+    def test_an_entry_of_another_leader_answers_nobody(self) -> None:
+        group, host = self.group, self.group.host(self.leader)
+        group.cut.add(host)
+        submit = Submit("stray", COMMAND_CODEC.encode(an_acceptance()))
+        for _ in self.leader.handle(Sender("router-0", 1), submit, group.now_s):
+            pass
+        group.run(3)
+        for number in range(3):
+            group.outcome(an_acceptance(work_id=f"other-{number}"))
+        group.cut.clear()
+        group.run(2)
+        self.assertIsNotNone(self.leader.state.records.get("other-2"))
+        self.assertNotIn("stray", [one.submit_id for one in group.inboxes["router-0"]])
+
     def test_local_commands_get_their_outcome(self) -> None:
         pending = self.leader.submit(a_change(SetDrain("router-1", True), 7), self.group.now_s)
         self.group.run(0.2)
@@ -147,9 +162,10 @@
     def lose_router(self, how: str) -> None:
         if how == "silent":
             del self.group.polling["router-1"]
+            self.group.run(5)
         else:
             self.group.polling["router-1"] = 2
-        self.group.run(10)
+        self.group.run(1.5)
 
     def test_work_of_lost_routers(self) -> None:
         once = {"idempotent": False}
@@ -167,6 +183,7 @@
                     self.submit(*commands)
                     self.lose_router(how)
                     record = self.group.leader().state.records.get("work-1")
+                    self.group.run(3)
                     given = assignments(self.group, "router-2") + assignments(
                         self.group, "router-1"
                     )
@@ -186,6 +203,26 @@
         self.assertEqual(records.get("work-1").claim.attempt, 1)
         self.assertFalse(records.get("key").settled)
 
+    def test_a_new_leader_waits_for_routers_that_it_has_not_heard_yet(self) -> None:
+        self.submit(an_acceptance(), a_start(record_id="key"))
+        old = self.group.host(self.group.leader())
+        self.group.deaf = set(HOSTS) - {old}
+        self.group.run(10)
+        self.group.cut.add(old)
+        self.group.run(3)
+        self.group.deaf.clear()
+        self.group.run(4)
+        records = self.group.leader().state.records
+        self.assertEqual(records.get("work-1").claim.attempt, 1)
+        self.assertFalse(records.get("key").settled)
+
+    def test_work_of_a_router_that_has_not_polled_yet_stays(self) -> None:
+        self.group.run(10)
+        self.assertIsInstance(self.group.outcome(an_acceptance(router_id="router-0")), Done)
+        self.group.run(3)
+        record = self.group.leader().state.records.get("work-1")
+        self.assertEqual(record.claim.attempt, 1)
+
     def test_assignments_end_with_the_start(self) -> None:
         self.submit(an_acceptance())
         self.lose_router("silent")
