Use load reports and prefix hints when slots are granted

Cause: an engine that gave no load report kept getting grants, a batch filled by another scheduler was filled further, and prompts ignored cached prefixes. Change: two failed reports eject an engine until the next good one; a fresh report of waiting work holds grants back; among the eight oldest of the most urgent requests one whose prefix the engine served last goes first.

--- a/src/camphorvalve/filters/admission.py
+++ b/src/camphorvalve/filters/admission.py
@@ -9,6 +9,7 @@
 import anyio
 
 from camphorvalve.model.errors import RequestError
+from camphorvalve.sharing.affinity import PrefixAffinity
 from camphorvalve.sharing.backlog import Waiter
 from camphorvalve.sharing.ledger import TeamKey
 from camphorvalve.upstreams.errors import NotSent
@@ -39,6 +40,7 @@
         """
         self._demand = demand
         self._runtime = runtime
+        self._affinity = PrefixAffinity()
 
     async def __call__(self, exchange: Exchange, inner: Handler) -> AsyncIterator[Part]:
         """
@@ -53,6 +55,8 @@
         running = self._demand.started(waiter)
         exchange.upstream_id = running.grant.upstream_id
         exchange.served_units = 0.0
+        if exchange.prefix is not None:
+            self._affinity.note(exchange.prefix, exchange.upstream_id, time.monotonic())
         exchange.note(time.monotonic(), f"granted {exchange.upstream_id} by {waiter.scheduler_id}")
         ending = None
         try:
@@ -78,6 +82,11 @@
             raise waiter.error
         return waiter
 
+    def _affine_upstream(self, exchange: Exchange, now_s: float) -> str | None:
+        if exchange.prefix is None:
+            return None
+        return self._affinity.upstream_of(exchange.prefix, now_s)
+
     def _leave(self, waiter: Waiter) -> None:
         if waiter.grant is None:
             self._demand.withdraw(waiter)
@@ -106,6 +115,7 @@
             deadline_s=float("inf") if exchange.request.deferred else now_s + longest_s,
             wake=event.set,
             accepted=exchange.request.deferred,
+            affine_upstream=self._affine_upstream(exchange, now_s),
             excluded_upstreams=frozenset(exchange.failed_upstreams),
         )
         exchange.note(now_s, f"waits in {parameters.pool}, {parameters.urgency.name.lower()}")
--- a/src/camphorvalve/filters/classify.py
+++ b/src/camphorvalve/filters/classify.py
@@ -10,6 +10,7 @@
 from camphorvalve.model.errors import RequestError
 from camphorvalve.model.requests import Completion, ServiceCall
 from camphorvalve.model.upstreams import ModelEngine, PlainService
+from camphorvalve.upstreams.reports import PREFIX_BLOCK_CHARACTERS, prefix_keys
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Callable, Iterable
@@ -45,7 +46,7 @@
     """
 
     async def filter_(exchange: Exchange, inner: Handler) -> AsyncIterator[Part]:
-        request = _check_body(exchange.request)
+        request = _check_body(exchange)
         kind = _find_kind(request, exchange.team, interface_of)
         exchange.kind = kind
         exchange.parameters = exchange.team.kinds[kind]
@@ -57,13 +58,15 @@
     return filter_
 
 
-def _check_body(request: Request) -> Request:
+def _check_body(exchange: Exchange) -> Request:
+    request = exchange.request
     match request.call:
         case Completion():
             body = _decode_completion(request.body)
             streamed = body.get("stream", False)
             if streamed and request.deferred:
                 raise RequestError("bad_body", "body field stream: must be false with X-Deferred")
+            exchange.prefix = next(prefix_keys(body["prompt"][:PREFIX_BLOCK_CHARACTERS]), None)
             kind = request.kind or body.get("kind") or None
             return request._replace(call=Completion(streamed), kind=kind)
         case ServiceCall():
--- a/src/camphorvalve/model/requests.py
+++ b/src/camphorvalve/model/requests.py
@@ -61,6 +61,8 @@
     team: TeamParameters | None = None
     kind: str = ""
     parameters: KindParameters | None = None
+    prefix: str | None = None
+    """Key of the first block of the prompt, for prefix affinity."""
     attempt: int = 0
     upstream_id: str | None = None
     served_units: float = 0.0
--- a/src/camphorvalve/sharing/backlog.py
+++ b/src/camphorvalve/sharing/backlog.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field
+from itertools import islice
 from typing import TYPE_CHECKING, NamedTuple
 
 if TYPE_CHECKING:
@@ -13,6 +14,8 @@
     from camphorvalve.sharing.ledger import TeamKey
     from camphorvalve.wire.messages import Grant
 
+AFFINITY_COUNT = 8
+"""Requests among which a cached prefix decides; more would let old ones wait too long."""
 FLOOR_EVERY_COUNT = 10
 """One grant in this many goes to the request that has waited longest, whatever its urgency."""
 
@@ -32,6 +35,8 @@
     wake: Callable[[], None]
     accepted: bool = False
     """Accepted work is never shed."""
+    affine_upstream: str | None = None
+    """Upstream that may have the prompt's prefix in its cache."""
     excluded_upstreams: frozenset[str] = frozenset()
     grant: Grant | None = None
     scheduler_id: str = ""
@@ -118,7 +123,7 @@
         if queue.granted_count % FLOOR_EVERY_COUNT == 0:
             chosen = fitting[0]
         else:
-            chosen = max(fitting, key=lambda one: one.urgency)
+            chosen = _most_urgent(fitting, upstream_id)
         queue.waiters.remove(chosen)
         self._count(chosen, -1)
         self._drop_if_empty(key)
@@ -174,4 +179,11 @@
             del self._queues[key]
 
 
+def _most_urgent(waiters: list[Waiter], upstream_id: str) -> Waiter:
+    """Choose the oldest of the most urgent; among the first few, one with its prefix cached."""
+    urgency = max(one.urgency for one in waiters)
+    oldest = list(islice((one for one in waiters if one.urgency == urgency), AFFINITY_COUNT))
+    return next((one for one in oldest if one.affine_upstream == upstream_id), oldest[0])
+
+
 __all__ = ["Backlog", "Size", "Waiter"]
--- /dev/null
+++ b/src/camphorvalve/sharing/health.py
@@ -0,0 +1,99 @@
+"""Which upstreams get no grants for a while: those nobody reaches, and those that are overfull."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from camphorvalve.upstreams.reports import LoadReport
+
+BLOCK_S = 5.0
+"""How long an entry router gets no grant for an upstream that it could not connect to."""
+EJECT_REPORTERS_COUNT = 2
+"""One router's view must not take an upstream away from all."""
+FAILED_REPORTS_COUNT = 2
+REPORT_LIFETIME_S = 5.0
+"""Age at which a load report no longer counts."""
+
+
+@dataclass(slots=True)
+class _Reports:
+    failed_count: int = 0
+    waiting_count: int = 0
+    measured_s: float = float("-inf")
+
+
+class UpstreamHealth:
+    """Failed connects by entry router, and the load reports of the scheduled upstreams."""
+
+    def __init__(self) -> None:
+        """Start with every upstream usable."""
+        self._blocked_until_s: dict[tuple[str, str], float] = {}
+        self._reports: dict[str, _Reports] = {}
+
+    def block(self, entry_id: str, upstream_id: str, now_s: float) -> None:
+        """
+        Note that an entry router could not connect.
+
+        :param entry_id: the entry router
+        :param upstream_id: the upstream
+        :param now_s: current time
+        """
+        self._blocked_until_s[(entry_id, upstream_id)] = now_s + BLOCK_S
+
+    def report_load(self, upstream_id: str, report: LoadReport, now_s: float) -> None:
+        """
+        Take in a load report.
+
+        :param upstream_id: the upstream
+        :param report: its report, with its age
+        :param now_s: current time
+        """
+        reports = self._reports.setdefault(upstream_id, _Reports())
+        reports.failed_count = 0
+        reports.waiting_count = report.waiting_count
+        reports.measured_s = now_s - report.age_s
+
+    def report_failed(self, upstream_id: str) -> None:
+        """
+        Note that the upstream gave no load report.
+
+        :param upstream_id: the upstream
+        """
+        self._reports.setdefault(upstream_id, _Reports()).failed_count += 1
+
+    def may_use(self, entry_id: str, upstream_id: str, now_s: float) -> bool:
+        """
+        Tell whether an entry router may get a grant for an upstream.
+
+        :param entry_id: the entry router
+        :param upstream_id: the upstream
+        :param now_s: current time
+        :return: False while it is blocked, ejected or has work waiting in its own queue
+        """
+        reports = self._reports.get(upstream_id)
+        if reports is not None:
+            if reports.failed_count >= FAILED_REPORTS_COUNT:
+                return False
+            # Another scheduler's grants fill the batch; what is added now waits at the engine.
+            if reports.waiting_count > 1 and now_s - reports.measured_s < REPORT_LIFETIME_S:
+                return False
+        reporters = [
+            reporter
+            for (reporter, blocked_id), until_s in self._blocked_until_s.items()
+            if blocked_id == upstream_id and until_s > now_s
+        ]
+        return entry_id not in reporters and len(reporters) < EJECT_REPORTERS_COUNT
+
+    def expire(self, now_s: float) -> None:
+        """
+        Forget blocks that have ended.
+
+        :param now_s: current time
+        """
+        for pair in [p for p, until_s in self._blocked_until_s.items() if until_s <= now_s]:
+            del self._blocked_until_s[pair]
+
+
+__all__ = ["UpstreamHealth"]
--- a/src/camphorvalve/sharing/scheduler.py
+++ b/src/camphorvalve/sharing/scheduler.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING, NamedTuple
 
 from camphorvalve.model.policies import FirstCome, FleetFair, LocalFair
+from camphorvalve.sharing.health import UpstreamHealth
 from camphorvalve.sharing.ledger import Ledger, TeamKey
 from camphorvalve.wire.messages import Demand, Grant, GrantProgress
 
@@ -20,10 +21,6 @@
 GRANT_SILENCE_S = 3.5
 """A grant that no progress message named for this long is free again."""
 DEMAND_LIFETIME_S = 6.0
-BLOCK_S = 5.0
-"""How long an entry router gets no grant for an upstream that it could not connect to."""
-EJECT_REPORTERS_COUNT = 2
-"""One router's view must not take an upstream away from all."""
 RATE_DECAY_S = 10.0
 OVERDUE_FACTOR = 2.0
 """A team without a grant for this many times its due interval goes first, whatever it owes. A team
@@ -85,10 +82,10 @@
         self._running: dict[int, _Running] = {}
         self._used: dict[str, int] = {}
         self._demand: dict[TeamKey, dict[str, _Waiting]] = {}
-        self._blocked_until_s: dict[tuple[str, str], float] = {}
         self._granted_s: dict[TeamKey, float] = {}
         self._rates: dict[str, _Rate] = {}
         self.ledger = ledger
+        self.health = UpstreamHealth()
 
     def set_upstreams(
         self, upstreams: Mapping[str, Upstream], pool_slots: Mapping[str, int]
@@ -155,7 +152,7 @@
         if running is None:
             return
         if connect_failed:
-            self._blocked_until_s[(entry_id, running.upstream_id)] = now_s + BLOCK_S
+            self.health.block(entry_id, running.upstream_id, now_s)
         self._release(grant_id)
 
     def forget_entry(self, entry_id: str, now_s: float) -> None:
@@ -185,8 +182,7 @@
         silent = [g for g, one in self._running.items() if now_s - one.heard_s > GRANT_SILENCE_S]
         for grant_id in silent:
             self._release(grant_id)
-        for pair in [p for p, until_s in self._blocked_until_s.items() if until_s <= now_s]:
-            del self._blocked_until_s[pair]
+        self.health.expire(now_s)
         self._decay(now_s)
 
     def choose(self, now_s: float) -> Iterator[GrantTo]:
@@ -215,6 +211,10 @@
                 free[upstream.pool] = free.get(upstream.pool, 0) + slots_count
         return free
 
+    def upstreams(self) -> list[Upstream]:
+        """:return: upstreams that this router schedules"""
+        return list(self._upstreams.values())
+
     def upstream_ids(self) -> list[str]:
         """:return: upstreams that this router schedules"""
         return sorted(self._upstreams)
@@ -319,7 +319,7 @@
             for upstream in self._upstreams.values()
             if upstream.pool == pool
             and self._used.get(upstream.upstream_id, 0) < upstream.slots_count
-            and self._may_use(entry_id, upstream.upstream_id, now_s)
+            and self.health.may_use(entry_id, upstream.upstream_id, now_s)
         ]
         return min(
             candidates,
@@ -327,14 +327,6 @@
             default=None,
         )
 
-    def _may_use(self, entry_id: str, upstream_id: str, now_s: float) -> bool:
-        reporters = [
-            reporter
-            for (reporter, blocked_id), until_s in self._blocked_until_s.items()
-            if blocked_id == upstream_id and until_s > now_s
-        ]
-        return entry_id not in reporters and len(reporters) < EJECT_REPORTERS_COUNT
-
     def _grant(self, key: TeamKey, entry_id: str, upstream: Upstream, now_s: float) -> GrantTo:
         waiting = self._demand[key][entry_id]
         waiting.waiting_count -= 1
--- a/src/camphorvalve/wiring.py
+++ b/src/camphorvalve/wiring.py
@@ -16,6 +16,7 @@
 from camphorvalve.controllers.demand import DemandController
 from camphorvalve.controllers.following import ConfigurationFollower, Load
 from camphorvalve.controllers.ledgers import LedgerController
+from camphorvalve.controllers.loads import LoadReader
 from camphorvalve.controllers.membership import MembershipController
 from camphorvalve.controllers.orderbook import ReplicatedOrderBook
 from camphorvalve.controllers.ordering import Ordering
@@ -181,7 +182,13 @@
     router.runtime.link.open()
     async with router.client, anyio.create_task_group() as tasks:
         router.work.connect(tasks, router.background)
-        for one in (router.runtime.run, router.feed, router.stopping.run, router.gauges):
+        for one in (
+            router.runtime.run,
+            router.feed,
+            router.stopping.run,
+            router.gauges,
+            router.loads,
+        ):
             tasks.start_soon(one)
         shutdown = router.stopping.shutdown
         _log.info("router started", caller_bind=settings.caller_bind, incarnation=incarnation)
@@ -213,8 +220,8 @@
     operators: App
     stopping: Stopping
     client: httpx.AsyncClient
-    feed: Callable[[], Awaitable[None]]
-    gauges: Callable[[], Awaitable[None]]
+    tasks: tuple[Callable[[], Awaitable[None]], ...]
+    """Run until the router stops."""
 
 
 def build_router(settings: RouterSettings, incarnation: int, rng: random.Random) -> Router:
@@ -303,6 +310,14 @@
         tokens=None if settings.callers is None else Tokens(settings.callers),
     )
     callers = CallerApp(handler, lookups.bundle(), host_id=settings.host_id)
+    stopping = Stopping(membership, settings.address_lifetime_s)
+    tasks = (
+        runtime.run,
+        stopping.run,
+        partial(_follow_feed, settings, client, membership, link),
+        partial(observe_levels, metrics, levels),
+        LoadReader(client, scheduler).run,
+    )
     return Router(
         runtime,
         membership,
@@ -310,10 +325,9 @@
         background,
         callers,
         router_app(report, settings.operator_token),
-        Stopping(membership, settings.address_lifetime_s),
+        stopping,
         client,
-        partial(_follow_feed, settings, client, membership, link),
-        partial(observe_levels, metrics, levels),
+        tasks,
     )
 
 
