--- a/tests/consensus/test_replica.py
+++ b/tests/consensus/test_replica.py
@@ -331,7 +331,7 @@
         with tempfile.TemporaryDirectory() as folder:
             root = Path(folder)
             for host in hosts:
-                bootstrap(root / host, host, hosts, "seed")
+                bootstrap(root / host, host, hosts, "first-fleet")
             pump = Pump(
                 hosts,
                 snapshot_every_count=100,
--- a/tests/consensus/test_storage.py
+++ b/tests/consensus/test_storage.py
@@ -57,17 +57,17 @@
         self.assertNotEqual(self.stored().identity, first.identity)
 
     def test_bootstrap_is_done_once_and_agrees_on_the_members(self) -> None:
-        own = bootstrap(self.folder, "a", HOSTS, "seed")
+        own = bootstrap(self.folder, "a", HOSTS, "first-fleet")
         stored = self.stored()
         self.assertEqual(stored.identity, own)
-        self.assertEqual(stored.snapshot.members, first_identities(HOSTS, "seed"))
+        self.assertEqual(stored.snapshot.members, first_identities(HOSTS, "first-fleet"))
         self.assertFalse(
-            set(first_identities(HOSTS, "seed")) & set(first_identities(HOSTS, "other"))
+            set(first_identities(HOSTS, "first-fleet")) & set(first_identities(HOSTS, "other"))
         )
         with self.assertRaisesRegex(FileExistsError, "only once"):
-            bootstrap(self.folder, "a", HOSTS, "seed")
+            bootstrap(self.folder, "a", HOSTS, "first-fleet")
         with self.assertRaisesRegex(ValueError, "'z' is not among"):
-            bootstrap(self.folder / "z", "z", HOSTS, "seed")
+            bootstrap(self.folder / "z", "z", HOSTS, "first-fleet")
 
     def test_what_was_synced_is_read_back(self) -> None:
         cases = {
