--- a/src/camphorvalve/wiring.py
+++ b/src/camphorvalve/wiring.py
@@ -14,6 +14,7 @@
 from camphorvalve.consensus.storage import open_storage
 from camphorvalve.controllers.backend import ControllerBackend
 from camphorvalve.controllers.demand import DemandController
+from camphorvalve.controllers.feeds import follow_as_controller, follow_as_router
 from camphorvalve.controllers.following import ConfigurationFollower, Load
 from camphorvalve.controllers.ledgers import LedgerController
 from camphorvalve.controllers.loads import LoadReader
@@ -46,7 +47,6 @@
 from camphorvalve.http.server import serve
 from camphorvalve.model.hosts import Host, HostState, Role
 from camphorvalve.model.policies import FirstCome, FleetFair, LocalFair
-from camphorvalve.model.upstreams import Upstream
 from camphorvalve.reports.burn import Burn
 from camphorvalve.reports.decisions import Decisions
 from camphorvalve.reports.explain import RouterReport
@@ -56,7 +56,6 @@
 from camphorvalve.sharing.budget import RetryBudget
 from camphorvalve.sharing.ledger import Ledger
 from camphorvalve.sharing.scheduler import Scheduler
-from camphorvalve.upstreams import platform
 from camphorvalve.upstreams.client import create_client
 from camphorvalve.wire.keys import KeyPair
 from camphorvalve.wire.link import Link
@@ -138,7 +137,7 @@
         tasks.start_soon(runtime.run)
         tasks.start_soon(replication.run, runtime.send)
         tasks.start_soon(ordering.run)
-        tasks.start_soon(_follow_as_controller, settings, client, link, backend)
+        tasks.start_soon(follow_as_controller, settings, client, link, backend)
         tasks.start_soon(wait_for_signal, shutdown)
         _log.info("controller started", identity=replication.status()["identity"])
         app = controller_app(backend, settings.operator_token)
@@ -149,25 +148,6 @@
     _log.info("controller stopped")
 
 
-async def _follow_as_controller(
-    settings: ControllerSettings,
-    client: httpx.AsyncClient,
-    link: Link,
-    backend: ControllerBackend,
-) -> None:
-    addresses = {one.host_id: one.peer_address for one in settings.controllers}
-    async for members in platform.follow(client, settings.platform_url, settings.host_id, 1.0):
-        for member in members:
-            match member:
-                case Host(role=Role.ROUTER, host_id=host_id, peer_address=peer_address):
-                    addresses[host_id] = peer_address
-                case Host(role=Role.CONTROLLER):
-                    backend.operator_urls[member.host_id] = member.url
-                case Upstream():
-                    backend.upstreams[member.upstream_id] = member
-        link.connect(addresses)
-
-
 async def run_router(settings: RouterSettings) -> None:
     """
     Run a router until it has stopped gracefully.
@@ -314,7 +294,7 @@
     tasks = (
         runtime.run,
         stopping.run,
-        partial(_follow_feed, settings, client, membership, link),
+        partial(follow_as_router, settings, client, membership, link),
         partial(observe_levels, metrics, levels),
         LoadReader(client, scheduler).run,
     )
@@ -335,24 +315,6 @@
     return following.configuration.parameters(team)
 
 
-async def _follow_feed(
-    settings: RouterSettings,
-    client: httpx.AsyncClient,
-    membership: MembershipController,
-    link: Link,
-) -> None:
-    controllers = {one.host_id: one.peer_address for one in settings.controllers}
-    link.connect(controllers)
-    changes = platform.follow(
-        client, settings.platform_url, settings.host_id, settings.feed_interval_s
-    )
-    async for members in changes:
-        hosts = [one for one in members if isinstance(one, Host)]
-        upstreams = [one for one in members if isinstance(one, Upstream)]
-        membership.apply_feed(hosts, upstreams)
-        link.connect({**membership.peer_addresses(), **controllers})
-
-
 def _self_host(settings: RouterSettings) -> Host:
     return Host(
         settings.host_id,
