Start a router's tasks from the list that the composition root builds

Cause: run_router still named single tasks after they had moved into a list, so that no router started.

--- a/src/camphorvalve/wiring.py
+++ b/src/camphorvalve/wiring.py
@@ -162,13 +162,7 @@
     router.runtime.link.open()
     async with router.client, anyio.create_task_group() as tasks:
         router.work.connect(tasks, router.background)
-        for one in (
-            router.runtime.run,
-            router.feed,
-            router.stopping.run,
-            router.gauges,
-            router.loads,
-        ):
+        for one in router.tasks:
             tasks.start_soon(one)
         shutdown = router.stopping.shutdown
         _log.info("router started", caller_bind=settings.caller_bind, incarnation=incarnation)
