Predict the wait from the time in which something waited

Cause: the prediction divided the waiting requests by the grants per second of wall-clock time. A team with little demand had few grants, so a second concurrent request was rejected with wait_too_long although slots were free.

Ruled out: slots held by lost routers. Rejections came from all routers, also with no process stopped.

--- a/src/camphorvalve/controllers/demand.py
+++ b/src/camphorvalve/controllers/demand.py
@@ -13,6 +13,7 @@
 from camphorvalve.sharing.backlog import Backlog, Waiter
 from camphorvalve.sharing.estimate import CostEstimates
 from camphorvalve.sharing.ledger import TeamKey
+from camphorvalve.sharing.rates import GrantRates
 from camphorvalve.wire.messages import (
     Demand,
     FreeSlots,
@@ -34,7 +35,6 @@
 PROGRESS_EVERY_S = 1.0
 FREE_LIFETIME_S = 1.0
 """How long a ``FreeSlots`` message makes a scheduler one more receiver of demand."""
-RATE_WINDOW_S = 10.0
 
 
 @dataclass(slots=True)
@@ -46,14 +46,6 @@
     units: float = 0.0
 
 
-@dataclass(slots=True)
-class _GrantRate:
-    """Decaying count of grants, for the predicted wait."""
-
-    count: float = 0.0
-    since_s: float = 0.0
-
-
 class DemandController:
     """Owns the requests that wait at this router and the grants that they use."""
 
@@ -83,7 +75,7 @@
         self._free_until_s: dict[tuple[str, str], float] = {}
         self._running: dict[int, Running] = {}
         self._progress_due_s = 0.0
-        self._rates: dict[TeamKey, _GrantRate] = {}
+        self._rates = GrantRates()
         self.backlog = Backlog()
         self.estimates = CostEstimates()
 
@@ -101,6 +93,7 @@
             and all(one.urgency is not Urgency.URGENT for one in waiting)
         )
         self.backlog.add(waiter)
+        self._rates.observe(waiter.key, now_s, waits=True)
         self._dirty.add(waiter.key)
         if first:
             yield from self._announce(waiter.key, now_s)
@@ -178,19 +171,15 @@
 
     def predicted_wait_s(self, key: TeamKey, urgency: Urgency, now_s: float) -> float | None:
         """
-        Predict the wait of a new request from the recent rate of grants.
+        Predict the wait of a new request from the rate of grants while something waited.
 
         :param key: pool and team
         :param urgency: only work that is as urgent or more goes before it
         :param now_s: current time
         :return: seconds, or ``None`` without enough grants to tell
         """
-        rate = self._rates.get(key)
-        if rate is None or rate.count < 5:
-            return None
-        per_s = rate.count / max(1.0, min(RATE_WINDOW_S, now_s - rate.since_s))
         ahead_count = sum(one.urgency >= urgency for one in self.backlog.waiting(key))
-        return ahead_count / per_s
+        return self._rates.predicted_wait_s(key, ahead_count, now_s)
 
     def has_upstreams(self, pool: str) -> bool:
         """
@@ -235,6 +224,8 @@
         for key in self._dirty | due:
             yield from self._announce(key, now_s)
         self._expire(now_s)
+        for key in [key for key in self._rates.waiting_keys() if not self.backlog.waiting(key)]:
+            self._rates.observe(key, now_s, waits=False)
         if now_s >= self._progress_due_s:
             self._progress_due_s = now_s + PROGRESS_EVERY_S
             yield from self._report_progress()
@@ -260,10 +251,7 @@
         waiter.scheduler_id = sender.host_id
         waiter.wake()
         self._dirty.add(key)
-        rate = self._rates.setdefault(key, _GrantRate(0.0, now_s))
-        if now_s - rate.since_s > RATE_WINDOW_S:
-            rate.count, rate.since_s = rate.count / 2, now_s - RATE_WINDOW_S / 2
-        rate.count += 1
+        self._rates.observe(key, now_s, waits=bool(self.backlog.waiting(key)), granted_count=1)
 
     def _offer(self, scheduler_id: str, pool: str, now_s: float) -> Iterator[Outgoing]:
         self._free_until_s[(pool, scheduler_id)] = now_s + FREE_LIFETIME_S
