Answer 503 while a router has no configuration

Cause: a restarted router knows no team until its first poll is answered, and rejected valid callers with 403 unknown_team, which callers do not retry.

Change: revision 0 leads to no_quorum with a retry time.

--- a/src/camphorvalve/wiring.py
+++ b/src/camphorvalve/wiring.py
@@ -39,6 +39,7 @@
 from camphorvalve.http.lookups import RouterLookups
 from camphorvalve.http.operators import controller_app, router_app
 from camphorvalve.http.server import serve
+from camphorvalve.model.errors import RequestError
 from camphorvalve.model.hosts import Host, HostState, Role
 from camphorvalve.model.policies import FirstCome, FleetFair, LocalFair
 from camphorvalve.model.upstreams import Upstream
@@ -296,6 +297,10 @@
 
 
 def _parameters(following: ConfigurationFollower, team: str) -> TeamParameters | None:
+    if following.configuration.revision == 0:
+        # A router that has just started knows no team yet; the caller's request is not at fault.
+        message = "this router has no configuration yet"
+        raise RequestError("no_quorum", message, retry_after_s=1.0)
     return following.configuration.parameters(team)
 
 
