Let a request try its upstreams again after it failed at all

Cause: a request that failed at an upstream never took a grant of it again. In a pool of one upstream, or after failures at each, the request waited for its deadline, and accepted work without end.

Change: exclusions do not count once they cover every live upstream.

--- a/src/camphorvalve/controllers/demand.py
+++ b/src/camphorvalve/controllers/demand.py
@@ -242,7 +242,8 @@
 
     def _use(self, sender: Sender, grant: Grant, now_s: float) -> Iterator[Outgoing]:
         key = TeamKey(grant.pool, grant.team)
-        waiter = self.backlog.pick(key, grant.upstream_id)
+        live = frozenset(one.upstream_id for one in self._membership.upstreams(grant.pool))
+        waiter = self.backlog.pick(key, grant.upstream_id, live)
         if waiter is None:
             yield from self.returned(grant, sender.host_id, False)
             self._dirty.add(key)
--- a/src/camphorvalve/sharing/backlog.py
+++ b/src/camphorvalve/sharing/backlog.py
@@ -100,18 +100,23 @@
             self._count(waiter, -1)
             self._drop_if_empty(waiter.key)
 
-    def pick(self, key: TeamKey, upstream_id: str) -> Waiter | None:
+    def pick(self, key: TeamKey, upstream_id: str, live: frozenset[str]) -> Waiter | None:
         """
         Take the request that a grant is used for.
 
         :param key: pool and team of the grant
         :param upstream_id: upstream of the grant
+        :param live: all upstreams of the pool; a request that failed at each may try any again
         :return: the most urgent and then oldest request; at times the oldest of all
         """
         queue = self._queues.get(key)
         if queue is None:
             return None
-        fitting = [one for one in queue.waiters if upstream_id not in one.excluded_upstreams]
+        fitting = [
+            one
+            for one in queue.waiters
+            if upstream_id not in one.excluded_upstreams or live <= one.excluded_upstreams
+        ]
         if not fitting:
             return None
         queue.granted_count += 1
