Do not claim that unconfirmed deferred work did not run

Cause: a router that got no confirmation in time answered no_quorum, run no. The acceptance could still be committed; after a loss of that router the leader assigned the work to another one, which ran it. Until then the work was never started, as nobody waited for the late confirmation.

Change: the answer is outcome_unknown, run unknown, with the id of the work.

--- a/src/camphorvalve/controllers/recording.py
+++ b/src/camphorvalve/controllers/recording.py
@@ -31,6 +31,8 @@
     deadline_s: float
     event: anyio.Event = field(default_factory=anyio.Event)
     outcome: Outcome | None = None
+    settled: Callable[[Outcome], None] | None = None
+    """Called with the outcome, also when nobody waits for ``event`` any more."""
 
 
 class RecordingController:
@@ -59,17 +61,26 @@
         self._leader_id = controller_ids[0]
         self._pending: dict[str, Pending] = {}
 
-    def begin(self, command: Command, now_s: float, timeout_s: float) -> Pending:
+    def begin(
+        self,
+        command: Command,
+        now_s: float,
+        timeout_s: float,
+        settled: Callable[[Outcome], None] | None = None,
+    ) -> Pending:
         """
         Register a command; ``resend`` sends it.
 
         :param command: the command
         :param now_s: current time
         :param timeout_s: after this long it is no longer sent
+        :param settled: called with the outcome
         :return: the pending command
         """
         message = Submit(self._new_id(), COMMAND_CODEC.encode(command))
-        return self._register(message, now_s, timeout_s)
+        pending = self._register(message, now_s, timeout_s)
+        pending.settled = settled
+        return pending
 
     def begin_lookup(self, record_id: str, now_s: float, timeout_s: float) -> Pending:
         """
@@ -122,6 +133,8 @@
                     pending.outcome = OUTCOME_CODEC.decode(outcome)
                     del self._pending[submit_id]
                     pending.event.set()
+                    if pending.settled is not None:
+                        pending.settled(pending.outcome)
                 elif leader_id in self._controller_ids and leader_id != sender.host_id:
                     self._leader_id = leader_id
                     yield from self.resend(pending, now_s)
--- a/src/camphorvalve/controllers/records.py
+++ b/src/camphorvalve/controllers/records.py
@@ -10,6 +10,8 @@
 from camphorvalve.model.errors import RequestError
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from camphorvalve.controllers.recording import Pending, RecordingController
     from camphorvalve.controllers.runtime import Runtime
     from camphorvalve.registry.commands import Command, Outcome
@@ -43,6 +45,20 @@
         """
         return await self._settle(self._recording.begin(command, time.monotonic(), self._timeout_s))
 
+    async def submit_kept(self, command: Command, settled: Callable[[Outcome], None]) -> Outcome:
+        """
+        Commit a command that is resent even when nobody waits for its outcome any more.
+
+        :param command: the command
+        :param settled: called with the outcome, however late it comes
+        :return: the outcome
+        :raises RequestError: no quorum in time; the command may still be committed later
+        """
+        now_s = time.monotonic()
+        return await self._settle(
+            self._recording.begin(command, now_s, LATER_TIMEOUT_S, settled), keep=True
+        )
+
     async def look_up(self, record_id: str) -> Outcome:
         """
         Read the state of a record or of accepted work.
@@ -55,13 +71,14 @@
             self._recording.begin_lookup(record_id, time.monotonic(), self._timeout_s)
         )
 
-    async def _settle(self, pending: Pending) -> Outcome:
+    async def _settle(self, pending: Pending, *, keep: bool = False) -> Outcome:
         now_s = time.monotonic()
         self._runtime.send(self._recording.resend(pending, now_s))
         with anyio.move_on_after(self._timeout_s):
             await pending.event.wait()
         if pending.outcome is None:
-            self._recording.drop(pending)
+            if not keep:
+                self._recording.drop(pending)
             raise RequestError(
                 "no_quorum", "the controllers have no quorum; nothing was sent", retry_after_s=2.0
             )
--- a/src/camphorvalve/filters/defer.py
+++ b/src/camphorvalve/filters/defer.py
@@ -22,6 +22,7 @@
     from camphorvalve.filters.chain import Handler
     from camphorvalve.model.answers import Part
     from camphorvalve.model.requests import Exchange
+    from camphorvalve.registry.commands import Outcome
 
 
 class DeferFilter:
@@ -59,21 +60,33 @@
                     yield part
             return
         accept = self._accept(exchange)
-        outcome = await self._records.submit(accept)
-        match outcome:
-            case Done():
-                self._work.start(accept.work_id, 1, accept.payload)
-            case Running() | Finished() | Lost():
+        match await self._submit(accept):
+            case Done() | Running() | Finished() | Lost():
                 pass
             case Conflict(reason=reason):
                 raise RequestError("conflict", reason)
-            case _:
+            case outcome:
                 raise RequestError("bad_body", f"the work was not accepted: {outcome}")
         exchange.note(time.monotonic(), f"accepted as {accept.work_id}")
         location = f"/v1/deferred/{accept.work_id}"
         yield Head(202, (("content-type", "application/json"), ("location", location)))
         yield Body(msgspec.json.encode({"id": accept.work_id, "state": "waiting"}))
 
+    async def _submit(self, accept: AcceptWork) -> Outcome:
+        def start(outcome: Outcome) -> None:
+            if isinstance(outcome, Done):
+                self._work.start(accept.work_id, 1, accept.payload)
+
+        try:
+            return await self._records.submit_kept(accept, start)
+        except RequestError as error:
+            # The command may be committed later, and another router would run the work then.
+            message = (
+                "the controllers did not answer in time; resend with the same Idempotency-Key, "
+                f"or ask GET /v1/deferred/{accept.work_id}"
+            )
+            raise RequestError("outcome_unknown", message, retry_after_s=2.0) from error
+
     def _accept(self, exchange: Exchange) -> AcceptWork:
         assert exchange.team is not None and exchange.parameters is not None
         # The same key and content lead to the same bytes, so that a resend is recognised.
