--- a/tests/sharing/test_backlog.py
+++ b/tests/sharing/test_backlog.py
@@ -11,10 +11,11 @@
 from tests.builders import POOL, a_waiter
 
 KEY = TeamKey(POOL, "perth-youth")
+LIVE = frozenset({"engine-1", "engine-2"})
 
 
 def _pick(backlog: Backlog, upstream_id: str = "engine-1") -> Waiter:
-    waiter = backlog.pick(KEY, upstream_id)
+    waiter = backlog.pick(KEY, upstream_id, LIVE)
     assert waiter is not None
     return waiter
 
@@ -49,9 +50,13 @@
 
     def test_a_request_avoids_upstreams_that_failed_it(self) -> None:
         self._add(excluded_upstreams=frozenset({"engine-1"}))
-        self.assertIsNone(self.backlog.pick(KEY, "engine-1"))
+        self.assertIsNone(self.backlog.pick(KEY, "engine-1", LIVE))
         _pick(self.backlog, "engine-2")
 
+    def test_a_request_that_failed_everywhere_may_try_again(self) -> None:
+        waiter = self._add(excluded_upstreams=LIVE)
+        self.assertIs(_pick(self.backlog), waiter)
+
     def test_sizes_follow_every_change(self) -> None:
         first, _ = self._add(size_bytes=3), self._add(size_bytes=4)
         self.assertEqual(self.backlog.total, (2, 7))
