Repair changes of members that their leader could not commit

A leader that lost its majority right after it had added a replica left members that needed the new replica's vote, which it refused, or a new replica that no leader knew. New members now vote as soon as they are asked, and replicas that hear no leader announce themselves.

--- a/src/camphorvalve/consensus/election.py
+++ b/src/camphorvalve/consensus/election.py
@@ -33,14 +33,18 @@
 
 def on_request(state: ReplicaState, request: VoteRequest, now_s: float) -> Iterator[Effect]:
     """
-    Answer a candidate; a replica that is not a member stays silent.
+    Answer a candidate; a replica without any state stays silent.
+
+    Candidates ask only the members of their own log, and a leader adds a replica only once it holds
+    the whole state. A new member therefore votes even if the entry that adds it has not arrived:
+    without its vote, the members that hold this entry might never have a majority again.
 
     :param state: the replica
     :param request: the request
     :param now_s: current time
     :return: effects
     """
-    if not state.is_member:
+    if not state.is_member and state.log.last_index == 0:
         return
     has_leader = isinstance(state.role, Leader) or _heard_recently(state, now_s)
     newest = (state.log.last_term, state.log.last_index)
--- a/src/camphorvalve/consensus/messages.py
+++ b/src/camphorvalve/consensus/messages.py
@@ -98,7 +98,7 @@
 
 
 class Join(NamedTuple):
-    """A replica that is not a member asks the leader to bring it up to date and add it."""
+    """A replica that no leader knows asks to be brought up to date and added."""
 
     sender: str
 
--- a/src/camphorvalve/consensus/roles.py
+++ b/src/camphorvalve/consensus/roles.py
@@ -115,6 +115,12 @@
         """:return: whether this replica may vote"""
         return self.identity in self.log.members
 
+    @property
+    def wants_to_join(self) -> bool:
+        """:return: whether to announce this replica to the leader"""
+        # The entry that made it a member may have been replaced, so that no leader knows of it.
+        return not self.is_member or self.leader is None
+
     def others(self) -> tuple[str, ...]:
         """:return: the other members"""
         return tuple(member for member in self.log.members if member != self.identity)
--- a/src/camphorvalve/controllers/replication.py
+++ b/src/camphorvalve/controllers/replication.py
@@ -174,7 +174,7 @@
         :return: messages to send
         """
         yield from self._carry_out(self._driver.step(Tick(), now_s), now_s)
-        if now_s >= self._join_due_s and not self._replica.state.is_member:
+        if now_s >= self._join_due_s and self._replica.state.wants_to_join:
             self._join_due_s = now_s + JOIN_INTERVAL_S
             join = Join(self._replica.state.identity)
             yield from (Outgoing(host_id, join) for host_id in self._others)
--- a/tests/consensus/pump.py
+++ b/tests/consensus/pump.py
@@ -243,7 +243,7 @@
 
     def _tick(self, node: Node) -> None:
         self._step(node, Tick())
-        if not node.replica.state.is_member and self.random.random() < 0.1:
+        if node.replica.state.wants_to_join and self.random.random() < 0.1:
             for host in self.nodes:
                 self._send(Join(node.replica.state.identity), host)
 
--- a/tests/consensus/test_replica.py
+++ b/tests/consensus/test_replica.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import itertools
 import random
 import tempfile
 import unittest
@@ -271,6 +272,35 @@
         pump.run(0.02)
         self.assertEqual([one for one in pump.sent if isinstance(one[2], Vote)], [])
 
+    def test_a_change_of_members_that_its_leader_could_not_commit_is_repaired(self) -> None:
+        # Who else than the leader got the entry that adds the new replica.
+        cases = ((), ("old",), ("new",), ("old", "new"))
+        for holders, all_hosts in itertools.product(cases, (FIVE[:3], FIVE)):
+            with self.subTest(holders=holders, hosts=all_hosts):
+                pump = Pump(all_hosts)
+                fill(pump, 5)
+                lost, other = followers(pump)[:2]
+                leader = pump.settle()
+                new = pump.lose_disk(lost)
+                while new not in leader.replica.state.log.members:
+                    pump.run(0.02)
+                hosts = {"old": other, "new": lost}
+                kept = {hosts[holder] for holder in holders}
+                pump.sent = [one for one in pump.sent if one[3] in kept]
+                for host in pump.nodes:
+                    pump.nodes[host].cut = host not in kept and host != leader.host_id
+                pump.run(0.06)
+                for node in pump.nodes.values():
+                    node.cut = node is leader
+                pump.run(5)
+                leader.cut = False
+                pump.run(10)
+                self.assertEqual(
+                    {node.replica.state.identity for node in pump.nodes.values()},
+                    set(pump.settle().replica.state.log.members),
+                )
+                pump.check()
+
     def test_a_lost_identity_is_never_answered_for(self) -> None:
         pump = Pump()
         fill(pump, 5)
