--- a/src/camphorvalve/upstreams/service.py
+++ b/src/camphorvalve/upstreams/service.py
@@ -46,9 +46,11 @@
     """
     started_s = time.monotonic()
     units_before = exchange.served_units
+    sending = Sending()
     sent = UpstreamCall(call.method, call.path, exchange.request.body)
-    response = await open_response(client, upstream, exchange, attempt, options, sent, Sending())
+    response: httpx.Response | None = None
     try:
+        response = await open_response(client, upstream, exchange, attempt, options, sent, sending)
         yield Head(response.status_code, response_headers(response))
         async with coalesced(response.aiter_raw()) as pieces:
             async for piece in pieces:
@@ -57,9 +59,12 @@
     except httpx.HTTPError as error:
         raise Broken(upstream.upstream_id, f"{type(error).__name__}: {error}") from error
     finally:
-        exchange.served_units = units_before + _elapsed_ms(started_s)
-        with anyio.CancelScope(shield=True):
-            await response.aclose()
+        # A slot is taken even by a call that gets no answer.
+        if sending.started:
+            exchange.served_units = units_before + _elapsed_ms(started_s)
+        if response is not None:
+            with anyio.CancelScope(shield=True):
+                await response.aclose()
 
 
 def _elapsed_ms(started_s: float) -> float:
--- /dev/null
+++ b/tests/upstreams/test_client.py
@@ -0,0 +1,141 @@
+"""Guards against stalls, late deliveries and piled-up connections of the HTTP client."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+import unittest
+from contextlib import AsyncExitStack, suppress
+from typing import TYPE_CHECKING
+
+import httpx
+from tools.standins.service import Service
+from tools.standins.serving import listening_socket, running
+
+from camphorvalve.upstreams import client as client_module
+from camphorvalve.upstreams.client import create_client
+from camphorvalve.upstreams.pump import READ_AHEAD_BYTES, coalesced
+from camphorvalve.upstreams.sockets import READ_AHEAD_BYTES as SOCKET_READ_AHEAD_BYTES
+from camphorvalve.upstreams.sockets import LoopBackend
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+LARGE_BYTES = 8 << 20
+"""More than the buffers of the kernel and of the loop hold."""
+
+
+class ClientTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        self.stack = await self.enterAsyncContext(AsyncExitStack())
+        self.client = await self.stack.enter_async_context(create_client(delivery_limit_s=1.5))
+
+    async def test_large_bodies_pass_whole_in_both_directions(self) -> None:
+        url = await self.stack.enter_async_context(running(Service()))
+        body = b"x" * (2 << 20)
+        response = await self.client.post(f"{url}/echo", content=body, timeout=30)
+        self.assertEqual(response.json()["body"], body.decode())
+
+    async def test_what_was_given_up_is_not_written_later(self) -> None:
+        listener = listening_socket()
+        url = f"http://127.0.0.1:{listener.getsockname()[1]}"
+        with self.assertRaises(httpx.WriteTimeout):
+            await self.client.post(url, content=b"x" * LARGE_BYTES, timeout=0.2)
+        loop = asyncio.get_running_loop()
+        accepted, _ = await loop.sock_accept(listener)
+        received_bytes = 0
+        with suppress(ConnectionResetError):
+            while data := await loop.sock_recv(accepted, 1 << 20):
+                received_bytes += len(data)
+        self.assertLess(received_bytes, LARGE_BYTES)
+        accepted.close()
+        listener.close()
+
+    async def test_a_slow_reader_stops_the_sender_and_loses_nothing(self) -> None:
+        async def send(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            writer.write(b"x" * LARGE_BYTES)
+            writer.close()
+
+        server = await asyncio.start_server(send, "127.0.0.1", 0)
+        port = server.sockets[0].getsockname()[1]
+        stream = await LoopBackend().connect_tcp("127.0.0.1", port, timeout=20)
+        await asyncio.sleep(0.2)
+        received_bytes = len(await stream.read(1 << 20, timeout=20))
+        self.assertLess(received_bytes, 4 * SOCKET_READ_AHEAD_BYTES)
+        while data := await stream.read(1 << 20, timeout=20):
+            received_bytes += len(data)
+        self.assertEqual(received_bytes, LARGE_BYTES)
+        await stream.aclose()
+        server.close()
+
+    async def test_the_kernel_is_told_the_delivery_limit(self) -> None:
+        url = await self.stack.enter_async_context(running(Service()))
+        async with self.client.stream("GET", url) as response:
+            stream = response.extensions["network_stream"]
+            opened = stream.get_extra_info("socket")
+            limit_ms = opened.getsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT)
+        self.assertEqual(limit_ms, 1500)
+
+    async def test_connections_of_unused_upstreams_are_closed(self) -> None:
+        limit, client_module.POOLS_COUNT = client_module.POOLS_COUNT, 4
+        self.addCleanup(setattr, client_module, "POOLS_COUNT", limit)
+        for _ in range(10):
+            url = await self.stack.enter_async_context(running(Service()))
+            await self.client.get(url)
+        pools = self.client._transport._pools
+        self.assertLessEqual(len(pools), 5)
+
+
+class CoalescedTest(unittest.IsolatedAsyncioTestCase):
+    async def test_pieces_that_arrive_together_leave_together(self) -> None:
+        async def source() -> AsyncIterator[bytes]:
+            for turn in range(3):
+                for _ in range(4):
+                    yield b"%d" % turn
+                for _ in range(5):
+                    await asyncio.sleep(0)
+
+        cases = {
+            "quick reader": (0, [b"0000", b"1111", b"2222"]),
+            "slow": (30, [b"0000", b"11112222"]),
+        }
+        for name, (turns_count, expected) in cases.items():
+            with self.subTest(name):
+                received = []
+                async with coalesced(source()) as pieces:
+                    async for piece in pieces:
+                        received.append(piece)
+                        for _ in range(turns_count):
+                            await asyncio.sleep(0)
+                self.assertEqual(received, expected)
+
+    async def test_a_slow_reader_stops_the_source(self) -> None:
+        produced_bytes = 0
+
+        async def source() -> AsyncIterator[bytes]:
+            nonlocal produced_bytes
+            while True:
+                produced_bytes += 1024
+                yield b"x" * 1024
+
+        async with coalesced(source()) as pieces:
+            await anext(pieces)
+            for _ in range(50):
+                await asyncio.sleep(0)
+            self.assertLessEqual(produced_bytes, 2 * READ_AHEAD_BYTES + 2048)
+
+    async def test_an_error_comes_after_what_arrived_before_it(self) -> None:
+        async def source() -> AsyncIterator[bytes]:
+            yield b"before"
+            raise httpx.ReadError("cut")
+
+        received = []
+        with self.assertRaises(httpx.ReadError):
+            async with coalesced(source()) as pieces:
+                async for piece in pieces:
+                    received.append(piece)
+        self.assertEqual(received, [b"before"])
+
+
+if __name__ == "__main__":
+    unittest.main()
