--- a/src/camphorvalve/registry/runs.py
+++ b/src/camphorvalve/registry/runs.py
@@ -20,7 +20,6 @@
     StartRun,
 )
 
-
 ABORTED_COUNT = 8
 """Runs taken back that a record remembers; a late copy of an older start would block the key."""
 
