--- a/src/camphorvalve/wiring.py
+++ b/src/camphorvalve/wiring.py
@@ -256,16 +256,22 @@
         ),
         Dispatch(client, membership),
     )
-    burn = Burn(settings.host_id)
-    decisions = Decisions()
     metrics = Metrics(destination_of(settings.metrics))
     report = RouterReport(
-        settings.host_id, membership, following, demand, scheduler, runtime, burn, decisions
+        settings.host_id,
+        membership,
+        following,
+        demand,
+        scheduler,
+        runtime,
+        Burn(settings.host_id),
+        Decisions(),
+        metrics,
     )
     parameters = partial(_parameters, following)
     handler = compose(
         (
-            account([*report.recorders(), metrics.record]),
+            account(report.recorders()),
             identify(settings.callers, parameters),
             classify(membership.interface_of),
             limit(
