--- a/src/camphorvalve/wiring.py
+++ b/src/camphorvalve/wiring.py
@@ -256,6 +256,8 @@
         ),
         Dispatch(client, membership),
     )
+    burn = Burn(settings.host_id)
+    decisions = Decisions()
     metrics = Metrics(destination_of(settings.metrics))
     report = RouterReport(
         settings.host_id,
@@ -264,14 +266,13 @@
         demand,
         scheduler,
         runtime,
-        Burn(settings.host_id),
-        Decisions(),
-        metrics,
+        burn,
+        decisions,
     )
     parameters = partial(_parameters, following)
     handler = compose(
         (
-            account(report.recorders()),
+            account([*report.recorders(), metrics.record]),
             identify(settings.callers, parameters),
             classify(membership.interface_of),
             limit(
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -33,14 +33,20 @@
 )
 from camphorvalve.reports.outcomes import Answered, Finished
 from camphorvalve.settings.schema import ControllerAddress, ControllerSettings
+from camphorvalve.sharing.backlog import Waiter
+from camphorvalve.sharing.ledger import TeamKey
 from camphorvalve.sharing.shedding import Backlog, Bounds, Holding, Newcomer
 from camphorvalve.wire.messages import ConfigPoll
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
+from camphorvalve.controllers.ordersteps import OpenOrder
 from camphorvalve.model.requests import ServiceCall
 from camphorvalve.model.upstreams import PlainService
 
+if TYPE_CHECKING:
+    from camphorvalve.upstreams.orderstates import EngineView
+
 POOL = "camphor-pool"
 
 
@@ -152,7 +158,13 @@
 
 
 def a_start(**fields: Any) -> StartRun:
-    values = {"router_id": "router-1", "incarnation": 1, "idempotent": False, "started_at_s": 20.0}
+    values = {
+        "router_id": "router-1",
+        "incarnation": 1,
+        "idempotent": False,
+        "fingerprint": "",
+        "started_at_s": 20.0,
+    }
     return StartRun(**_a_run(**{**values, **fields}))
 
 
@@ -344,6 +356,36 @@
     return {**values, **fields}
 
 
+def a_waiter(team: str = "perth-youth", **fields: Any) -> Waiter:
+    values = {
+        "key": TeamKey(POOL, team),
+        "kind": "draft",
+        "urgency": Urgency.NORMAL,
+        "size_bytes": 10,
+        "estimate_units": 10.0,
+        "arrived_s": 0.0,
+        "deadline_s": float("inf"),
+        "wake": lambda: None,
+    }
+    return Waiter(**{**values, **fields})
+
+
+def a_load(**fields: Any) -> LoadModel:
+    return LoadModel(**{"model": "chorale", "version": "2", "size_bytes": 0, **fields})
+
+
+def an_open_order(index: int = 10, **fields: Any) -> OpenOrder:
+    values = {"order_id": f"order-{index}", "upstream_id": "engine-1", "action": a_load()}
+    return OpenOrder(**{"index": index, **values, **fields})
+
+
+def an_engine_view(**order_states: str) -> EngineView:
+    orders = [
+        {"order_id": name.replace("_", "-"), "state": state} for name, state in order_states.items()
+    ]
+    return {"orders": orders, "models": [], "adapters": [], "role": "mixed"}
+
+
 __all__ = [
     "POOL",
     "a_backlog",
@@ -355,6 +397,7 @@
     "a_head",
     "a_holding",
     "a_kind",
+    "a_load",
     "a_loss",
     "a_member",
     "a_newcomer",
@@ -370,11 +413,14 @@
     "a_stream_request",
     "a_team",
     "a_template",
+    "a_waiter",
     "an_abort",
     "an_acceptance",
     "an_answer",
     "an_assignment",
+    "an_engine_view",
     "an_exchange",
+    "an_open_order",
     "an_order",
     "an_upstream",
     "controller_settings",
