Refuse new connections before a stopping server closes the open ones

Hypercorn closes the listener and all connections without a request at the same time, so that a caller who had just connected got a closed connection instead of an answer or a refusal. New connections are now refused for the second half of the time after the shutdown, and open ones are served until its end.

The test fails without the refusal.

--- a/src/camphorvalve/http/server.py
+++ b/src/camphorvalve/http/server.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import logging
 import socket
 from typing import TYPE_CHECKING, Any
@@ -26,8 +27,8 @@
 BACKLOG_COUNT = 512
 
 LINGER_S = 0.5
-"""How long new requests are still served after the shutdown. Hypercorn closes connections that
-have no request at once, also those whose first request is on its way."""
+"""How long new requests are still served after the shutdown, and new connections for half of it.
+Hypercorn then closes connections that have no request, also those whose request is on its way."""
 
 
 def listen(bind: str) -> socket.socket:
@@ -76,15 +77,20 @@
     :param leaving: whether answers ask the caller to close the connection before the shutdown
     """
     listener = listen(bind) if isinstance(bind, str) else bind
-    config = _config(listener.detach(), graceful_timeout_s)
+    twin = listener.dup()
+    listener_fd = listener.detach()
+    config = _config(listener_fd, graceful_timeout_s)
     gate = _Gate(app, lambda: shutdown.is_set() or leaving())
 
     async def stop() -> None:
         await shutdown.wait()
-        await anyio.sleep(linger_s)
+        await anyio.sleep(linger_s / 2)
+        _refuse_connections(listener_fd, twin)
+        await anyio.sleep(linger_s / 2)
 
     try:
-        await hypercorn_serve(gate, config, shutdown_trigger=stop, mode="asgi")
+        with twin:
+            await hypercorn_serve(gate, config, shutdown_trigger=stop, mode="asgi")
     except asyncio.InvalidStateError:
         # Hypercorn 0.18 replaces a cancellation during the graceful stop by this error.
         await anyio.lowlevel.checkpoint_if_cancelled()
@@ -95,6 +101,18 @@
         await gate.wait_idle()
 
 
+def _refuse_connections(listener_fd: int, twin: socket.socket) -> None:
+    """
+    Refuse new connections while hypercorn still serves the open ones.
+
+    :param listener_fd: hypercorn's listening socket
+    :param twin: another handle of the same socket
+    """
+    asyncio.get_running_loop().remove_reader(listener_fd)
+    with contextlib.suppress(OSError):  # Only Linux takes it for a listening socket.
+        twin.shutdown(socket.SHUT_RD)
+
+
 def _config(listener_fd: int, graceful_timeout_s: float) -> Config:
     config = Config()
     config.bind = [f"fd://{listener_fd}"]
--- a/tests/http/test_server.py
+++ b/tests/http/test_server.py
@@ -57,6 +57,22 @@
                 await httpx.AsyncClient().get(f"{served.url}/healthz")
         self.assertEqual([answer.text.count("data:") for answer in answers], [50] * 5)
 
+    async def test_open_connections_are_served_after_new_ones_are_refused(self) -> None:
+        async def chain(exchange: Exchange) -> AsyncIterator[Part]:
+            yield a_head()
+
+        async with (
+            serving(caller_app(chain), linger_s=0.6) as served,
+            await anyio.connect_tcp("127.0.0.1", served.port) as opened,
+        ):
+            served.shutdown.set()
+            with anyio.fail_after(5), self.assertRaises(OSError):
+                while True:
+                    await (await anyio.connect_tcp("127.0.0.1", served.port)).aclose()
+                    await anyio.sleep(0.01)
+            await opened.send(b"GET /v1/services/p/x HTTP/1.1\r\nHost: x\r\n\r\n")
+            self.assertIn(b" 200 ", await opened.receive())
+
     async def test_a_leaving_router_asks_callers_to_close_their_connections(self) -> None:
         leaving = False
 
