--- a/src/camphorvalve/wiring.py
+++ b/src/camphorvalve/wiring.py
@@ -14,9 +14,15 @@
 from camphorvalve.consensus.storage import open_storage
 from camphorvalve.controllers.backend import ControllerBackend
 from camphorvalve.controllers.demand import DemandController
+from camphorvalve.controllers.feeds import follow_as_controller, follow_as_router
 from camphorvalve.controllers.following import ConfigurationFollower, Load
 from camphorvalve.controllers.ledgers import LedgerController
+from camphorvalve.controllers.loads import LoadReader
 from camphorvalve.controllers.membership import MembershipController
+from camphorvalve.controllers.orderbook import ReplicatedOrderBook
+from camphorvalve.controllers.ordering import Ordering
+from camphorvalve.controllers.orderplan import OrderPlan
+from camphorvalve.controllers.ordersteps import Timing as OrderTiming
 from camphorvalve.controllers.queues import Queues
 from camphorvalve.controllers.recording import RecordingController
 from camphorvalve.controllers.records import Records
@@ -39,9 +45,9 @@
 from camphorvalve.http.lookups import RouterLookups
 from camphorvalve.http.operators import controller_app, router_app
 from camphorvalve.http.server import serve
+from camphorvalve.model.errors import RequestError
 from camphorvalve.model.hosts import Host, HostState, Role
 from camphorvalve.model.policies import FirstCome, FleetFair, LocalFair
-from camphorvalve.model.upstreams import Upstream
 from camphorvalve.reports.burn import Burn
 from camphorvalve.reports.decisions import Decisions
 from camphorvalve.reports.explain import RouterReport
@@ -51,7 +57,6 @@
 from camphorvalve.sharing.budget import RetryBudget
 from camphorvalve.sharing.ledger import Ledger
 from camphorvalve.sharing.scheduler import Scheduler
-from camphorvalve.upstreams import platform
 from camphorvalve.upstreams.client import create_client
 from camphorvalve.wire.keys import KeyPair
 from camphorvalve.wire.link import Link
@@ -117,14 +122,23 @@
     link = _link(settings, incarnation)
     runtime = Runtime(link, (replication,))
     client = create_client()
+    timing = OrderTiming()
+    order_client = create_client(timing.delivery_s)
     backend = ControllerBackend(settings, replication)
+    ordering = Ordering(
+        ReplicatedOrderBook(replication, backend.upstreams),
+        OrderPlan(settings.weight_store_bytes_per_s, timing),
+        order_client,
+        settings.order_token,
+    )
     link.open()
     link.connect({one.host_id: one.peer_address for one in settings.controllers})
     shutdown = anyio.Event()
-    async with client, anyio.create_task_group() as tasks:
+    async with client, order_client, anyio.create_task_group() as tasks:
         tasks.start_soon(runtime.run)
         tasks.start_soon(replication.run, runtime.send)
-        tasks.start_soon(_follow_as_controller, settings, client, link, backend)
+        tasks.start_soon(ordering.run)
+        tasks.start_soon(follow_as_controller, settings, client, link, backend)
         tasks.start_soon(wait_for_signal, shutdown)
         _log.info("controller started", identity=replication.status()["identity"])
         app = controller_app(backend, settings.operator_token)
@@ -135,25 +149,6 @@
     _log.info("controller stopped")
 
 
-async def _follow_as_controller(
-    settings: ControllerSettings,
-    client: httpx.AsyncClient,
-    link: Link,
-    backend: ControllerBackend,
-) -> None:
-    addresses = {one.host_id: one.peer_address for one in settings.controllers}
-    async for members in platform.follow(client, settings.platform_url, settings.host_id, 1.0):
-        for member in members:
-            match member:
-                case Host(role=Role.ROUTER, host_id=host_id, peer_address=peer_address):
-                    addresses[host_id] = peer_address
-                case Host(role=Role.CONTROLLER):
-                    backend.operator_urls[member.host_id] = member.url
-                case Upstream():
-                    backend.upstreams[member.upstream_id] = member
-        link.connect(addresses)
-
-
 async def run_router(settings: RouterSettings) -> None:
     """
     Run a router until it has stopped gracefully.
@@ -168,7 +163,7 @@
     router.runtime.link.open()
     async with router.client, anyio.create_task_group() as tasks:
         router.work.connect(tasks, router.background)
-        for one in (router.runtime.run, router.feed, router.stopping.run, router.gauges):
+        for one in router.tasks:
             tasks.start_soon(one)
         shutdown = router.stopping.shutdown
         _log.info("router started", caller_bind=settings.caller_bind, incarnation=incarnation)
@@ -200,8 +195,8 @@
     operators: App
     stopping: Stopping
     client: httpx.AsyncClient
-    feed: Callable[[], Awaitable[None]]
-    gauges: Callable[[], Awaitable[None]]
+    tasks: tuple[Callable[[], Awaitable[None]], ...]
+    """Run until the router stops."""
 
 
 def build_router(settings: RouterSettings, incarnation: int, rng: random.Random) -> Router:
@@ -290,6 +285,14 @@
         tokens=None if settings.callers is None else Tokens(settings.callers),
     )
     callers = CallerApp(handler, lookups.bundle(), host_id=settings.host_id)
+    stopping = Stopping(membership, settings.address_lifetime_s)
+    tasks = (
+        runtime.run,
+        stopping.run,
+        partial(follow_as_router, settings, client, membership, link),
+        partial(observe_levels, metrics, levels),
+        LoadReader(client, scheduler).run,
+    )
     return Router(
         runtime,
         membership,
@@ -297,35 +300,20 @@
         background,
         callers,
         router_app(report, settings.operator_token),
-        Stopping(membership, settings.address_lifetime_s),
+        stopping,
         client,
-        partial(_follow_feed, settings, client, membership, link),
-        partial(observe_levels, metrics, levels),
+        tasks,
     )
 
 
 def _parameters(following: ConfigurationFollower, team: str) -> TeamParameters | None:
+    if following.configuration.revision == 0:
+        # A router that has just started knows no team yet; the caller's request is not at fault.
+        message = "this router has no configuration yet"
+        raise RequestError("no_quorum", message, retry_after_s=1.0)
     return following.configuration.parameters(team)
 
 
-async def _follow_feed(
-    settings: RouterSettings,
-    client: httpx.AsyncClient,
-    membership: MembershipController,
-    link: Link,
-) -> None:
-    controllers = {one.host_id: one.peer_address for one in settings.controllers}
-    link.connect(controllers)
-    changes = platform.follow(
-        client, settings.platform_url, settings.host_id, settings.feed_interval_s
-    )
-    async for members in changes:
-        hosts = [one for one in members if isinstance(one, Host)]
-        upstreams = [one for one in members if isinstance(one, Upstream)]
-        membership.apply_feed(hosts, upstreams)
-        link.connect({**membership.peer_addresses(), **controllers})
-
-
 def _self_host(settings: RouterSettings) -> Host:
     return Host(
         settings.host_id,
