Send moved work under the attempt that its record names

Cause: the dispatch sent the number of tries on this router as X-Attempt. Work that the leader had moved was recorded as attempt 2 and sent as attempt 1 a second time, so that a late answer or a cancellation of the lost router's run could not be told from that of the new one.

Change: records and upstreams get the same number, Exchange.run_attempt.

Before: 16 sub-tests of test_accepting_router_killed failed, with attempts [1, 1] in the engines' logs; after: none.

--- a/src/camphorvalve/filters/deduplicate.py
+++ b/src/camphorvalve/filters/deduplicate.py
@@ -92,7 +92,7 @@
         return StartRun(
             record_id=exchange.record_id,
             request_id=exchange.request.request_id,
-            attempt=(exchange.claim_attempt or 1) + exchange.attempt - 1,
+            attempt=exchange.run_attempt,
             router_id=self._host_id,
             incarnation=self._incarnation,
             idempotent=exchange.parameters.idempotent,
--- a/src/camphorvalve/filters/dispatch.py
+++ b/src/camphorvalve/filters/dispatch.py
@@ -71,7 +71,7 @@
         upstream = self._membership.upstream(exchange.upstream_id or "")
         if upstream is None:
             raise NotSent(exchange.upstream_id or "", "it is no longer in the membership feed")
-        return open_attempt(self._client, upstream, exchange, exchange.attempt, options)
+        return open_attempt(self._client, upstream, exchange, exchange.run_attempt, options)
 
 
 def _options(exchange: Exchange) -> AttemptOptions:
--- a/src/camphorvalve/model/requests.py
+++ b/src/camphorvalve/model/requests.py
@@ -82,6 +82,11 @@
     """Where a later attempt continues the stream."""
     notes: list[tuple[float, str]] = field(default_factory=list)
 
+    @property
+    def run_attempt(self) -> int:
+        """:return: attempt as records and upstreams know it; accepted work counts on when moved"""
+        return (self.claim_attempt or 1) + self.attempt - 1
+
     def note(self, now_s: float, text: str) -> None:
         """
         Record a decision for the trace of this request.
