--- a/tests/processes/fleetcase.py
+++ b/tests/processes/fleetcase.py
@@ -42,12 +42,16 @@
     headers: dict[str, str] = {}  # noqa: RUF012 -- never changed in place
     body: bytes = b""
 
+    def json(self) -> Any:
+        """:return: the decoded body"""
+        return msgspec.json.decode(self.body)
+
     @property
     def error(self) -> dict[str, Any]:
         """:return: the error object, empty for other answers"""
         if self.status < 400:
             return {}
-        error = msgspec.json.decode(self.body)["error"]
+        error = self.json()["error"]
         # An error of an upstream is passed on as it is, and is no error of the router.
         return error if isinstance(error, dict) else {}
 
@@ -89,6 +93,15 @@
         cls.fleet = cls.runner.run(_started(cls.shape))
         cls.addClassCleanup(lambda: cls.runner.run(cls.fleet.stop()))
 
+    def setUp(self) -> None:
+        """Start what an earlier test has left dead."""
+        self.runner.run(self._repair())
+
+    async def _repair(self) -> None:
+        for role in ("controller", "router"):
+            for member_id in set(self.fleet.ids(role)) - set(self.running(role)):
+                await self.fleet.restart(member_id)
+
     def shortDescription(self) -> str | None:  # noqa: N802
         """:return: the seed, so that a failure can be repeated"""
         return f"{self.id()} CAMPHORVALVE_SEED={SEED}"
--- a/tests/processes/test_once.py
+++ b/tests/processes/test_once.py
@@ -30,6 +30,7 @@
 
     def setUp(self) -> None:
         """Prepare the source of randomness and what callers were told."""
+        super().setUp()
         self.rng = random.Random(SEED)
         self.told: dict[str, list[Answer]] = defaultdict(list)
         self.faults_count: Counter[str] = Counter()
