--- a/tests/sharing/test_backlog.py
+++ b/tests/sharing/test_backlog.py
@@ -48,14 +48,20 @@
         self.assertIs(_pick(self.backlog), waiters[2])
         self.assertIs(_pick(self.backlog, "engine-2"), waiters[0])
 
-    def test_a_request_avoids_upstreams_that_failed_it(self) -> None:
-        self._add(excluded_upstreams=frozenset({"engine-1"}))
-        self.assertIsNone(self.backlog.pick(KEY, "engine-1", LIVE))
-        _pick(self.backlog, "engine-2")
-
-    def test_a_request_that_failed_everywhere_may_try_again(self) -> None:
-        waiter = self._add(excluded_upstreams=LIVE)
-        self.assertIs(_pick(self.backlog), waiter)
+    def test_a_request_avoids_upstreams_that_failed_it_unless_all_did(self) -> None:
+        cases = {
+            # name: (upstreams that failed, live ones, whether a grant of engine-1 is used)
+            "another upstream is left": ({"engine-1"}, LIVE, False),
+            "only upstream": ({"engine-1"}, {"engine-1"}, True),
+            "all have failed": (LIVE, LIVE, True),
+            "nothing failed": ((), {"engine-1"}, True),
+        }
+        for name, (excluded, live, used) in cases.items():
+            with self.subTest(name):
+                self.backlog = Backlog()
+                self._add(excluded_upstreams=frozenset(excluded))
+                picked = self.backlog.pick(KEY, "engine-1", frozenset(live))
+                self.assertEqual(picked is not None, used)
 
     def test_sizes_follow_every_change(self) -> None:
         first, _ = self._add(size_bytes=3), self._add(size_bytes=4)
