--- a/src/camphorvalve/controllers/backend.py
+++ b/src/camphorvalve/controllers/backend.py
@@ -11,11 +11,14 @@
 from camphorvalve.model.errors import RequestError
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from camphorvalve.controllers.replication import ReplicationController
     from camphorvalve.model.upstreams import Upstream
     from camphorvalve.registry.commands import Command, Outcome
     from camphorvalve.registry.configuration import Configuration
     from camphorvalve.settings.schema import ControllerSettings
+    from camphorvalve.wire.link import Traffic
 
 SUBMIT_TIMEOUT_S = 10.0
 
@@ -23,13 +26,20 @@
 class ControllerBackend:
     """Answers operators from the replicated state and submits their commands."""
 
-    def __init__(self, settings: ControllerSettings, replication: ReplicationController) -> None:
+    def __init__(
+        self,
+        settings: ControllerSettings,
+        replication: ReplicationController,
+        traffic: Callable[[], Traffic],
+    ) -> None:
         """
         Prepare the backend.
 
         :param settings: settings of this controller
         :param replication: the replicated state
+        :param traffic: tells what the link has carried
         """
+        self._traffic = traffic
         self._settings = settings
         self._replication = replication
         self.operator_urls = {settings.host_id: settings.operator_url}
@@ -65,6 +75,7 @@
         return {
             **self._replication.status(),
             "host_id": self._settings.host_id,
+            "traffic": self._traffic()._asdict(),
             "processor_s": round(time.process_time(), 3),
         }
 
--- a/src/camphorvalve/wiring.py
+++ b/src/camphorvalve/wiring.py
@@ -117,7 +117,7 @@
     link = _link(settings, incarnation)
     runtime = Runtime(link, (replication,))
     client = create_client()
-    backend = ControllerBackend(settings, replication)
+    backend = ControllerBackend(settings, replication, link.traffic)
     link.open()
     link.connect({one.host_id: one.peer_address for one in settings.controllers})
     shutdown = anyio.Event()
--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -25,10 +25,18 @@
 
 ROOT = Path(__file__).resolve().parent.parent
 START_TIMEOUT_S = 20.0
+FIRST_PORT = 10_000
+PORTS_COUNT = 22_000
+"""Linux takes ports of outgoing connections from 32768 on."""
+PORT_BLOCK_COUNT = 64
+"""Ports that the processes with neighbouring ids leave to one; a deployment needs about 30."""
 OPERATOR_TOKEN = "operator-token"
 CALLER_TOKEN = "caller-token"
 
 
+_PORT_OFFSETS = iter(range(PORTS_COUNT))
+
+
 class UpstreamShape(NamedTuple):
     """A group of equal upstreams of one pool."""
 
@@ -86,13 +94,19 @@
 
 def free_port() -> int:
     """
-    Let the system choose a port.
+    Choose a port below the range from which the system takes ports for outgoing connections.
+
+    A port that the system chose itself was at times taken by an outgoing connection before the
+    process that it was meant for had started, mostly with several deployments at the same time.
 
     :return: a port that was free a moment ago
     """
-    with socket.socket() as one:
-        one.bind(("127.0.0.1", 0))
-        return one.getsockname()[1]
+    for offset in _PORT_OFFSETS:
+        port = FIRST_PORT + (os.getpid() * PORT_BLOCK_COUNT + offset) % PORTS_COUNT
+        with socket.socket() as one, contextlib.suppress(OSError):
+            one.bind(("127.0.0.1", port))
+            return port
+    raise RuntimeError("no port is left for this process")
 
 
 @dataclass(slots=True)
@@ -166,9 +180,7 @@
         own = [one for one in self.members.values() if one.role in ("controller", "router")]
         for member in own:
             await self._write_settings(member)
-        for member in own:
-            if member.role == "controller":
-                await self._bootstrap(member)
+        await asyncio.gather(*(self._bootstrap(one) for one in own if one.role == "controller"))
         for member in own:
             await self.launch(member.member_id)
         for member in own:
