--- a/src/camphorvalve/reports/decisions.py
+++ b/src/camphorvalve/reports/decisions.py
@@ -88,7 +88,7 @@
         if team is not None:
             self._count(team.name, trace["outcome"])
 
-    def find(self, request_id: str) -> TraceBody | None:
+    def explain(self, request_id: str) -> TraceBody | None:
         """
         Look a trace up.
 
@@ -97,7 +97,7 @@
         """
         return self._traces.get(request_id)
 
-    def team(self, name: str) -> TeamBody:
+    def explain_team(self, name: str) -> TeamBody:
         """
         Look up how a team's requests ended.
 
--- a/tests/reports/test_decisions.py
+++ b/tests/reports/test_decisions.py
@@ -18,7 +18,7 @@
         exchange.note(100.25, "granted engine-1")
         finished = a_finished(outcome=Failed("stream_broken", Run.UNKNOWN), total_s=1.5)
         decisions.record(finished._replace(exchange=exchange))
-        trace = decisions.find("request-1")
+        trace = decisions.explain("request-1")
         expected = {
             "team": "perth-youth",
             "kind": "draft",
@@ -30,7 +30,7 @@
             "notes": [{"at_ms": 250.0, "text": "granted engine-1"}],
         }
         self.assertEqual(trace, {**trace, **expected})
-        self.assertIsNone(decisions.find("request-2"))
+        self.assertIsNone(decisions.explain("request-2"))
 
     def test_memory_is_bounded(self) -> None:
         decisions = Decisions(traces_count=3, teams_count=2)
@@ -40,13 +40,13 @@
             for step in range(100):
                 exchange.note(0.0, f"{step} {'x' * 1000}")
             decisions.record(a_finished()._replace(exchange=exchange))
-        found = [decisions.find(str(number)) for number in range(5)]
+        found = [decisions.explain(str(number)) for number in range(5)]
         self.assertEqual([one is not None for one in found], [False, False, True, True, True])
         notes = [note["text"] for note in found[4]["notes"]]
         self.assertEqual(len(notes), NOTE_LIMIT_COUNT)
         self.assertLessEqual({len(text) for text in notes}, {NOTE_LIMIT_CHARS})
         self.assertEqual((notes[0].split()[0], notes[-1].split()[0]), ("0", "99"))
-        counted = [decisions.team(f"team-{number}")["outcomes"] for number in range(3)]
+        counted = [decisions.explain_team(f"team-{number}")["outcomes"] for number in range(3)]
         self.assertEqual(counted, [{"answered": 1}, {"answered": 1}, {}])
 
     def test_limits_hit_are_counted_per_team(self) -> None:
@@ -55,7 +55,7 @@
             decisions.record(a_finished(outcome=Failed(code, Run.NO)))
         refused = a_finished(outcome=Failed("unauthorised", Run.NO))
         decisions.record(refused._replace(exchange=an_exchange(team="perth-youth")))
-        body = decisions.team("perth-youth")
+        body = decisions.explain_team("perth-youth")
         expected = {"too_large": 0, "queue_full": 2, "wait_too_long": 1}
         self.assertEqual(body["limits_hit"], expected)
         self.assertNotIn("unauthorised", body["outcomes"], "a claimed team is not the caller's")
