--- a/src/camphorvalve/wiring.py
+++ b/src/camphorvalve/wiring.py
@@ -124,7 +124,7 @@
     client = create_client()
     timing = OrderTiming()
     order_client = create_client(timing.delivery_s)
-    backend = ControllerBackend(settings, replication)
+    backend = ControllerBackend(settings, replication, link.traffic)
     ordering = Ordering(
         ReplicatedOrderBook(replication, backend.upstreams),
         OrderPlan(settings.weight_store_bytes_per_s, timing),
--- a/tests/cli/test_main.py
+++ b/tests/cli/test_main.py
@@ -177,7 +177,8 @@
                 self.assertEqual((await self.run_command(*put))[0], 0)
                 self.assertEqual((leader.current.revision, follower.commands), (1, []))
                 follower.leader = url
-                code, _, errors = await self.run_command(*put, "--expected-revision", "1")
+                with mock.patch.object(client, "SUBMIT_DEADLINE_S", 0.3):
+                    code, _, errors = await self.run_command(*put, "--expected-revision", "1")
                 self.assertEqual((code, "nothing was changed" in errors), (ExitCode.FAILED, True))
 
     async def test_exit_codes(self) -> None:
