--- /dev/null
+++ b/tests/reports/test_explain.py
@@ -0,0 +1,38 @@
+"""Guards against an operator port that calls look-ups by names that the reports don't have."""
+
+from __future__ import annotations
+
+import unittest
+from types import SimpleNamespace
+
+from camphorvalve.model.errors import Run
+from camphorvalve.registry.configuration import EMPTY
+from camphorvalve.reports.burn import Burn
+from camphorvalve.reports.decisions import Decisions
+from camphorvalve.reports.explain import RouterReport
+from camphorvalve.reports.outcomes import Failed
+from tests.builders import a_finished, a_team, a_template, team_parameters
+
+
+class RouterReportTest(unittest.TestCase):
+    def test_finished_requests_show_in_every_look_up(self) -> None:
+        configuration = EMPTY._replace(
+            templates={"orchestra": a_template(kinds={})}, teams={"a": a_team(name="a")}
+        )
+        following = SimpleNamespace(configuration=configuration)
+        others = {"membership": None, "demand": None, "scheduler": None, "runtime": None}
+        report = RouterReport(
+            "router-1",
+            following=following,
+            burn=Burn("router-1"),
+            decisions=Decisions(),
+            **others,
+        )
+        finished = a_finished(team_parameters("a"), outcome=Failed("queue_full", Run.NO))
+        for record in report.recorders():
+            record(finished)
+        self.assertEqual(report.explain_request("request-1")["outcome"], "queue_full")
+        self.assertIsNone(report.explain_request("request-2"))
+        self.assertEqual(report.explain_team("a")["limits"]["limits_hit"]["queue_full"], 1)
+        self.assertIsNone(report.explain_team("b"))
+        self.assertEqual([one["team"] for one in report.burn()["series"]], ["a"])
