--- a/src/camphorvalve/registry/runs.py
+++ b/src/camphorvalve/registry/runs.py
@@ -20,6 +20,9 @@
     StartRun,
 )
 
+ABORTED_COUNT = 8
+"""Runs taken back that a record remembers; a late copy of an older start would block the key."""
+
 
 class Claim(NamedTuple):
     """Which router may start accepted work."""
@@ -54,8 +57,8 @@
     claim: Claim | None = None
     start: Start | None = None
     """Run without an outcome."""
-    aborted: tuple[str, int] | None = None
-    """Request and attempt that were taken back last."""
+    aborted: tuple[tuple[str, int], ...] = ()
+    """Request and attempt of each run that was taken back, newest last."""
     answer: Finished | None = None
     answer_index: int = 0
     lost: Lost | None = None
@@ -180,7 +183,7 @@
     if record.start is not None and not record.idempotent:
         running = record.start
         return Step(Running(running.router_id, running.incarnation, running.attempt))
-    if record.aborted == run[:2]:
+    if run[:2] in record.aborted:
         return Step(Conflict(done.revision, "this attempt was aborted"))
     claim = record.claim
     if claim is not None:
@@ -198,12 +201,14 @@
     key = (command.request_id, command.attempt)
     if record is None:
         # The start may still be on its way; it finds this record and is refused.
-        return Step(done, Record(command.record_id, False, latest_s, aborted=key))
+        return Step(done, Record(command.record_id, False, latest_s, aborted=(key,)))
     if record.settled:
         return Step(Conflict(done.revision, "the run has an outcome"))
     if record.start is not None and record.start[:2] != key:
         return Step(Conflict(done.revision, "another run has started"))
-    return Step(done, record._replace(start=None, aborted=key))
+    others = tuple(one for one in record.aborted if one != key)
+    aborted = (*others, key)[-ABORTED_COUNT:]
+    return Step(done, record._replace(start=None, aborted=aborted))
 
 
 def _finish(record: Record, command: FinishRun, done: Done) -> Step:
--- a/tests/registry/test_records.py
+++ b/tests/registry/test_records.py
@@ -42,6 +42,10 @@
         Done(0, 3),
     ),
     "late copy of an aborted start": ([a_start(), an_abort(), a_start()], Conflict),
+    "late copy of a start aborted before another one": (
+        [a_start(), an_abort(), a_start(attempt=2), an_abort(attempt=2), a_start()],
+        Conflict,
+    ),
     "start that its abort overtook": ([an_abort(), a_start()], Conflict),
     "abort of another run": ([a_start(), an_abort(attempt=2)], Conflict),
     "abort after the answer": ([a_start(), a_finish(), an_abort()], Conflict),
--- /dev/null
+++ b/tests/specs/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the specifications."""
