--- a/tools/measuring/plans.py
+++ b/tools/measuring/plans.py
@@ -31,7 +31,7 @@
     window_s: float
     """Arrivals of other work, without a flood and with each flood."""
     grace_s: float
-    """Time after the window in which that work may still end; a flood goes on meanwhile."""
+    """Time after the window in which that work may still end; all arrivals go on meanwhile."""
     changes_count: int
     """Changes of the configuration before a router restarts empty; none restarts below 100."""
     together: bool
@@ -58,8 +58,8 @@
         return self.hold_s + self.settle_s + self.fairness_s + floods_s + 1.5
 
 
-QUICK = Plan(4.0, 1.5, 9.5, 4.0, 2.5, 3, together=True)
-FULL = Plan(12.0, 5.0, 60.0, 15.0, 6.0, 300, together=False)
+QUICK = Plan(3.0, 1.5, 7.5, 3.5, 4.0, 3, together=True)
+FULL = Plan(12.0, 5.0, 60.0, 20.0, 10.0, 300, together=False)
 
 
 class Kind(NamedTuple):
--- a/tools/measuring/trial.py
+++ b/tools/measuring/trial.py
@@ -17,6 +17,7 @@
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
+    from pathlib import Path
 
     from tools.measuring.fairness import Run, Window
     from tools.measuring.plans import Kind, Plan, Work
@@ -36,7 +37,14 @@
 class Trial:
     """The phases of one trial."""
 
-    def __init__(self, work: Work, plan: Plan, policy: str, deadline_s: float) -> None:
+    def __init__(
+        self,
+        work: Work,
+        plan: Plan,
+        policy: str,
+        deadline_s: float,
+        trace_path: Path | None = None,
+    ) -> None:
         """
         Prepare a trial.
 
@@ -44,7 +52,9 @@
         :param plan: durations
         :param policy: name of the policy
         :param deadline_s: monotonic time by which the trial has to end
+        :param trace_path: where the results of the floods go
         """
+        self._trace_path = trace_path
         self._work = work
         self._plan = plan
         self._fleet_fair = policy == "fleet_fair"
@@ -255,15 +265,19 @@
     async def _serve_others(self, kind: Kind | None) -> dict[str, int]:
         router_ids = self._fleet.ids("router")
         window_s, grace_s = self._plan.window_s, self._plan.grace_s
-        others = flood.other_work(self._work, self._shares, router_ids, window_s, SEED)
+        all_s = window_s + grace_s
+        others = flood.other_work(self._work, self._shares, router_ids, all_s, SEED)
         following = [asyncio.create_task(self._load.follow(others))]
         if kind is not None:
-            flooding = flood.flood(self._work, kind, router_ids, window_s + grace_s, SEED)
+            flooding = flood.flood(self._work, kind, router_ids, all_s, SEED)
             following.append(asyncio.create_task(self._load.follow(flooding)))
-        await asyncio.sleep(window_s + grace_s)
+        until_s = time.time() + window_s
+        await asyncio.sleep(all_s)
         for task in following:
             task.cancel()
-        counts = flood.on_time_counts(self._load.results, self._work.flooding_team)
+        counted = [one for one in self._load.results if one.sent_s <= until_s]
+        counts = flood.on_time_counts(counted, self._work.flooding_team)
+        self._trace(kind)
         await self._drain()
         return counts
 
@@ -283,6 +297,17 @@
             self._figures["config_restart_s"] = round(times[-1], 2)
         self._figures["config_in_force_s"] = round(max(times), 2)
 
+    def _trace(self, kind: Kind | None) -> None:
+        """Append the results of a phase to the trace file, to find what was late and where."""
+        if self._trace_path is None:
+            return
+        phase = "without" if kind is None else kind.name
+        with self._trace_path.open("a") as file:
+            for one in self._load.results:
+                call = [one.call.team, one.call.kind.name, one.call.router_id, one.call.cost]
+                times = [one.sent_s, one.first_s, one.end_s]
+                file.write(json.dumps([phase, *call, *times, one.status, one.request_id]) + "\n")
+
     def _memory(self) -> float:
         members = (self._fleet.members[one] for one in control.own_ids(self._fleet))
         return round(max(control.rss_mb(one.pid) for one in members), 1)
@@ -299,7 +324,14 @@
     return f"{gap.ahead} ahead of {gap.behind} from {gap.from_s:.1f} s to {gap.to_s:.1f} s"
 
 
-def main(*, deployment: str, policy: str, quick: bool = False, budget_s: float = 1e6) -> None:
+def main(
+    *,
+    deployment: str,
+    policy: str,
+    quick: bool = False,
+    budget_s: float = 1e6,
+    trace: Path | None = None,
+) -> None:
     """
     Run one trial.
 
@@ -307,9 +339,10 @@
     :param policy: name of the policy
     :param quick: short phases
     :param budget_s: time for all of it; phases are shortened when the start took long
+    :param trace: file to which the results of the floods are appended
     """
     deadline_s = time.monotonic() + budget_s
-    trial = Trial(WORKS[deployment], QUICK if quick else FULL, policy, deadline_s)
+    trial = Trial(WORKS[deployment], QUICK if quick else FULL, policy, deadline_s, trace)
     figures = asyncio.run(trial.run())
     sys.stdout.write(json.dumps(figures) + "\n")
 
