Test that accepted changes come into force and never revert

The leader is killed, frozen, and cut off for twenty changes; a router restarts empty behind 300 changes; operators race and resend; all controllers restart. A watch of every router's revision runs through all tests.

--- /dev/null
+++ b/tests/processes/test_configuration.py
@@ -0,0 +1,221 @@
+"""An accepted change is in force on every router within 8 s and never reverts."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import os
+import time
+import unittest
+from typing import Any
+
+import httpx
+from tools.fleet import UpstreamShape
+
+from tests.processes.fleetcase import SHAPE, FleetCase, on_loop
+
+IN_FORCE_S = 8.0
+CHANGES_COUNT = 300
+
+
+class ConfigurationTest(FleetCase):
+    """Guards against lost, doubled and reverted changes."""
+
+    shape = SHAPE._replace(upstreams=(UpstreamShape("camphor-pool", "engine", 1, 4),))
+
+    def setUp(self) -> None:
+        """Watch the revisions in force."""
+        super().setUp()
+        self.share = 1
+        self.seen: dict[str, list[int]] = {one: [0] for one in self.fleet.ids("router")}
+        watch = self.runner.get_loop().create_task(self._watch())
+        self.addCleanup(self.runner.run, self._end_watch(watch))
+
+    @on_loop
+    async def test_leader_killed(self) -> None:
+        """Changes before and after the loss of the leader are in force; the old one follows."""
+        await self._change_in_force()
+        leader_id = await self.leader()
+        await self.kill(leader_id)
+        revision = await self._change_in_force()
+        await self.fleet.restart(leader_id)
+        await self._controllers_reach(revision)
+        await self._change_in_force()
+
+    @on_loop
+    async def test_leader_frozen(self) -> None:
+        """A leader that wakes up takes no change on its old revision."""
+        old_id = await self.leader()
+        async with self.frozen(old_id):
+            revision = await self._change_in_force(without=old_id)
+        status, answer = await self._post(old_id, self._body(revision - 1))
+        self.assertNotEqual(200, status, answer)
+        await self._controllers_reach(revision)
+        await self._change_in_force()
+
+    @on_loop
+    async def test_leader_cut_off_for_long(self) -> None:
+        """A cut leader accepts nothing; routers that hear it too keep the newer revision."""
+        cut_id = await self.leader()
+        before = await self._revision(cut_id)
+        lost = self._body(before)
+        async with self.cut(cut_id, "controller-*"):
+            status, answer = await self._post(cut_id, lost, timeout_s=12.0)
+            self.assertNotEqual(200, status, answer)
+            for _ in range(20):
+                revision = await self._change(without=cut_id)
+            await self._in_force(revision)
+            self.assertEqual(before, await self._revision(cut_id))
+        await self._controllers_reach(revision)
+        leader_id = await self.leader()
+        status, answer = await self._post(leader_id, lost)
+        self.assertEqual((409, "conflict"), (status, answer["error"]["code"]), answer)
+        await self._change_in_force()
+
+    @on_loop
+    async def test_router_restarts_empty_after_many_changes(self) -> None:
+        """A router that starts behind several hundred changes has the newest one in force."""
+        leader_id = await self.leader()
+        first = await self._revision(leader_id)
+        for revision in range(first, first + CHANGES_COUNT):
+            status, answer = await self._post(leader_id, self._body(revision))
+            self.assertEqual(200, status, answer)
+        await self.kill("router-2")
+        self.seen["router-2"] = [0]
+        revision = await self._change()
+        await self.fleet.restart("router-2")
+        await self._in_force(revision)
+
+    @on_loop
+    async def test_operators_race(self) -> None:
+        """Of two changes under one expected revision exactly one wins."""
+        leader_id = await self.leader()
+        for _ in range(20):
+            revision = await self._revision(leader_id)
+            bodies = [self._body(revision), self._body(revision)]
+            answers = await asyncio.gather(*(self._post(leader_id, body) for body in bodies))
+            self.assertEqual([200, 409], sorted(status for status, _ in answers), answers)
+            conflict = next(answer for status, answer in answers if status == 409)
+            self.assertEqual("conflict", conflict["error"]["code"])
+            self.assertEqual(revision + 1, conflict["revision"])
+        await self._in_force(revision + 1)
+
+    @on_loop
+    async def test_resend_after_lost_answer(self) -> None:
+        """A resent operation gets its first revision, also from the next leader."""
+        leader_id = await self.leader()
+        before = await self._revision(leader_id)
+        body = self._body(before)
+        status, lost = await self._post(leader_id, body)
+        self.assertEqual(200, status, lost)
+        await self.kill(leader_id)
+        again = [await self._resend(body) for _ in range(2)]
+        self.assertEqual([before + 1] * 2, again)
+        self.assertEqual(before + 1, await self._revision(await self.leader()))
+        await self.fleet.restart(leader_id)
+        await self._in_force(before + 1)
+
+    @on_loop
+    async def test_all_controllers_restart(self) -> None:
+        """Routers keep serving and keep their revision; nothing committed is lost."""
+        revision = await self._change_in_force()
+        for controller_id in self.fleet.ids("controller"):
+            await self.kill(controller_id)
+        body = {"model": "chorale", "prompt": "while they are down", "max_tokens": 4}
+        answer = await self.call("router-1", "/v1/completions", "schedule-draft", body=body)
+        self.assertEqual(200, answer.status, answer)
+        await asyncio.gather(*map(self.fleet.restart, self.fleet.ids("controller")))
+        self.assertEqual(revision + 1, await self._change_in_force())
+
+    def _body(self, expected_revision: int) -> dict[str, Any]:
+        self.share += 1
+        team = {"name": "fremantle", "template": "centre", "share": self.share}
+        return {
+            "operation_id": os.urandom(8).hex(),
+            "expected_revision": expected_revision,
+            "change": {"type": "put_team", "team": team},
+        }
+
+    async def _post(
+        self, controller_id: str, body: dict[str, Any], timeout_s: float = 5.0
+    ) -> tuple[int, dict[str, Any]]:
+        url = f"{self.fleet.members[controller_id].operator_url}/v1/changes"
+        headers = {"authorization": "Bearer operator-token"}
+        answer = await self.fleet.client.post(url, json=body, headers=headers, timeout=timeout_s)
+        return answer.status_code, answer.json()
+
+    async def _change(self, without: str = "") -> int:
+        """Make one change at whichever controller leads, as a careful operator does."""
+        ids = [one for one in self.running("controller") if one != without]
+        body = self._body(max([await self._revision(one) for one in ids]))
+
+        async def change() -> int | None:
+            for controller_id in ids:
+                with contextlib.suppress(httpx.HTTPError):
+                    status, answer = await self._post(controller_id, body)
+                    if status == 200:
+                        return answer["revision"]
+                    if answer["error"]["code"] == "conflict":
+                        # A conflict is the operation's outcome; a new attempt is a new operation.
+                        body.update(self._body(answer["revision"]))
+            return None
+
+        return await self.until(change, "a controller takes the change")
+
+    async def _resend(self, body: dict[str, Any]) -> int:
+        async def resend() -> int | None:
+            for controller_id in self.running("controller"):
+                status, answer = await self._post(controller_id, body)
+                if status == 200:
+                    return answer["revision"]
+            return None
+
+        return await self.until(resend, "a controller answers the resent change")
+
+    async def _change_in_force(self, without: str = "") -> int:
+        revision = await self._change(without)
+        await self._in_force(revision)
+        return revision
+
+    async def _in_force(self, revision: int) -> None:
+        since_s = time.monotonic()
+        for router_id in self.fleet.ids("router"):
+
+            async def reached(router_id: str = router_id) -> bool:
+                return await self._revision(router_id) >= revision
+
+            left_s = IN_FORCE_S - (time.monotonic() - since_s)
+            await self.until(reached, f"{router_id} has revision {revision} in force", left_s)
+
+    async def _controllers_reach(self, revision: int) -> None:
+        for controller_id in self.fleet.ids("controller"):
+
+            async def reached(controller_id: str = controller_id) -> bool:
+                return await self._revision(controller_id) >= revision
+
+            await self.until(reached, f"{controller_id} reaches revision {revision}")
+
+    async def _revision(self, member_id: str) -> int:
+        status = await self.fleet.operate(member_id, "GET", "/v1/status", timeout=2.0)
+        return status["revision"]
+
+    async def _watch(self) -> None:
+        while True:
+            for router_id, seen in self.seen.items():
+                with contextlib.suppress(httpx.HTTPError):
+                    revision = await self._revision(router_id)
+                    # A list that was replaced meanwhile belongs to an earlier start.
+                    if seen is self.seen[router_id]:
+                        seen.append(revision)
+            await asyncio.sleep(0.02)
+
+    async def _end_watch(self, watch: asyncio.Task[None]) -> None:
+        watch.cancel()
+        with contextlib.suppress(asyncio.CancelledError):
+            await watch
+        for router_id, seen in self.seen.items():
+            self.assertEqual(sorted(seen), seen, f"{router_id} stepped back")
+
+
+if __name__ == "__main__":
+    unittest.main()
