--- /dev/null
+++ b/src/camphorvalve/cli/explain.py
@@ -0,0 +1,76 @@
+"""Commands that say why routers decided as they did, and how objectives are kept."""
+
+from __future__ import annotations
+
+from typing import Any
+from urllib.parse import quote
+
+import msgspec
+
+from camphorvalve.cli.client import connect
+from camphorvalve.cli.output import CommandError, ExitCode, print_fields, print_json
+from camphorvalve.cli.replies import Reply, answered
+from camphorvalve.reports.burn import BurnReport, merge
+from camphorvalve.reports.tables import burn_table
+
+
+async def request(request_id: str, *, router: tuple[str, ...] = (), json: bool = False) -> None:
+    """
+    Show the decisions on one request, from the router that served it.
+
+    :param request_id: id from the header X-Request-Id
+    :param router: operator URL of a router; may be repeated
+    :param json: print JSON
+    """
+    async with connect((), router) as ports:
+        replies = await ports.ask_routers(f"/v1/requests/{quote(request_id, safe='')}")
+    found = answered(replies)[0]
+    print_fields(_with_url(found), json=json)
+
+
+async def team(name: str, *, router: tuple[str, ...] = (), json: bool = False) -> None:
+    """
+    Show what a team gets at each router and why.
+
+    :param name: name of the team
+    :param router: operator URL of a router; may be repeated
+    :param json: print JSON
+    """
+    async with connect((), router) as ports:
+        replies = await ports.ask_routers(f"/v1/teams/{quote(name, safe='')}")
+    rows = [_with_url(reply) for reply in answered(replies)]
+    if json:
+        print_json(rows)
+        return
+    for row in rows:
+        print_fields(row, json=False)
+
+
+async def burn(*, router: tuple[str, ...] = (), json: bool = False) -> None:
+    """
+    Show how fast each team's kinds of work use up their objectives, over all given routers.
+
+    :param router: operator URL of a router; may be repeated
+    :param json: print JSON
+    """
+    async with connect((), router) as ports:
+        replies = await ports.ask_routers("/v1/burn")
+    report = merge(_burn_report(reply) for reply in answered(replies))
+    if json:
+        print_json(report)
+    else:
+        print(burn_table(report))
+
+
+def _burn_report(reply: Reply) -> BurnReport:
+    try:
+        return msgspec.convert(reply.body, BurnReport)
+    except msgspec.ValidationError as error:
+        raise CommandError(ExitCode.FAILED, f"{reply.url}: burn report: {error}") from error
+
+
+def _with_url(reply: Reply) -> dict[str, Any]:
+    return {"router": reply.url, **reply.body}
+
+
+__all__ = ["burn", "request", "team"]
--- a/src/camphorvalve/model/requests.py
+++ b/src/camphorvalve/model/requests.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING, NamedTuple
 
 if TYPE_CHECKING:
+    from camphorvalve.model.answers import Head
     from camphorvalve.model.teams import KindParameters, TeamParameters
 
 
@@ -44,6 +45,13 @@
     cost_hint_units: float | None
 
 
+class BrokenStream(NamedTuple):
+    """How far a stream got before it broke."""
+
+    events_count: int
+    text: str
+
+
 @dataclass(slots=True)
 class Exchange:
     """One request on its way through the chain; filters fill in what they learn."""
@@ -53,11 +61,27 @@
     team: TeamParameters | None = None
     kind: str = ""
     parameters: KindParameters | None = None
+    prefix: str | None = None
+    """Key of the first block of the prompt, for prefix affinity."""
     attempt: int = 0
     upstream_id: str | None = None
     served_units: float = 0.0
     sent_upstream: bool = False
     """Whether a byte of the request may have reached an upstream."""
+    record_id: str | None = None
+    """Record that has to be started before the first byte goes out."""
+    claim_attempt: int | None = None
+    """Attempt that the controllers have assigned, for accepted work."""
+    failed_upstreams: set[str] = field(default_factory=set)
+    """Upstreams that this request is not sent to again."""
+    output_started: bool = False
+    """Whether the caller has got a part of the answer."""
+    head: Head | None = None
+    """First head of the answer, kept for the record."""
+    stored: list[bytes] = field(default_factory=list)
+    """Body so far, over all attempts, kept for the record."""
+    broken: BrokenStream | None = None
+    """Where a later attempt continues the stream."""
     notes: list[tuple[float, str]] = field(default_factory=list)
 
     def note(self, now_s: float, text: str) -> None:
@@ -70,4 +94,4 @@
         self.notes.append((now_s, text))
 
 
-__all__ = ["Call", "Completion", "Exchange", "Request", "ServiceCall"]
+__all__ = ["BrokenStream", "Call", "Completion", "Exchange", "Request", "ServiceCall"]
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -4,12 +4,45 @@
 
 from typing import TYPE_CHECKING, Any
 
-from camphorvalve.controllers.ordersteps import OpenOrder
+from camphorvalve.model.answers import Body, Head
 from camphorvalve.model.hosts import Host, HostState, Role
-from camphorvalve.model.requests import Completion, Exchange, Request, ServiceCall
-from camphorvalve.model.teams import KindParameters, Team, Template, Urgency
-from camphorvalve.model.upstreams import ChecksFencing, ModelEngine, PlainService, Upstream
-from camphorvalve.registry.commands import LoadModel
+from camphorvalve.model.requests import Completion, Exchange, Request
+from camphorvalve.model.teams import (
+    KindParameters,
+    Limits,
+    Team,
+    TeamParameters,
+    Template,
+    Urgency,
+    resolve,
+)
+from camphorvalve.model.upstreams import ChecksFencing, ModelEngine, Upstream
+from camphorvalve.registry.commands import (
+    ACTION_CODEC,
+    CHANGE_CODEC,
+    AbortRun,
+    AcceptWork,
+    AssignWork,
+    Change,
+    ChangeConfiguration,
+    FinishRun,
+    LoadModel,
+    LoseRun,
+    StartRun,
+    SubmitOrder,
+)
+from camphorvalve.reports.outcomes import Answered, Finished
+from camphorvalve.settings.schema import ControllerAddress, ControllerSettings
+from camphorvalve.sharing.backlog import Waiter
+from camphorvalve.sharing.ledger import TeamKey
+from camphorvalve.sharing.shedding import Backlog, Bounds, Holding, Newcomer
+from camphorvalve.wire.messages import ConfigPoll
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+from camphorvalve.controllers.ordersteps import OpenOrder
+from camphorvalve.model.requests import ServiceCall
+from camphorvalve.model.upstreams import PlainService
 
 if TYPE_CHECKING:
     from camphorvalve.upstreams.orderstates import EngineView
@@ -59,7 +92,126 @@
     return Upstream(**{**values, **fields})
 
 
+def a_settings_document(**fields: Any) -> dict[str, Any]:
+    addresses = [
+        {"host_id": f"controller-{n}", "peer_address": f"tcp://127.0.0.1:700{n}"} for n in (1, 2, 3)
+    ]
+    values = {
+        "host_id": "controller-1",
+        "data_centre": "perth-a",
+        "operator_bind": "127.0.0.1:8081",
+        "peer_bind": "tcp://127.0.0.1:7001",
+        "controllers": addresses,
+        "platform_url": "http://127.0.0.1:9000",
+        "keys": None,
+        "operator_token": None,
+    }
+    return {**values, **fields}
+
+
+def a_router_document(**fields: Any) -> dict[str, Any]:
+    values = {
+        "host_id": "router-1",
+        "caller_bind": "127.0.0.1:8080",
+        "caller_url": "http://127.0.0.1:8080",
+        "peer_bind": "tcp://127.0.0.1:7000",
+        "callers": None,
+    }
+    return a_settings_document(**{**values, **fields})
+
+
+def a_controller_document(**fields: Any) -> dict[str, Any]:
+    values = {"operator_url": "http://127.0.0.1:8081", "data_folder": "/var/lib/camphorvalve"}
+    return a_settings_document(**{**values, **fields})
+
+
+def a_change(change: Change, expected_revision: int, **fields: Any) -> ChangeConfiguration:
+    values = {
+        "operation_id": f"operation-{expected_revision}",
+        "expected_revision": expected_revision,
+        "change": CHANGE_CODEC.encode(change),
+    }
+    return ChangeConfiguration(**{**values, **fields})
+
+
+def an_acceptance(**fields: Any) -> AcceptWork:
+    values = {
+        "work_id": "work-1",
+        "team": "perth-youth",
+        "kind": "summary",
+        "idempotent": True,
+        "router_id": "router-1",
+        "incarnation": 1,
+        "payload": b"request",
+        "accepted_at_s": 10.0,
+    }
+    return AcceptWork(**{**values, **fields})
+
+
+def an_assignment(**fields: Any) -> AssignWork:
+    values = {"work_id": "work-1", "attempt": 2, "router_id": "router-2", "incarnation": 1}
+    return AssignWork(**{**values, **fields})
+
+
+def _a_run(**fields: Any) -> dict[str, Any]:
+    return {"record_id": "work-1", "request_id": "request-1", "attempt": 1, **fields}
+
+
+def a_start(**fields: Any) -> StartRun:
+    values = {
+        "router_id": "router-1",
+        "incarnation": 1,
+        "idempotent": False,
+        "fingerprint": "",
+        "started_at_s": 20.0,
+    }
+    return StartRun(**_a_run(**{**values, **fields}))
+
+
+def an_abort(**fields: Any) -> AbortRun:
+    return AbortRun(**_a_run(**fields))
+
+
+def a_finish(**fields: Any) -> FinishRun:
+    values = {"status": 200, "headers": (), "body": b"answer", "finished_at_s": 30.0}
+    return FinishRun(**_a_run(**{**values, **fields}))
+
+
+def a_loss(**fields: Any) -> LoseRun:
+    return LoseRun(**_a_run(**fields))
+
+
+def an_order(**fields: Any) -> SubmitOrder:
+    values = {
+        "operation_id": "order-1",
+        "upstream_id": "engine-1",
+        "action": ACTION_CODEC.encode(LoadModel("chorale", "1", 1 << 20)),
+    }
+    return SubmitOrder(**{**values, **fields})
+
+
+def team_parameters(name: str = "perth-youth", **fields: Any) -> TeamParameters:
+    return resolve(a_team(name=name), a_template(**fields))
+
+
 def a_request(**fields: Any) -> Request:
+    values = {
+        "request_id": "request-1",
+        "call": Completion(streamed=False),
+        "pool": None,
+        "body": b'{"model": "m", "prompt": "p"}',
+        "content_type": "application/json",
+        "token": "secret",
+        "team": None,
+        "kind": None,
+        "idempotency_key": None,
+        "deferred": False,
+        "cost_hint_units": None,
+    }
+    return Request(**{**values, **fields})
+
+
+def a_stream_request(**fields: Any) -> Request:
     values = {
         "request_id": "request-1",
         "call": Completion(streamed=True),
@@ -76,13 +228,13 @@
     return Request(**{**values, **fields})
 
 
-def an_exchange(**fields: Any) -> Exchange:
-    return Exchange(a_request(**fields), received_s=0.0)
+def a_stream_exchange(**fields: Any) -> Exchange:
+    return Exchange(a_stream_request(**fields), received_s=0.0)
 
 
 def a_service_exchange(**fields: Any) -> Exchange:
     call = ServiceCall(fields.pop("method", "POST"), fields.pop("path", "/slots?service_ms=1"))
-    return an_exchange(**{"call": call, "pool": "booking-desk", "body": b"{}", **fields})
+    return a_stream_exchange(**{"call": call, "pool": "booking-desk", "body": b"{}", **fields})
 
 
 def a_service(upstream_id: str = "service-1", **fields: Any) -> Upstream:
@@ -90,6 +242,106 @@
     return an_upstream(upstream_id, **{**values, **fields})
 
 
+def an_exchange(received_s: float = 0.0, **fields: Any) -> Exchange:
+    """An exchange that no filter has seen; the fields are those of its request."""
+    return Exchange(a_request(**fields), received_s)
+
+
+def a_classified_exchange(
+    team: TeamParameters | None = None, kind: str = "draft", **fields: Any
+) -> Exchange:
+    """An exchange as it leaves the classify filter."""
+    exchange = an_exchange(**fields)
+    exchange.team = team or team_parameters()
+    exchange.kind = kind
+    exchange.parameters = exchange.team.kinds[kind]
+    return exchange
+
+
+def a_head(status: int = 200, content_type: str = "application/json", **headers: str) -> Head:
+    named = ((name.replace("_", "-"), value) for name, value in headers.items())
+    return Head(status, (("content-type", content_type), *named))
+
+
+def an_answer(*contents: bytes, **head: Any) -> tuple[Head | Body, ...]:
+    return (a_head(**head), *(Body(content) for content in contents))
+
+
+def a_finished(team: TeamParameters | None = None, kind: str = "draft", **fields: Any) -> Finished:
+    values = {
+        "exchange": a_classified_exchange(team, kind),
+        "outcome": Answered(200),
+        "ended_s": 0.0,
+        "first_byte_s": 0.5,
+        "total_s": fields.get("first_byte_s") or 0.5,
+    }
+    return Finished(**{**values, **fields})
+
+
+def a_newcomer(**fields: Any) -> Newcomer:
+    values = {
+        "team": "a",
+        "kind": "draft",
+        "urgency": Urgency.NORMAL,
+        "share": 1.0,
+        "size_bytes": 10,
+        "objective_s": 10.0,
+    }
+    return Newcomer(**{**values, **fields})
+
+
+def a_holding(**fields: Any) -> Holding:
+    values = {"team": "a", "kind": "draft", "urgency": Urgency.NORMAL, "share": 1.0, "count": 1}
+    merged = {**values, **fields}
+    return Holding(**{"size_bytes": 10 * merged["count"], **merged})
+
+
+def a_backlog(*holdings: Holding, team: str = "a", wait_s: float | None = None) -> Backlog:
+    own = [one for one in holdings if one.team == team]
+    return Backlog(
+        sum(one.count for one in own),
+        sum(one.size_bytes for one in own),
+        sum(one.count for one in holdings),
+        sum(one.size_bytes for one in holdings),
+        wait_s,
+        holdings,
+    )
+
+
+def queue_bounds(**fields: Any) -> Bounds:
+    limits = Limits(queue_count=20, queue_bytes=200, request_bytes=50)
+    return Bounds(**{"limits": limits, "total_count": 100, "total_bytes": 1000, **fields})
+
+
+def a_poll(**fields: Any) -> ConfigPoll:
+    values = {
+        "revision": 0,
+        "term": 0,
+        "leaving": False,
+        "waiting_count": 0,
+        "running_count": 0,
+        "url": "http://127.0.0.1:1",
+    }
+    return ConfigPoll(**{**values, **fields})
+
+
+def controller_settings(host_id: str, host_ids: Sequence[str], **fields: Any) -> ControllerSettings:
+    addresses = (ControllerAddress(one, f"tcp://127.0.0.1:1/{one}") for one in host_ids)
+    values = {
+        "host_id": host_id,
+        "data_centre": "perth-a",
+        "operator_bind": "127.0.0.1:0",
+        "operator_url": "http://127.0.0.1:1",
+        "peer_bind": "tcp://127.0.0.1:0",
+        "controllers": tuple(addresses),
+        "platform_url": "http://127.0.0.1:1",
+        "data_folder": "",
+        "keys": None,
+        "operator_token": None,
+    }
+    return ControllerSettings(**{**values, **fields})
+
+
 def a_member(member_id: str = "engine-1", **fields: Any) -> dict[str, Any]:
     values = {
         "id": member_id,
@@ -104,11 +356,25 @@
     return {**values, **fields}
 
 
+def a_waiter(team: str = "perth-youth", **fields: Any) -> Waiter:
+    values = {
+        "key": TeamKey(POOL, team),
+        "kind": "draft",
+        "urgency": Urgency.NORMAL,
+        "size_bytes": 10,
+        "estimate_units": 10.0,
+        "arrived_s": 0.0,
+        "deadline_s": float("inf"),
+        "wake": lambda: None,
+    }
+    return Waiter(**{**values, **fields})
+
+
 def a_load(**fields: Any) -> LoadModel:
     return LoadModel(**{"model": "chorale", "version": "2", "size_bytes": 0, **fields})
 
 
-def an_order(index: int = 10, **fields: Any) -> OpenOrder:
+def an_open_order(index: int = 10, **fields: Any) -> OpenOrder:
     values = {"order_id": f"order-{index}", "upstream_id": "engine-1", "action": a_load()}
     return OpenOrder(**{"index": index, **values, **fields})
 
@@ -122,17 +388,42 @@
 
 __all__ = [
     "POOL",
+    "a_backlog",
+    "a_change",
+    "a_classified_exchange",
+    "a_controller_document",
+    "a_finish",
+    "a_finished",
+    "a_head",
+    "a_holding",
     "a_kind",
     "a_load",
+    "a_loss",
     "a_member",
+    "a_newcomer",
+    "a_poll",
     "a_request",
     "a_router",
+    "a_router_document",
     "a_service",
     "a_service_exchange",
+    "a_settings_document",
+    "a_start",
+    "a_stream_exchange",
+    "a_stream_request",
     "a_team",
     "a_template",
+    "a_waiter",
+    "an_abort",
+    "an_acceptance",
+    "an_answer",
+    "an_assignment",
     "an_engine_view",
     "an_exchange",
+    "an_open_order",
     "an_order",
     "an_upstream",
+    "controller_settings",
+    "queue_bounds",
+    "team_parameters",
 ]
