--- a/tools/measuring/trial.py
+++ b/tools/measuring/trial.py
@@ -6,6 +6,7 @@
 import json
 import sys
 import time
+from pathlib import Path  # noqa: TC003 -- defopt resolves the annotations
 from typing import TYPE_CHECKING, Any
 
 import defopt
@@ -17,7 +18,6 @@
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
-    from pathlib import Path
 
     from tools.measuring.fairness import Run, Window
     from tools.measuring.plans import Kind, Plan, Work
