Keep at-most-once records when the result store is full

Cause: at the bound of stored answers the leader removed whole records before their retention ended, so that a key could run a second time. Change: the bound drops the answers of keyed runs only; their records stay and answer outcome_unknown. Results of accepted work stay, and new work is refused.

--- a/src/camphorvalve/controllers/recovery.py
+++ b/src/camphorvalve/controllers/recovery.py
@@ -7,7 +7,7 @@
 from typing import TYPE_CHECKING
 
 from camphorvalve.controllers.runtime import Outgoing
-from camphorvalve.registry.commands import AbortRun, AssignWork, Command, ExpireRecords, LoseRun
+from camphorvalve.registry.commands import AbortRun, AssignWork, Command, LoseRun
 from camphorvalve.wire.messages import Assignment
 
 if TYPE_CHECKING:
@@ -90,8 +90,7 @@
         if now_s - self.expired_s < EXPIRY_INTERVAL_S:
             return None
         self.expired_s = now_s
-        before_s = records.expired_before_s(wall_s - self.retention_s, self.store_bytes)
-        return None if before_s is None else ExpireRecords(before_s)
+        return records.expiry(wall_s - self.retention_s, self.store_bytes)
 
     def _due(self, key: str, now_s: float) -> bool:
         if now_s - self.tried_s.get(key, float("-inf")) < RETRY_S:
--- a/src/camphorvalve/controllers/replication.py
+++ b/src/camphorvalve/controllers/replication.py
@@ -29,7 +29,14 @@
 from camphorvalve.controllers.runtime import Outgoing
 from camphorvalve.controllers.status import ControllerStatus, describe
 from camphorvalve.controllers.submissions import Pending, Submissions, Waiter
-from camphorvalve.registry.commands import COMMAND_CODEC, OUTCOME_CODEC, Invalid, TakeLeadership
+from camphorvalve.registry.commands import (
+    COMMAND_CODEC,
+    OUTCOME_CODEC,
+    AcceptWork,
+    Exhausted,
+    Invalid,
+    TakeLeadership,
+)
 from camphorvalve.wire.codec import DecodeError
 from camphorvalve.wire.messages import ConfigPoll, ConfigUpdate, Lookup, Submit, SubmitReply
 
@@ -227,10 +234,8 @@
         proposal_id = f"{sender.host_id}/{sender.incarnation}/{message.submit_id}"
         if self._submissions.knows(proposal_id):
             return
-        try:
-            COMMAND_CODEC.decode(message.command)
-        except DecodeError as error:
-            outcome = OUTCOME_CODEC.encode(Invalid(str(error)))
+        if (refusal := self._refusal(message.command)) is not None:
+            outcome = OUTCOME_CODEC.encode(refusal)
             reply = SubmitReply(message.submit_id, True, self.leader_id, outcome)
             yield Outgoing(sender.host_id, reply)
             return
@@ -239,6 +244,20 @@
         event = Propose(proposal_id, message.command)
         yield from self._carry_out(self._driver.step(event, now_s), now_s)
 
+    def _refusal(self, encoded: bytes) -> Invalid | Exhausted | None:
+        """Say why a command is not to be appended."""
+        try:
+            command = COMMAND_CODEC.decode(encoded)
+        except DecodeError as error:
+            return Invalid(str(error))
+        match command:
+            case AcceptWork(work_id=work_id, payload=payload) if self.leads:
+                records = self.state.records
+                full = records.held_bytes + len(payload) > self._settings.result_store_bytes
+                if full and records.get(work_id) is None:
+                    return Exhausted(records.held_bytes)
+        return None
+
     def _propose(
         self, command: Command, pending: Pending | None, now_s: float
     ) -> Iterator[Outgoing]:
--- a/src/camphorvalve/filters/defer.py
+++ b/src/camphorvalve/filters/defer.py
@@ -12,7 +12,15 @@
 from camphorvalve.controllers.work import encode_request
 from camphorvalve.model.answers import Body, Head
 from camphorvalve.model.errors import RequestError
-from camphorvalve.registry.commands import AcceptWork, Conflict, Done, Finished, Lost, Running
+from camphorvalve.registry.commands import (
+    AcceptWork,
+    Conflict,
+    Done,
+    Exhausted,
+    Finished,
+    Lost,
+    Running,
+)
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
@@ -24,6 +32,8 @@
     from camphorvalve.model.requests import Exchange
     from camphorvalve.registry.commands import Outcome
 
+FULL_RETRY_S = 30.0
+
 
 class DeferFilter:
     """Gives deferred work to the controllers, and everything else to the rest of the chain."""
@@ -63,6 +73,9 @@
         match await self._submit(accept):
             case Done() | Running() | Finished() | Lost():
                 pass
+            case Exhausted():
+                message = "the store of accepted work is full; nothing was accepted"
+                raise RequestError("queue_full", message, retry_after_s=FULL_RETRY_S)
             case Conflict(reason=reason):
                 raise RequestError("conflict", reason)
             case outcome:
--- a/src/camphorvalve/registry/commands.py
+++ b/src/camphorvalve/registry/commands.py
@@ -130,6 +130,9 @@
     """Remove finished records and results older than a time; proposed by the leader."""
 
     before_s: float
+    answers_before_s: float
+    """Answers under a key that are older are dropped; their records stay, so that no key runs
+    again while the store is short of space."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -268,8 +271,15 @@
     attempt: int
 
 
-Outcome = Done | Conflict | Invalid | Running | Finished | Lost
-OUTCOMES: tuple[type, ...] = (Done, Conflict, Invalid, Running, Finished, Lost)
+@dataclass(frozen=True, slots=True)
+class Exhausted:
+    """Refused: the store of accepted work and answers is full; nothing was appended."""
+
+    held_bytes: int
+
+
+Outcome = Done | Conflict | Invalid | Running | Finished | Lost | Exhausted
+OUTCOMES: tuple[type, ...] = (Done, Conflict, Invalid, Running, Finished, Lost, Exhausted)
 
 CHANGE_CODEC: TaggedCodec[Change] = TaggedCodec(CHANGES)
 ACTION_CODEC: TaggedCodec[EngineAction] = TaggedCodec(ENGINE_ACTIONS)
@@ -296,6 +306,7 @@
     "DeleteTeam",
     "Done",
     "EngineAction",
+    "Exhausted",
     "ExpireRecords",
     "FinishRun",
     "Finished",
--- a/src/camphorvalve/registry/records.py
+++ b/src/camphorvalve/registry/records.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from camphorvalve.registry.commands import Done, ExpireRecords, Invalid, Outcome, Running
+from camphorvalve.registry.commands import Done, ExpireRecords, Invalid, Lost, Outcome, Running
 from camphorvalve.registry.runs import Record, Transition, advance, record_of, time_of
 
 if TYPE_CHECKING:
@@ -20,6 +20,7 @@
         self._settled: dict[str, None] = {}
         self._unsettled_work: dict[str, None] = {}
         self._answers_bytes = 0
+        self._held_bytes = 0
         self._latest_s = 0.0
 
     @property
@@ -27,6 +28,11 @@
         """:return: size of all stored answers"""
         return self._answers_bytes
 
+    @property
+    def held_bytes(self) -> int:
+        """:return: size of all stored answers and of all accepted work"""
+        return self._held_bytes
+
     def get(self, record_id: str) -> Record | None:
         """
         Look up a record.
@@ -60,27 +66,20 @@
         """:return: records with accepted work or a start, and without an outcome"""
         return (self._records[record_id] for record_id in self._unsettled_work)
 
-    def expired_before_s(self, before_s: float, limit_bytes: int) -> float | None:
+    def expiry(self, before_s: float, limit_bytes: int) -> ExpireRecords | None:
         """
-        Find up to which time records have to be removed.
+        Find what has to be removed.
 
-        :param before_s: retention; everything older goes
+        :param before_s: retention; every settled record that is older goes
         :param limit_bytes: bound of all stored answers
-        :return: the time, or ``None`` when nothing has to be removed
+        :return: the command, or ``None`` when nothing has to be removed
         """
-        ordered = sorted(
-            (record.touched_s, record.answer_bytes)
-            for record in (self._records[record_id] for record_id in self._settled)
-        )
-        surplus_bytes = self._answers_bytes - limit_bytes
-        oldest = before_s
-        for touched_s, answer_bytes in ordered:
-            if surplus_bytes <= 0:
-                break
-            surplus_bytes -= answer_bytes
-            # The bound is exclusive, so that it has to lie above the record's own time.
-            oldest = max(oldest, touched_s + 1e-6)
-        return oldest if ordered and ordered[0][0] < oldest else None
+        settled = [self._records[record_id] for record_id in self._settled]
+        answers_before_s = _answers_before_s(settled, self._answers_bytes - limit_bytes)
+        has_old = any(record.touched_s < before_s for record in settled)
+        if not has_old and answers_before_s is None:
+            return None
+        return ExpireRecords(before_s, before_s if answers_before_s is None else answers_before_s)
 
     def apply(self, index: int, command: Transition | ExpireRecords, revision: int) -> Outcome:
         """
@@ -93,7 +92,7 @@
         """
         done = Done(revision, index)
         if isinstance(command, ExpireRecords):
-            self._expire(command.before_s)
+            self._expire(command)
             return done
         self._latest_s = max(self._latest_s, time_of(command))
         record = self._records.get(record_of(command))
@@ -119,15 +118,20 @@
         """:return: newest time that any command has named"""
         return self._latest_s
 
-    def _expire(self, before_s: float) -> None:
+    def _expire(self, command: ExpireRecords) -> None:
         for record_id in list(self._settled):
-            if self._records[record_id].touched_s < before_s:
+            record = self._records[record_id]
+            if record.touched_s < command.before_s:
                 self._drop(record_id)
+            elif _is_droppable(record) and record.touched_s < command.answers_before_s:
+                assert record.answer is not None
+                self._put(record._replace(answer=None, lost=Lost(record.answer.attempt)))
 
     def _put(self, record: Record) -> None:
         self._drop(record.record_id)
         self._records[record.record_id] = record
         self._answers_bytes += record.answer_bytes
+        self._held_bytes += record.held_bytes
         if record.settled or (record.work is None and record.start is None):
             self._settled[record.record_id] = None
         else:
@@ -137,8 +141,28 @@
         old = self._records.pop(record_id, None)
         if old is not None:
             self._answers_bytes -= old.answer_bytes
+            self._held_bytes -= old.held_bytes
             self._settled.pop(record_id, None)
             self._unsettled_work.pop(record_id, None)
 
 
+def _is_droppable(record: Record) -> bool:
+    """Tell whether the answer may go early; the result of accepted work may not."""
+    return record.answer is not None and record.work is None and record.claim is None
+
+
+def _answers_before_s(settled: list[Record], surplus_bytes: int) -> float | None:
+    ordered = sorted(
+        (record.touched_s, record.answer_bytes) for record in settled if _is_droppable(record)
+    )
+    before_s = None
+    for touched_s, answer_bytes in ordered:
+        if surplus_bytes <= 0:
+            break
+        surplus_bytes -= answer_bytes
+        # The bound is exclusive, so that it has to lie above the record's own time.
+        before_s = touched_s + 1e-6
+    return before_s
+
+
 __all__ = ["Record", "Records"]
--- a/src/camphorvalve/registry/runs.py
+++ b/src/camphorvalve/registry/runs.py
@@ -81,6 +81,11 @@
         """:return: size of the stored answer"""
         return 0 if self.answer is None else len(self.answer.body)
 
+    @property
+    def held_bytes(self) -> int:
+        """:return: size of the stored answer and of the accepted work"""
+        return self.answer_bytes + (0 if self.work is None else len(self.work.payload))
+
 
 Transition = AcceptWork | AssignWork | StartRun | AbortRun | FinishRun | LoseRun
 
--- a/tests/controllers/test_replication.py
+++ b/tests/controllers/test_replication.py
@@ -18,6 +18,7 @@
     Command,
     Conflict,
     Done,
+    Exhausted,
     Invalid,
     Lost,
     PutTemplate,
@@ -68,6 +69,15 @@
         (reply,) = self.group.inboxes["router-0"]
         self.assertIsInstance(OUTCOME_CODEC.decode(reply.outcome), Invalid)
 
+    def test_work_is_not_accepted_beyond_the_bound_of_the_store(self) -> None:
+        group = Group(result_store_bytes=len(an_acceptance().payload))
+        host = group.host(group.leader())
+        first = group.submit(an_acceptance(), host)
+        full = group.submit(an_acceptance(work_id="work-2"), host)
+        again = group.submit(an_acceptance(), host)
+        outcomes = [type(OUTCOME_CODEC.decode(one.outcome)) for one in (first, full, again)]
+        self.assertEqual(outcomes, [Done, Exhausted, Done])
+
     def test_a_leader_that_is_cut_off_answers_nothing(self) -> None:
         host = self.group.host(self.leader)
         pending = self.leader.submit(an_acceptance(), self.group.now_s)
--- a/tests/registry/test_records.py
+++ b/tests/registry/test_records.py
@@ -95,13 +95,16 @@
         [an_acceptance(), a_start(), an_assignment(), a_finish()],
         Done(0, 4),
     ),
-    "expired answer": ([a_start(), a_finish(), ExpireRecords(1e6), a_start()], Done(0, 4)),
-    "answer that is kept": ([a_start(), a_finish(), ExpireRecords(20.0), a_start()], FINISHED),
+    "expired answer": ([a_start(), a_finish(), ExpireRecords(1e6, 1e6), a_start()], Done(0, 4)),
+    "answer that is kept": (
+        [a_start(), a_finish(), ExpireRecords(20.0, 20.0), a_start()],
+        FINISHED,
+    ),
     "start is never expired": (
-        [a_start(), ExpireRecords(1e6), a_start(attempt=2)],
+        [a_start(), ExpireRecords(1e6, 1e6), a_start(attempt=2)],
         Running("router-1", 1, 1),
     ),
-    "work is never expired": ([an_acceptance(), ExpireRecords(1e6), a_start()], Done(0, 3)),
+    "work is never expired": ([an_acceptance(), ExpireRecords(1e6, 1e6), a_start()], Done(0, 3)),
 }
 
 
@@ -124,15 +127,24 @@
                         self.assertEqual(outcome, expected)
 
     def test_the_oldest_answers_go_first_when_the_store_is_full(self) -> None:
+        # The records stay: without them a key would run a second time.
         state = RegistryState()
         for number in range(10):
             record_id = f"key-{number}"
             state.apply(2 * number, a_start(record_id=record_id))
             finish = a_finish(record_id=record_id, body=b"x" * 100, finished_at_s=100.0 + number)
             state.apply(2 * number + 1, finish)
-        before_s = state.records.expired_before_s(0.0, 450)
-        self.assertIsNotNone(before_s)
-        state.apply(99, ExpireRecords(before_s or 0.0))
-        kept = [record.record_id for record in state.records.all()]
+        expiry = state.records.expiry(0.0, 450)
+        assert expiry is not None
+        state.apply(99, expiry)
+        kept = sorted(one.record_id for one in state.records.all() if one.answer is not None)
         self.assertEqual(kept, ["key-6", "key-7", "key-8", "key-9"])
-        self.assertIsNone(state.records.expired_before_s(0.0, 450))
+        again = a_start(record_id="key-0", request_id="another", attempt=2)
+        self.assertIsInstance(state.apply(100, again), Lost)
+        self.assertIsNone(state.records.expiry(0.0, 450))
+
+    def test_results_of_accepted_work_stay_when_the_store_is_full(self) -> None:
+        state = RegistryState()
+        for index, command in enumerate((an_acceptance(), a_start(), a_finish()), 1):
+            state.apply(index, command)
+        self.assertIsNone(state.records.expiry(0.0, 0))
