Exit 0 after a graceful stop

Cause: Hypercorn ends its asyncio.TaskGroup by an error, and Python 3.11 leaves a request to cancel on the task that ran the group. When the router then cancelled its own task group, anyio took the cancellation for a foreign one and raised CancelledError: no answer was cut, and the exit status was 1.

Ruled out: the load; task.cancelling() is 1 right after Hypercorn returns.

Change: Hypercorn runs in a task of its own.

--- a/src/camphorvalve/http/server.py
+++ b/src/camphorvalve/http/server.py
@@ -84,12 +84,18 @@
         await shutdown.wait()
         await anyio.sleep(linger_s)
 
-    try:
-        await hypercorn_serve(gate, config, shutdown_trigger=stop, mode="asgi")
-    except asyncio.InvalidStateError:
-        # Hypercorn 0.18 replaces a cancellation during the graceful stop by this error.
-        await anyio.lowlevel.checkpoint_if_cancelled()
-        raise
+    async def run() -> None:
+        try:
+            await hypercorn_serve(gate, config, shutdown_trigger=stop, mode="asgi")
+        except asyncio.InvalidStateError:
+            # Hypercorn 0.18 replaces a cancellation during the graceful stop by this error.
+            await anyio.lowlevel.checkpoint_if_cancelled()
+            raise
+
+    # Hypercorn's use of asyncio.TaskGroup leaves a request to cancel on its task (Python 3.11),
+    # which would turn the next cancelled scope of the caller into an error. So it gets its own.
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(run)
     # Hypercorn waits for the connections that it knew when the listener closed. One that was
     # accepted in that very moment is not among them.
     with anyio.move_on_after(graceful_timeout_s):
