--- a/tests/processes/fleetcase.py
+++ b/tests/processes/fleetcase.py
@@ -101,6 +101,10 @@
         for role in ("controller", "router"):
             for member_id in set(self.fleet.ids(role)) - set(self.running(role)):
                 await self.fleet.restart(member_id)
+                await self.until(lambda one=member_id: self._is_configured(one), "configured")
+
+    async def _is_configured(self, member_id: str) -> bool:
+        return (await self.fleet.operate(member_id, "GET", "/v1/status"))["revision"] > 0
 
     def shortDescription(self) -> str | None:  # noqa: N802
         """:return: the seed, so that a failure can be repeated"""
