Number orders above those of older leaders

An open order that a new leader sends again carried the number of its log index, like the copy that an older leader may still have on the way; an engine that compares only numbers would have run both. Orders now carry the registry's fencing number, which is at least the index of the leader's term.

With the log index as before, the new test fails, as the delayed copy is accepted.

--- a/src/camphorvalve/controllers/orderbook.py
+++ b/src/camphorvalve/controllers/orderbook.py
@@ -5,14 +5,14 @@
 import time
 from typing import TYPE_CHECKING
 
-from camphorvalve.controllers.ordersteps import Leadership
-from camphorvalve.registry.commands import SettleOrder, SubmitOrder
+from camphorvalve.controllers.ordersteps import BookedOrder, Leadership
 
 if TYPE_CHECKING:
     from collections.abc import Iterator, Mapping
 
     from camphorvalve.controllers.replication import ReplicationController
     from camphorvalve.model.upstreams import Upstream
+    from camphorvalve.registry.commands import SettleOrder
 
 
 class ReplicatedOrderBook:
@@ -42,12 +42,17 @@
             return None
         return Leadership(self._replication.leads_since_s, until_s)
 
-    def open_orders(self) -> Iterator[tuple[int, SubmitOrder]]:
-        """:return: committed orders that are not settled, with their fencing numbers"""
+    def open_orders(self) -> Iterator[BookedOrder]:
+        """:return: committed orders that are not settled"""
         orders = self._replication.state.orders
         for order in orders.waiting():
-            command = SubmitOrder(order.operation_id, order.upstream_id, order.action)
-            yield order.index, command
+            yield BookedOrder(
+                order.index,
+                orders.fencing_number(order),
+                order.operation_id,
+                order.upstream_id,
+                order.action,
+            )
 
     def upstreams(self) -> Mapping[str, Upstream]:
         """:return: upstreams of the membership feed by id"""
--- a/src/camphorvalve/controllers/ordering.py
+++ b/src/camphorvalve/controllers/ordering.py
@@ -19,9 +19,8 @@
     import httpx
 
     from camphorvalve.controllers.orderplan import OrderPlan
-    from camphorvalve.controllers.ordersteps import Leadership, Step
+    from camphorvalve.controllers.ordersteps import BookedOrder, Leadership, Step
     from camphorvalve.model.upstreams import Upstream
-    from camphorvalve.registry.commands import SubmitOrder
 
 TICK_S = 0.1
 
@@ -39,8 +38,8 @@
         :return: since when, and the end of its lease
         """
 
-    def open_orders(self) -> Iterable[tuple[int, SubmitOrder]]:
-        """:return: committed orders that are not settled, with their log indexes"""
+    def open_orders(self) -> Iterable[BookedOrder]:
+        """:return: committed orders that are not settled"""
 
     def upstreams(self) -> Mapping[str, Upstream]:
         """:return: upstreams of the membership feed by id"""
@@ -86,13 +85,19 @@
         return self._plan.steps(now_s, leadership, orders, self._book.upstreams())
 
     def _open_orders(self) -> Iterator[OpenOrder]:
-        for index, command in self._book.open_orders():
+        for booked in self._book.open_orders():
             try:
-                action = ACTION_CODEC.decode(command.action)
+                action = ACTION_CODEC.decode(booked.action)
             except DecodeError as error:
-                self._book.propose(SettleOrder(index, "refused", str(error)))
+                self._book.propose(SettleOrder(booked.index, "refused", str(error)))
                 continue
-            yield OpenOrder(index, command.operation_id, command.upstream_id, action)
+            yield OpenOrder(
+                booked.index,
+                booked.fencing_number,
+                booked.operation_id,
+                booked.upstream_id,
+                action,
+            )
 
     async def _do(self, step: Step) -> None:
         match step:
@@ -115,7 +120,7 @@
 
     async def _send(self, step: SendOrder) -> None:
         order = step.order
-        sent = EngineOrder(order.order_id, order.index, order.action)
+        sent = EngineOrder(order.order_id, order.fencing_number, order.action)
         reply = await send_order(self._client, step.upstream, sent, self._token, step.until_s)
         _log.info("order sent", index=order.index, upstream=order.upstream_id, reply=str(reply))
         self._plan.order_answered(step, reply, time.monotonic())
--- a/src/camphorvalve/controllers/orderplan.py
+++ b/src/camphorvalve/controllers/orderplan.py
@@ -258,7 +258,7 @@
         if _loaded(order.action, view):
             return Settle(order.index, "done", "already in place")
         if progress.stale:
-            return Settle(order.index, "refused", f"fencing number {order.index} is stale")
+            return Settle(order.index, "refused", f"fencing number {order.fencing_number} is stale")
         if progress.sent or progress.tries_count >= self._timing.tries_count:
             cause = progress.cause or "the engine does not list the order"
             return Settle(order.index, "failed", cause)
--- a/src/camphorvalve/controllers/ordersteps.py
+++ b/src/camphorvalve/controllers/ordersteps.py
@@ -33,11 +33,24 @@
     lease_until_s: float
 
 
+class BookedOrder(NamedTuple):
+    """A committed order that is not settled, as the registry keeps it."""
+
+    index: int
+    """Log index."""
+    fencing_number: int
+    """Higher than that of every order that an older leader has sent."""
+    operation_id: str
+    upstream_id: str
+    action: bytes
+    """An ``EngineAction`` encoded by ``ACTION_CODEC``."""
+
+
 class OpenOrder(NamedTuple):
-    """A committed order that is not settled."""
+    """A booked order with its action decoded."""
 
     index: int
-    """Log index, which is the fencing number."""
+    fencing_number: int
     order_id: str
     upstream_id: str
     action: EngineAction
@@ -74,6 +87,7 @@
 Step = ReadState | SendOrder | Settle
 
 __all__ = [
+    "BookedOrder",
     "Leadership",
     "OpenOrder",
     "ReadState",
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -40,7 +40,7 @@
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
-from camphorvalve.controllers.ordersteps import OpenOrder
+from camphorvalve.controllers.ordersteps import BookedOrder, OpenOrder
 from camphorvalve.model.requests import ServiceCall
 from camphorvalve.model.upstreams import PlainService
 
@@ -375,8 +375,25 @@
 
 
 def an_open_order(index: int = 10, **fields: Any) -> OpenOrder:
-    values = {"order_id": f"order-{index}", "upstream_id": "engine-1", "action": a_load()}
-    return OpenOrder(**{"index": index, **values, **fields})
+    values = {
+        "index": index,
+        "fencing_number": index,
+        "order_id": f"order-{index}",
+        "upstream_id": "engine-1",
+        "action": a_load(),
+    }
+    return OpenOrder(**{**values, **fields})
+
+
+def a_booked_order(index: int = 10, **fields: Any) -> BookedOrder:
+    values = {
+        "index": index,
+        "fencing_number": index,
+        "operation_id": f"order-{index}",
+        "upstream_id": "engine-1",
+        "action": ACTION_CODEC.encode(a_load()),
+    }
+    return BookedOrder(**{**values, **fields})
 
 
 def an_engine_view(**order_states: str) -> EngineView:
@@ -389,6 +406,7 @@
 __all__ = [
     "POOL",
     "a_backlog",
+    "a_booked_order",
     "a_change",
     "a_classified_exchange",
     "a_controller_document",
--- a/tests/controllers/test_ordering.py
+++ b/tests/controllers/test_ordering.py
@@ -15,12 +15,15 @@
 from camphorvalve.controllers.ordering import Ordering
 from camphorvalve.controllers.orderplan import OrderPlan
 from camphorvalve.controllers.ordersteps import Leadership, Timing
-from camphorvalve.model.upstreams import IgnoresFencing, ModelEngine
-from camphorvalve.registry.commands import ACTION_CODEC, SettleOrder, SubmitOrder
+from camphorvalve.model.upstreams import ChecksFencing, IgnoresFencing, ModelEngine
+from camphorvalve.registry.commands import ACTION_CODEC, SettleOrder
 from camphorvalve.upstreams.client import create_client
-from tests.builders import a_load, an_upstream
+from camphorvalve.upstreams.orders import EngineOrder, send_order
+from camphorvalve.upstreams.orderstates import Stale
+from tests.builders import a_booked_order, a_load, an_upstream
 
 if TYPE_CHECKING:
+    from camphorvalve.controllers.ordersteps import BookedOrder
     from camphorvalve.model.upstreams import Upstream
 
 TIMING = Timing(lease_s=0.05, drift_s=0.05, delivery_s=0.1, poll_s=0.02, settle_s=0.5)
@@ -30,7 +33,7 @@
     """Orders of a registry that two leaders share."""
 
     def __init__(self, upstream: Upstream) -> None:
-        self.orders: dict[int, SubmitOrder] = {}
+        self.orders: dict[int, BookedOrder] = {}
         self.settled: list[SettleOrder] = []
         self.since_s = time.monotonic()
         self.all_settled = anyio.Event()
@@ -39,8 +42,8 @@
     def leadership(self, now_s: float) -> Leadership:
         return Leadership(self.since_s, now_s + 2.0)
 
-    def open_orders(self) -> list[tuple[int, SubmitOrder]]:
-        return list(self.orders.items())
+    def open_orders(self) -> list[BookedOrder]:
+        return list(self.orders.values())
 
     def upstreams(self) -> dict[str, Upstream]:
         return self._upstreams
@@ -74,7 +77,7 @@
 
     async def test_a_second_leader_finishes_what_the_first_began(self) -> None:
         action = ACTION_CODEC.encode(a_load(size_bytes=2_000_000))
-        self.book.orders[10] = SubmitOrder("order-10", "engine-1", action)
+        self.book.orders[10] = a_booked_order(10, action=action)
         while not self.engine.state.entries:
             await self.lead("baton", until_s=0.5)
         self.assertEqual(self.book.settled, [])
@@ -82,6 +85,19 @@
         self.assertEqual(self.book.settled, [SettleOrder(10, "done", "")])
         self.assertEqual(self.engine.state.runs_count, {"order-10": 1})
 
+    async def test_an_older_leaders_copy_of_an_order_is_stale(self) -> None:
+        self.engine.state.settings = OrderSettings(checks_fencing=True, token="baton")
+        upstream = self.book.upstreams()["engine-1"]
+        upstream = upstream._replace(interface=ModelEngine(ChecksFencing()))
+        self.book.upstreams()["engine-1"] = upstream
+        # The second leader opened its term at index 15.
+        self.book.orders[10] = a_booked_order(10, fencing_number=15)
+        await self.lead("baton")
+        delayed = EngineOrder("order-10", 10, a_load())
+        reply = await send_order(self.client, upstream, delayed, "baton", float("inf"))
+        self.assertIsInstance(reply, Stale)
+        self.assertEqual(self.engine.state.runs_count, {"order-10": 1})
+
     async def test_orders_that_cannot_be_carried_out_are_refused(self) -> None:
         cases = {
             "wrong token": ("other", ACTION_CODEC.encode(a_load())),
@@ -89,7 +105,7 @@
         }
         for index, (name, (token, action)) in enumerate(cases.items()):
             with self.subTest(name):
-                self.book.orders[index] = SubmitOrder(f"order-{index}", "engine-1", action)
+                self.book.orders[index] = a_booked_order(index, action=action)
                 await self.lead(token)
                 settled = self.book.settled.pop()
                 self.assertEqual((settled.order_index, settled.state), (index, "refused"))
