--- a/src/camphorvalve/upstreams/platform.py
+++ b/src/camphorvalve/upstreams/platform.py
@@ -79,7 +79,7 @@
     client: httpx.AsyncClient, platform_url: str, host_id: str, interval_s: float
 ) -> AsyncGenerator[list[Member], None]:
     """
-    Poll the feed for ever; errors are logged and the next poll asks for the same changes.
+    Poll the feed for ever; errors are logged once and the next poll asks for the same changes.
 
     :param client: HTTP client
     :param platform_url: base URL of the platform
@@ -88,12 +88,16 @@
     :return: the complete list first, then lists of changed members
     """
     after = 0
+    reason = ""
     while True:
         try:
             version, members = await _poll(client, platform_url, host_id, after)
         except (httpx.HTTPError, FeedError) as error:
-            _log.warning("membership feed failed", reason=f"{type(error).__name__}: {error}")
+            reason = _log_failure(reason, f"{type(error).__name__}: {error}")
         else:
+            if reason:
+                _log.info("membership feed is back")
+            reason = ""
             if members:
                 yield members
             # A lower version means that the platform lost its state; ask for the whole list.
@@ -101,6 +105,13 @@
         await anyio.sleep(interval_s)
 
 
+def _log_failure(known: str, reason: str) -> str:
+    """Log a failure once, however many polls end with it."""
+    if reason != known:
+        _log.warning("membership feed failed", reason=reason)
+    return reason
+
+
 async def _poll(client: httpx.AsyncClient, platform_url: str, host_id: str, after: int) -> Members:
     url = f"{platform_url.rstrip('/')}/v1/members"
     params = {"after": after, "for": host_id}
--- a/tests/upstreams/test_platform.py
+++ b/tests/upstreams/test_platform.py
@@ -8,6 +8,7 @@
 
 import anyio
 import msgspec
+from structlog.testing import capture_logs
 from tools.standins.faults import BreakAfter, Refuse
 from tools.standins.platform import Platform
 from tools.standins.serving import running
@@ -72,8 +73,11 @@
             with self.subTest(name):
                 self.platform.faults.replace([fault])
                 self.platform.set_members([a_member(f"engine after {name}")])
-                (member,) = await self.following()
+                with capture_logs() as logs:
+                    (member,) = await self.following()
                 self.assertEqual(member, an_upstream(f"engine after {name}"))
+                levels = [entry["log_level"] for entry in logs]
+                self.assertEqual(levels, ["warning", "info"], "logged once, and the recovery")
 
     async def test_a_restarted_platform_is_read_from_the_start(self) -> None:
         self.platform.set_members([a_member(f"engine-{number}") for number in range(5)])
--- a/tools/standins/service.py
+++ b/tools/standins/service.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import time
+from collections import Counter
 from typing import TYPE_CHECKING, NamedTuple
 
 import anyio
@@ -60,6 +61,8 @@
         self.settings = settings or ServiceSettings()
         self.faults = Faults()
         self.log: list[CallRecord] = []
+        self._runs: Counter[str] = Counter()
+        self._key_runs: Counter[str] = Counter()
         self._slots = anyio.Semaphore(self.settings.slots_count, fast_acquire=True)
 
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
@@ -109,6 +112,8 @@
         )
         place = len(self.log)
         self.log.append(record)
+        self._runs[record.request_id] += 1
+        self._key_runs[record.idempotency_key or ""] += 1
         await anyio.sleep(service_ms * (slow.factor if slow else 1.0) / 1000)
         self.log[place] = record._replace(end_s=time.time())
         return record
@@ -122,8 +127,8 @@
             "path": call.path,
             "query": call.query,
             "body": call.body.decode(errors="replace"),
-            "runs_count": sum(r.request_id == record.request_id for r in self.log),
-            "key_runs_count": sum(r.idempotency_key == key for r in self.log) if key else 0,
+            "runs_count": self._runs[record.request_id],
+            "key_runs_count": self._key_runs[key] if key else 0,
         }
         headers = {
             "x-request-id": record.request_id + garbled,
