Load certificates only for encrypted upstreams

Creating the client took time and memory for a store of certificates that plain connections never use. An empty content type is no longer sent.

--- a/src/camphorvalve/upstreams/client.py
+++ b/src/camphorvalve/upstreams/client.py
@@ -36,7 +36,7 @@
     """Keeps one pool per upstream, as httpcore searches a whole pool for each request."""
 
     def __init__(self, delivery_limit_s: float | None) -> None:
-        self._tls = ssl.create_default_context()
+        self._tls: ssl.SSLContext | None = None
         self._socket_options = _socket_options(delivery_limit_s)
         self._pools: dict[_Place, httpcore.AsyncConnectionPool] = {}
 
@@ -74,6 +74,10 @@
     def _pool(self, place: _Place) -> httpcore.AsyncConnectionPool:
         pool = self._pools.pop(place, None)
         if pool is None:
+            encrypted = place.scheme == b"https"
+            # Loading the certificates takes time and memory that plain connections do not need.
+            if encrypted and self._tls is None:
+                self._tls = ssl.create_default_context()
             pool = httpcore.AsyncConnectionPool(
                 ssl_context=self._tls,
                 max_connections=None,
@@ -81,7 +85,7 @@
                 keepalive_expiry=KEEPALIVE_S,
                 retries=0,
                 socket_options=self._socket_options,
-                network_backend=LoopBackend() if place.scheme == b"http" else None,
+                network_backend=None if encrypted else LoopBackend(),
             )
         # Kept in order of use, so that the first ones are the longest unused.
         self._pools[place] = pool
--- a/src/camphorvalve/upstreams/opening.py
+++ b/src/camphorvalve/upstreams/opening.py
@@ -122,8 +122,9 @@
     headers = [
         (b"X-Request-Id", request.request_id.encode()),
         (b"X-Attempt", b"%d" % attempt),
-        (b"Content-Type", request.content_type.encode()),
     ]
+    if request.content_type:
+        headers.append((b"Content-Type", request.content_type.encode()))
     if request.idempotency_key is not None:
         headers.append((b"Idempotency-Key", request.idempotency_key.encode()))
     if options.fresh_connection:
