Resume a stream after the number of its last event

The place to resume was the count of events. A comment or an event without a number, as engines send to keep a connection open, would have shifted it, so that tokens were left out. The number is now read from the events themselves, after a break only.

With the count as before, the new test fails.

--- a/src/camphorvalve/upstreams/engine.py
+++ b/src/camphorvalve/upstreams/engine.py
@@ -176,8 +176,8 @@
     except httpx.HTTPError as error:
         cause = f"{type(error).__name__}: {error}"
     if not transcript.done:
-        text = transcript.text()
-        raise Broken(upstream.upstream_id, cause, transcript.events_count, text)
+        number = transcript.last_number()
+        raise Broken(upstream.upstream_id, cause, number, transcript.text())
 
 
 def _answer_units(request_body: bytes, content: bytes) -> float:
--- a/src/camphorvalve/upstreams/transcript.py
+++ b/src/camphorvalve/upstreams/transcript.py
@@ -6,12 +6,15 @@
 
 import msgspec
 
+from camphorvalve.upstreams.options import ContinueText, FromStart, ResumeStream
+
 if TYPE_CHECKING:
     from camphorvalve.upstreams.options import Begin
 
 END_OF_EVENT = b"\n\n"
 DONE = b"data: [DONE]\n\n"
 _DATA = b"data: "
+_NUMBER = b"id: "
 
 
 class _EventData(TypedDict):
@@ -30,9 +33,12 @@
 
         :param begin: how the attempt begins
         """
-        self.events_count = getattr(begin, "events_count", 0)
         self.done = False
-        self._earlier_text = getattr(begin, "text", "")
+        match begin:
+            case FromStart():
+                self._earlier_count, self._earlier_text = 0, ""
+            case ResumeStream(events_count, text) | ContinueText(events_count, text):
+                self._earlier_count, self._earlier_text = events_count, text
         self._tail = b""
         self._parts: list[bytes] = []
 
@@ -52,20 +58,30 @@
         self._tail = joined[end:]
         self.done = whole.endswith(DONE)
         count = whole.count(END_OF_EVENT) - self.done
-        self.events_count += count
         self._parts.append(whole)
         return whole, count
 
+    def last_number(self) -> int:
+        """
+        Read the number of the last event, which the engine wants in order to resume.
+
+        :return: the number; that of the earlier attempts while no event has come
+        """
+        numbers = [line[len(_NUMBER) :] for line in self._lines() if line.startswith(_NUMBER)]
+        return int(numbers[-1]) if numbers and numbers[-1].isdigit() else self._earlier_count
+
     def text(self) -> str:
         """
         Decode the text so far; only needed after a break.
 
         :return: text of the events of all attempts
         """
-        lines = b"".join(self._parts).split(b"\n")
-        texts = (_text_of(line) for line in lines if line.startswith(_DATA))
+        texts = (_text_of(line) for line in self._lines() if line.startswith(_DATA))
         return self._earlier_text + "".join(texts)
 
+    def _lines(self) -> list[bytes]:
+        return b"".join(self._parts).split(b"\n")
+
 
 def _text_of(line: bytes) -> str:
     try:
--- a/tests/upstreams/test_transcript.py
+++ b/tests/upstreams/test_transcript.py
@@ -18,7 +18,7 @@
                 transcript = Transcript(FromStart())
                 first, first_count = transcript.add(stream[:cut])
                 self.assertTrue(first == b"" or first.endswith(b"\n\n"))
-                self.assertEqual(first_count, transcript.events_count)
+                self.assertEqual(first_count, transcript.last_number())
                 second, second_count = transcript.add(stream[cut:])
                 self.assertEqual(first + second, stream)
                 self.assertEqual(first_count + second_count, 2)
@@ -27,10 +27,23 @@
 
     def test_a_continued_stream_keeps_earlier_events_and_text(self) -> None:
         transcript = Transcript(ContinueText(7, "before"))
-        transcript.add(EVENTS)
-        self.assertEqual((transcript.events_count, transcript.text()), (9, "before a\n\n b"))
+        self.assertEqual((transcript.last_number(), transcript.text()), (7, "before"))
+        transcript.add(EVENTS.replace(b"id: 2", b"id: 9"))
+        self.assertEqual((transcript.last_number(), transcript.text()), (9, "before a\n\n b"))
         self.assertFalse(transcript.done)
 
+    def test_what_is_no_numbered_event_does_not_shift_the_place_to_resume(self) -> None:
+        cases = {
+            "comment": b": still here\n\n",
+            "event without number": b"event: note\ndata: {}\n\n",
+            "number in a text": b'data: {"text":"\\nid: 7"}\n\n',
+        }
+        for name, extra in cases.items():
+            with self.subTest(name):
+                transcript = Transcript(FromStart())
+                transcript.add(EVENTS + extra)
+                self.assertEqual(transcript.last_number(), 2)
+
 
 if __name__ == "__main__":
     unittest.main()
