Make the pages' commands run on a kept quickstart fleet

The quickstart printed no variables, so nobody could paste the commands of the pages. It now prints the operator URLs, tokens, caller URL and settings folder, and ends with 0 on Ctrl-C.

--- a/src/camphorvalve/http/server.py
+++ b/src/camphorvalve/http/server.py
@@ -88,13 +88,19 @@
         _refuse_connections(listener_fd, twin)
         await anyio.sleep(linger_s / 2)
 
-    try:
-        with twin:
-            await hypercorn_serve(gate, config, shutdown_trigger=stop, mode="asgi")
-    except asyncio.InvalidStateError:
-        # Hypercorn 0.18 replaces a cancellation during the graceful stop by this error.
-        await anyio.lowlevel.checkpoint_if_cancelled()
-        raise
+    async def run() -> None:
+        try:
+            with twin:
+                await hypercorn_serve(gate, config, shutdown_trigger=stop, mode="asgi")
+        except asyncio.InvalidStateError:
+            # Hypercorn 0.18 replaces a cancellation during the graceful stop by this error.
+            await anyio.lowlevel.checkpoint_if_cancelled()
+            raise
+
+    # Hypercorn's asyncio.TaskGroup leaves a cancellation request on the task that runs it, in
+    # Python 3.11; anyio would then refuse to end a cancelled scope of that task.
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(run)
     # Hypercorn waits for the connections that it knew when the listener closed. One that was
     # accepted in that very moment is not among them.
     with anyio.move_on_after(graceful_timeout_s):
--- a/tests/http/test_server.py
+++ b/tests/http/test_server.py
@@ -9,7 +9,7 @@
 import anyio.lowlevel
 import httpx
 
-from camphorvalve.http.server import listen
+from camphorvalve.http.server import listen, serve
 from camphorvalve.model.answers import Body
 from tests.builders import a_head
 from tests.http.serving import caller_app, serving
@@ -86,6 +86,16 @@
                     answer = await client.get(served.url + path)
                     self.assertEqual(answer.headers.get("connection") == "close", leaving)
 
+    async def test_the_serving_task_can_still_end_a_cancelled_scope(self) -> None:
+        # Guards against a stopped process that ends with a CancelledError instead of exit code 0.
+        shutdown = anyio.Event()
+        shutdown.set()
+        with anyio.fail_after(5), anyio.CancelScope() as scope:
+            await serve(caller_app(None), listen("127.0.0.1:0"), shutdown, linger_s=0.05)
+            scope.cancel()
+            await anyio.lowlevel.checkpoint()
+        self.assertTrue(scope.cancelled_caught)
+
     def test_bind_addresses(self) -> None:
         for bind in ("127.0.0.1", "127.0.0.1:", "127.0.0.1:http"):
             with self.subTest(bind), self.assertRaises(ValueError):
--- a/tools/quickstart.py
+++ b/tools/quickstart.py
@@ -5,13 +5,16 @@
 import signal
 import sys
 import uuid
+from pathlib import Path
 from typing import Any
 
 import anyio
 
-from tools.fleet import CALLER_TOKEN, SMALL, Fleet
+from tools.fleet import CALLER_TOKEN, OPERATOR_TOKEN, SMALL, Fleet
 
 TEAM = "fremantle"
+INTERRUPTED = 130
+"""Exit code of a shell command that SIGINT has ended."""
 
 
 def _headers(kind: str, **more: str) -> dict[str, str]:
@@ -76,11 +79,32 @@
         print(f"{upstream_id}: served {len(log['runs'])} runs")
 
 
-async def _wait_for_interrupt(fleet: Fleet) -> None:
-    for member in fleet.members.values():
-        print(f"{member.member_id}: pid {member.pid}, {member.operator_url or member.url}")
-    print(f"settings and logs are in {fleet.folder}; press Ctrl-C to stop", flush=True)
+def _environment(fleet: Fleet, caller_url: str) -> dict[str, str]:
+    """Build the variables that the commands in README.md and docs/operations.md use."""
+
+    def operator_urls(role: str) -> str:
+        return " ".join(fleet.members[member_id].operator_url for member_id in fleet.ids(role))
+
+    return {
+        "CAMPHORVALVE_CONTROLLERS": operator_urls("controller"),
+        "CAMPHORVALVE_ROUTERS": operator_urls("router"),
+        "CAMPHORVALVE_TOKEN": OPERATOR_TOKEN,
+        "CALLER_URL": caller_url,
+        "CALLER_TOKEN": CALLER_TOKEN,
+        "SETTINGS": str(fleet.folder),
+        "PATH": f"{Path(sys.executable).parent}:$PATH",
+    }
+
+
+async def _wait_for_interrupt(fleet: Fleet, caller_url: str) -> None:
     with anyio.open_signal_receiver(signal.SIGINT, signal.SIGTERM) as signals:
+        for member in fleet.members.values():
+            print(f"{member.member_id}: pid {member.pid}, {member.operator_url or member.url}")
+        print(f"\nsettings, logs and data of every process: {fleet.folder}")
+        print("for the commands of README.md and docs/operations.md, paste into another shell:\n")
+        for name, value in _environment(fleet, caller_url).items():
+            print(f'export {name}="{value}"')
+        print("\nCtrl-C stops the fleet", flush=True)
         async for _ in signals:
             return
 
@@ -101,11 +125,25 @@
         await _serve_deferred(fleet, url)
         await _print_fleet(fleet)
         if keep:
-            await _wait_for_interrupt(fleet)
+            await _wait_for_interrupt(fleet, url)
+
+
+def main(argv: list[str]) -> int:
+    """
+    Run the tour; an interrupt before its end stops the fleet as well.
+
+    :param argv: ``--keep`` or nothing
+    :return: exit code
+    """
+    try:
+        anyio.run(lambda: run(keep="--keep" in argv))
+    except KeyboardInterrupt:
+        return INTERRUPTED
+    return 0
 
 
 if __name__ == "__main__":
-    anyio.run(lambda: run(keep="--keep" in sys.argv[1:]))
+    sys.exit(main(sys.argv[1:]))
 
 
-__all__ = ["run"]
+__all__ = ["main", "run"]
