Compute schedulers and aggregators once per change of the deployment

Every announcement, finished request and report hashed routers again: a finished request looked at every router, an announcement at every router for every upstream of the pool.

--- a/src/camphorvalve/controllers/demand.py
+++ b/src/camphorvalve/controllers/demand.py
@@ -75,6 +75,7 @@
         self._free_until_s: dict[tuple[str, str], float] = {}
         self._running: dict[int, Running] = {}
         self._progress_due_s = 0.0
+        self._chosen: dict[TeamKey, tuple[tuple[int, float], tuple[str, ...]]] = {}
         self._rates = GrantRates()
         self.backlog = Backlog()
         self.estimates = CostEstimates()
@@ -299,8 +300,7 @@
             case FirstCome():
                 chosen = tuple(slots)
             case _:
-                ratio = self._following.share_ratio(key.pool, key.team)
-                chosen = placement.spread(key.pool, key.team, ratio, slots)
+                chosen = self._spread(key, slots)
         free = tuple(
             scheduler_id
             for (pool, scheduler_id), until_s in self._free_until_s.items()
@@ -308,6 +308,17 @@
         )
         return tuple(dict.fromkeys(chosen + free))
 
+    def _spread(self, key: TeamKey, slots: dict[str, int]) -> tuple[str, ...]:
+        """Choose schedulers anew only after a change of the deployment or of the share."""
+        ratio = self._following.share_ratio(key.pool, key.team)
+        basis = (self._membership.version, ratio)
+        before = self._chosen.get(key)
+        if before is not None and before[0] == basis:
+            return before[1]
+        chosen = placement.spread(key.pool, key.team, ratio, slots)
+        self._chosen[key] = (basis, chosen)
+        return chosen
+
     def _report_progress(self) -> Iterator[Outgoing]:
         by_scheduler: dict[str, list[GrantProgress]] = {}
         for running in self._running.values():
--- a/src/camphorvalve/controllers/ledgers.py
+++ b/src/camphorvalve/controllers/ledgers.py
@@ -45,6 +45,8 @@
         self._aggregator = aggregator
         self._membership = membership
         self._policy = policy
+        self._seen_version = -1
+        self._aggregators: dict[TeamKey, str | None] = {}
 
     def handle(self, sender: Sender, message: Any, now_s: float) -> Iterator[Outgoing]:
         """
@@ -78,14 +80,24 @@
                 pass
             case _:
                 return
-        routers = [host.host_id for host in self._membership.live_routers()]
         by_aggregator: dict[str, list[TeamKey]] = {}
         for key in self._ledger.changed():
-            aggregator_id = placement.owner(f"aggregate/{key.pool}/{key.team}", routers)
+            aggregator_id = self._aggregator_of(key)
             if aggregator_id is not None:
                 by_aggregator.setdefault(aggregator_id, []).append(key)
         for aggregator_id, keys in by_aggregator.items():
             yield Outgoing(aggregator_id, ServiceReport(tuple(self._ledger.report(keys))))
 
+    def _aggregator_of(self, key: TeamKey) -> str | None:
+        # Hashing every router for every team each second is too much in a large fleet.
+        if self._seen_version != self._membership.version:
+            self._seen_version = self._membership.version
+            self._aggregators.clear()
+        if key not in self._aggregators:
+            routers = [host.host_id for host in self._membership.live_routers()]
+            name = f"aggregate/{key.pool}/{key.team}"
+            self._aggregators[key] = placement.owner(name, routers)
+        return self._aggregators[key]
+
 
 __all__ = ["LedgerController"]
--- a/src/camphorvalve/controllers/membership.py
+++ b/src/camphorvalve/controllers/membership.py
@@ -6,8 +6,8 @@
 from typing import TYPE_CHECKING, Any
 
 from camphorvalve.controllers.runtime import Outgoing
+from camphorvalve.controllers.view import View
 from camphorvalve.model.hosts import HostState, Role
-from camphorvalve.sharing import placement
 from camphorvalve.wire.messages import Ping, Pong
 
 if TYPE_CHECKING:
@@ -52,6 +52,8 @@
         self._sequence = 0
         self._restarted: list[str] = []
         self.leaving = False
+        self._view: View | None = None
+        self._view_version = -1
         self.version = 0
         """Grows with every change of the view, so that others can cache what they derive."""
 
@@ -111,11 +113,7 @@
 
     def live_routers(self) -> list[Host]:
         """:return: routers that may get new work, this one included unless it leaves"""
-        return [
-            host
-            for host in self._hosts.values()
-            if host.role is Role.ROUTER and self._is_staying(host)
-        ]
+        return self.view().routers
 
     def upstreams(self, pool: str | None = None) -> list[Upstream]:
         """
@@ -124,13 +122,25 @@
         :param pool: only of this pool
         :return: live upstreams that are not drained
         """
-        return [
-            upstream
-            for upstream in self._upstreams.values()
-            if upstream.state is HostState.LIVE
-            and upstream.upstream_id not in self._draining
-            and pool in (None, upstream.pool)
-        ]
+        view = self.view()
+        return view.upstreams if pool is None else view.by_pool.get(pool, [])
+
+    def view(self) -> View:
+        """:return: what may get new work, and who schedules it"""
+        if self._view is None or self._view_version != self.version:
+            self._view = View(self._staying_routers(), self._staying_upstreams(), self._view)
+            self._view_version = self.version
+        return self._view
+
+    def _staying_routers(self) -> Iterator[Host]:
+        for host in self._hosts.values():
+            if host.role is Role.ROUTER and self._is_staying(host):
+                yield host
+
+    def _staying_upstreams(self) -> Iterator[Upstream]:
+        for upstream in self._upstreams.values():
+            if upstream.state is HostState.LIVE and upstream.upstream_id not in self._draining:
+                yield upstream
 
     def upstream(self, upstream_id: str) -> Upstream | None:
         """
@@ -158,7 +168,7 @@
         :return: id of the router
         """
         upstream = self._upstreams.get(upstream_id)
-        return None if upstream is None else placement.scheduler_of(upstream, self.live_routers())
+        return None if upstream is None else self.view().scheduler_of(upstream)
 
     def scheduler_slots(self, pool: str) -> dict[str, int]:
         """
@@ -167,13 +177,7 @@
         :param pool: name of the pool
         :return: slots by router id
         """
-        routers = self.live_routers()
-        slots: dict[str, int] = {}
-        for upstream in self.upstreams(pool):
-            scheduler_id = placement.scheduler_of(upstream, routers)
-            if scheduler_id is not None:
-                slots[scheduler_id] = slots.get(scheduler_id, 0) + upstream.slots_count
-        return slots
+        return self.view().scheduler_slots(pool)
 
     def gone_routers(self) -> list[str]:
         """:return: routers whose running work is lost, each told once per restart"""
--- a/src/camphorvalve/controllers/scheduling.py
+++ b/src/camphorvalve/controllers/scheduling.py
@@ -5,7 +5,6 @@
 from typing import TYPE_CHECKING, Any
 
 from camphorvalve.controllers.runtime import Outgoing
-from camphorvalve.sharing import placement
 from camphorvalve.wire.messages import Demand, FreeSlots, GrantReturn, Progress
 
 if TYPE_CHECKING:
@@ -14,7 +13,6 @@
 
     from camphorvalve.controllers.membership import MembershipController
     from camphorvalve.controllers.runtime import Sender
-    from camphorvalve.model.upstreams import Upstream
     from camphorvalve.sharing.scheduler import Scheduler
 
 FREE_SLOTS_EVERY_S = 0.5
@@ -85,14 +83,12 @@
         if self._seen_version == self._membership.version:
             return
         self._seen_version = self._membership.version
-        routers = self._membership.live_routers()
-        owned: dict[str, Upstream] = {}
-        pool_slots: dict[str, int] = {}
-        for upstream in self._membership.upstreams():
-            pool_slots[upstream.pool] = pool_slots.get(upstream.pool, 0) + upstream.slots_count
-            if placement.scheduler_of(upstream, routers) == self._membership.self_id:
-                owned[upstream.upstream_id] = upstream
-        self._scheduler.set_upstreams(owned, pool_slots)
+        view = self._membership.view()
+        pool_slots = {
+            pool: sum(one.slots_count for one in upstreams)
+            for pool, upstreams in view.by_pool.items()
+        }
+        self._scheduler.set_upstreams(view.scheduled_by(self._membership.self_id), pool_slots)
 
     def _grant(self, now_s: float) -> Iterator[Outgoing]:
         for entry_id, grant in self._scheduler.choose(now_s):
