--- a/src/camphorvalve/controllers/membership.py
+++ b/src/camphorvalve/controllers/membership.py
@@ -6,8 +6,8 @@
 from typing import TYPE_CHECKING, Any
 
 from camphorvalve.controllers.runtime import Outgoing
+from camphorvalve.controllers.view import View
 from camphorvalve.model.hosts import HostState, Role
-from camphorvalve.sharing import placement
 from camphorvalve.wire.messages import Ping, Pong
 
 if TYPE_CHECKING:
@@ -20,6 +20,8 @@
 
 PINGS_PER_TICK_COUNT = 8
 MISSED_PINGS_COUNT = 3
+FRESH_S = 0.9
+"""A peer that was heard more recently is not pinged; without this both of a pair ping."""
 
 
 @dataclass(slots=True)
@@ -27,6 +29,7 @@
     unanswered_count: int = 0
     incarnation: int = 0
     leaving: bool = False
+    heard_s: float = float("-inf")
 
 
 class MembershipController:
@@ -52,6 +55,8 @@
         self._sequence = 0
         self._restarted: list[str] = []
         self.leaving = False
+        self._view: View | None = None
+        self._view_version = -1
         self.version = 0
         """Grows with every change of the view, so that others can cache what they derive."""
 
@@ -111,11 +116,7 @@
 
     def live_routers(self) -> list[Host]:
         """:return: routers that may get new work, this one included unless it leaves"""
-        return [
-            host
-            for host in self._hosts.values()
-            if host.role is Role.ROUTER and self._is_staying(host)
-        ]
+        return self.view().routers
 
     def upstreams(self, pool: str | None = None) -> list[Upstream]:
         """
@@ -124,13 +125,25 @@
         :param pool: only of this pool
         :return: live upstreams that are not drained
         """
-        return [
-            upstream
-            for upstream in self._upstreams.values()
-            if upstream.state is HostState.LIVE
-            and upstream.upstream_id not in self._draining
-            and pool in (None, upstream.pool)
-        ]
+        view = self.view()
+        return view.upstreams if pool is None else view.by_pool.get(pool, [])
+
+    def view(self) -> View:
+        """:return: what may get new work, and who schedules it"""
+        if self._view is None or self._view_version != self.version:
+            self._view = View(self._staying_routers(), self._staying_upstreams(), self._view)
+            self._view_version = self.version
+        return self._view
+
+    def _staying_routers(self) -> Iterator[Host]:
+        for host in self._hosts.values():
+            if host.role is Role.ROUTER and self._is_staying(host):
+                yield host
+
+    def _staying_upstreams(self) -> Iterator[Upstream]:
+        for upstream in self._upstreams.values():
+            if upstream.state is HostState.LIVE and upstream.upstream_id not in self._draining:
+                yield upstream
 
     def upstream(self, upstream_id: str) -> Upstream | None:
         """
@@ -158,7 +171,7 @@
         :return: id of the router
         """
         upstream = self._upstreams.get(upstream_id)
-        return None if upstream is None else placement.scheduler_of(upstream, self.live_routers())
+        return None if upstream is None else self.view().scheduler_of(upstream)
 
     def scheduler_slots(self, pool: str) -> dict[str, int]:
         """
@@ -167,13 +180,7 @@
         :param pool: name of the pool
         :return: slots by router id
         """
-        routers = self.live_routers()
-        slots: dict[str, int] = {}
-        for upstream in self.upstreams(pool):
-            scheduler_id = placement.scheduler_of(upstream, routers)
-            if scheduler_id is not None:
-                slots[scheduler_id] = slots.get(scheduler_id, 0) + upstream.slots_count
-        return slots
+        return self.view().scheduler_slots(pool)
 
     def gone_routers(self) -> list[str]:
         """:return: routers whose running work is lost, each told once per restart"""
@@ -196,6 +203,7 @@
         probe.incarnation = max(probe.incarnation, sender.incarnation)
         probe.leaving = message.leaving
         probe.unanswered_count = 0
+        probe.heard_s = now_s
         if before != (False, probe.leaving):
             self.version += 1
         if isinstance(message, Ping):
@@ -209,7 +217,7 @@
         :return: pings
         """
         self._sequence += 1
-        peers = [host_id for host_id in self.peer_addresses() if host_id != self.self_id]
+        peers = [host_id for host_id in self.peer_addresses() if self._is_silent(host_id, now_s)]
         chosen = self._rng.sample(peers, min(PINGS_PER_TICK_COUNT, len(peers)))
         for host_id in chosen:
             probe = self._probes.setdefault(host_id, _Probe())
@@ -218,6 +226,12 @@
                 self.version += 1
             yield Outgoing(host_id, Ping(self._sequence, self.leaving, ()))
 
+    def _is_silent(self, host_id: str, now_s: float) -> bool:
+        """Tell whether a peer has to be pinged; its own ping or answer shows that it lives."""
+        probe = self._probes.get(host_id)
+        silent = probe is None or now_s - probe.heard_s > FRESH_S
+        return silent and host_id != self.self_id
+
     def _is_suspected(self, host_id: str) -> bool:
         probe = self._probes.get(host_id)
         return probe is not None and probe.unanswered_count > MISSED_PINGS_COUNT
