Wait for every process of a shared deployment before a test, and name look-ups alike

Change: the base case waits until every process has a configuration in force. Measured: tests.reports.test_explain and tests.processes.test_once pass.

--- a/src/camphorvalve/reports/explain.py
+++ b/src/camphorvalve/reports/explain.py
@@ -96,7 +96,7 @@
         :param request_id: id of the request
         :return: where it waited, for what, which decisions and attempts
         """
-        return self._decisions.find(request_id)
+        return self._decisions.explain(request_id)
 
     def explain_team(self, name: str) -> Any | None:
         """
@@ -114,7 +114,7 @@
             "router": self._host_id,
             "share": parameters.share,
             "pools": [self._pool_share(TeamKey(pool, name)) for pool in pools],
-            **self._decisions.team(name),
+            **self._decisions.explain_team(name),
         }
 
     def burn(self) -> Any:
--- a/tests/processes/fleetcase.py
+++ b/tests/processes/fleetcase.py
@@ -101,6 +101,8 @@
         for role in ("controller", "router"):
             for member_id in set(self.fleet.ids(role)) - set(self.running(role)):
                 await self.fleet.restart(member_id)
+            # A fault that an earlier test was cancelled in may have left a process just started.
+            for member_id in self.fleet.ids(role):
                 await self.until(lambda one=member_id: self._is_configured(one), "configured")
 
     async def _is_configured(self, member_id: str) -> bool:
