Announce demand at once when upstreams may have moved

Cause: an entry router announced to the new scheduler with its next periodic announcement, up to 2 s after it had noticed the loss of the old one, while design section 9 asks for an announcement at once.

--- a/src/camphorvalve/controllers/demand.py
+++ b/src/camphorvalve/controllers/demand.py
@@ -75,6 +75,7 @@
         self._free_until_s: dict[tuple[str, str], float] = {}
         self._running: dict[int, Running] = {}
         self._progress_due_s = 0.0
+        self._seen_version = -1
         self._rates = GrantRates()
         self.backlog = Backlog()
         self.estimates = CostEstimates()
@@ -216,6 +217,10 @@
         :param now_s: current time
         :return: messages to schedulers
         """
+        if self._seen_version != self._membership.version:
+            # Upstreams may have moved to another scheduler, which knows nothing of the demand.
+            self._seen_version = self._membership.version
+            self._dirty.update(self.backlog.keys_waiting())
         due = {
             key
             for key in self.backlog.keys_waiting()
