Free grants to a lost router after 2 s, with its demand

Cause: a killed router's announced demand grows older than any other, so that all schedulers granted their free slots to it. Each grant was held for 3.5 s, and the demand for 6 s, which drew the next grants to it.

Ruled out: the move of the killed router's own upstream. The two other engines were idle as well, from 0.5 s after the kill on.

Change: a grant that no progress message has ever named is freed after 2 s; the first one is due within 1 s. Freeing a silent grant forgets the demand that drew it, unless it was announced since.

--- a/src/camphorvalve/sharing/scheduler.py
+++ b/src/camphorvalve/sharing/scheduler.py
@@ -19,6 +19,8 @@
 GRANT_LIFETIME_S = 1.0
 GRANT_SILENCE_S = 3.5
 """A grant that no progress message named for this long is free again."""
+UNCONFIRMED_S = 2.0
+"""The same for a grant that none has named yet; the first one is due within 1 s of its use."""
 DEMAND_LIFETIME_S = 6.0
 BLOCK_S = 5.0
 """How long an entry router gets no grant for an upstream that it could not connect to."""
@@ -45,6 +47,12 @@
     pending_units: float
     units: float
     heard_s: float
+    confirmed: bool = False
+    """Whether the entry router has named the grant in a progress message."""
+
+    def is_silent(self, now_s: float) -> bool:
+        limit_s = GRANT_SILENCE_S if self.confirmed else UNCONFIRMED_S
+        return now_s - self.heard_s > limit_s
 
 
 @dataclass(slots=True)
@@ -137,6 +145,7 @@
             self._running[report.grant_id] = running
             self._count_used(report.upstream_id, 1)
         running.heard_s = now_s
+        running.confirmed = True
         served_units = max(0.0, report.units - running.units)
         self._serve(running, served_units)
         if report.done:
@@ -182,9 +191,8 @@
                 if now_s - waiting.heard_s > DEMAND_LIFETIME_S:
                     del entries[entry_id]
             self._drop_if_idle(key, now_s)
-        silent = [g for g, one in self._running.items() if now_s - one.heard_s > GRANT_SILENCE_S]
-        for grant_id in silent:
-            self._release(grant_id)
+        for grant_id in [g for g, one in self._running.items() if one.is_silent(now_s)]:
+            self._drop_silent(grant_id, now_s)
         for pair in [p for p, until_s in self._blocked_until_s.items() if until_s <= now_s]:
             del self._blocked_until_s[pair]
         self._decay(now_s)
@@ -362,6 +370,15 @@
         rate = self._rates.setdefault(running.key.pool, _Rate())
         rate.units += served_units
 
+    def _drop_silent(self, grant_id: int, now_s: float) -> None:
+        """Free a grant, and forget the demand that would draw the next one to the same router."""
+        key, entry_id = self._running[grant_id].key, self._running[grant_id].entry_id
+        self._release(grant_id)
+        waiting = self._demand.get(key, {}).get(entry_id)
+        if waiting is not None and now_s - waiting.heard_s > UNCONFIRMED_S:
+            del self._demand[key][entry_id]
+            self._drop_if_idle(key, now_s)
+
     def _release(self, grant_id: int) -> None:
         running = self._running.pop(grant_id)
         self.ledger.account(running.key).pending_units -= running.pending_units
