--- a/src/camphorvalve/controllers/demand.py
+++ b/src/camphorvalve/controllers/demand.py
@@ -82,6 +82,7 @@
         self._running: dict[int, Running] = {}
         self._progress_due_s = 0.0
         self._chosen: dict[TeamKey, tuple[tuple[int, float], tuple[str, ...]]] = {}
+        self._seen_version = -1
         self._rates = GrantRates()
         self.backlog = Backlog()
         self.estimates = CostEstimates()
@@ -223,6 +224,10 @@
         :param now_s: current time
         :return: messages to schedulers
         """
+        if self._seen_version != self._membership.version:
+            # Upstreams may have moved to another scheduler, which knows nothing of the demand.
+            self._seen_version = self._membership.version
+            self._dirty.update(self.backlog.keys_waiting())
         due = {
             key
             for key in self.backlog.keys_waiting()
