--- a/tools/measure.py
+++ b/tools/measure.py
@@ -87,13 +87,25 @@
     }
 
 
-def main(deployment: Literal["perth", "khomas"] = "perth", /, *, quick: bool = False) -> None:
+def main(
+    deployment: Literal["perth", "khomas"] = "perth",
+    /,
+    *,
+    quick: bool = False,
+    slopes: bool = False,
+) -> None:
     """
     Measure a deployment; prints a table and, as the last line, one JSON object.
 
     :param deployment: which of the two current deployments
     :param quick: at most 50 s in all
+    :param slopes: cost by size of the fleet instead, in one process
     """
+    if slopes:
+        from tools.measuring import capacity
+
+        capacity.print_all()
+        return
     joined = asyncio.run(measure(deployment, quick=quick))
     for line in table.lines(WORKS[deployment], joined):
         print(line)
--- a/tools/measuring/control.py
+++ b/tools/measuring/control.py
@@ -112,6 +112,19 @@
     return found
 
 
+async def change(fleet: Fleet, name: str) -> int:
+    """
+    Add a team.
+
+    :param fleet: the running fleet
+    :param name: name of the new team
+    :return: the revision
+    """
+    template = fleet.configuration()["templates"][0]["name"]
+    team = {"name": name, "template": template}
+    return (await fleet.change({"type": "put_team", "team": team}))["revision"]
+
+
 async def change_in_force_s(fleet: Fleet, name: str) -> float:
     """
     Add a team and wait until every router has it in force.
@@ -120,9 +133,7 @@
     :param name: name of the new team
     :return: seconds from the answer to the change until the last router
     """
-    template = fleet.configuration()["templates"][0]["name"]
-    change = {"type": "put_team", "team": {"name": name, "template": template}}
-    revision = (await fleet.change(change))["revision"]
+    revision = await change(fleet, name)
     accepted_s = time.monotonic()
     await asyncio.gather(*(_wait(fleet, one, revision) for one in fleet.ids("router")))
     return time.monotonic() - accepted_s
@@ -160,6 +171,7 @@
 __all__ = [
     "Rates",
     "Sample",
+    "change",
     "change_in_force_s",
     "own_ids",
     "processor_s",
--- a/tools/measuring/plans.py
+++ b/tools/measuring/plans.py
@@ -46,7 +46,6 @@
         """
         ratio = min(1.0, max(0.4, available_s / self.total_s()))
         return self._replace(
-            hold_s=self.hold_s * ratio,
             settle_s=self.settle_s * ratio,
             fairness_s=self.fairness_s * ratio,
             window_s=self.window_s * ratio,
@@ -59,7 +58,7 @@
 
 
 QUICK = Plan(3.0, 1.5, 7.5, 3.5, 4.0, 3, together=True)
-FULL = Plan(12.0, 5.0, 60.0, 20.0, 10.0, 300, together=False)
+FULL = Plan(10.0, 4.0, 40.0, 12.0, 8.0, 300, together=False)
 
 
 class Kind(NamedTuple):
