Keep one call more than its slots at a plain service under backlog

A slot of a service idled while the last progress message, the next grant and the request travelled. Calls that have waited 0.1 s may now wait at the service itself, one per service. Schedulers without room no longer rank teams for each announcement.

--- a/src/camphorvalve/sharing/scheduler.py
+++ b/src/camphorvalve/sharing/scheduler.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING, NamedTuple
 
 from camphorvalve.model.policies import FirstCome, FleetFair, LocalFair
+from camphorvalve.model.upstreams import PlainService
 from camphorvalve.sharing.health import UpstreamHealth
 from camphorvalve.sharing.ledger import Ledger, TeamKey
 from camphorvalve.wire.messages import Demand, Grant, GrantProgress
@@ -21,6 +22,11 @@
 GRANT_SILENCE_S = 3.5
 """A grant that no progress message named for this long is free again."""
 DEMAND_LIFETIME_S = 6.0
+EXTRA_COUNT = 1
+"""Calls that wait at a plain service itself, so that its slots do not idle while a grant travels.
+Engines get none: the loss is small for runs of seconds, and one run more slows down all others."""
+EXTRA_AFTER_S = 0.1
+"""Only work that has waited this long may wait there; a free slot elsewhere is found sooner."""
 RATE_DECAY_S = 10.0
 OVERDUE_FACTOR = 2.0
 """A team without a grant for this many times its due interval goes first, whatever it owes. A team
@@ -193,6 +199,8 @@
         :return: grants with their receivers
         """
         for pool in {key.pool for key in self._demand}:
+            if not self._has_room(pool):
+                continue
             self._cap_debt(pool)
             while (grant := self._choose_one(pool, now_s)) is not None:
                 yield grant
@@ -240,7 +248,7 @@
         overdue = self._overdue(keys, now_s)
         for key in sorted(keys, key=lambda one: (one not in overdue, self._rank(one, now_s))):
             for entry_id in self._entries_by_urgency(key, now_s):
-                upstream = self._freest_upstream(pool, entry_id, now_s)
+                upstream = self._freest_upstream(key, entry_id, now_s)
                 if upstream is not None:
                     return self._grant(key, entry_id, upstream, now_s)
         return None
@@ -313,12 +321,20 @@
             key=lambda one: (-min(entries[one].urgent_count, 1), -entries[one].age_s(now_s)),
         )
 
-    def _freest_upstream(self, pool: str, entry_id: str, now_s: float) -> Upstream | None:
+    def _has_room(self, pool: str) -> bool:
+        return any(
+            self._used.get(one.upstream_id, 0) < _places_count(one, waited=True)
+            for one in self._upstreams.values()
+            if one.pool == pool
+        )
+
+    def _freest_upstream(self, key: TeamKey, entry_id: str, now_s: float) -> Upstream | None:
+        waited = self._demand[key][entry_id].age_s(now_s) >= EXTRA_AFTER_S
         candidates = [
             upstream
             for upstream in self._upstreams.values()
-            if upstream.pool == pool
-            and self._used.get(upstream.upstream_id, 0) < upstream.slots_count
+            if upstream.pool == key.pool
+            and self._used.get(upstream.upstream_id, 0) < _places_count(upstream, waited=waited)
             and self.health.may_use(entry_id, upstream.upstream_id, now_s)
         ]
         return min(
@@ -381,4 +397,12 @@
             rate.counted_s = now_s
 
 
+def _places_count(upstream: Upstream, *, waited: bool) -> int:
+    match upstream.interface:
+        case PlainService() if waited:
+            return upstream.slots_count + EXTRA_COUNT
+        case _:
+            return upstream.slots_count
+
+
 __all__ = ["GrantTo", "Scheduler"]
