Show every process of the fleet in one status table

Each process told its own fields, so that the table had empty columns, and a process that did not answer was an address without a name. The command line now joins the answers with what the leader knows: role, revision, lag, load, leader, term, silence at the leader, and whether a process is cut off. Config polls carry the operator URL of the router instead of its caller URL, which only the status used.

--- a/src/camphorvalve/cli/fleet.py
+++ b/src/camphorvalve/cli/fleet.py
@@ -2,19 +2,26 @@
 
 from __future__ import annotations
 
-from typing import Any
-
+from camphorvalve.cli import overview
 from camphorvalve.cli.client import connect, send_change
 from camphorvalve.cli.output import print_fields, print_rows
-from camphorvalve.cli.replies import Reply, answered
+from camphorvalve.cli.replies import answered
 
 
 async def status(
-    *, controller: tuple[str, ...] = (), router: tuple[str, ...] = (), json: bool = False
+    *,
+    members: bool = False,
+    controller: tuple[str, ...] = (),
+    router: tuple[str, ...] = (),
+    json: bool = False,
 ) -> None:
     """
-    Show the status of every controller and router that is given; fails when none answers.
+    Show every process of the fleet; one that does not answer is a row.
 
+    The leader adds the processes that it knows and that are not given. Exit code 0 when any process
+    answers, 4 when none is reached, 1 when all refuse.
+
+    :param members: list the replicas of the log instead of the processes
     :param controller: operator URL of a controller; may be repeated
     :param router: operator URL of a router; may be repeated
     :param json: print JSON
@@ -22,7 +29,7 @@
     async with connect(controller, router) as ports:
         replies = await ports.ask_all("/v1/status")
     answered(replies)
-    print_rows([_row(reply, json=json) for reply in replies], json=json)
+    print_rows(overview.members(replies) if members else overview.processes(replies), json=json)
 
 
 async def drain(
@@ -51,13 +58,4 @@
     print_fields({"member": member, "draining": not end, "revision": revision}, json=json)
 
 
-def _row(reply: Reply, *, json: bool) -> dict[str, Any]:
-    if reply.status != 200:
-        return {"url": reply.url, "error": reply.text}
-    if json:
-        return {"url": reply.url, **reply.body}
-    plain = {key: one for key, one in reply.body.items() if not isinstance(one, (dict, list))}
-    return {"url": reply.url, **plain}
-
-
 __all__ = ["drain", "status"]
--- a/src/camphorvalve/controllers/backend.py
+++ b/src/camphorvalve/controllers/backend.py
@@ -75,6 +75,7 @@
         return {
             **self._replication.status(),
             "host_id": self._settings.host_id,
+            "operator_urls": dict(self.operator_urls),
             "traffic": self._traffic()._asdict(),
             "processor_s": round(time.process_time(), 3),
         }
--- a/src/camphorvalve/controllers/following.py
+++ b/src/camphorvalve/controllers/following.py
@@ -43,7 +43,7 @@
         Start without configuration.
 
         :param controller_ids: controllers to poll
-        :param url: where callers reach this router, for the fleet's status
+        :param url: where operators reach this router, for the fleet's status
         :param load: tells the present load
         """
         self._controller_ids = controller_ids
--- a/src/camphorvalve/controllers/status.py
+++ b/src/camphorvalve/controllers/status.py
@@ -21,6 +21,8 @@
     voter: bool
     match_index: int | None
     """Last entry known to be held; only the leader knows it."""
+    silent_s: float | None
+    """Time since it last answered the leader; only the leader knows it."""
 
 
 class RouterStatus(TypedDict):
@@ -35,7 +37,7 @@
     leaving: bool
     waiting_count: int
     running_count: int
-    url: str
+    operator_url: str
 
 
 class ControllerStatus(TypedDict):
@@ -69,7 +71,7 @@
         "role": _role(replica),
         "term": own.term,
         "leader_id": None if own.leader is None else host_of(own.leader),
-        "members": _members(replica),
+        "members": _members(replica, now_s),
         "commit_index": own.commit_index,
         "revision": state.configuration.revision,
         "routers": _routers(presence, state.configuration.revision, now_s),
@@ -86,20 +88,27 @@
             return "follower" if replica.state.is_member else "learner"
 
 
-def _members(replica: Replica) -> list[MemberStatus]:
+def _members(replica: Replica, now_s: float) -> list[MemberStatus]:
     own = replica.state
     match own.role:
         case Leader(progress=progress):
             known = {identity: one.match_index for identity, one in progress.items()}
             known[own.identity] = own.synced_index
+            silent = {
+                identity: now_s - max(one.since_s, one.acked_s)
+                for identity, one in progress.items()
+            }
+            silent[own.identity] = 0.0
         case _:
             known = {}
+            silent = {}
     return [
         {
             "host_id": host_of(identity),
             "identity": identity,
             "voter": identity in own.log.members,
             "match_index": known.get(identity),
+            "silent_s": silent.get(identity),
         }
         for identity in dict.fromkeys((*own.log.members, *known))
     ]
@@ -116,7 +125,7 @@
             "leaving": poll.leaving,
             "waiting_count": poll.waiting_count,
             "running_count": poll.running_count,
-            "url": poll.url,
+            "operator_url": poll.url,
         }
         for router in sorted(presence.routers.values(), key=lambda one: one.router_id)
         if (poll := router.poll) is not None
--- a/src/camphorvalve/wiring.py
+++ b/src/camphorvalve/wiring.py
@@ -8,6 +8,7 @@
 from typing import TYPE_CHECKING, NamedTuple
 
 import anyio
+import httpx
 import structlog
 
 from camphorvalve.consensus.messages import MESSAGES as CONSENSUS_MESSAGES
@@ -65,8 +66,6 @@
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
 
-    import httpx
-
     from camphorvalve.filters.chain import Handler
     from camphorvalve.http.asgi import App
     from camphorvalve.model.policies import Policy
@@ -222,7 +221,7 @@
         return Load(membership.leaving, demand.backlog.total.count, demand.running_count())
 
     controller_ids = [one.host_id for one in settings.controllers]
-    following = ConfigurationFollower(controller_ids, settings.caller_url, load)
+    following = ConfigurationFollower(controller_ids, _operator_url(settings), load)
     following.subscribe(lambda configuration: membership.set_draining(configuration.draining))
     demand = DemandController(policy, membership, following)
     ledger = Ledger(policy)
@@ -314,6 +313,13 @@
     return following.configuration.parameters(team)
 
 
+def _operator_url(settings: RouterSettings) -> str:
+    host, _, port = settings.operator_bind.rpartition(":")
+    if host.strip("[]") in ("0.0.0.0", "::"):
+        return str(httpx.URL(settings.caller_url).copy_with(port=int(port), path="/")).rstrip("/")
+    return f"http://{settings.operator_bind}"
+
+
 def _self_host(settings: RouterSettings) -> Host:
     return Host(
         settings.host_id,
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -386,7 +386,52 @@
     return {"orders": orders, "models": [], "adapters": [], "role": "mixed"}
 
 
+def a_controller_status(
+    host_id: str, *, leads: bool, term: int = 4, silent: dict[str, float] | None = None
+) -> dict[str, Any]:
+    """Build the status of a controller that knows two controllers and two routers."""
+    silent = silent or {}
+    return {
+        "host_id": host_id,
+        "role": "leader" if leads else "follower",
+        "leads": leads,
+        "term": term,
+        "leader_id": "controller-1",
+        "revision": 7,
+        "operator_urls": {name: f"http://{name}" for name in ("controller-1", "controller-2")},
+        "members": [
+            {
+                "host_id": f"controller-{number}",
+                "identity": f"controller-{number}#a",
+                "voter": number == 1,
+                "match_index": 12 if leads else None,
+                "silent_s": 0.2 * (number - 1) if leads else None,
+            }
+            for number in (1, 2)
+        ],
+        "routers": [
+            {
+                "router_id": name,
+                "operator_url": f"http://{name}",
+                "revision": 6,
+                "waiting_count": 3,
+                "running_count": 1,
+                "silent_s": silent.get(name, 0.5),
+            }
+            for name in ("router-1", "router-2")
+        ],
+    }
+
+
+def a_router_status(host_id: str, *, revision: int = 7) -> dict[str, Any]:
+    """Build the status of a router."""
+    counts = {"waiting_count": 0, "running_count": 0}
+    return {"host_id": host_id, "role": "router", "revision": revision, **counts}
+
+
 __all__ = [
+    "a_router_status",
+    "a_controller_status",
     "POOL",
     "a_backlog",
     "a_change",
