Explain open requests, and merge the answer on a team over all routers

Only requests that had ended could be explained, and explain team printed one answer per router. A filter now keeps the open requests, accepted work included, and each filter that waits says so in the stage of the exchange. The command line merges the routers' answers on a team, with its debt in seconds of the pool's rate.

--- a/src/camphorvalve/cli/explain.py
+++ b/src/camphorvalve/cli/explain.py
@@ -8,15 +8,16 @@
 import msgspec
 
 from camphorvalve.cli.client import connect
-from camphorvalve.cli.output import CommandError, ExitCode, print_fields, print_json
+from camphorvalve.cli.output import CommandError, ExitCode, print_fields, print_json, say
 from camphorvalve.cli.replies import Reply, answered
 from camphorvalve.reports.burn import BurnReport, merge
 from camphorvalve.reports.tables import burn_table
+from camphorvalve.reports.teams import merge_teams
 
 
 async def request(request_id: str, *, router: tuple[str, ...] = (), json: bool = False) -> None:
     """
-    Show the decisions on one request, from the router that served it.
+    Show the decisions on one request, from the router that serves or served it.
 
     :param request_id: id from the header X-Request-Id
     :param router: operator URL of a router; may be repeated
@@ -30,7 +31,7 @@
 
 async def team(name: str, *, router: tuple[str, ...] = (), json: bool = False) -> None:
     """
-    Show what a team gets at each router and why.
+    Show what a team gets and why, over all given routers.
 
     :param name: name of the team
     :param router: operator URL of a router; may be repeated
@@ -38,12 +39,11 @@
     """
     async with connect((), router) as ports:
         replies = await ports.ask_routers(f"/v1/teams/{quote(name, safe='')}")
-    rows = [_with_url(reply) for reply in answered(replies)]
-    if json:
-        print_json(rows)
-        return
-    for row in rows:
-        print_fields(row, json=False)
+    bodies = [reply.body for reply in answered(replies)]
+    for reply in replies:
+        if reply.status != 200:
+            say(f"left out: {reply.text}")
+    print_fields(merge_teams(bodies), json=json)
 
 
 async def burn(*, router: tuple[str, ...] = (), json: bool = False) -> None:
--- a/src/camphorvalve/filters/admission.py
+++ b/src/camphorvalve/filters/admission.py
@@ -9,6 +9,7 @@
 import anyio
 
 from camphorvalve.model.errors import RequestError
+from camphorvalve.model.requests import Stage
 from camphorvalve.sharing.affinity import PrefixAffinity
 from camphorvalve.sharing.backlog import Waiter
 from camphorvalve.sharing.ledger import TeamKey
@@ -53,6 +54,7 @@
         """
         waiter = await self._wait(exchange)
         running = self._demand.started(waiter)
+        exchange.stage = Stage.RUNNING
         exchange.upstream_id = running.grant.upstream_id
         exchange.served_units = 0.0
         if exchange.prefix is not None:
@@ -73,6 +75,7 @@
 
     async def _wait(self, exchange: Exchange) -> Waiter:
         waiter, event = self._enqueue(exchange)
+        exchange.stage = Stage.WAITING
         try:
             await event.wait()
         except BaseException:
--- a/src/camphorvalve/filters/deduplicate.py
+++ b/src/camphorvalve/filters/deduplicate.py
@@ -10,7 +10,7 @@
 
 from camphorvalve.model.answers import Body, Head
 from camphorvalve.model.errors import RequestError
-from camphorvalve.model.requests import Completion, ServiceCall
+from camphorvalve.model.requests import Completion, ServiceCall, Stage
 from camphorvalve.registry.commands import (
     AbortRun,
     Conflict,
@@ -69,7 +69,9 @@
                 async for part in parts:
                     yield part
             return
+        stage, exchange.stage = exchange.stage, Stage.RECORDING
         outcome = await self._submit_start(exchange, start)
+        exchange.stage = stage
         exchange.note(time.monotonic(), f"record start: {type(outcome).__name__.lower()}")
         match outcome:
             case Done():
--- a/src/camphorvalve/filters/defer.py
+++ b/src/camphorvalve/filters/defer.py
@@ -12,6 +12,7 @@
 from camphorvalve.controllers.work import encode_request
 from camphorvalve.model.answers import Body, Head
 from camphorvalve.model.errors import RequestError
+from camphorvalve.model.requests import Stage
 from camphorvalve.registry.commands import AcceptWork, Conflict, Done, Finished, Lost, Running
 
 if TYPE_CHECKING:
@@ -60,6 +61,7 @@
                     yield part
             return
         accept = self._accept(exchange)
+        exchange.stage = Stage.RECORDING
         match await self._submit(accept):
             case Done() | Running() | Finished() | Lost():
                 pass
--- a/src/camphorvalve/model/requests.py
+++ b/src/camphorvalve/model/requests.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import enum
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, NamedTuple
 
@@ -45,6 +46,18 @@
     cost_hint_units: float | None
 
 
+class Stage(enum.Enum):
+    """Where a request is that has not ended."""
+
+    RECEIVED = "received"
+    RECORDING = "recording"
+    """Waits until a quorum of the controllers has committed its acceptance or its start."""
+    WAITING = "waiting"
+    """In the queue of its pool."""
+    RUNNING = "running"
+    """At an upstream."""
+
+
 class BrokenStream(NamedTuple):
     """How far a stream got before it broke."""
 
@@ -63,6 +76,7 @@
     parameters: KindParameters | None = None
     prefix: str | None = None
     """Key of the first block of the prompt, for prefix affinity."""
+    stage: Stage = Stage.RECEIVED
     attempt: int = 0
     upstream_id: str | None = None
     served_units: float = 0.0
@@ -99,4 +113,4 @@
         self.notes.append((now_s, text))
 
 
-__all__ = ["BrokenStream", "Call", "Completion", "Exchange", "Request", "ServiceCall"]
+__all__ = ["BrokenStream", "Call", "Completion", "Exchange", "Request", "ServiceCall", "Stage"]
--- a/src/camphorvalve/reports/decisions.py
+++ b/src/camphorvalve/reports/decisions.py
@@ -5,6 +5,7 @@
 from collections import Counter, OrderedDict
 from typing import TYPE_CHECKING, TypedDict
 
+from camphorvalve.model.requests import Stage
 from camphorvalve.reports.outcomes import Failed, outcome_name
 
 if TYPE_CHECKING:
@@ -45,6 +46,25 @@
     notes: list[NoteBody]
 
 
+class OpenBody(TypedDict):
+    """A request that waits or runs."""
+
+    request_id: str
+    team: str | None
+    kind: str | None
+    pool: str | None
+    state: str
+    """``received``, ``recording``, ``waiting`` or ``running``."""
+    waits_for: str | None
+    ahead_count: int | None
+    """Requests of its team and pool that wait here and go first, unless an older one is due."""
+    attempt: int
+    upstream_id: str | None
+    units: float
+    open_ms: float
+    notes: list[NoteBody]
+
+
 class TeamBody(TypedDict):
     """How the requests of a team ended since this router started to track it."""
 
@@ -134,6 +154,45 @@
     }
 
 
+def open_body(exchange: Exchange, ahead_count: int, now_s: float) -> OpenBody:
+    """
+    Describe a request that has not ended.
+
+    :param exchange: the request
+    :param ahead_count: requests that wait before it
+    :param now_s: monotonic time
+    :return: where it waits, for what, and what was decided so far
+    """
+    parameters = exchange.parameters
+    pool = parameters.pool if parameters is not None else exchange.request.pool
+    return {
+        "request_id": exchange.request.request_id,
+        "team": exchange.team.name if exchange.team is not None else exchange.request.team,
+        "kind": exchange.kind or exchange.request.kind,
+        "pool": pool,
+        "state": exchange.stage.value,
+        "waits_for": _waits_for(exchange, pool),
+        "ahead_count": ahead_count if exchange.stage is Stage.WAITING else None,
+        "attempt": exchange.attempt,
+        "upstream_id": exchange.upstream_id,
+        "units": exchange.served_units,
+        "open_ms": round((now_s - exchange.received_s) * 1000, 3),
+        "notes": _notes(exchange),
+    }
+
+
+def _waits_for(exchange: Exchange, pool: str | None) -> str | None:
+    match exchange.stage:
+        case Stage.RECEIVED:
+            return None
+        case Stage.RECORDING:
+            return "a quorum of the controllers"
+        case Stage.WAITING:
+            return f"a slot of pool {pool}"
+        case Stage.RUNNING:
+            return f"the answer of {exchange.upstream_id}"
+
+
 def _notes(exchange: Exchange) -> list[NoteBody]:
     """Keep the first and the last notes; a long trace repeats itself in the middle."""
     notes = exchange.notes
@@ -150,4 +209,4 @@
     return None if duration_s is None else round(duration_s * 1000, 3)
 
 
-__all__ = ["Decisions", "NoteBody", "TeamBody", "TraceBody"]
+__all__ = ["Decisions", "NoteBody", "OpenBody", "TeamBody", "TraceBody", "open_body"]
--- a/src/camphorvalve/reports/explain.py
+++ b/src/camphorvalve/reports/explain.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 import time
+from itertools import islice
 from typing import TYPE_CHECKING, Any, TypedDict
 
+from camphorvalve.reports.decisions import open_body
 from camphorvalve.sharing.ledger import TeamKey
 
 if TYPE_CHECKING:
@@ -14,11 +16,16 @@
     from camphorvalve.controllers.following import ConfigurationFollower
     from camphorvalve.controllers.membership import MembershipController
     from camphorvalve.controllers.runtime import Runtime
+    from camphorvalve.filters.observe import ObserveFilter
+    from camphorvalve.model.requests import Exchange
     from camphorvalve.reports.burn import Burn
     from camphorvalve.reports.decisions import Decisions
     from camphorvalve.reports.outcomes import Finished
     from camphorvalve.sharing.scheduler import Scheduler
 
+OLDEST_COUNT = 8
+"""Open requests that the answer on a team names, for a look at one of them."""
+
 
 class PoolShare(TypedDict):
     """What one team gets in one pool, as this router knows it."""
@@ -27,9 +34,20 @@
     waiting_here_count: int
     oldest_wait_s: float
     served_here_units: float
+    """Service that this router has given as a scheduler."""
     served_fleet_units: float
     virtual_service: float
+    """Service per share, by which this router ranks the team."""
     schedulers_count: int
+    waits_at_scheduler: bool
+    """Whether the team waits for an upstream that this router schedules."""
+    least_virtual: float | None
+    """Of the teams that wait for an upstream that this router schedules."""
+    greatest_virtual: float | None
+    pool_rate: float
+    """Units per second of the whole pool, estimated here; zero before anything has run."""
+    debt_s: float | None
+    """What the team lags behind the furthest one, in seconds of the pool's rate."""
 
 
 class RouterReport:
@@ -45,6 +63,7 @@
         runtime: Runtime,
         burn: Burn,
         decisions: Decisions,
+        observe: ObserveFilter,
     ) -> None:
         """
         Prepare the report.
@@ -57,6 +76,7 @@
         :param runtime: messages carried
         :param burn: service-level burn
         :param decisions: traces of requests
+        :param observe: requests that have not ended
         """
         self._host_id = host_id
         self._membership = membership
@@ -66,6 +86,7 @@
         self._runtime = runtime
         self._burn = burn
         self._decisions = decisions
+        self._observe = observe
 
     def status(self) -> dict[str, Any]:
         """:return: revision, load, peers and traffic of this router"""
@@ -96,7 +117,10 @@
         :param request_id: id of the request
         :return: where it waited, for what, which decisions and attempts
         """
-        return self._decisions.find(request_id)
+        exchange = self._observe.find(request_id)
+        if exchange is None:
+            return self._decisions.find(request_id)
+        return open_body(exchange, self._ahead_count(exchange), time.monotonic())
 
     def explain_team(self, name: str) -> Any | None:
         """
@@ -114,6 +138,10 @@
             "router": self._host_id,
             "share": parameters.share,
             "pools": [self._pool_share(TeamKey(pool, name)) for pool in pools],
+            "oldest_open": [
+                {"request_id": one.request.request_id, "state": one.stage.value}
+                for one in islice(self._observe.of_team(name), OLDEST_COUNT)
+            ],
             **self._decisions.team(name),
         }
 
@@ -125,6 +153,16 @@
         """:return: what takes each finished request"""
         return [self._decisions.record, self._burn.record]
 
+    def _ahead_count(self, exchange: Exchange) -> int:
+        if exchange.team is None or exchange.parameters is None:
+            return 0
+        key = TeamKey(exchange.parameters.pool, exchange.team.name)
+        urgency = exchange.parameters.urgency
+        return sum(
+            (one.urgency, -one.arrived_s) > (urgency, -exchange.received_s)
+            for one in self._demand.backlog.waiting(key)
+        )
+
     def _pool_share(self, key: TeamKey) -> PoolShare:
         waiting = self._demand.backlog.waiting(key)
         ledger = self._scheduler.ledger
@@ -137,6 +175,23 @@
             "served_fleet_units": round(max(account.total_units, account.own_units), 1),
             "virtual_service": round(ledger.virtual(key), 1),
             "schedulers_count": account.schedulers_count,
+            "waits_at_scheduler": account.waiting,
+            **self._compared(key),
+        }
+
+    def _compared(self, key: TeamKey) -> dict[str, float | None]:
+        ledger = self._scheduler.ledger
+        others = [ledger.virtual(other) for other in ledger.waiting(key.pool)]
+        rate = self._scheduler.pool_rate(key.pool)
+        debt_s = None
+        if others and rate > 0:
+            lag_virtual = max(0.0, max(others) - ledger.virtual(key))
+            debt_s = round(lag_virtual * ledger.account(key).share / rate, 3)
+        return {
+            "least_virtual": round(min(others), 1) if others else None,
+            "greatest_virtual": round(max(others), 1) if others else None,
+            "pool_rate": round(rate, 1),
+            "debt_s": debt_s,
         }
 
 
--- a/src/camphorvalve/sharing/ledger.py
+++ b/src/camphorvalve/sharing/ledger.py
@@ -120,7 +120,7 @@
         if account.waiting:
             return
         idle = account.idle_since_s is None or now_s - account.idle_since_s > IDLE_GRACE_S
-        others = [self.virtual(other) for other in self._waiting(key.pool)]
+        others = [self.virtual(other) for other in self.waiting(key.pool)]
         account.waiting = True
         account.changed = True
         if not others or not idle:
@@ -151,7 +151,7 @@
         :param pool: name of the pool
         :param cap_virtual: largest lag that stays, in virtual service
         """
-        waiting = [key for key in self._waiting(pool) if self._accounts[key].known]
+        waiting = [key for key in self.waiting(pool) if self._accounts[key].known]
         if len(waiting) < 2:
             return
         floor = max(self.virtual(key) for key in waiting) - cap_virtual
@@ -202,7 +202,13 @@
             account.total_units = entry.total_units
             account.own_at_total_units = account.own_at_report_units
 
-    def _waiting(self, pool: str) -> Iterator[TeamKey]:
+    def waiting(self, pool: str) -> Iterator[TeamKey]:
+        """
+        Find the teams that wait for a pool here.
+
+        :param pool: name of the pool
+        :return: pools and teams
+        """
         return (key for key, one in self._accounts.items() if one.waiting and key.pool == pool)
 
     def _lift(self, key: TeamKey, floor_virtual: float) -> None:
--- a/src/camphorvalve/wiring.py
+++ b/src/camphorvalve/wiring.py
@@ -41,6 +41,7 @@
 from camphorvalve.filters.dispatch import Dispatch
 from camphorvalve.filters.identify import Tokens, identify
 from camphorvalve.filters.limit import limit
+from camphorvalve.filters.observe import ObserveFilter
 from camphorvalve.filters.retry import RetryFilter
 from camphorvalve.http.callers import CallerApp
 from camphorvalve.http.lookups import RouterLookups
@@ -250,6 +251,7 @@
         ),
         Dispatch(client, membership),
     )
+    observe = ObserveFilter()
     burn = Burn(settings.host_id)
     decisions = Decisions()
     metrics = Metrics(destination_of(settings.metrics))
@@ -262,11 +264,13 @@
         runtime,
         burn,
         decisions,
+        observe,
     )
     parameters = partial(_parameters, following)
     handler = compose(
         (
             account([*report.recorders(), metrics.record]),
+            observe,
             identify(settings.callers, parameters),
             classify(membership.interface_of),
             limit(
@@ -296,7 +300,7 @@
         runtime,
         membership,
         work,
-        background,
+        compose((observe,), background),
         callers,
         router_app(report, settings.operator_token),
         stopping,
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -429,7 +429,35 @@
     return {"host_id": host_id, "role": "router", "revision": revision, **counts}
 
 
+def a_team_body(name: str = "kalamunda", router: str = "router-1", **pool: Any) -> dict[str, Any]:
+    """Build what one router says about a team that uses one pool."""
+    values = {
+        "pool": POOL,
+        "waiting_here_count": 2,
+        "oldest_wait_s": 0.5,
+        "served_here_units": 10.0,
+        "served_fleet_units": 15.0,
+        "virtual_service": 20.0,
+        "schedulers_count": 2,
+        "waits_at_scheduler": True,
+        "least_virtual": 20.0,
+        "greatest_virtual": 30.0,
+        "pool_rate": 100.0,
+        "debt_s": 0.1,
+    }
+    return {
+        "team": name,
+        "router": router,
+        "share": 1.0,
+        "pools": [{**values, **pool}],
+        "oldest_open": [{"request_id": f"{router}-1", "state": "waiting"}],
+        "outcomes": {"answered": 3},
+        "limits_hit": {"queue_full": 1},
+    }
+
+
 __all__ = [
+    "a_team_body",
     "a_router_status",
     "a_controller_status",
     "POOL",
--- a/tests/reports/test_decisions.py
+++ b/tests/reports/test_decisions.py
@@ -5,9 +5,15 @@
 import unittest
 
 from camphorvalve.model.errors import Run
-from camphorvalve.reports.decisions import NOTE_LIMIT_CHARS, NOTE_LIMIT_COUNT, Decisions
+from camphorvalve.model.requests import Stage
+from camphorvalve.reports.decisions import (
+    NOTE_LIMIT_CHARS,
+    NOTE_LIMIT_COUNT,
+    Decisions,
+    open_body,
+)
 from camphorvalve.reports.outcomes import Failed
-from tests.builders import a_classified_exchange, a_finished, an_exchange, team_parameters
+from tests.builders import POOL, a_classified_exchange, a_finished, an_exchange, team_parameters
 
 
 class DecisionsTest(unittest.TestCase):
@@ -32,6 +38,21 @@
         self.assertEqual(trace, {**trace, **expected})
         self.assertIsNone(decisions.find("request-2"))
 
+    def test_an_open_request_tells_what_it_waits_for(self) -> None:
+        exchange = a_classified_exchange(received_s=100.0)
+        cases = [
+            (Stage.RECEIVED, None, None),
+            (Stage.RECORDING, "a quorum of the controllers", None),
+            (Stage.WAITING, f"a slot of pool {POOL}", 4),
+            (Stage.RUNNING, "the answer of engine-1", None),
+        ]
+        for stage, waits_for, ahead_count in cases:
+            exchange.stage, exchange.upstream_id = stage, "engine-1"
+            body = open_body(exchange, 4, 101.5)
+            with self.subTest(stage):
+                self.assertEqual((body["waits_for"], body["ahead_count"]), (waits_for, ahead_count))
+                self.assertEqual((body["state"], body["open_ms"]), (stage.value, 1500.0))
+
     def test_memory_is_bounded(self) -> None:
         decisions = Decisions(traces_count=3, teams_count=2)
         for number in range(5):
--- /dev/null
+++ b/tests/reports/test_teams.py
@@ -0,0 +1,35 @@
+"""Guards against a merged answer that counts service twice or names a debt that is not one."""
+
+from __future__ import annotations
+
+import unittest
+
+from camphorvalve.reports.teams import merge_teams
+from tests.builders import a_team_body
+
+
+class MergeTest(unittest.TestCase):
+    def test_routers_are_merged(self) -> None:
+        idle = {"waits_at_scheduler": False, "debt_s": 9.0, "waiting_here_count": 0}
+        bodies = [
+            a_team_body(router="router-1"),
+            a_team_body(router="router-2", oldest_wait_s=2.5, debt_s=0.4),
+            a_team_body(router="router-3", **idle, served_here_units=0.0),
+        ]
+        merged = merge_teams(bodies)
+        pool = merged["pools"][0]
+        self.assertEqual((pool["waiting_count"], pool["oldest_wait_s"]), (4, 2.5))
+        self.assertEqual(pool["served_units"], {"router-1": 10.0, "router-2": 10.0})
+        self.assertEqual(pool["served_fleet_units"], 20.0)
+        self.assertEqual([one["router"] for one in pool["schedulers"]], ["router-1", "router-2"])
+        self.assertEqual(pool["debt_s"], 0.4)
+        named = [(one["router"], one["request_id"]) for one in merged["oldest_open"]]
+        self.assertEqual(named[1], ("router-2", "router-2-1"))
+        self.assertEqual(
+            (merged["outcomes"], merged["limits_hit"]["queue_full"]), ({"answered": 9}, 3)
+        )
+
+    def test_a_total_of_the_aggregator_is_kept(self) -> None:
+        idle = a_team_body(waits_at_scheduler=False, served_fleet_units=40.0)
+        pool = merge_teams([idle])["pools"][0]
+        self.assertEqual((pool["served_fleet_units"], pool["debt_s"]), (40.0, None))
