--- /dev/null
+++ b/tests/processes/test_operations.py
@@ -0,0 +1,218 @@
+"""Guards against commands of the operators' page that don't work on a real fleet."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import io
+import json
+import os
+import signal
+import tempfile
+import time
+import unittest
+from typing import Any
+from unittest import mock
+
+from tools.fleet import OPERATOR_TOKEN, ROOT, SMALL
+
+from camphorvalve.cli.main import execute
+from camphorvalve.cli.output import ExitCode
+from camphorvalve.wire.keys import KeyPair, generate
+from camphorvalve.wire.link import Link
+from camphorvalve.wire.messages import MESSAGES
+from tests.builders import a_poll
+from tests.processes.fleetcase import FleetCase, on_loop
+
+CONFIGURATION = str(ROOT / "examples" / SMALL.name / "configuration.json")
+SERVICE_PATH = "/v1/services/booking-desk/slots/17"
+
+
+class OperationsTest(FleetCase):
+    shape = SMALL
+
+    def setUp(self) -> None:
+        super().setUp()
+        urls = {
+            role: " ".join(self.fleet.members[one].operator_url for one in self.fleet.ids(role))
+            for role in ("controller", "router")
+        }
+        environment = {
+            "CAMPHORVALVE_CONTROLLERS": urls["controller"],
+            "CAMPHORVALVE_ROUTERS": urls["router"],
+            "CAMPHORVALVE_TOKEN": OPERATOR_TOKEN,
+        }
+        self.enterContext(mock.patch.dict(os.environ, environment))
+
+    async def run_command(self, *argv: str) -> tuple[int, str, str]:
+        with (
+            contextlib.redirect_stdout(io.StringIO()) as output,
+            contextlib.redirect_stderr(io.StringIO()) as errors,
+        ):
+            code = int(await execute(argv))
+        return code, output.getvalue(), errors.getvalue()
+
+    async def run_json(self, *argv: str) -> Any:
+        code, output, errors = await self.run_command(*argv, "--json")
+        self.assertEqual(0, code, errors)
+        return json.loads(output)
+
+    async def revision(self) -> int:
+        return max(row["revision"] or 0 for row in await self.run_json("status"))
+
+    @on_loop
+    async def test_changes_conflict_and_resend(self) -> None:
+        await self.run_json("apply", CONFIGURATION)
+        self.assertEqual([], await self.run_json("apply", CONFIGURATION))
+        revision = await self.revision()
+        put = ("team", "put", "kalamunda", "--expected-revision", str(revision))
+        first = (*put, "--share", "2", "--operation-id", f"op-{revision}")
+        self.assertEqual({"revision": revision + 1}, await self.run_json(*first))
+        code, _, errors = await self.run_command(*put, "--share", "3")
+        self.assertEqual((ExitCode.CONFLICT, True), (code, f"revision {revision + 1}" in errors))
+        self.assertEqual({"revision": revision + 1}, await self.run_json(*first))
+        shown = await self.run_json("team", "show", "kalamunda")
+        self.assertEqual(2, shown["in_force"]["share"])
+        await self.fleet.wait_configured(revision + 1)
+
+    @on_loop
+    async def test_status_with_processes_killed(self) -> None:
+        leader_id = await self.leader()
+        controller_id = next(one for one in self.fleet.ids("controller") if one != leader_id)
+        lost = {controller_id, "router-3"}
+        # The test of the links leaves a router behind that the leader knows for a while.
+        own = {*self.fleet.ids("controller"), *self.fleet.ids("router")}
+        for member_id in lost:
+            await self.kill(member_id)
+
+        async def cut_off() -> Any:
+            rows = [row for row in await self.run_json("status") if row["id"] in own]
+            silent = {row["id"] for row in rows if row["cut_off"] and (row["heard_s"] or 0) > 3}
+            return rows if silent == lost else None
+
+        rows = await self.until(cut_off, "the leader misses both")
+        self.assertEqual(6, len(rows))
+        self.assertEqual({None}, {row["error"] for row in rows if row["id"] not in lost})
+        members = await self.run_json("status", "--members")
+        self.assertEqual(["voter"] * 3, [row["role"] for row in members])
+        code, table, _ = await self.run_command("status")
+        self.assertEqual(0, code)
+        self.assertLessEqual(own, {line.split()[0] for line in table.splitlines()})
+
+    @on_loop
+    async def test_drains(self) -> None:
+        body = {"model": "chorale", "prompt": "p", "max_tokens": 2}
+        for member_id in ("router-3", "camphor-pool-2"):
+            drained = await self.run_json("drain", member_id)
+            await self.fleet.wait_configured(drained["revision"])
+        answer = await self.call("router-1", "/v1/addresses", "summary")
+        named = {one["router"] for one in answer.json()["addresses"]}
+        self.assertEqual({"router-1", "router-2"}, named)
+        # A grant that was on its way when the drain came into force is used within its lifetime.
+        await asyncio.sleep(1.0)
+        for _ in range(8):
+            answer = await self.call("router-2", "/v1/completions", "schedule-draft", body=body)
+            self.assertEqual((200, "camphor-pool-1"), (answer.status, answer.headers["x-upstream"]))
+        for member_id in ("router-3", "camphor-pool-2"):
+            await self.run_json("drain", member_id, "--end")
+
+    @on_loop
+    async def test_order_is_carried_out(self) -> None:
+        size = ("--size-bytes", "1000")
+        order = ("order", "load-model", "camphor-pool-1", "chorale", "2026-11", *size)
+        index = (await self.run_json(*order))["order_index"]
+
+        async def done() -> bool:
+            orders = await self.run_json("order", "list")
+            return any(one["index"] == index and one["state"] == "done" for one in orders)
+
+        await self.until(done, "the order is done")
+        url = f"{self.fleet.members['camphor-pool-1'].url}/v1/state"
+        self.assertIn("2026-11", (await self.fleet.client.get(url)).text)
+
+    @on_loop
+    async def test_explain_and_burn(self) -> None:
+        body = {"model": "chorale", "prompt": "p", "max_tokens": 2}
+        answer = await self.call("router-1", "/v1/completions", "schedule-draft", body=body)
+        trace = await self.run_json("explain", "request", answer.headers["x-request-id"])
+        self.assertEqual(("answered", 1), (trace["outcome"], trace["attempt"]))
+        path = f"{SERVICE_PATH}?service_ms=1500"
+        for _ in range(12):
+            answer = await self.call(
+                "router-2", path, "slot-confirmation", body={}, x_deferred="true"
+            )
+            self.assertEqual(202, answer.status)
+
+        async def state(expected: str) -> Any:
+            trace = await self.run_json("explain", "request", answer.json()["id"])
+            return trace if trace.get("state") == expected else None
+
+        trace = await self.until(lambda: state("waiting"), "the last one waits")
+        self.assertEqual("a slot of pool booking-desk", trace["waits_for"])
+        self.assertGreater(trace["ahead_count"], 0)
+        team = await self.run_json("explain", "team", "fremantle")
+        self.assertEqual(self.fleet.ids("router"), team["routers"])
+        self.assertEqual({"router-2"}, {one["router"] for one in team["oldest_open"]})
+        named = await self.run_json("explain", "request", team["oldest_open"][0]["request_id"])
+        self.assertIn(named["state"], ("waiting", "running"))
+        pool = next(one for one in team["pools"] if one["pool"] == "booking-desk")
+        self.assertGreater(pool["waiting_count"], 0)
+        self.assertEqual(1, len(pool["schedulers"]))
+        trace = await self.until(lambda: state("running"), "the last one runs", 15)
+        self.assertEqual("the answer of booking-desk-1", trace["waits_for"])
+        for router_id in ("router-1", "router-3"):
+            await self.call(router_id, "/v1/completions", "schedule-draft", body=body)
+        report = await self.run_json("burn")
+        drafts = next(one for one in report["series"] if one["kind"] == "schedule-draft")
+        self.assertEqual(self.fleet.ids("router"), sorted(report["routers"]))
+        self.assertGreaterEqual(drafts["windows"][0]["good_count"], 2)
+
+    @on_loop
+    async def test_wrong_token_is_refused(self) -> None:
+        revision = await self.revision()
+        with mock.patch.dict(os.environ, {"CAMPHORVALVE_TOKEN": "another-token"}):
+            for argv in (("status",), ("burn",), ("drain", "router-1"), ("order", "list")):
+                code, output, errors = await self.run_command(*argv)
+                self.assertEqual((ExitCode.FAILED, ""), (code, output))
+                self.assertIn("unauthorised", errors)
+        self.assertEqual(revision, await self.revision())
+
+    @on_loop
+    async def test_link_without_the_key_is_not_admitted(self) -> None:
+        settings = json.loads((self.fleet.folder / "router-1.json").read_text())
+        right = KeyPair(**settings["keys"])
+        cases = [("router-open", None), ("router-other", generate()), ("router-right", right)]
+        links = [self._link(name, pair) for name, pair in cases]
+        end_s = time.monotonic() + 10
+        heard: set[str] = set()
+        # The link with the right key shows that the others had the time to be heard.
+        while "router-right" not in heard and time.monotonic() < end_s:
+            for link in links:
+                for controller_id in self.fleet.ids("controller"):
+                    link.send(controller_id, a_poll())
+            await asyncio.sleep(0.3)
+            heard = {row["id"] for row in await self.run_json("status")}
+        self.assertEqual({"router-right"}, heard & {name for name, _ in cases})
+
+    @on_loop
+    async def test_stop_under_signal(self) -> None:
+        controller_id = await self.leader()
+        for member_id in ("router-3", controller_id):
+            process = self.fleet.members[member_id].process
+            self.fleet.kill(member_id, signal.SIGTERM)
+            assert process is not None
+            self.assertEqual(0, await asyncio.wait_for(process.wait(), 20))
+
+    def _link(self, host_id: str, pair: KeyPair | None) -> Link:
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        link = Link(host_id, 1, f"ipc://{folder.name}/link", MESSAGES, pair)
+        link.open()
+        self.addCleanup(link.close)
+        members = (self.fleet.members[one] for one in self.fleet.ids("controller"))
+        link.connect({one.member_id: f"tcp://127.0.0.1:{one.peer_port}" for one in members})
+        return link
+
+
+if __name__ == "__main__":
+    unittest.main()
