--- a/src/camphorvalve/wiring.py
+++ b/src/camphorvalve/wiring.py
@@ -8,6 +8,7 @@
 from typing import TYPE_CHECKING, NamedTuple
 
 import anyio
+import httpx
 import structlog
 
 from camphorvalve.consensus.messages import MESSAGES as CONSENSUS_MESSAGES
@@ -40,6 +41,7 @@
 from camphorvalve.filters.dispatch import Dispatch
 from camphorvalve.filters.identify import Tokens, identify
 from camphorvalve.filters.limit import limit
+from camphorvalve.filters.observe import ObserveFilter
 from camphorvalve.filters.retry import RetryFilter
 from camphorvalve.http.callers import CallerApp
 from camphorvalve.http.lookups import RouterLookups
@@ -65,8 +67,6 @@
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
 
-    import httpx
-
     from camphorvalve.filters.chain import Handler
     from camphorvalve.http.asgi import App
     from camphorvalve.model.policies import Policy
@@ -222,7 +222,7 @@
         return Load(membership.leaving, demand.backlog.total.count, demand.running_count())
 
     controller_ids = [one.host_id for one in settings.controllers]
-    following = ConfigurationFollower(controller_ids, settings.caller_url, load)
+    following = ConfigurationFollower(controller_ids, _operator_url(settings), load)
     following.subscribe(lambda configuration: membership.set_draining(configuration.draining))
     demand = DemandController(policy, membership, following)
     ledger = Ledger(policy)
@@ -251,6 +251,7 @@
         ),
         Dispatch(client, membership),
     )
+    observe = ObserveFilter()
     burn = Burn(settings.host_id)
     decisions = Decisions()
     metrics = Metrics(destination_of(settings.metrics))
@@ -263,11 +264,13 @@
         runtime,
         burn,
         decisions,
+        observe,
     )
     parameters = partial(_parameters, following)
     handler = compose(
         (
             account([*report.recorders(), metrics.record]),
+            observe,
             identify(settings.callers, parameters),
             classify(membership.interface_of),
             limit(
@@ -297,7 +300,7 @@
         runtime,
         membership,
         work,
-        background,
+        compose((observe,), background),
         callers,
         router_app(report, settings.operator_token),
         stopping,
@@ -314,6 +317,13 @@
     return following.configuration.parameters(team)
 
 
+def _operator_url(settings: RouterSettings) -> str:
+    host, _, port = settings.operator_bind.rpartition(":")
+    if host.strip("[]") in ("0.0.0.0", "::"):
+        return str(httpx.URL(settings.caller_url).copy_with(port=int(port), path="/")).rstrip("/")
+    return f"http://{settings.operator_bind}"
+
+
 def _self_host(settings: RouterSettings) -> Host:
     return Host(
         settings.host_id,
--- a/tests/reports/test_explain.py
+++ b/tests/reports/test_explain.py
@@ -5,6 +5,7 @@
 import unittest
 from types import SimpleNamespace
 
+from camphorvalve.filters.observe import ObserveFilter
 from camphorvalve.model.errors import Run
 from camphorvalve.registry.configuration import EMPTY
 from camphorvalve.reports.burn import Burn
@@ -26,6 +27,7 @@
             following=following,
             burn=Burn("router-1"),
             decisions=Decisions(),
+            observe=ObserveFilter(),
             **others,
         )
         finished = a_finished(team_parameters("a"), outcome=Failed("queue_full", Run.NO))
@@ -33,6 +35,6 @@
             record(finished)
         self.assertEqual(report.explain_request("request-1")["outcome"], "queue_full")
         self.assertIsNone(report.explain_request("request-2"))
-        self.assertEqual(report.explain_team("a")["limits"]["limits_hit"]["queue_full"], 1)
+        self.assertEqual(report.explain_team("a")["limits_hit"]["queue_full"], 1)
         self.assertIsNone(report.explain_team("b"))
         self.assertEqual([one["team"] for one in report.burn()["series"]], ["a"])
