--- a/src/camphorvalve/controllers/demand.py
+++ b/src/camphorvalve/controllers/demand.py
@@ -224,14 +224,13 @@
         :param now_s: current time
         :return: messages to schedulers
         """
-        if self._seen_version != self._membership.version:
-            # Upstreams may have moved to another scheduler, which knows nothing of the demand.
-            self._seen_version = self._membership.version
-            self._dirty.update(self.backlog.keys_waiting())
+        # Upstreams may have moved to another scheduler, which knows nothing of the demand.
+        moved = self._seen_version != self._membership.version
+        self._seen_version = self._membership.version
         due = {
             key
             for key in self.backlog.keys_waiting()
-            if now_s - self._announced_s.get(key, 0.0) > ANNOUNCE_EVERY_S
+            if moved or now_s - self._announced_s.get(key, 0.0) > ANNOUNCE_EVERY_S
         }
         for key in due | set(self._changed_enough(now_s)):
             yield from self._announce(key, now_s)
