Keep the ports of a deployment free until its processes bind them

Cause: a port that the system had named as free was given to an outgoing connection before the process bound it. Two of about fifteen deployments of the process tests did not start (address already in use); the first of the two was seen without its log.

Change: each port is left in TIME_WAIT, so that the system gives it to nobody for a minute.

--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -86,13 +86,21 @@
 
 def free_port() -> int:
     """
-    Let the system choose a port.
+    Let the system choose a port, and keep it from giving it to others for a while.
 
-    :return: a port that was free a moment ago
+    The listening side closes a connection first, so that the port is in TIME_WAIT: the system gives
+    it to nobody for a minute, and a process that sets SO_REUSEADDR can bind it.
+
+    :return: a free port
     """
-    with socket.socket() as one:
-        one.bind(("127.0.0.1", 0))
-        return one.getsockname()[1]
+    with socket.socket() as listener:
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        listener.bind(("127.0.0.1", 0))
+        listener.listen(1)
+        with socket.create_connection(listener.getsockname()):
+            accepted, _ = listener.accept()
+            accepted.close()
+        return listener.getsockname()[1]
 
 
 @dataclass(slots=True)
