--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -25,16 +25,6 @@
 
 ROOT = Path(__file__).resolve().parent.parent
 START_TIMEOUT_S = 20.0
-FIRST_PORT = 10_000
-PORTS_COUNT = 22_000
-"""Linux takes ports of outgoing connections from 32768 on."""
-PORT_BLOCK_COUNT = 64
-"""Ports that the processes with neighbouring ids leave to one; a deployment needs about 30."""
-OPERATOR_TOKEN = "operator-token"
-CALLER_TOKEN = "caller-token"
-
-
-_PORT_OFFSETS = iter(range(PORTS_COUNT))
 
 
 class UpstreamShape(NamedTuple):
@@ -94,19 +84,21 @@
 
 def free_port() -> int:
     """
-    Choose a port below the range from which the system takes ports for outgoing connections.
+    Let the system choose a port, and keep it from giving it to others for a while.
 
-    A port that the system chose itself was at times taken by an outgoing connection before the
-    process that it was meant for had started, mostly with several deployments at the same time.
+    The listening side closes a connection first, so that the port is in TIME_WAIT: the system gives
+    it to nobody for a minute, and a process that sets SO_REUSEADDR can bind it.
 
-    :return: a port that was free a moment ago
+    :return: a free port
     """
-    for offset in _PORT_OFFSETS:
-        port = FIRST_PORT + (os.getpid() * PORT_BLOCK_COUNT + offset) % PORTS_COUNT
-        with socket.socket() as one, contextlib.suppress(OSError):
-            one.bind(("127.0.0.1", port))
-            return port
-    raise RuntimeError("no port is left for this process")
+    with socket.socket() as listener:
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        listener.bind(("127.0.0.1", 0))
+        listener.listen(1)
+        with socket.create_connection(listener.getsockname()):
+            accepted, _ = listener.accept()
+            accepted.close()
+        return listener.getsockname()[1]
 
 
 @dataclass(slots=True)
