Lift a team only for lags in service that was really given

Large teams lost up to half of their share in the first 15 s: lift was 1100 for them and 750 for small ones, per share, with 154 of service. The cap on debt compared with the team that is furthest ahead by estimates of running work times the number of schedulers, and a team that was announced anew to a scheduler was lifted from a stale total although it was busy elsewhere.

The cap now compares settled service, and a new announcement is lifted only if the next total shows that nothing was served meanwhile. test_ledger fails in both cases with the earlier ledger.

--- a/src/camphorvalve/sharing/ledger.py
+++ b/src/camphorvalve/sharing/ledger.py
@@ -26,6 +26,10 @@
 """A team that waits again sooner than this has not been idle and keeps its lag."""
 
 
+ROUNDING_UNITS = 1.0
+"""Sums of many counters differ by rounding."""
+
+
 class TeamKey(NamedTuple):
     """A team in one pool."""
 
@@ -126,10 +130,13 @@
         if not others or not idle:
             return
         floor = min(others)
-        if account.known or not isinstance(self._policy, FleetFair):
-            self._lift(key, floor)
-        else:
-            account.floor_virtual = floor
+        match self._policy:
+            case FleetFair():
+                # The team may be busy elsewhere; the next total tells.
+                account.known = False
+                account.floor_virtual = floor
+            case LocalFair() | FirstCome():
+                self._lift(key, floor)
 
     def set_idle(self, key: TeamKey, now_s: float) -> None:
         """
@@ -151,12 +158,14 @@
         :param pool: name of the pool
         :param cap_virtual: largest lag that stays, in virtual service
         """
-        waiting = [key for key in self._waiting(pool) if self._accounts[key].known]
-        if len(waiting) < 2:
+        settled = {
+            key: self._settled(key) for key in self._waiting(pool) if self._accounts[key].known
+        }
+        if len(settled) < 2:
             return
-        floor = max(self.virtual(key) for key in waiting) - cap_virtual
-        for key in waiting:
-            self._lift(key, floor)
+        floor = max(settled.values()) - cap_virtual
+        for key, virtual in settled.items():
+            self._add_lift(key, floor - virtual)
 
     def report(self, keys: Iterable[TeamKey]) -> Iterator[ServiceEntry]:
         """
@@ -194,22 +203,40 @@
 
         :param entry: the total
         """
-        account = self.account(TeamKey(entry.pool, entry.team))
-        account.known = True
+        key = TeamKey(entry.pool, entry.team)
+        account = self.account(key)
+        own_since_units = account.own_at_report_units - account.own_at_total_units
+        was_idle = entry.total_units <= account.total_units + own_since_units + ROUNDING_UNITS
+        was_known, account.known = account.known, True
         account.schedulers_count = entry.schedulers_count
         account.lift_units = max(account.lift_units, entry.lift_units)
         if entry.total_units >= account.total_units:
             account.total_units = entry.total_units
             account.own_at_total_units = account.own_at_report_units
+        if not was_known and was_idle:
+            self._add_lift(key, account.floor_virtual - self._settled(key))
 
     def _waiting(self, pool: str) -> Iterator[TeamKey]:
         return (key for key, one in self._accounts.items() if one.waiting and key.pool == pool)
 
+    def _settled(self, key: TeamKey) -> float:
+        """
+        Rank a team by service that was really given.
+
+        Estimates of running work, times the number of schedulers, put small teams so far ahead that
+        the cap on debt dropped most of what large teams were due.
+        """
+        account = self._accounts[key]
+        since_units = account.own_units - account.own_at_total_units
+        return (account.total_units + since_units + account.lift_units) / account.share
+
     def _lift(self, key: TeamKey, floor_virtual: float) -> None:
+        self._add_lift(key, floor_virtual - self.virtual(key))
+
+    def _add_lift(self, key: TeamKey, lag_virtual: float) -> None:
         account = self._accounts[key]
-        lag = floor_virtual - self.virtual(key)
-        if lag > 0:
-            account.lift_units += lag * account.share
+        if lag_virtual > 0:
+            account.lift_units += lag_virtual * account.share
             account.changed = True
 
 
