--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -25,6 +25,8 @@
 
 ROOT = Path(__file__).resolve().parent.parent
 START_TIMEOUT_S = 20.0
+OPERATOR_TOKEN = "operator-token"
+CALLER_TOKEN = "caller-token"
 
 
 class UpstreamShape(NamedTuple):
