Start daemons without the argument parser

Importing defopt, docutils and the operators' commands took about 0.1 s of processor time and 4 MiB that a daemon kept for good. The tree of commands moved to cli/parser.py, which the two daemon commands don't load. What is left is mostly httpx, hypercorn with its HTTP/2 and WebSocket parts, and structlog, which import those parts themselves; json5 takes 4 ms to import and 15 ms for a settings file.

--- a/src/camphorvalve/cli/main.py
+++ b/src/camphorvalve/cli/main.py
@@ -1,4 +1,4 @@
-"""The tree of commands, and how their errors become exit codes."""
+"""Runs one command, and turns its errors into exit codes."""
 
 from __future__ import annotations
 
@@ -7,66 +7,14 @@
 from typing import TYPE_CHECKING, Any
 
 import anyio
-import defopt
-
-from camphorvalve import __version__
-from camphorvalve.cli import (
-    configurations,
-    daemons,
-    explain,
-    fleet,
-    orders,
-    teams,
-    templates,
-)
+
+from camphorvalve.cli import daemons
 from camphorvalve.cli.output import CommandError, ExitCode, say
 from camphorvalve.settings.loader import SettingsError
 
 if TYPE_CHECKING:
     from collections.abc import Iterator, Sequence
 
-DESCRIPTION = """\
-Starts the processes of a camphorvalve fleet and talks to their operator ports.
-
-Operator URLs come from --controller and --router, or from CAMPHORVALVE_CONTROLLERS and
-CAMPHORVALVE_ROUTERS (separated by spaces or commas). The operator token comes from
-CAMPHORVALVE_TOKEN. Exit codes: 0 done, 1 failed, 2 bad usage or settings, 3 conflict,
-4 not reachable. The groups template, team, order and explain have a --help of their own.
-"""
-
-COMMANDS: dict[str, Any] = {
-    "router": daemons.router,
-    "controller": daemons.controller,
-    "bootstrap": daemons.bootstrap,
-    "keys": daemons.keys,
-    "check": daemons.check,
-    "template": {
-        "put": templates.put,
-        "list": templates.list_templates,
-        "show": templates.show,
-    },
-    "team": {
-        "put": teams.put,
-        "set-kind": teams.set_kind,
-        "delete": teams.delete,
-        "list": teams.list_teams,
-        "show": teams.show,
-    },
-    "apply": configurations.apply,
-    "status": fleet.status,
-    "drain": fleet.drain,
-    "order": {
-        "load-model": orders.load_model,
-        "load-adapter": orders.load_adapter,
-        "change-role": orders.change_role,
-        "list": orders.list_orders,
-    },
-    "explain": {"request": explain.request, "team": explain.team},
-    "burn": explain.burn,
-}
-
-_REPEATABLE = ("--controller", "--router")
-
 
 def main(argv: Sequence[str] | None = None) -> int:
     """
@@ -91,7 +39,7 @@
     :raises SystemExit: of the argument parser, for help and bad usage
     """
     try:
-        command = parse(argv)
+        command = _command(argv)
         if inspect.isawaitable(command):
             await command
     except CommandError as error:
@@ -107,36 +55,16 @@
     return ExitCode.DONE
 
 
-def parse(argv: Sequence[str]) -> Any:
-    """
-    Find the command, and start it unless it is a coroutine.
+def _command(argv: Sequence[str]) -> Any:
+    """Start a daemon without the argument parser, which takes time and memory for good."""
+    match argv:
+        case ["router", path] if not path.startswith("-"):
+            return daemons.router(path)
+        case ["controller", path] if not path.startswith("-"):
+            return daemons.controller(path)
+    from camphorvalve.cli.parser import parse
 
-    :param argv: arguments
-    :return: a coroutine to be awaited, or ``None``
-    """
-    return defopt.run(
-        COMMANDS,
-        argv=list(_gathered(argv)),
-        short={},
-        no_negated_flags=True,
-        version=__version__,
-        argparse_kwargs={"prog": "camphorvalve", "description": DESCRIPTION},
-    )
-
-
-def _gathered(argv: Sequence[str]) -> Iterator[str]:
-    """Move the values of a repeated option behind one option, as defopt expects lists."""
-    values: dict[str, list[str]] = {option: [] for option in _REPEATABLE}
-    rest = iter(argv)
-    for argument in rest:
-        option, equals, value = argument.partition("=")
-        if option not in values:
-            yield argument
-        else:
-            values[option].append(value if equals else next(rest, ""))
-    for option, urls in values.items():
-        if urls:
-            yield from (option, *urls)
+    return parse(argv)
 
 
 def _lines(group: ExceptionGroup[Any] | None) -> Iterator[str]:
@@ -147,4 +75,4 @@
             yield str(error)
 
 
-__all__ = ["COMMANDS", "execute", "main", "parse"]
+__all__ = ["execute", "main"]
--- a/tests/cli/test_main.py
+++ b/tests/cli/test_main.py
@@ -18,8 +18,9 @@
 import structlog
 
 from camphorvalve.cli import client
-from camphorvalve.cli.main import COMMANDS, execute, parse
+from camphorvalve.cli.main import execute
 from camphorvalve.cli.output import ExitCode
+from camphorvalve.cli.parser import COMMANDS, parse
 from camphorvalve.http.operators import controller_app, router_app
 from camphorvalve.registry.commands import DeleteTeam
 from camphorvalve.registry.configuration import apply_change
