--- a/src/camphorvalve/consensus/driver.py
+++ b/src/camphorvalve/consensus/driver.py
@@ -121,6 +121,11 @@
         """:return: whether ``flush`` has something to make durable or to send"""
         return bool(self._held) or self._files.unsynced
 
+    @property
+    def since_snapshot_bytes(self) -> int:
+        """:return: size of the commands applied since the newest snapshot"""
+        return self._since_snapshot_bytes
+
     def step(self, event: Event, now_s: float) -> Iterator[Report]:
         """
         Take one event; what has to be durable first is held until ``flush``.
--- a/src/camphorvalve/consensus/storage.py
+++ b/src/camphorvalve/consensus/storage.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import os
+import time
 import uuid
 from pathlib import Path
 from typing import TYPE_CHECKING, NamedTuple
@@ -32,6 +33,13 @@
     voted_for: str | None
 
 
+class Syncs(NamedTuple):
+    """Syncs of the log over some time."""
+
+    count: int = 0
+    longest_s: float = 0.0
+
+
 class Storage:
     """Open files of one replica; entries are buffered until ``sync``."""
 
@@ -46,6 +54,7 @@
         self.stored = stored
         self._folder = folder
         self._journal = journal
+        self._syncs = Syncs()
 
     @property
     def unsynced(self) -> bool:
@@ -72,7 +81,15 @@
 
     def sync(self) -> None:
         """Make all appended entries durable with one write and one sync."""
+        started_s = time.perf_counter()
         self._journal.sync()
+        longest_s = max(self._syncs.longest_s, time.perf_counter() - started_s)
+        self._syncs = Syncs(self._syncs.count + 1, longest_s)
+
+    def take_syncs(self) -> Syncs:
+        """:return: the syncs since the last call"""
+        syncs, self._syncs = self._syncs, Syncs()
+        return syncs
 
     def install(self, snapshot: Snapshot, entries: Sequence[Entry]) -> None:
         """
@@ -176,4 +193,4 @@
     return msgspec.msgpack.decode(read_sealed(path), type=Snapshot).index > 0
 
 
-__all__ = ["Storage", "bootstrap", "first_identities", "open_storage"]
+__all__ = ["Storage", "Syncs", "bootstrap", "first_identities", "open_storage"]
--- a/src/camphorvalve/controllers/replication.py
+++ b/src/camphorvalve/controllers/replication.py
@@ -30,6 +30,7 @@
 from camphorvalve.controllers.status import ControllerStatus, describe
 from camphorvalve.controllers.submissions import Pending, Submissions, Waiter
 from camphorvalve.registry.commands import COMMAND_CODEC, OUTCOME_CODEC, Invalid, TakeLeadership
+from camphorvalve.reports.metrics import ControllerLevels
 from camphorvalve.wire.codec import DecodeError
 from camphorvalve.wire.messages import ConfigPoll, ConfigUpdate, Lookup, Submit, SubmitReply
 
@@ -37,7 +38,7 @@
     from collections.abc import Callable, Iterable, Iterator
     from random import Random
 
-    from camphorvalve.consensus.storage import Storage
+    from camphorvalve.consensus.storage import Storage, Syncs
     from camphorvalve.controllers.runtime import Sender
     from camphorvalve.registry.commands import Command
     from camphorvalve.registry.state import RegistryState
@@ -114,6 +115,26 @@
         leader = self._replica.state.leader
         return None if leader is None else host_of(leader)
 
+    def levels(self, syncs: Syncs) -> ControllerLevels:
+        """
+        Read what the metrics show.
+
+        :param syncs: syncs of the log since the last reading
+        :return: the levels
+        """
+        own = self._replica.state
+        return ControllerLevels(
+            configuration_revision=self.state.configuration.revision,
+            term=own.term,
+            leads=int(self.leads),
+            commit_index=own.commit_index,
+            unsettled_count=self.state.records.unsettled_count,
+            stored_bytes=self.state.records.answers_bytes,
+            log_bytes=self._driver.since_snapshot_bytes,
+            syncs_count=syncs.count,
+            sync_longest_ms=round(syncs.longest_s * 1000, 3),
+        )
+
     def lease_valid(self, now_s: float) -> bool:
         """
         Tell whether this controller leads and no other one can lead yet.
--- a/src/camphorvalve/registry/records.py
+++ b/src/camphorvalve/registry/records.py
@@ -27,6 +27,11 @@
         """:return: size of all stored answers"""
         return self._answers_bytes
 
+    @property
+    def unsettled_count(self) -> int:
+        """:return: records without an outcome"""
+        return len(self._records) - len(self._settled)
+
     def get(self, record_id: str) -> Record | None:
         """
         Look up a record.
--- a/src/camphorvalve/reports/metrics.py
+++ b/src/camphorvalve/reports/metrics.py
@@ -60,7 +60,18 @@
 RUNNING_COUNT = Metric("running_count", "gauge", "requests", "requests at an upstream")
 REVISION = Metric("configuration_revision", "gauge", "revision", "configuration in force")
 
-METRICS = (
+TERM = Metric("term", "gauge", "term", "term of the replicated log")
+LEADS = Metric("leads", "gauge", "0 or 1", "whether this controller leads")
+COMMIT_INDEX = Metric("commit_index", "gauge", "entries", "last committed entry of the log")
+UNSETTLED_COUNT = Metric(
+    "unsettled_count", "gauge", "records", "accepted work and started runs without an outcome"
+)
+STORED_BYTES = Metric("stored_bytes", "gauge", "bytes", "answers that the records keep")
+LOG_BYTES = Metric("log_bytes", "gauge", "bytes", "commands applied since the newest snapshot")
+SYNCS_COUNT = Metric("syncs_count", "gauge", "syncs", "syncs of the log in the last 10 s")
+SYNC_LONGEST = Metric("sync_longest_ms", "gauge", "ms", "longest of these syncs")
+
+ROUTER_METRICS = (
     REQUESTS,
     FIRST_BYTE,
     TOTAL,
@@ -70,10 +81,21 @@
     RUNNING_COUNT,
     REVISION,
 )
+CONTROLLER_METRICS = (
+    REVISION,
+    TERM,
+    LEADS,
+    COMMIT_INDEX,
+    UNSETTLED_COUNT,
+    STORED_BYTES,
+    LOG_BYTES,
+    SYNCS_COUNT,
+    SYNC_LONGEST,
+)
 
 
 class Levels(NamedTuple):
-    """What the gauges show."""
+    """What the gauges of a router show."""
 
     waiting_count: int
     waiting_bytes: int
@@ -81,6 +103,20 @@
     configuration_revision: int
 
 
+class ControllerLevels(NamedTuple):
+    """What the gauges of a controller show."""
+
+    configuration_revision: int
+    term: int
+    leads: int
+    commit_index: int
+    unsettled_count: int
+    stored_bytes: int
+    log_bytes: int
+    syncs_count: int
+    sync_longest_ms: float
+
+
 class _Client(StatsClient):
     """A client whose socket drops datagrams instead of waiting for room in its buffer."""
 
@@ -128,7 +164,7 @@
             if exchange.served_units:
                 batch.incr(f"units.{team}.{kind}", round(exchange.served_units))
 
-    def observe(self, levels: Levels) -> None:
+    def observe(self, levels: Levels | ControllerLevels) -> None:
         """
         Send the gauges.
 
@@ -147,7 +183,7 @@
             self._client = None
 
 
-async def observe_levels(metrics: Metrics, read: Callable[[], Levels]) -> None:
+async def observe_levels(metrics: Metrics, read: Callable[[], Levels | ControllerLevels]) -> None:
     """
     Send the gauges until cancelled.
 
@@ -177,7 +213,9 @@
 
 
 __all__ = [
-    "METRICS",
+    "CONTROLLER_METRICS",
+    "ROUTER_METRICS",
+    "ControllerLevels",
     "Destination",
     "Disabled",
     "Levels",
--- a/src/camphorvalve/wiring.py
+++ b/src/camphorvalve/wiring.py
@@ -133,6 +133,7 @@
     )
     link.open()
     link.connect({one.host_id: one.peer_address for one in settings.controllers})
+    metrics = Metrics(destination_of(settings.metrics))
     shutdown = anyio.Event()
     async with client, order_client, anyio.create_task_group() as tasks:
         tasks.start_soon(runtime.run)
@@ -140,6 +141,7 @@
         tasks.start_soon(ordering.run)
         tasks.start_soon(follow_as_controller, settings, client, link, backend)
         tasks.start_soon(wait_for_signal, shutdown)
+        tasks.start_soon(observe_levels, metrics, lambda: replication.levels(storage.take_syncs()))
         _log.info("controller started", identity=replication.status()["identity"])
         app = controller_app(backend, settings.operator_token)
         await serve(app, settings.operator_bind, shutdown, graceful_timeout_s=5.0)
--- a/tests/reports/test_metrics.py
+++ b/tests/reports/test_metrics.py
@@ -9,7 +9,9 @@
 
 from camphorvalve.model.errors import Run
 from camphorvalve.reports.metrics import (
-    METRICS,
+    CONTROLLER_METRICS,
+    ROUTER_METRICS,
+    ControllerLevels,
     Disabled,
     Levels,
     Metrics,
@@ -58,11 +60,21 @@
             ],
         )
         sent = {line.split(":")[0].split(".")[1] for line in lines}
-        self.assertEqual(sent, {metric.name.split(".")[0] for metric in METRICS})
+        self.assertEqual(sent, {metric.name.split(".")[0] for metric in ROUTER_METRICS})
 
     def test_the_page_lists_exactly_the_metrics(self) -> None:
         rows = re.findall(r"^\| `(.+?)` \| (.+?) \| (.+?) \| (.+?) \|$", DOCUMENT.read_text(), re.M)
-        self.assertEqual(rows, [tuple(metric) for metric in METRICS])
+        documented = [*ROUTER_METRICS, *CONTROLLER_METRICS]
+        self.assertEqual(rows, [tuple(metric) for metric in documented])
+
+    def test_gauges_of_a_controller_are_documented(self) -> None:
+        levels = ControllerLevels(1, 2, 1, 4, 5, 6, 7, 8, 9.5)
+        self._metrics().observe(levels)
+        lines = self.server.recv(4096).decode().split("\n")
+        values = [f"{value}|g" for value in levels]
+        expected = [f"cv.{metric.name}" for metric in CONTROLLER_METRICS]
+        self.assertEqual([line.split(":")[0] for line in lines], expected)
+        self.assertEqual([line.split(":")[1] for line in lines], values)
 
     def test_refused_requests_count_without_their_claimed_team(self) -> None:
         refused = a_finished(outcome=Failed("unauthorised", Run.NO))
