--- a/src/camphorvalve/registry/records.py
+++ b/src/camphorvalve/registry/records.py
@@ -33,6 +33,11 @@
         """:return: size of all stored answers and of all accepted work"""
         return self._held_bytes
 
+    @property
+    def unsettled_count(self) -> int:
+        """:return: records without an outcome"""
+        return len(self._records) - len(self._settled)
+
     def get(self, record_id: str) -> Record | None:
         """
         Look up a record.
