--- a/tools/measuring/slopes.py
+++ b/tools/measuring/slopes.py
@@ -145,7 +145,7 @@
             lambda one=one: node.runtime.send(one.tick(100.0 + next(clock)))
         )
         / one.tick_s
-        for one in (node.membership, node.following, node.demand, node.scheduling, node.ledgers)
+        for one in (node.ledgers, node.membership, node.following, node.demand, node.scheduling)
     }
 
     def change() -> None:
--- a/tools/measuring/trial.py
+++ b/tools/measuring/trial.py
@@ -13,8 +13,9 @@
 
 from tools.fleet import Fleet
 from tools.measuring import control, fairness, flood, logs
-from tools.measuring.load import Call, Load, routers_of
-from tools.measuring.plans import FULL, QUICK, TOKEN_MS, WORKS
+from tools.measuring.backlogs import Backlogs
+from tools.measuring.load import Load
+from tools.measuring.plans import FULL, QUICK, WORKS
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
@@ -23,11 +24,6 @@
     from tools.measuring.plans import Kind, Plan, Work
 
 SEED = 11
-BACKLOG_FACTOR = 2.0
-"""Requests of a backlogged team in the fleet, in units of the slots of its share."""
-MODEL_BACKLOG_COUNT = 12
-SERVICE_BACKLOG_COUNT = 3
-"""Added to the former for every team."""
 RESTART_FROM_COUNT = 100
 """Changes from which on a router restarts empty behind them."""
 TIMED_EVERY_COUNT = 25
@@ -83,6 +79,8 @@
             self._plan = self._plan.scaled(self._deadline_s - STOP_S - time.monotonic())
             self._figures["plan"] = self._plan._asdict()
             self._load = Load(self._fleet, SEED)
+            router_ids = self._fleet.ids("router")
+            self._backlogs = Backlogs(self._work, self._shares, self._load, router_ids)
             try:
                 await self._run_phases()
             finally:
@@ -100,11 +98,11 @@
         return revision
 
     async def _run_phases(self) -> None:
-        self._hold()
+        self._backlogs.hold(self._plan.hold_s + 0.5)
         await asyncio.sleep(0.5)
-        self._keep_model_backlog()
+        self._backlogs.keep_models()
         await self._measure_idle_control()
-        self._keep_service_backlog()
+        self._backlogs.keep_services()
         await asyncio.sleep(self._plan.settle_s + 0.5)
         await self._measure_fairness()
         await self._drain()
@@ -114,38 +112,6 @@
                 await self._measure_changes()
             self._figures["rss_mb"] = self._memory()
 
-    def _hold(self) -> None:
-        """Occupy every slot with requests that send nothing until they end."""
-        total = sum(self._shares.values())
-        tokens_count = (self._plan.hold_s + 0.5) * 1000 / TOKEN_MS
-        owed, router_ids = 0.0, self._fleet.ids("router")
-        for place, (team, share) in enumerate(self._shares.items()):
-            owed += share / total * self._work.model_slots_count
-            router_id = routers_of(place, router_ids)[0]
-            for _ in range(round(owed)):
-                call = Call(team, self._work.least_urgent, router_id, tokens_count, streamed=False)
-                self._load.send(call)
-            owed -= round(owed)
-
-    def _keep_model_backlog(self) -> None:
-        kinds = (self._work.least_urgent,) * 3 + (self._work.most_urgent,)
-        self._keep(kinds, self._work.model_slots_count, MODEL_BACKLOG_COUNT)
-
-    def _keep_service_backlog(self) -> None:
-        self._keep(
-            (self._work.service_backlog,), self._work.service_slots_count, SERVICE_BACKLOG_COUNT
-        )
-
-    def _keep(self, kinds: tuple[Kind, ...], slots_count: int, least_count: int) -> None:
-        total = sum(self._shares.values())
-        router_ids = self._fleet.ids("router")
-        for place, (team, share) in enumerate(self._shares.items()):
-            own = routers_of(place, router_ids)
-            if team == self._work.single_router_team:
-                own = own[:1]
-            count = least_count + round(BACKLOG_FACTOR * slots_count * share / total)
-            self._load.keep_backlog(team, kinds, own, count)
-
     async def _measure_idle_control(self) -> None:
         """Measure while every slot is held and work waits: nothing but control goes on."""
         await asyncio.sleep(min(1.0, self._plan.hold_s / 4))
@@ -236,8 +202,7 @@
         ):
             counts = await self._serve_others(kind)
             self._figures[f"flood_{name}_counts"] = counts
-            kept = round(flood.kept_ratio(counts, without), 4)
-            self._figures[f"flood_kept_{name}"] = kept
+            self._figures[f"flood_kept_{name}"] = round(flood.kept_ratio(counts, without), 4)
 
     async def _serve_others(self, kind: Kind | None) -> dict[str, int]:
         router_ids = self._fleet.ids("router")
