Close gaps around accepted work and the retry budget

Cause: any known token could fetch any accepted work; work of a removed team waited for ever; an unexpected error of one piece of work ended the router; failures that are never tried again still spent from the retry budget. Change: the id of the work ends with its team, which is checked; removed work gets an error as its result; the error is logged and the work tried again; the budget is asked last.

--- a/src/camphorvalve/controllers/work.py
+++ b/src/camphorvalve/controllers/work.py
@@ -14,7 +14,7 @@
 from camphorvalve.model.requests import Call, Completion, Exchange, Request, ServiceCall
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Awaitable, Callable
 
     from anyio.abc import TaskGroup
 
@@ -22,6 +22,8 @@
     from camphorvalve.filters.chain import Handler
     from camphorvalve.wire.messages import Assignment
 
+    Refuse = Callable[[str, int, RequestError], Awaitable[None]]
+
 PAUSE_S = 0.5
 PAUSE_MAX_S = 30.0
 ENDING_CODES = frozenset({"conflict", "outcome_unknown", "unknown_team", "bad_body"})
@@ -83,15 +85,18 @@
         self._running: dict[str, int] = {}
         self._spawn: Callable[[str, int, bytes], None] | None = None
         self._handler: Handler | None = None
+        self._refuse: Refuse | None = None
 
-    def connect(self, tasks: TaskGroup, handler: Handler) -> None:
+    def connect(self, tasks: TaskGroup, handler: Handler, refuse: Refuse) -> None:
         """
         Set where work runs.
 
         :param tasks: task group of the process
         :param handler: the part of the chain after the acceptance
+        :param refuse: stores an error as the result of work that can no longer run
         """
         self._handler = handler
+        self._refuse = refuse
         self._spawn = lambda *work: tasks.start_soon(self._run, *work)
 
     def assigned(self, assignment: Assignment) -> None:
@@ -133,7 +138,8 @@
 
     async def _try(self, work_id: str, attempt: int, payload: bytes) -> int:
         """Run the work; returns the attempts to go on after, zero when there is nothing to do."""
-        assert self._handler is not None
+        assert self._handler is not None and self._refuse is not None
+        exchange = None
         try:
             exchange = self._exchange(work_id, attempt, payload)
             async with aclosing(self._handler(exchange)) as parts:
@@ -141,9 +147,14 @@
                     pass
         except RequestError as error:
             _log.warning("accepted work failed", work=work_id, code=error.code, run=error.run)
-            if error.code in ENDING_CODES:
+            if exchange is None:
+                await self._refuse(work_id, attempt, error)
                 return 0
-            return max(1, exchange.attempt)
+            return 0 if error.code in ENDING_CODES else max(1, exchange.attempt)
+        except Exception:
+            # One piece of work must not end the router; another attempt may succeed.
+            _log.exception("accepted work failed unexpectedly", work=work_id)
+            return 1 if exchange is None else max(1, exchange.attempt)
         return 0
 
     def _exchange(self, work_id: str, attempt: int, payload: bytes) -> Exchange:
--- a/src/camphorvalve/filters/deduplicate.py
+++ b/src/camphorvalve/filters/deduplicate.py
@@ -6,6 +6,7 @@
 from contextlib import aclosing
 from typing import TYPE_CHECKING
 
+import msgspec
 import xxhash
 
 from camphorvalve.model.answers import Body, Head
@@ -92,6 +93,24 @@
             case Invalid(reason):
                 raise RequestError("bad_body", reason)
 
+    async def refuse(self, work_id: str, attempt: int, error: RequestError) -> None:
+        """
+        Store an error as the result of accepted work whose team or kind was removed.
+
+        :param work_id: id of the work
+        :param attempt: attempt that this router may start
+        :param error: what a fetch of the work shows
+        :raises RequestError: no quorum
+        """
+        key = (work_id, work_id, attempt)
+        now_s = time.time()
+        start = StartRun(*key, self._host_id, self._incarnation, True, "", now_s)
+        if isinstance(await self._records.submit(start), Done):
+            body = msgspec.json.encode(error.body(work_id))
+            headers = (("content-type", "application/json"),)
+            finish = FinishRun(*key, error.status, headers, body, now_s)
+            self._records.submit_later(finish)
+
     def _start(self, exchange: Exchange) -> StartRun | None:
         if exchange.record_id is None or exchange.parameters is None:
             return None
--- a/src/camphorvalve/filters/defer.py
+++ b/src/camphorvalve/filters/defer.py
@@ -141,10 +141,24 @@
     Name accepted work; the same team and key get the same id.
 
     :param exchange: the request, its team known
-    :return: the id, hard to guess without the key
+    :return: the id, which ends with the team that may fetch the work
     """
+    assert exchange.team is not None
     name = record_id(exchange)
-    return exchange.request.request_id if name is None else xxhash.xxh3_128_hexdigest(name.encode())
+    own = exchange.request.request_id
+    if name is not None:
+        own = xxhash.xxh3_128_hexdigest(name.encode())
+    return f"{own}.{exchange.team.name}"
 
 
-__all__ = ["DeferFilter", "record_id", "work_id"]
+def team_of_work(work_id: str) -> str:
+    """
+    Read the team from the id of accepted work.
+
+    :param work_id: from ``work_id``
+    :return: name of the team, empty for another id
+    """
+    return work_id.partition(".")[2]
+
+
+__all__ = ["DeferFilter", "record_id", "team_of_work", "work_id"]
--- a/src/camphorvalve/filters/retry.py
+++ b/src/camphorvalve/filters/retry.py
@@ -13,7 +13,7 @@
 from camphorvalve.upstreams.errors import Broken, NoAnswer, NotSent, UpstreamError
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator, Iterator
+    from collections.abc import AsyncIterator, Callable, Iterator
 
     from camphorvalve.filters.chain import Handler
     from camphorvalve.model.answers import Part
@@ -40,30 +40,27 @@
 Decision = Again | GiveUp
 
 
-def decide(error: UpstreamError, exchange: Exchange, *, has_budget: bool) -> Decision:
+def decide(error: UpstreamError, exchange: Exchange, has_budget: Callable[[], bool]) -> Decision:
     """
     Decide what follows a failed attempt.
 
     :param error: how the attempt failed
     :param exchange: the request
-    :param has_budget: whether the retry budget allows one more try
+    :param has_budget: takes one try from the retry budget; asked only when it would be used
     :return: the decision
     """
     assert exchange.parameters is not None
     idempotent = exchange.parameters.idempotent
-    last = exchange.attempt >= MAX_ATTEMPTS_COUNT or not has_budget
+    may_repeat = idempotent or isinstance(error, NotSent)
+    can_go_on = not isinstance(error, Broken) or _can_continue(exchange)
+    if may_repeat and can_go_on and exchange.attempt < MAX_ATTEMPTS_COUNT and has_budget():
+        return Again()
     match error:
-        case NotSent() if last:
+        case NotSent():
             message = f"no upstream could be reached in {exchange.attempt} attempts"
             return GiveUp(RequestError("no_upstream", message, retry_after_s=1.0))
-        case NotSent():
-            return Again()
-        case NoAnswer() if idempotent and not last:
-            return Again()
         case NoAnswer():
             return GiveUp(RequestError("upstream_failed", f"the upstream gave no answer: {error}"))
-        case Broken() if idempotent and not last and _can_continue(exchange):
-            return Again()
         case _:
             return GiveUp(RequestError("stream_broken", f"the answer broke off: {error}"))
 
@@ -114,8 +111,7 @@
                 return
             except UpstreamError as error:
                 self._note_failure(exchange, error)
-                has_budget = self._budget.allow(pool, time.monotonic())
-                match decide(error, exchange, has_budget=has_budget):
+                match decide(error, exchange, lambda: self._budget.allow(pool, time.monotonic())):
                     case GiveUp(answer):
                         raise answer from error
                     case Again():
--- a/src/camphorvalve/http/lookups.py
+++ b/src/camphorvalve/http/lookups.py
@@ -5,6 +5,7 @@
 import base64
 from typing import TYPE_CHECKING, Any
 
+from camphorvalve.filters.defer import team_of_work
 from camphorvalve.http.callers import JsonAnswer, Lookups
 from camphorvalve.model.errors import RequestError
 from camphorvalve.registry.commands import Done, Finished, Lost, Running
@@ -71,13 +72,21 @@
         :return: state, with the answer once it is done
         :raises RequestError: unknown token or work, or no leader answers
         """
-        if self._tokens is not None and self._tokens.teams(token) is None:
-            raise RequestError(
-                "unauthorised", "header Authorization: expected Bearer <known token>"
-            )
+        self._check(work_id, token)
         outcome = await self._records.look_up(work_id)
         return JsonAnswer(200, _describe(work_id, outcome))
 
+    def _check(self, work_id: str, token: str) -> None:
+        if self._tokens is None:
+            return
+        teams = self._tokens.teams(token)
+        if teams is None:
+            message = "header Authorization: expected Bearer <known token>"
+            raise RequestError("unauthorised", message)
+        if team_of_work(work_id) not in teams:
+            # The same answer as for work that does not exist.
+            raise RequestError("not_found", f"no accepted work has the id {work_id!r}")
+
     def health(self) -> JsonAnswer:
         """:return: 200 while this router takes new callers, else 503"""
         leaving = self._membership.leaving
--- a/src/camphorvalve/wiring.py
+++ b/src/camphorvalve/wiring.py
@@ -67,6 +67,7 @@
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
 
+    from camphorvalve.controllers.work import Refuse
     from camphorvalve.filters.chain import Handler
     from camphorvalve.http.asgi import App
     from camphorvalve.model.policies import Policy
@@ -164,7 +165,7 @@
     _warn_open(settings.keys, settings.operator_token)
     router.runtime.link.open()
     async with router.client, anyio.create_task_group() as tasks:
-        router.work.connect(tasks, router.background)
+        router.work.connect(tasks, router.background, router.refuse)
         for one in router.tasks:
             tasks.start_soon(one)
         shutdown = router.stopping.shutdown
@@ -193,6 +194,7 @@
     membership: MembershipController
     work: WorkController
     background: Handler
+    refuse: Refuse
     callers: CallerApp
     operators: App
     stopping: Stopping
@@ -245,11 +247,12 @@
     )
     records = Records(recording, runtime, settings.record_timeout_s)
     client = create_client()
+    deduplicate = DeduplicateFilter(records, settings.host_id, incarnation)
     background = compose(
         (
             RetryFilter(RetryBudget()),
             AdmissionFilter(demand, runtime),
-            DeduplicateFilter(records, settings.host_id, incarnation),
+            deduplicate,
         ),
         Dispatch(client, membership),
     )
@@ -303,6 +306,7 @@
         membership,
         work,
         compose((observe,), background),
+        deduplicate.refuse,
         callers,
         router_app(report, settings.operator_token),
         stopping,
--- a/tests/filters/test_retry.py
+++ b/tests/filters/test_retry.py
@@ -113,6 +113,15 @@
             runs_count += script.runs_count
         self.assertLessEqual(runs_count, 200 * 1.1 + 3)
 
+    async def test_failures_that_are_not_tried_again_leave_the_budget_alone(self) -> None:
+        budget = RetryBudget(ratio=0.0, floor_count=1)
+        for _ in range(5):
+            exchange = _exchange(idempotent=False, streamed=False)
+            await self._end(exchange, Script((0, NO_ANSWER)), budget)
+        script = Script((0, NO_ANSWER), WHOLE)
+        ended = await self._end(_exchange(idempotent=True, streamed=False), script, budget)
+        self.assertIsNone(ended)
+
     async def test_failed_upstreams_are_not_asked_again(self) -> None:
         exchange = _exchange(idempotent=True, streamed=False)
         await self._end(exchange, Script((0, NOT_SENT), (0, NOT_SENT), WHOLE))
