Split the scheduler: announced demand, pool rates and ranking have modules of their own

Change: sharing/announced.py, poolrates.py and ranking.py; the advance is worked out once per order. Behaviour and tests are the same.

--- a/src/camphorvalve/sharing/scheduler.py
+++ b/src/camphorvalve/sharing/scheduler.py
@@ -2,14 +2,17 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, NamedTuple
 
-from camphorvalve.model.policies import FirstCome, FleetFair, LocalFair
 from camphorvalve.model.upstreams import PlainService
+from camphorvalve.sharing.announced import AnnouncedDemand
 from camphorvalve.sharing.health import UpstreamHealth
-from camphorvalve.sharing.ledger import Ledger, TeamKey
-from camphorvalve.wire.messages import Demand, Grant, GrantProgress
+from camphorvalve.sharing.ledger import TeamKey
+from camphorvalve.sharing.poolrates import PoolRates
+from camphorvalve.sharing.ranking import Ranking
+from camphorvalve.wire.messages import Grant
 
 if TYPE_CHECKING:
     import random
@@ -17,22 +20,19 @@
 
     from camphorvalve.model.policies import Policy
     from camphorvalve.model.upstreams import Upstream
+    from camphorvalve.sharing.ledger import Ledger
+    from camphorvalve.wire.messages import Demand, GrantProgress
 
 GRANT_LIFETIME_S = 1.0
 GRANT_SILENCE_S = 3.5
 """A grant that no progress message named for this long is free again."""
 UNCONFIRMED_S = 2.0
 """The same for a grant that none has named yet; the first one is due within 1 s of its use."""
-DEMAND_LIFETIME_S = 6.0
 EXTRA_COUNT = 1
 """Calls that wait at a plain service itself, so that its slots do not idle while a grant travels.
 Engines get none: the loss is small for runs of seconds, and one run more slows down all others."""
 EXTRA_AFTER_S = 0.1
 """Only work that has waited this long may wait there; a free slot elsewhere is found sooner."""
-RATE_DECAY_S = 10.0
-OVERDUE_FACTOR = 2.0
-"""A team without a grant for this many times its due interval goes first, whatever it owes. A team
-that was ahead at the end of a partition would otherwise get nothing until all others caught up."""
 
 
 class GrantTo(NamedTuple):
@@ -58,26 +58,6 @@
         return now_s - self.heard_s > limit_s
 
 
-@dataclass(slots=True)
-class _Waiting:
-    demand: Demand
-    waiting_count: int
-    urgent_count: int
-    heard_s: float
-
-    def age_s(self, now_s: float) -> float:
-        return self.demand.oldest_age_s + now_s - self.heard_s
-
-
-@dataclass(slots=True)
-class _Rate:
-    """Decaying units served, and the slot time that they took."""
-
-    units: float = 0.0
-    slot_s: float = 0.0
-    counted_s: float = 0.0
-
-
 class Scheduler:
     """Demand, running grants and free slots of the upstreams that one router schedules."""
 
@@ -89,15 +69,13 @@
         :param ledger: the service counters
         :param rng: source of grant ids
         """
-        self.policy = policy
         self._rng = rng
         self._upstreams: dict[str, Upstream] = {}
-        self._pool_slots: Mapping[str, int] = {}
         self._running: dict[int, _Running] = {}
         self._used: dict[str, int] = {}
-        self._demand: dict[TeamKey, dict[str, _Waiting]] = {}
-        self._granted_s: dict[TeamKey, float] = {}
-        self._rates: dict[str, _Rate] = {}
+        self._demand = AnnouncedDemand()
+        self._rates = PoolRates()
+        self._ranking = Ranking(policy, ledger, self._demand, self._rates)
         self.ledger = ledger
         self.health = UpstreamHealth()
 
@@ -111,7 +89,11 @@
         :param pool_slots: slots of each pool in the whole deployment
         """
         self._upstreams = dict(upstreams)
-        self._pool_slots = pool_slots
+        self._ranking.pool_slots = pool_slots
+        own_slots: dict[str, int] = {}
+        for upstream in upstreams.values():
+            own_slots[upstream.pool] = own_slots.get(upstream.pool, 0) + upstream.slots_count
+        self._ranking.own_slots = own_slots
 
     def announce(self, entry_id: str, demand: Demand, now_s: float) -> None:
         """
@@ -122,13 +104,11 @@
         :param now_s: current time
         """
         key = TeamKey(demand.pool, demand.team)
-        entries = self._demand.setdefault(key, {})
-        if demand.waiting_count <= 0:
-            entries.pop(entry_id, None)
-            self._drop_if_idle(key, now_s)
-            return
-        entries[entry_id] = _Waiting(demand, demand.waiting_count, demand.urgent_count, now_s)
-        self.ledger.set_waiting(key, demand.share, now_s)
+        self._demand.put(entry_id, demand, now_s)
+        if demand.waiting_count > 0:
+            self.ledger.set_waiting(key, demand.share, now_s)
+        else:
+            self._note_if_idle(key, now_s)
 
     def progress(self, entry_id: str, report: GrantProgress, now_s: float) -> None:
         """
@@ -177,9 +157,8 @@
         :param entry_id: the entry router
         :param now_s: current time
         """
-        for key, entries in list(self._demand.items()):
-            if entries.pop(entry_id, None):
-                self._drop_if_idle(key, now_s)
+        for key in self._demand.of_entry(entry_id):
+            self._drop_demand(key, entry_id, now_s)
         for grant_id in [g for g, one in self._running.items() if one.entry_id == entry_id]:
             self._release(grant_id)
 
@@ -189,15 +168,13 @@
 
         :param now_s: current time
         """
-        for key, entries in list(self._demand.items()):
-            for entry_id, waiting in list(entries.items()):
-                if now_s - waiting.heard_s > DEMAND_LIFETIME_S:
-                    del entries[entry_id]
-            self._drop_if_idle(key, now_s)
+        for key, entry_id in list(self._demand.expired(now_s)):
+            self._drop_demand(key, entry_id, now_s)
         for grant_id in [g for g, one in self._running.items() if one.is_silent(now_s)]:
             self._drop_silent(grant_id, now_s)
         self.health.expire(now_s)
-        self._decay(now_s)
+        busy_counts = Counter(running.key.pool for running in self._running.values())
+        self._rates.advance(busy_counts, now_s)
 
     def choose(self, now_s: float) -> Iterator[GrantTo]:
         """
@@ -206,10 +183,10 @@
         :param now_s: current time
         :return: grants with their receivers
         """
-        for pool in {key.pool for key in self._demand}:
+        for pool in self._demand.pools():
             if not self._has_room(pool):
                 continue
-            self._cap_debt(pool)
+            self._ranking.cap_debt(pool)
             while (grant := self._choose_one(pool, now_s)) is not None:
                 yield grant
 
@@ -219,7 +196,7 @@
 
         :return: free slots by pool
         """
-        waiting = {key.pool for key, entries in self._demand.items() if entries}
+        waiting = self._demand.pools()
         free: dict[str, int] = {}
         for upstream in self._upstreams.values():
             slots_count = upstream.slots_count - self._used.get(upstream.upstream_id, 0)
@@ -246,84 +223,18 @@
         :param pool: name of the pool
         :return: units per second, zero before anything has run
         """
-        rate = self._rates.get(pool)
-        if rate is None or rate.slot_s <= 0:
-            return 0.0
-        return rate.units / rate.slot_s * self._pool_slots.get(pool, 0)
+        return self._ranking.pool_rate(pool)
 
     def _choose_one(self, pool: str, now_s: float) -> GrantTo | None:
-        keys = [key for key, entries in self._demand.items() if key.pool == pool and entries]
-        overdue = self._overdue(keys, now_s)
-        for key in sorted(keys, key=lambda one: (one not in overdue, self._rank(one, now_s))):
+        for key in self._ranking.order(pool, now_s):
             for entry_id in self._entries_by_urgency(key, now_s):
                 upstream = self._freest_upstream(key, entry_id, now_s)
                 if upstream is not None:
                     return self._grant(key, entry_id, upstream, now_s)
         return None
 
-    def _overdue(self, keys: list[TeamKey], now_s: float) -> set[TeamKey]:
-        """Find teams that have waited for ``OVERDUE_FACTOR`` times the interval of their share."""
-        match self.policy:
-            case FleetFair():
-                pass
-            case _:
-                return set()
-        if not keys:
-            return set()
-        rate = self._own_rate(keys[0].pool)
-        weights = {key: self._local_weight(key) for key in keys}
-        total = sum(weights.values())
-        overdue = set()
-        for key, weight in weights.items():
-            since_s = now_s - self._granted_s.setdefault(key, now_s)
-            estimate_units = max(one.demand.estimate_units for one in self._demand[key].values())
-            if since_s * rate * weight > OVERDUE_FACTOR * estimate_units * total:
-                overdue.add(key)
-        return overdue
-
-    def _local_weight(self, key: TeamKey) -> float:
-        account = self.ledger.account(key)
-        return account.share / max(1, account.schedulers_count)
-
-    def _own_rate(self, pool: str) -> float:
-        rate = self._rates.get(pool)
-        if rate is None or rate.slot_s <= 0:
-            return 0.0
-        slots = sum(one.slots_count for one in self._upstreams.values() if one.pool == pool)
-        return rate.units / rate.slot_s * slots
-
-    def _rank(self, key: TeamKey, now_s: float) -> float:
-        entries = self._demand[key].values()
-        match self.policy:
-            case FirstCome():
-                return -max(waiting.age_s(now_s) for waiting in entries)
-            case LocalFair():
-                return self.ledger.virtual(key)
-            case FleetFair(advance_s=advance_s):
-                urgent = any(waiting.urgent_count > 0 for waiting in entries)
-                advance = self._virtual_of(key.pool, advance_s) if urgent else 0.0
-                return self.ledger.virtual(key) - advance
-
-    def _virtual_of(self, pool: str, duration_s: float) -> float:
-        """Convert seconds of the pool's whole rate to virtual service of a mean share."""
-        shares = [
-            self.ledger.account(key).share
-            for key, entries in self._demand.items()
-            if key.pool == pool and entries
-        ]
-        if not shares:
-            return 0.0
-        return duration_s * self.pool_rate(pool) * len(shares) / sum(shares)
-
-    def _cap_debt(self, pool: str) -> None:
-        match self.policy:
-            case FleetFair(debt_cap_s=cap_s) if self.pool_rate(pool) > 0:
-                self.ledger.cap_debt(pool, self._virtual_of(pool, cap_s))
-            case _:
-                return
-
     def _entries_by_urgency(self, key: TeamKey, now_s: float) -> list[str]:
-        entries = self._demand[key]
+        entries = self._demand.entries(key)
         return sorted(
             entries,
             key=lambda one: (-min(entries[one].urgent_count, 1), -entries[one].age_s(now_s)),
@@ -337,7 +248,8 @@
         )
 
     def _freest_upstream(self, key: TeamKey, entry_id: str, now_s: float) -> Upstream | None:
-        waited = self._demand[key][entry_id].age_s(now_s) >= EXTRA_AFTER_S
+        waiting = self._demand.get(key, entry_id)
+        waited = waiting is not None and waiting.age_s(now_s) >= EXTRA_AFTER_S
         candidates = [
             upstream
             for upstream in self._upstreams.values()
@@ -352,20 +264,15 @@
         )
 
     def _grant(self, key: TeamKey, entry_id: str, upstream: Upstream, now_s: float) -> GrantTo:
-        waiting = self._demand[key][entry_id]
-        waiting.waiting_count -= 1
-        waiting.urgent_count = max(0, waiting.urgent_count - 1)
-        pending_units = waiting.demand.estimate_units
+        pending_units = self._demand.take(key, entry_id).estimate_units
         grant_id = self._rng.getrandbits(53)
         self._running[grant_id] = _Running(
             upstream.upstream_id, key, entry_id, pending_units, 0.0, now_s
         )
-        self._granted_s[key] = now_s
+        self._ranking.note_grant(key, now_s)
         self.ledger.account(key).pending_units += pending_units
         self._count_used(upstream.upstream_id, 1)
-        if waiting.waiting_count <= 0:
-            del self._demand[key][entry_id]
-            self._drop_if_idle(key, now_s)
+        self._note_if_idle(key, now_s)
         grant = Grant(grant_id, key.pool, upstream.upstream_id, key.team, GRANT_LIFETIME_S)
         return GrantTo(entry_id, grant)
 
@@ -375,17 +282,15 @@
         self.ledger.account(running.key).pending_units -= settled_units
         running.units += served_units
         self.ledger.serve(running.key, served_units)
-        rate = self._rates.setdefault(running.key.pool, _Rate())
-        rate.units += served_units
+        self._rates.serve(running.key.pool, served_units)
 
     def _drop_silent(self, grant_id: int, now_s: float) -> None:
         """Free a grant, and forget the demand that would draw the next one to the same router."""
         key, entry_id = self._running[grant_id].key, self._running[grant_id].entry_id
         self._release(grant_id)
-        waiting = self._demand.get(key, {}).get(entry_id)
+        waiting = self._demand.get(key, entry_id)
         if waiting is not None and now_s - waiting.heard_s > UNCONFIRMED_S:
-            del self._demand[key][entry_id]
-            self._drop_if_idle(key, now_s)
+            self._drop_demand(key, entry_id, now_s)
 
     def _release(self, grant_id: int) -> None:
         running = self._running.pop(grant_id)
@@ -395,23 +300,14 @@
     def _count_used(self, upstream_id: str, change: int) -> None:
         self._used[upstream_id] = self._used.get(upstream_id, 0) + change
 
-    def _drop_if_idle(self, key: TeamKey, now_s: float) -> None:
-        if not self._demand.get(key):
-            self._demand.pop(key, None)
-            self._granted_s.pop(key, None)
-            self.ledger.set_idle(key, now_s)
+    def _drop_demand(self, key: TeamKey, entry_id: str, now_s: float) -> None:
+        self._demand.drop(key, entry_id)
+        self._note_if_idle(key, now_s)
 
-    def _decay(self, now_s: float) -> None:
-        busy: dict[str, int] = {}
-        for running in self._running.values():
-            busy[running.key.pool] = busy.get(running.key.pool, 0) + 1
-        for pool in busy.keys() | self._rates.keys():
-            rate = self._rates.setdefault(pool, _Rate(counted_s=now_s))
-            elapsed_s = max(0.0, now_s - rate.counted_s) if rate.counted_s else 0.0
-            keep_ratio = max(0.0, 1.0 - elapsed_s / RATE_DECAY_S)
-            rate.units *= keep_ratio
-            rate.slot_s = rate.slot_s * keep_ratio + busy.get(pool, 0) * elapsed_s
-            rate.counted_s = now_s
+    def _note_if_idle(self, key: TeamKey, now_s: float) -> None:
+        if not self._demand.entries(key):
+            self._ranking.forget(key)
+            self.ledger.set_idle(key, now_s)
 
 
 def _places_count(upstream: Upstream, *, waited: bool) -> int:
