--- a/src/camphorvalve/consensus/replication.py
+++ b/src/camphorvalve/consensus/replication.py
@@ -14,7 +14,7 @@
 )
 from camphorvalve.consensus.members import quorum_value, replaced
 from camphorvalve.consensus.messages import Append, Appended, Entry
-from camphorvalve.consensus.roles import Leader, Progress, follow
+from camphorvalve.consensus.roles import Leader, Progress, answering, follow
 from camphorvalve.consensus.transfer import send_chunk
 
 if TYPE_CHECKING:
@@ -139,22 +139,19 @@
     if answer.term > state.term:
         yield from follow(state, answer.term, None, now_s)
         return
-    match state.role:
-        case Leader(progress=progress) if answer.term == state.term:
-            one = progress.get(answer.sender)
-            if one is None:
-                return
-            one.acked_s = max(one.acked_s, answer.sent_s)
-            if answer.accepted:
-                one.match_index = max(one.match_index, answer.match_index)
-                one.next_index = max(one.next_index, one.match_index + 1)
-            elif answer.sent_s >= one.reset_s:
-                # Answers to messages sent before the last step back would only repeat it.
-                one.reset_s = now_s
-                hint = min(answer.match_index, state.log.last_index)
-                one.next_index = max(one.match_index, hint) + 1
-            yield from _send(state, answer.sender, one, now_s, heartbeat=False)
-            yield from advance(state)
+    one = answering(state, answer.sender, answer.term, answer.sent_s)
+    if one is None:
+        return
+    if answer.accepted:
+        one.match_index = max(one.match_index, answer.match_index)
+        one.next_index = max(one.next_index, one.match_index + 1)
+    elif answer.sent_s >= one.reset_s:
+        # Answers to messages sent before the last step back would only repeat it.
+        one.reset_s = now_s
+        hint = min(answer.match_index, state.log.last_index)
+        one.next_index = max(one.match_index, hint) + 1
+    yield from _send(state, answer.sender, one, now_s, heartbeat=False)
+    yield from advance(state)
 
 
 def advance(state: ReplicaState) -> Iterator[Effect]:
--- a/src/camphorvalve/consensus/roles.py
+++ b/src/camphorvalve/consensus/roles.py
@@ -135,6 +135,25 @@
         return now_s + self.timing.election_timeout_s * (1 + self.random.random())
 
 
+def answering(state: ReplicaState, sender: str, term: int, sent_s: float) -> Progress | None:
+    """
+    Note that a replica has answered this leader.
+
+    :param state: the leader
+    :param sender: the answering replica
+    :param term: term of the answer
+    :param sent_s: when the answered message was sent
+    :return: what is known of the replica, ``None`` unless this replica leads in that term
+    """
+    match state.role:
+        case Leader(progress=progress) if term == state.term and sender in progress:
+            one = progress[sender]
+            one.acked_s = max(one.acked_s, sent_s)
+            return one
+        case _:
+            return None
+
+
 def follow(state: ReplicaState, term: int, leader: str | None, now_s: float) -> Iterator[Effect]:
     """
     Become a follower, or stay one.
@@ -163,6 +182,7 @@
 
 
 __all__ = [
+    "answering",
     "NEVER_S",
     "Candidate",
     "Follower",
--- a/src/camphorvalve/consensus/transfer.py
+++ b/src/camphorvalve/consensus/transfer.py
@@ -6,7 +6,7 @@
 
 from camphorvalve.consensus.events import Install, Send
 from camphorvalve.consensus.messages import Appended, ChunkStored, Snapshot, SnapshotChunk
-from camphorvalve.consensus.roles import Follower, Incoming, Leader, follow
+from camphorvalve.consensus.roles import Follower, Incoming, answering, follow
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -55,17 +55,14 @@
     if answer.term > state.term:
         yield from follow(state, answer.term, None, now_s)
         return
-    match state.role:
-        case Leader(progress=progress) if answer.term == state.term:
-            one = progress.get(answer.sender)
-            if one is None:
-                return
-            one.acked_s = max(one.acked_s, answer.sent_s)
-            current = answer.index == state.log.snapshot.index
-            advanced = current and answer.held_bytes > one.offset
-            one.offset = answer.held_bytes if current else 0
-            if advanced and one.next_index <= state.log.base_index:
-                yield send_chunk(state, answer.sender, one, now_s)
+    one = answering(state, answer.sender, answer.term, answer.sent_s)
+    if one is None:
+        return
+    current = answer.index == state.log.snapshot.index
+    advanced = current and answer.held_bytes > one.offset
+    one.offset = answer.held_bytes if current else 0
+    if advanced and one.next_index <= state.log.base_index:
+        yield send_chunk(state, answer.sender, one, now_s)
 
 
 def on_chunk(state: ReplicaState, chunk: SnapshotChunk, now_s: float) -> Iterator[Effect]:
--- a/src/camphorvalve/controllers/following.py
+++ b/src/camphorvalve/controllers/following.py
@@ -9,7 +9,7 @@
 
 from camphorvalve.controllers.runtime import Outgoing
 from camphorvalve.registry import configuration
-from camphorvalve.registry.commands import CHANGE_CODEC
+from camphorvalve.registry.history import decode_changes
 from camphorvalve.wire.codec import DecodeError
 from camphorvalve.wire.messages import ConfigPoll, ConfigUpdate
 
@@ -20,7 +20,6 @@
     from camphorvalve.registry.configuration import Configuration
 
 _log = structlog.get_logger(__name__)
-_CHANGES = msgspec.msgpack.Decoder(list[bytes])
 
 
 class Load(NamedTuple):
@@ -132,8 +131,8 @@
         following = configuration.decode(message.payload)
     else:
         following = current
-        for change in _CHANGES.decode(message.payload):
-            following = configuration.apply_change(following, CHANGE_CODEC.decode(change))
+        for change in decode_changes(message.payload):
+            following = configuration.apply_change(following, change)
     if following.revision != message.to_revision:
         raise configuration.ChangeError(
             f"update to revision {message.to_revision} leads to {following.revision}"
--- a/src/camphorvalve/http/asgi.py
+++ b/src/camphorvalve/http/asgi.py
@@ -81,18 +81,18 @@
     return None
 
 
-def bearer_token(scope: Scope) -> str | None:
+def bearer_token(authorization: str) -> str:
     """
-    Read the token of the ``Authorization`` header.
+    Read the token of an ``Authorization`` header.
 
-    :param scope: ASGI scope
-    :return: the token, or ``None`` without a bearer token
+    :param authorization: value of the header, empty without one
+    :return: the token; empty without a bearer token
     """
-    scheme, _, token = (header(scope, "authorization") or "").partition(" ")
-    return token.strip() if scheme.lower() == "bearer" else None
+    scheme, _, token = authorization.partition(" ")
+    return token.strip() if scheme.lower() == "bearer" else ""
 
 
-def tokens_equal(given: str | None, expected: str) -> bool:
+def tokens_equal(given: str, expected: str) -> bool:
     """
     Compare tokens in a time that does not depend on where they differ.
 
@@ -100,7 +100,7 @@
     :param expected: token from the settings
     :return: whether they are the same
     """
-    return hmac.compare_digest((given or "").encode(), expected.encode())
+    return hmac.compare_digest(given.encode(), expected.encode())
 
 
 async def run_lifespan(receive: Receive, send: Send) -> None:
--- a/src/camphorvalve/http/callers.py
+++ b/src/camphorvalve/http/callers.py
@@ -8,13 +8,12 @@
 
 import anyio
 
-from camphorvalve.http.asgi import send_json
+from camphorvalve.http.asgi import bearer_token, send_json
 from camphorvalve.http.decoding import (
     GetAddresses,
     GetDeferred,
     GetHealth,
     RunCall,
-    bearer_token,
     decode_headers,
     decode_request,
     find_route,
@@ -114,7 +113,8 @@
             case GetAddresses():
                 return self._lookups.addresses()
             case GetDeferred(work_id):
-                return await self._lookups.deferred(work_id, bearer_token(headers))
+                token = bearer_token(headers.get("authorization", ""))
+                return await self._lookups.deferred(work_id, token)
             case GetHealth():
                 return self._lookups.health()
 
--- a/src/camphorvalve/http/decoding.py
+++ b/src/camphorvalve/http/decoding.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING
 from urllib.parse import unquote
 
+from camphorvalve.http.asgi import bearer_token
 from camphorvalve.model.errors import RequestError
 from camphorvalve.model.requests import Call, Completion, Request, ServiceCall
 
@@ -82,17 +83,6 @@
     }
 
 
-def bearer_token(headers: Mapping[str, str]) -> str:
-    """
-    Read the caller's token.
-
-    :param headers: headers by lower-case name
-    :return: the token; empty without one
-    """
-    scheme, _, token = headers.get("authorization", "").partition(" ")
-    return token.strip() if scheme.lower() == "bearer" else ""
-
-
 def decode_request(route: RunCall, headers: Mapping[str, str], request_id: str) -> Request:
     """
     Decode a call; its body is still empty.
@@ -109,7 +99,7 @@
         pool=route.pool,
         body=b"",
         content_type=headers.get("content-type", "application/octet-stream"),
-        token=bearer_token(headers),
+        token=bearer_token(headers.get("authorization", "")),
         team=headers.get("x-team") or None,
         kind=headers.get("x-kind") or None,
         idempotency_key=_idempotency_key(headers),
@@ -160,7 +150,6 @@
     "GetHealth",
     "Route",
     "RunCall",
-    "bearer_token",
     "decode_headers",
     "decode_request",
     "find_route",
--- a/src/camphorvalve/http/operators.py
+++ b/src/camphorvalve/http/operators.py
@@ -16,6 +16,7 @@
     Scope,
     Send,
     bearer_token,
+    header,
     read_body,
     run_lifespan,
     send_json,
@@ -175,7 +176,8 @@
 
     async def _serve(scope: Scope, receive: Receive, send: Send) -> None:
         try:
-            if operator_token is not None and not tokens_equal(bearer_token(scope), operator_token):
+            token = bearer_token(header(scope, "authorization") or "")
+            if operator_token is not None and not tokens_equal(token, operator_token):
                 raise RequestError("unauthorised", "Authorization: expected the operator token")
             segments = scope["path"].strip("/").split("/")
             answer = await route(scope["method"], segments, receive)
--- a/src/camphorvalve/settings/convert.py
+++ b/src/camphorvalve/settings/convert.py
@@ -14,7 +14,7 @@
 
 import msgspec
 
-from camphorvalve.settings.problems import FieldError, Problem, problem_at
+from camphorvalve.settings.problems import Problem, problem_at
 
 T = TypeVar("T")
 
@@ -47,23 +47,6 @@
     return Converted(_convert(kind, value, key_path, problems), tuple(problems))
 
 
-def from_json(kind: type[T], value: Any, key_path: str = "") -> T:
-    """
-    Convert a JSON value as a whole.
-
-    :param kind: type to convert to
-    :param value: JSON value
-    :param key_path: where the value stands
-    :return: the value
-    :raises ExceptionGroup: of one ``FieldError`` for each wrong value
-    """
-    converted = convert(kind, value, key_path)
-    if converted.problems:
-        errors = [FieldError(problem) for problem in converted.problems]
-        raise ExceptionGroup(f"{len(errors)} wrong values", errors)
-    return converted.value
-
-
 def to_json(value: Any) -> Any:
     """
     Convert to plain JSON values: objects by field names, enums by lower-case name.
@@ -254,7 +237,6 @@
     "Converted",
     "Invalid",
     "convert",
-    "from_json",
     "tag_of",
     "to_json",
 ]
--- a/src/camphorvalve/wiring.py
+++ b/src/camphorvalve/wiring.py
@@ -53,7 +53,6 @@
 from camphorvalve.reports.burn import Burn
 from camphorvalve.reports.decisions import Decisions
 from camphorvalve.reports.explain import RouterReport
-from camphorvalve.reports.logs import configure
 from camphorvalve.reports.metrics import Levels, Metrics, destination_of, observe_levels
 from camphorvalve.sharing.aggregate import Aggregator
 from camphorvalve.sharing.budget import RetryBudget
@@ -115,7 +114,6 @@
 
     :param settings: checked settings
     """
-    configure(settings.host_id, settings.logging)
     incarnation = new_incarnation()
     _warn_open(settings.keys, settings.operator_token)
     storage = open_storage(settings.data_folder, settings.host_id)
@@ -158,7 +156,6 @@
 
     :param settings: checked settings
     """
-    configure(settings.host_id, settings.logging)
     incarnation = new_incarnation()
     rng = random.Random(incarnation)
     router = build_router(settings, incarnation, rng)
--- a/tools/standins/network.py
+++ b/tools/standins/network.py
@@ -9,6 +9,7 @@
 import anyio
 import defopt
 
+from camphorvalve.http.asgi import run_lifespan
 from tools.standins.asgi import read_call, send_json
 from tools.standins.forwarder import Forwarder
 from tools.standins.serving import LOOPBACK, run_until_stopped
@@ -88,12 +89,9 @@
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
         """Serve one ASGI connection of the control port."""
         if scope["type"] == "lifespan":
-            while True:
-                message = await receive()
-                await send({"type": f"{message['type']}.complete"})
-                if message["type"] == "lifespan.shutdown":
-                    await self.close()
-                    return
+            await run_lifespan(receive, send)
+            await self.close()
+            return
         call = await read_call(scope, receive)
         if call.method != "POST":
             await send_json(send, {"error": "not found"}, status=404)
--- a/tools/standins/service.py
+++ b/tools/standins/service.py
@@ -9,6 +9,7 @@
 import anyio
 import defopt
 
+from camphorvalve.http.asgi import run_lifespan
 from tools.standins.asgi import (
     HttpCall,
     read_call,
@@ -68,11 +69,8 @@
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
         """Serve one ASGI connection."""
         if scope["type"] == "lifespan":
-            while True:
-                message = await receive()
-                await send({"type": f"{message['type']}.complete"})
-                if message["type"] == "lifespan.shutdown":
-                    return
+            await run_lifespan(receive, send)
+            return
         call = await read_call(scope, receive)
         match (call.method, call.path):
             case ("GET", "/v1/log"):
