--- a/scripts/environment.sh
+++ b/scripts/environment.sh
@@ -11,5 +11,5 @@
     -c constraints.txt -e '.[dev]'
   printf '%s' "$pinned" > "$stamp"
 fi
-export PYTHONPATH="$PWD/src:$PWD"
+export PYTHONPATH="$PWD/src:$PWD/platform:$PWD"
 export PYTHONDONTWRITEBYTECODE=1
--- a/src/camphorvalve/consensus/events.py
+++ b/src/camphorvalve/consensus/events.py
@@ -27,6 +27,11 @@
     payload: bytes
 
 
+@dataclass(frozen=True, slots=True)
+class Confirm:
+    """Ask the members at once whether this replica still leads; answers a read."""
+
+
 @dataclass(frozen=True, slots=True)
 class Flush:
     """The current batch of events is complete; new entries are sent."""
@@ -46,7 +51,7 @@
     snapshot: Snapshot
 
 
-Event = Received | Tick | Propose | Flush | Synced | Compacted
+Event = Received | Tick | Propose | Confirm | Flush | Synced | Compacted
 
 
 @dataclass(frozen=True, slots=True)
@@ -118,6 +123,7 @@
     "Accepted",
     "Commit",
     "Compacted",
+    "Confirm",
     "Effect",
     "Event",
     "Flush",
--- a/src/camphorvalve/consensus/files.py
+++ b/src/camphorvalve/consensus/files.py
@@ -47,6 +47,17 @@
     sync_folder(path.parent)
 
 
+def create_empty(path: Path) -> None:
+    """
+    Create an empty file durably; a power loss may drop a new file that was not synced itself.
+
+    :param path: the file
+    """
+    with path.open("wb") as file:
+        os.fsync(file.fileno())
+    sync_folder(path.parent)
+
+
 def read_sealed(path: Path) -> bytes:
     """
     Read a file from ``write_sealed``.
@@ -80,4 +91,4 @@
         os.close(descriptor)
 
 
-__all__ = ["DamagedError", "read_sealed", "sync_folder", "write_sealed"]
+__all__ = ["DamagedError", "create_empty", "read_sealed", "sync_folder", "write_sealed"]
--- a/src/camphorvalve/consensus/replica.py
+++ b/src/camphorvalve/consensus/replica.py
@@ -7,6 +7,7 @@
 from camphorvalve.consensus import election, following, replication, transfer
 from camphorvalve.consensus.events import (
     Compacted,
+    Confirm,
     Flush,
     Propose,
     Received,
@@ -97,9 +98,12 @@
                 yield from self._receive(message, now_s)
             case Tick():
                 yield from replication.send_heartbeats(state, now_s)
+                yield from replication.remove_lost(state, now_s)
                 yield from election.check_deadline(state, now_s)
             case Propose():
                 yield from replication.propose(state, event)
+            case Confirm():
+                yield from replication.send_heartbeats(state, now_s, at_once=True)
             case Flush():
                 yield from replication.send_pending(state, now_s, heartbeat=False)
             case Synced(index):
@@ -127,6 +131,15 @@
         """
         return replication.lease_until_s(self.state, now_s)
 
+    def confirmed_s(self, now_s: float) -> float | None:
+        """
+        Tell since when this replica is known to have led without a break.
+
+        :param now_s: monotonic time
+        :return: monotonic time, ``None`` unless this replica leads
+        """
+        return replication.confirmed_s(self.state, now_s)
+
     def _receive(self, message: Message, now_s: float) -> Iterator[Effect]:
         state = self.state
         if isinstance(message, Join):
--- a/src/camphorvalve/consensus/replication.py
+++ b/src/camphorvalve/consensus/replication.py
@@ -12,7 +12,7 @@
     Send,
     StoreEntries,
 )
-from camphorvalve.consensus.members import quorum_value, replaced
+from camphorvalve.consensus.members import is_quorum, quorum_value, replaced
 from camphorvalve.consensus.messages import Append, Appended, Entry
 from camphorvalve.consensus.roles import Leader, Progress, answering, follow
 from camphorvalve.consensus.transfer import send_chunk
@@ -29,6 +29,8 @@
 """Entries sent ahead of an answer; a replica that is away gets no more than these."""
 LEASE_RATIO = 0.9
 """Part of the election timeout for which a lease holds; the rest covers clocks that drift."""
+MIN_MEMBERS_COUNT = 3
+"""Silent members are kept in a group of this size: with fewer, one more loss stops it."""
 LEARNER_TIMEOUT_RATIO = 10
 """Election timeouts of silence after which a learner is forgotten."""
 
@@ -85,28 +87,77 @@
     """
     Tell until when no other leader can have been elected.
 
+    :param state: the replica
+    :param now_s: current time
+    :return: the time by this host's clock, or ``None`` when this replica does not lead
+    """
+    heard_s = confirmed_s(state, now_s)
+    if heard_s is None:
+        return None
+    return heard_s + LEASE_RATIO * state.timing.election_timeout_s
+
+
+def confirmed_s(state: ReplicaState, now_s: float) -> float | None:
+    """
+    Tell when the newest messages were sent that a majority answered in this leader's term.
+
+    A read that began before this time sees every entry that was committed before it.
+
     :param state: the replica
     :param now_s: current time
     :return: the time by this host's clock, or ``None`` when this replica does not lead
     """
     match state.role:
         case Leader() as role if state.commit_index >= role.opening_index:
-            lease_s = LEASE_RATIO * state.timing.election_timeout_s
-            return _quorum_heard_s(state, role, now_s) + lease_s
+            return _quorum_heard_s(state, role, now_s)
         case _:
             return None
 
 
-def send_heartbeats(state: ReplicaState, now_s: float) -> Iterator[Effect]:
+def remove_lost(state: ReplicaState, now_s: float) -> Iterator[Effect]:
+    """
+    Remove one member that has been silent for too long, if a majority of the others answers.
+
+    :param state: the replica
+    :param now_s: current time
+    :return: effects
+    """
+    lost_s = state.timing.member_lost_s
+    match state.role:
+        case Leader() as role if lost_s is not None and _settled(state, role):
+            heard = {
+                one: max(role.progress[one].since_s, role.progress[one].acked_s)
+                for one in state.others()
+            }
+            if len(heard) < MIN_MEMBERS_COUNT or not heard:
+                return
+            silent = min(heard, key=heard.__getitem__)
+            staying = tuple(one for one in state.log.members if one != silent)
+            answering = [
+                one
+                for one in staying
+                if one == state.identity or now_s - heard[one] <= state.timing.election_timeout_s
+            ]
+            if now_s - heard[silent] > lost_s and is_quorum(staying, answering):
+                role.progress.pop(silent)
+                yield from _append(state, staying, b"")
+        case _:
+            return
+
+
+def send_heartbeats(
+    state: ReplicaState, now_s: float, *, at_once: bool = False
+) -> Iterator[Effect]:
     """
     Send a message to every replica when the heartbeat is due.
 
     :param state: the replica
     :param now_s: current time
+    :param at_once: whether to send before it is due
     :return: effects
     """
     match state.role:
-        case Leader(heartbeat_due_s=due_s) as role if now_s >= due_s:
+        case Leader(heartbeat_due_s=due_s) as role if at_once or now_s >= due_s:
             role.heartbeat_due_s = now_s + state.timing.heartbeat_s
             _forget_learners(state, role, now_s)
             yield from send_pending(state, now_s, heartbeat=True)
@@ -195,8 +246,7 @@
 
 def _change_members(state: ReplicaState, role: Leader) -> Iterator[Effect]:
     members = state.log.members
-    settled = max(state.log.members_index, role.opening_index) <= state.commit_index
-    if not settled:
+    if not _settled(state, role):
         return
     if (old := replaced(members)) is not None:
         role.progress.pop(old, None)
@@ -208,6 +258,11 @@
             return
 
 
+def _settled(state: ReplicaState, role: Leader) -> bool:
+    """Tell whether the newest change of the members and the term's first entry are committed."""
+    return max(state.log.members_index, role.opening_index) <= state.commit_index
+
+
 def _send(
     state: ReplicaState, replica: str, one: Progress, now_s: float, *, heartbeat: bool
 ) -> Iterator[Effect]:
@@ -274,11 +329,13 @@
 __all__ = [
     "advance",
     "check_quorum",
+    "confirmed_s",
     "lease_until_s",
     "on_appended",
     "on_join",
     "open_term",
     "propose",
+    "remove_lost",
     "send_heartbeats",
     "send_pending",
 ]
--- a/src/camphorvalve/consensus/roles.py
+++ b/src/camphorvalve/consensus/roles.py
@@ -23,6 +23,9 @@
     election_timeout_s: float
     """Shortest silence of a leader after which an election starts; the longest is twice that."""
     heartbeat_s: float
+    member_lost_s: float | None = None
+    """Silence after which the leader removes a member; ``None`` keeps silent members. A member
+    that comes back joins again with the log that it holds."""
 
 
 @dataclass(slots=True)
--- a/src/camphorvalve/consensus/storage.py
+++ b/src/camphorvalve/consensus/storage.py
@@ -11,7 +11,13 @@
 import msgspec
 import xxhash
 
-from camphorvalve.consensus.files import DamagedError, read_sealed, sync_folder, write_sealed
+from camphorvalve.consensus.files import (
+    DamagedError,
+    create_empty,
+    read_sealed,
+    sync_folder,
+    write_sealed,
+)
 from camphorvalve.consensus.journal import Journal, read_journal
 from camphorvalve.consensus.members import host_of, identity
 from camphorvalve.consensus.messages import Entry, Snapshot
@@ -185,7 +191,7 @@
     write_sealed(path / VOTE_FILE, msgspec.msgpack.encode(_Vote(0, None)))
     snapshot = Snapshot(0, 0, members, b"")
     write_sealed(path / SNAPSHOT_FILE, msgspec.msgpack.encode(snapshot))
-    (path / LOG_FILE).touch()
+    create_empty(path / LOG_FILE)
     # Written last: a folder without an identity was never used.
     write_sealed(path / IDENTITY_FILE, replica.encode())
 
--- a/src/camphorvalve/controllers/following.py
+++ b/src/camphorvalve/controllers/following.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING, Any, NamedTuple
+from typing import TYPE_CHECKING, Any, NamedTuple, Protocol
 
 import msgspec
 import structlog
@@ -14,7 +14,7 @@
 from camphorvalve.wire.messages import ConfigPoll, ConfigUpdate
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Iterator, Sequence
+    from collections.abc import Callable, Iterable, Iterator
 
     from camphorvalve.controllers.runtime import Sender
     from camphorvalve.registry.configuration import Configuration
@@ -30,6 +30,49 @@
     running_count: int
 
 
+class Contact(NamedTuple):
+    """Where a router is and how it is reached."""
+
+    url: str
+    """For operators."""
+    data_centre: str
+    caller_address: str
+
+
+class Controllers(Protocol):
+    """Tells which controllers to poll."""
+
+    def controller_ids(self) -> Iterable[str]:
+        """:return: ids of the controllers"""
+
+    def roster_version(self, controller_id: str) -> int:
+        """
+        Tell which roster is held.
+
+        :param controller_id: the controller that sent it
+        :return: its version, 0 without one
+        """
+
+
+class FixedControllers(NamedTuple):
+    """Controllers that the settings list."""
+
+    ids: tuple[str, ...]
+
+    def controller_ids(self) -> Iterable[str]:
+        """:return: ids of the controllers"""
+        return self.ids
+
+    def roster_version(self, controller_id: str) -> int:
+        """
+        Tell which roster is held.
+
+        :param controller_id: the controller that sent it
+        :return: 0, as none is kept
+        """
+        return 0
+
+
 class ConfigurationFollower:
     """Owns the configuration in force on this router."""
 
@@ -37,16 +80,18 @@
     tick_s = 1.0
     accepts = (ConfigUpdate,)
 
-    def __init__(self, controller_ids: Sequence[str], url: str, load: Callable[[], Load]) -> None:
+    def __init__(
+        self, controllers: Controllers, contact: Contact, load: Callable[[], Load]
+    ) -> None:
         """
         Start without configuration.
 
-        :param controller_ids: controllers to poll
-        :param url: where operators reach this router, for the fleet's status
+        :param controllers: controllers to poll
+        :param contact: where this router is reached
         :param load: tells the present load
         """
-        self._controller_ids = controller_ids
-        self._url = url
+        self._controllers = controllers
+        self._contact = contact
         self._load = load
         self._on_change: list[Callable[[Configuration], None]] = []
         self._total_shares: dict[str, float] = {}
@@ -109,7 +154,7 @@
         _log.info("configuration in force", revision=following.revision)
         for on_change in self._on_change:
             on_change(following)
-        yield from self._poll()
+        yield from self.poll()
 
     def tick(self, now_s: float) -> Iterator[Outgoing]:
         """
@@ -118,12 +163,15 @@
         :param now_s: current time
         :return: polls
         """
-        yield from self._poll()
+        yield from self.poll()
 
-    def _poll(self) -> Iterator[Outgoing]:
-        poll = ConfigPoll(self.configuration.revision, 0, *self._load(), self._url)
-        for controller_id in self._controller_ids:
-            yield Outgoing(controller_id, poll)
+    def poll(self) -> Iterator[Outgoing]:
+        """:return: polls to all controllers, sent before they are due when this router leaves"""
+        load = self._load()
+        for controller_id in self._controllers.controller_ids():
+            version = self._controllers.roster_version(controller_id)
+            revision = self.configuration.revision
+            yield Outgoing(controller_id, ConfigPoll(revision, *load, *self._contact, version))
 
 
 def _apply(current: Configuration, message: ConfigUpdate) -> Configuration:
@@ -140,4 +188,4 @@
     return following
 
 
-__all__ = ["ConfigurationFollower", "Load"]
+__all__ = ["ConfigurationFollower", "Contact", "Controllers", "FixedControllers", "Load"]
--- /dev/null
+++ b/src/camphorvalve/controllers/manifests.py
@@ -0,0 +1,104 @@
+"""Manifests at a controller process: commits them, and reads the newest one back."""
+
+from __future__ import annotations
+
+import time
+from typing import TYPE_CHECKING
+
+import anyio
+import structlog
+
+from camphorvalve.controllers.submissions import NotLeaderError, OutcomeUnknownError
+from camphorvalve.model.errors import RequestError
+from camphorvalve.registry.commands import Conflict, Done, Invalid, PutManifest
+from camphorvalve.registry.manifests import problems
+
+if TYPE_CHECKING:
+    from camphorvalve.controllers.replication import ReplicationController
+    from camphorvalve.model.routes import Manifest
+    from camphorvalve.registry.commands import Outcome
+
+PUT_TIMEOUT_S = 2.5
+"""Operators turn to another controller after a second, and the order is resent there."""
+READ_TIMEOUT_S = 0.9
+"""Below the second after which operators turn to another controller."""
+TRY_TIMEOUT_S = 0.6
+"""A message to a leader that is gone is lost; an election takes one to two timeouts."""
+RETRY_S = 0.05
+
+_log = structlog.get_logger(__name__)
+
+
+class ManifestStore:
+    """Puts and reads manifests through the replicated log, whichever controller leads."""
+
+    def __init__(self, replication: ReplicationController) -> None:
+        """
+        Prepare the store.
+
+        :param replication: the replicated state
+        """
+        self._replication = replication
+
+    async def put(self, manifest: Manifest) -> int:
+        """
+        Commit a manifest; one that is older than the one in force is acknowledged.
+
+        :param manifest: the manifest
+        :return: revision of the configuration that holds it or a newer one
+        :raises RequestError: ``bad_body`` when it is invalid, ``conflict`` when its version is in
+            force with other content, ``no_quorum`` when it is not known to be committed
+        """
+        if found := next(problems(manifest), None):
+            raise RequestError("bad_body", found)
+        outcome = await self._commit(PutManifest(manifest))
+        _log.info(
+            "manifest decided",
+            version=manifest.version,
+            outcome=type(outcome).__name__,
+            routes_count=len(manifest.routes),
+        )
+        match outcome:
+            case Done(revision=revision):
+                return revision
+            case Conflict(reason=reason):
+                raise RequestError("conflict", reason)
+            case Invalid(reason):
+                raise RequestError("bad_body", reason)
+            case other:
+                raise RequestError("internal_error", f"unexpected outcome {other!r}")
+
+    async def read(self) -> Manifest | None:
+        """
+        Read the newest manifest; a majority confirms that there is no newer one.
+
+        :return: the manifest, ``None`` before the first one
+        :raises RequestError: ``no_quorum`` when nobody can tell in time
+        """
+        with anyio.move_on_after(READ_TIMEOUT_S):
+            while True:
+                try:
+                    await self._replication.read(time.monotonic())
+                except NotLeaderError:
+                    await anyio.sleep(RETRY_S)
+                    continue
+                return self._replication.state.configuration.manifest
+        raise RequestError("no_quorum", "no majority of the controllers can be reached")
+
+    async def _commit(self, command: PutManifest) -> Outcome:
+        # Resending is safe: a manifest that is in force already changes nothing.
+        with anyio.move_on_after(PUT_TIMEOUT_S):
+            while True:
+                pending = self._replication.submit_anywhere(command, time.monotonic())
+                try:
+                    with anyio.move_on_after(TRY_TIMEOUT_S):
+                        return await pending.wait()
+                except (NotLeaderError, OutcomeUnknownError) as error:
+                    _log.info("manifest is submitted again", reason=str(error))
+                    await anyio.sleep(RETRY_S)
+                finally:
+                    self._replication.forget(pending)
+        raise RequestError("no_quorum", "the manifest is not known to be committed")
+
+
+__all__ = ["ManifestStore"]
--- a/src/camphorvalve/controllers/presence.py
+++ b/src/camphorvalve/controllers/presence.py
@@ -5,12 +5,19 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
+import msgspec
+import xxhash
+
+from camphorvalve.wire.messages import Roster, RosterRouter
+
 if TYPE_CHECKING:
-    from collections.abc import Iterator
+    from collections.abc import Iterable, Iterator
 
     from camphorvalve.controllers.runtime import Sender
     from camphorvalve.wire.messages import ConfigPoll
 
+ROSTER_SILENCE_S = 2.5
+"""Two missed polls of 1 s and the time that a poll takes; callers are not sent there then."""
 FORGET_S = 3600.0
 """Silence after which a router is no longer reported; its host was replaced by then."""
 
@@ -51,6 +58,27 @@
             known.heard_s = now_s
             known.poll = poll or known.poll
 
+    def roster(self, controllers: Iterable[str], now_s: float) -> Roster:
+        """
+        List the processes that other processes may turn to.
+
+        :param controllers: ids of the controllers
+        :param now_s: monotonic time
+        :return: the roster
+        """
+        routers = tuple(
+            RosterRouter(
+                router.router_id,
+                router.poll.data_centre,
+                router.poll.caller_address,
+                router.poll.leaving,
+            )
+            for router in sorted(self.routers.values(), key=lambda one: one.router_id)
+            if router.poll is not None and now_s - router.heard_s <= ROSTER_SILENCE_S
+        )
+        content = (tuple(sorted(controllers)), routers)
+        return Roster(xxhash.xxh32_intdigest(msgspec.msgpack.encode(content)), *content)
+
     def is_lost(self, router_id: str, incarnation: int, now_s: float) -> bool:
         """
         Tell whether an incarnation of a router is gone for good or silent for too long.
--- a/src/camphorvalve/controllers/replication.py
+++ b/src/camphorvalve/controllers/replication.py
@@ -12,6 +12,7 @@
 from camphorvalve.consensus.driver import Applied, Driver, Report, Restored
 from camphorvalve.consensus.events import (
     Accepted,
+    Confirm,
     LeaderChanged,
     Propose,
     Received,
@@ -22,13 +23,20 @@
 from camphorvalve.consensus.members import host_of
 from camphorvalve.consensus.messages import MESSAGES, Join
 from camphorvalve.consensus.replica import Replica
-from camphorvalve.consensus.roles import Timing
+from camphorvalve.consensus.roles import Leader, Timing
 from camphorvalve.controllers.machine import RegistryMachine
 from camphorvalve.controllers.presence import Presence
+from camphorvalve.controllers.reads import FollowerRead, LocalRead, Reads
 from camphorvalve.controllers.recovery import Recovery
-from camphorvalve.controllers.runtime import Outgoing
+from camphorvalve.controllers.runtime import Outgoing, Sender
 from camphorvalve.controllers.status import ControllerStatus, describe
-from camphorvalve.controllers.submissions import Pending, Submissions, Waiter
+from camphorvalve.controllers.submissions import (
+    NotLeaderError,
+    OutcomeUnknownError,
+    Pending,
+    Submissions,
+    Waiter,
+)
 from camphorvalve.registry.commands import (
     COMMAND_CODEC,
     OUTCOME_CODEC,
@@ -39,14 +47,23 @@
 )
 from camphorvalve.reports.metrics import ControllerLevels
 from camphorvalve.wire.codec import DecodeError
-from camphorvalve.wire.messages import ConfigPoll, ConfigUpdate, Lookup, Submit, SubmitReply
+from camphorvalve.wire.messages import (
+    ConfigPoll,
+    ConfigUpdate,
+    Lookup,
+    ReadReply,
+    ReadRequest,
+    RosterUnchanged,
+    Submit,
+    SubmitReply,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable, Iterator
     from random import Random
 
     from camphorvalve.consensus.storage import Storage, Syncs
-    from camphorvalve.controllers.runtime import Sender
+    from camphorvalve.controllers.reads import Read
     from camphorvalve.registry.commands import Command
     from camphorvalve.registry.state import RegistryState
     from camphorvalve.settings.schema import ControllerSettings
@@ -63,7 +80,15 @@
 
     name = "replication"
     tick_s = TICK_S
-    accepts: tuple[type, ...] = (*MESSAGES, ConfigPoll, Submit, Lookup)
+    accepts: tuple[type, ...] = (
+        *MESSAGES,
+        ConfigPoll,
+        Submit,
+        SubmitReply,
+        Lookup,
+        ReadRequest,
+        ReadReply,
+    )
 
     def __init__(
         self,
@@ -85,19 +110,21 @@
         """
         started_s = clock()
         self._settings = settings
+        self._started_s = started_s
         self._clock = clock
         self._wall_clock = wall_clock
         self._machine = RegistryMachine()
         opening = COMMAND_CODEC.encode(TakeLeadership(settings.host_id))
-        timing = Timing(settings.election_timeout_s, settings.heartbeat_s)
+        timing = Timing(settings.election_timeout_s, settings.heartbeat_s, settings.member_lost_s)
         self._replica = Replica(storage.stored, timing, random, started_s, opening)
         self._driver = Driver(self._replica, storage, self._machine, settings.snapshot_every_count)
         self._presence = Presence(settings.router_lost_s, started_s)
         self._recovery = self._new_recovery()
         self._submissions = Submissions()
-        self._others = tuple(
-            one.host_id for one in settings.controllers if one.host_id != settings.host_id
-        )
+        self._reads = Reads()
+        self._forwarded: dict[str, Pending] = {}
+        self._pushed_revision = 0
+        self._seeds = settings.seeds
         self._outbox: list[Outgoing] = []
         self._count = 0
         self._join_due_s = started_s
@@ -142,6 +169,24 @@
             sync_longest_ms=round(syncs.longest_s * 1000, 3),
         )
 
+    def set_seeds(self, seeds: Iterable[str]) -> None:
+        """
+        Replace the seeds, as the settings have changed.
+
+        :param seeds: ids of some controllers
+        """
+        self._seeds = tuple(seeds)
+
+    def controller_ids(self) -> tuple[str, ...]:
+        """:return: ids of all controllers that are known, this one included"""
+        listed = [one.host_id for one in self._settings.controllers]
+        members = map(host_of, self._replica.state.log.members)
+        return tuple(dict.fromkeys([self._settings.host_id, *listed, *self._seeds, *members]))
+
+    def peer_ids(self) -> tuple[str, ...]:
+        """:return: ids of all processes that this one sends to"""
+        return (*self.controller_ids(), *self._learner_ids(), *self._presence.routers)
+
     def lease_valid(self, now_s: float) -> bool:
         """
         Tell whether this controller leads and no other one can lead yet.
@@ -196,6 +241,13 @@
             case ConfigPoll():
                 self._presence.note(sender, message, now_s)
                 yield from self._update(sender, message)
+                yield self._roster(sender, message, now_s)
+            case ReadRequest(read_id):
+                yield from self._begin_read(FollowerRead(sender.host_id, read_id), now_s)
+            case ReadReply():
+                self._reads.answer(message)
+            case SubmitReply():
+                self._settle_forwarded(message)
             case Submit():
                 # A router may submit before its first poll arrives, and must not count as lost.
                 self._presence.note(sender, None, now_s)
@@ -205,6 +257,7 @@
             case _:
                 if self._trusts(sender, message):
                     yield from self._carry_out(self._driver.step(Received(message), now_s), now_s)
+        yield from self._settle_reads(now_s)
         self._rouse()
 
     def tick(self, now_s: float) -> Iterator[Outgoing]:
@@ -218,13 +271,17 @@
         if now_s >= self._join_due_s and self._replica.state.wants_to_join:
             self._join_due_s = now_s + JOIN_INTERVAL_S
             join = Join(self._replica.state.identity)
-            yield from (Outgoing(host_id, join) for host_id in self._others)
+            for host_id in self.controller_ids():
+                if host_id != self._settings.host_id:
+                    yield Outgoing(host_id, join)
         if now_s >= self._recovery_due_s:
             self._recovery_due_s = now_s + RECOVERY_INTERVAL_S
             self._submissions.expire(now_s)
             self._presence.forget(now_s)
+            self._reads.expire(now_s)
             if self.leads:
                 yield from self._recover(now_s)
+        yield from self._settle_reads(now_s)
         yield from self.flush(now_s)
 
     def flush(self, now_s: float) -> Iterator[Outgoing]:
@@ -251,6 +308,99 @@
         self._rouse()
         return pending
 
+    def submit_anywhere(self, command: Command, now_s: float) -> Pending:
+        """
+        Submit a command of this process at the leader, wherever that is.
+
+        :param command: the command
+        :param now_s: monotonic time
+        :return: to wait for the outcome
+        """
+        leader_id = self.leader_id
+        if leader_id in (None, self._settings.host_id):
+            return self.submit(command, now_s)
+        pending = Pending()
+        self._count += 1
+        submit_id = f"{self._started_s}/{self._count}"
+        self._forwarded[submit_id] = pending
+        submit = Submit(submit_id, COMMAND_CODEC.encode(command))
+        self._outbox.append(Outgoing(leader_id, submit))
+        self._rouse()
+        return pending
+
+    def forget(self, pending: Pending) -> None:
+        """
+        Stop waiting for a command that was submitted at the leader.
+
+        :param pending: from ``submit_anywhere``
+        """
+        for submit_id in [one for one, held in self._forwarded.items() if held is pending]:
+            del self._forwarded[submit_id]
+
+    async def read(self, now_s: float) -> None:
+        """
+        Wait until the state holds everything that was committed before the call.
+
+        :param now_s: monotonic time
+        :raises NotLeaderError: no leader is known, or the leader lost its majority
+        """
+        read = LocalRead(Pending())
+        leader_id = self.leader_id
+        if leader_id is None:
+            raise NotLeaderError(None)
+        if leader_id == self._settings.host_id:
+            self._outbox.extend(self._begin_read(read, now_s))
+        else:
+            read_id = self._reads.ask(read, now_s)
+            self._outbox.append(Outgoing(leader_id, ReadRequest(read_id)))
+        self._rouse()
+        await read.pending.wait()
+
+    def _begin_read(self, read: Read, now_s: float) -> Iterator[Outgoing]:
+        if self._replica.confirmed_s(now_s) is None:
+            yield from self._reads.refuse(read)
+            return
+        self._reads.begin(read, self._replica.state.commit_index, now_s)
+        yield from self._carry_out(self._driver.step(Confirm(), now_s), now_s)
+        yield from self._settle_reads(now_s)
+
+    def _settle_reads(self, now_s: float) -> Iterator[Outgoing]:
+        if self._reads.waiting:
+            confirmed_s = self._replica.confirmed_s(now_s)
+            yield from self._reads.settle(confirmed_s, self._driver.applied_index)
+
+    def _settle_forwarded(self, reply: SubmitReply) -> None:
+        pending = self._forwarded.pop(reply.submit_id, None)
+        if pending is None:
+            return
+        if not reply.accepted:
+            pending.fail(NotLeaderError(reply.leader_id))
+            return
+        try:
+            pending.settle(OUTCOME_CODEC.decode(reply.outcome))
+        except DecodeError as error:
+            _log.error("reply of the leader is not readable", reason=str(error))
+            pending.fail(OutcomeUnknownError(str(error)))
+
+    def _roster(self, sender: Sender, poll: ConfigPoll, now_s: float) -> Outgoing:
+        roster = self._presence.roster(self.controller_ids(), now_s)
+        if roster.version == poll.roster_version:
+            return Outgoing(sender.host_id, RosterUnchanged(roster.version))
+        return Outgoing(sender.host_id, roster)
+
+    def _learner_ids(self) -> Iterator[str]:
+        match self._replica.state.role:
+            case Leader(progress=progress):
+                yield from map(host_of, progress)
+
+    def _push(self, now_s: float) -> Iterator[Outgoing]:
+        """Send a new configuration to the routers without waiting for their polls."""
+        if self.leads and self.state.configuration.revision > self._pushed_revision:
+            self._pushed_revision = self.state.configuration.revision
+            for router in self._presence.live(now_s):
+                sender = Sender(router.router_id, router.incarnation)
+                yield from self._update(sender, router.poll)
+
     def _submit(self, sender: Sender, message: Submit, now_s: float) -> Iterator[Outgoing]:
         proposal_id = f"{sender.host_id}/{sender.incarnation}/{message.submit_id}"
         if self._submissions.knows(proposal_id):
@@ -328,6 +478,7 @@
                     yield from self._submissions.refuse(proposal_id, self.leader_id)
                 case Applied(index, term, outcome):
                     yield from self._submissions.answer(index, term, outcome, self.leader_id)
+                    yield from self._push(now_s)
                 case LeaderChanged(term, leader):
                     self._change_leader(term, leader, now_s)
                 case Restored(index):
@@ -347,7 +498,8 @@
         return Recovery(self._settings.result_retention_s, self._settings.result_store_bytes)
 
     def _trusts(self, sender: Sender, message: Any) -> bool:
-        if sender.host_id in self._others and host_of(message.sender) == sender.host_id:
+        known = bool(self._seeds) or sender.host_id in self.controller_ids()
+        if known and host_of(message.sender) == sender.host_id:
             return True
         _log.warning(
             "message of an unexpected sender dropped",
--- a/src/camphorvalve/controllers/stopping.py
+++ b/src/camphorvalve/controllers/stopping.py
@@ -11,8 +11,6 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from camphorvalve.controllers.membership import MembershipController
-
 NOTICE_S = 1.5
 """Peers hear of the stop with the next ping, so that their answers stop naming this router."""
 
@@ -22,14 +20,14 @@
 class Stopping:
     """Waits for a signal and then for the lifetime of the discovery answers."""
 
-    def __init__(self, membership: MembershipController, lifetime_s: float) -> None:
+    def __init__(self, announce: Callable[[], None], lifetime_s: float) -> None:
         """
         Prepare the stop.
 
-        :param membership: announces the stop to peers
+        :param announce: announces the stop to peers
         :param lifetime_s: how long callers may keep a discovery answer
         """
-        self._membership = membership
+        self._announce = announce
         self._lifetime_s = lifetime_s
         self.shutdown = anyio.Event()
 
@@ -37,7 +35,7 @@
         """Set ``shutdown`` once no caller can hold an answer that names this router."""
         await _signal()
         _log.info("leaving", address_lifetime_s=self._lifetime_s)
-        self._membership.set_leaving()
+        self._announce()
         await anyio.sleep(NOTICE_S + self._lifetime_s)
         self.shutdown.set()
 
--- a/src/camphorvalve/filters/observe.py
+++ b/src/camphorvalve/filters/observe.py
@@ -20,6 +20,10 @@
         """Start without requests."""
         self._open: dict[str, Exchange] = {}
 
+    def open_count(self) -> int:
+        """:return: requests that have not ended"""
+        return len(self._open)
+
     def find(self, request_id: str) -> Exchange | None:
         """
         Look up a request that has not ended.
--- a/src/camphorvalve/filters/retry.py
+++ b/src/camphorvalve/filters/retry.py
@@ -8,9 +8,16 @@
 from typing import TYPE_CHECKING
 
 from camphorvalve.model.answers import Body, Head
-from camphorvalve.model.errors import RequestError
-from camphorvalve.model.requests import BrokenStream, Completion
-from camphorvalve.upstreams.errors import Broken, NoAnswer, NotSent, UpstreamError
+from camphorvalve.model.errors import RequestError, Run
+from camphorvalve.model.requests import BrokenStream
+from camphorvalve.upstreams.errors import (
+    Broken,
+    Declined,
+    FailedAnswer,
+    NoAnswer,
+    NotSent,
+    UpstreamError,
+)
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Callable, Iterator
@@ -21,6 +28,8 @@
     from camphorvalve.sharing.budget import RetryBudget
 
 MAX_ATTEMPTS_COUNT = 4
+DECLINED_RETRY_S = 0.5
+"""When a caller may try again whose upstream was full; several requests end there in this time."""
 HELD_BYTES = 256 << 10
 """A longer plain answer is passed on before it is whole, and can't be tried again then."""
 
@@ -37,7 +46,14 @@
     error: RequestError
 
 
-Decision = Again | GiveUp
+@dataclass(frozen=True, slots=True)
+class PassOn:
+    """Answer with what the upstream answered."""
+
+    answer: FailedAnswer
+
+
+Decision = Again | GiveUp | PassOn
 
 
 def decide(error: UpstreamError, exchange: Exchange, has_budget: Callable[[], bool]) -> Decision:
@@ -51,28 +67,32 @@
     """
     assert exchange.parameters is not None
     idempotent = exchange.parameters.idempotent
-    may_repeat = idempotent or isinstance(error, NotSent)
-    can_go_on = not isinstance(error, Broken) or _can_continue(exchange)
-    if may_repeat and can_go_on and exchange.attempt < MAX_ATTEMPTS_COUNT and has_budget():
+    may_repeat = idempotent or isinstance(error, NotSent | Declined)
+    can_go_on = not exchange.output_started or _can_continue(exchange)
+    if may_repeat and can_go_on and exchange.attempt < _attempts_count(exchange) and has_budget():
         return Again()
     match error:
+        case NotSent() | Declined() if exchange.may_have_run:
+            return GiveUp(RequestError("upstream_failed", f"an earlier attempt failed: {error}"))
         case NotSent():
             message = f"no upstream could be reached in {exchange.attempt} attempts"
             return GiveUp(RequestError("no_upstream", message, retry_after_s=1.0))
+        case Declined():
+            return GiveUp(RequestError("overloaded", str(error), retry_after_s=DECLINED_RETRY_S))
+        case FailedAnswer():
+            return PassOn(error)
         case NoAnswer():
             return GiveUp(RequestError("upstream_failed", f"the upstream gave no answer: {error}"))
         case _:
             return GiveUp(RequestError("stream_broken", f"the answer broke off: {error}"))
 
 
+def _attempts_count(exchange: Exchange) -> int:
+    return MAX_ATTEMPTS_COUNT if exchange.route is None else exchange.route.attempts_count
+
+
 def _can_continue(exchange: Exchange) -> bool:
-    if not exchange.output_started:
-        return True
-    match exchange.request.call:
-        case Completion(streamed=True):
-            return exchange.broken is not None
-        case _:
-            return False
+    return exchange.streams and exchange.broken is not None
 
 
 class RetryFilter:
@@ -114,18 +134,30 @@
                 match decide(error, exchange, lambda: self._budget.allow(pool, time.monotonic())):
                     case GiveUp(answer):
                         raise answer from error
+                    case PassOn(FailedAnswer(head=head, content=content)):
+                        yield head
+                        yield Body(content)
+                        return
                     case Again():
                         output.restart()
+            except RequestError as error:
+                # An attempt that could not be placed says nothing about the ones before it.
+                if error.run is Run.NO and exchange.may_have_run:
+                    raise RequestError("upstream_failed", error.message) from error
+                raise
 
     def _note_failure(self, exchange: Exchange, error: UpstreamError) -> None:
         exchange.note(time.monotonic(), f"attempt {exchange.attempt} failed: {error}")
         if exchange.upstream_id is not None:
             exchange.failed_upstreams.add(exchange.upstream_id)
         match error:
+            case NotSent() | Declined():
+                return
             case Broken(events_count=events_count, text=text) if events_count > 0:
                 exchange.broken = BrokenStream(events_count, text)
             case _:
                 pass
+        exchange.may_have_run = True
 
 
 class _Output:
@@ -133,7 +165,7 @@
 
     def __init__(self, exchange: Exchange) -> None:
         self._exchange = exchange
-        self._streams = exchange.request.call == Completion(streamed=True)
+        self._streams = exchange.streams
         self._held: list[Part] = []
         self._held_bytes = 0
 
@@ -163,4 +195,4 @@
             self._exchange.head = None
 
 
-__all__ = ["Again", "Decision", "GiveUp", "RetryFilter", "decide"]
+__all__ = ["Again", "Decision", "GiveUp", "PassOn", "RetryFilter", "decide"]
--- a/src/camphorvalve/http/callers.py
+++ b/src/camphorvalve/http/callers.py
@@ -6,9 +6,8 @@
 import uuid
 from typing import TYPE_CHECKING, Any, NamedTuple
 
-import anyio
-
 from camphorvalve.http.asgi import bearer_token, send_json
+from camphorvalve.http.bodies import BodyStore, CallerLimits, RequestBody
 from camphorvalve.http.decoding import (
     GetAddresses,
     GetDeferred,
@@ -18,7 +17,7 @@
     decode_request,
     find_route,
 )
-from camphorvalve.http.sending import AnswerSender, error_headers, send_json_unread
+from camphorvalve.http.sending import ProductForm, answer, error_headers, send_json_unread
 from camphorvalve.model.errors import RequestError
 from camphorvalve.model.requests import Exchange
 
@@ -45,17 +44,6 @@
     health: Callable[[], JsonAnswer]
 
 
-class CallerLimits(NamedTuple):
-    """Bounds of the caller port."""
-
-    body_bytes: int = 4 << 20
-    """Largest body of any team; the teams' own limits are checked in the chain."""
-    held_bytes: int = 24 << 20
-    """Bodies of all requests from their first byte to the end of the answer."""
-    body_timeout_s: float = 30.0
-    """Longest time for a body to arrive."""
-
-
 class CallerApp:
     """The ASGI application of the caller port."""
 
@@ -80,9 +68,8 @@
         self._handler = handler
         self._lookups = lookups
         self._host_id = host_id
-        self._limits = limits
+        self._bodies = BodyStore(limits)
         self._clock = clock
-        self._held_bytes = 0
 
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
         """
@@ -95,7 +82,7 @@
         headers = decode_headers(scope["headers"])
         request_id = uuid.uuid4().hex
         try:
-            route = find_route(scope["method"], _target(scope))
+            route = find_route(scope["method"], target_of(scope))
             if isinstance(route, RunCall):
                 await self._run_call(scope, route, headers, request_id, receive, send)
                 return
@@ -145,112 +132,27 @@
         if scope["http_version"] != "1.1":
             raise RequestError("bad_body", "HTTP/1.1 is required")
         request = decode_request(route, headers, request_id)
-        body = _Body(self, headers)
+        body = RequestBody(self._bodies, headers)
         try:
             content = await body.read(receive)
             if content is None:
                 return
             exchange = Exchange(request._replace(body=content), self._clock())
-            await self._answer(exchange, receive, send)
+            await answer(self._handler, exchange, ProductForm(self._host_id), receive, send)
         finally:
             body.release()
 
-    async def _answer(self, exchange: Exchange, receive: Receive, send: Send) -> None:
-        sender = AnswerSender(send, exchange, self._host_id)
-        finished = False
-        async with anyio.create_task_group() as tasks:
-            tasks.start_soon(_cancel_on_disconnect, receive, tasks.cancel_scope)
-            await sender.send_parts(self._handler)
-            finished = True
-            tasks.cancel_scope.cancel()
-        # The end is sent outside of the scope: the server reports a disconnect as soon as an answer
-        # is complete, and a cancelled send would leave the connection in an undefined state.
-        if finished:
-            await sender.end()
-
-    def hold(self, size_bytes: int) -> None:
-        """
-        Count bytes of a body.
-
-        :param size_bytes: bytes to add, negative to release
-        :raises RequestError: ``queue_full`` at the bound for all bodies
-        """
-        if size_bytes > 0 and self._held_bytes + size_bytes > self._limits.held_bytes:
-            raise RequestError(
-                "queue_full",
-                f"the router holds request bodies of {self._held_bytes} bytes, "
-                f"its limit is {self._limits.held_bytes}",
-                retry_after_s=1.0,
-            )
-        self._held_bytes += size_bytes
-
-    @property
-    def limits(self) -> CallerLimits:
-        """:return: bounds on bodies"""
-        return self._limits
-
-
-class _Body:
-    """Reads one body within the limits of the caller port."""
-
-    def __init__(self, app: CallerApp, headers: Mapping[str, str]) -> None:
-        self._app = app
-        self._declared = headers.get("content-length", "")
-        self._held_bytes = 0
-
-    async def read(self, receive: Receive) -> bytes | None:
-        """
-        Read the body.
-
-        :param receive: the ASGI receive function
-        :return: the body, ``None`` when the caller left
-        :raises RequestError: ``too_large``, ``queue_full``, or ``bad_body`` when it takes too long
-        """
-        if self._declared.isdigit():
-            self._check(int(self._declared))
-        timeout_s = self._app.limits.body_timeout_s
-        try:
-            with anyio.fail_after(timeout_s):
-                return await self._read(receive)
-        except TimeoutError:
-            message = f"the body did not arrive within {timeout_s:g} s"
-            raise RequestError("bad_body", message) from None
-
-    async def _read(self, receive: Receive) -> bytes | None:
-        chunks: list[bytes] = []
-        while True:
-            message = await receive()
-            if message["type"] == "http.disconnect":
-                return None
-            chunk = message.get("body", b"")
-            self._check(self._held_bytes + len(chunk))
-            self._app.hold(len(chunk))
-            self._held_bytes += len(chunk)
-            chunks.append(chunk)
-            if not message.get("more_body", False):
-                return b"".join(chunks)
-
-    def _check(self, size_bytes: int) -> None:
-        limit_bytes = self._app.limits.body_bytes
-        if size_bytes > limit_bytes:
-            raise RequestError("too_large", f"the body is larger than {limit_bytes} bytes")
-
-    def release(self) -> None:
-        """Give the held bytes back."""
-        self._app.hold(-self._held_bytes)
-        self._held_bytes = 0
-
-
-async def _cancel_on_disconnect(receive: Receive, scope: anyio.CancelScope) -> None:
-    while (await receive())["type"] != "http.disconnect":
-        pass
-    scope.cancel()
 
+def target_of(scope: Scope) -> str:
+    """
+    Read path and query as the caller encoded them.
 
-def _target(scope: Scope) -> str:
+    :param scope: ASGI scope
+    :return: the request target
+    """
     path = scope["raw_path"].decode("latin-1")
     query = scope["query_string"].decode("latin-1")
     return f"{path}?{query}" if query else path
 
 
-__all__ = ["CallerApp", "CallerLimits", "JsonAnswer", "Lookups"]
+__all__ = ["CallerApp", "JsonAnswer", "Lookups", "target_of"]
--- a/src/camphorvalve/http/sending.py
+++ b/src/camphorvalve/http/sending.py
@@ -4,6 +4,7 @@
 
 import math
 from contextlib import aclosing
+from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any
 
 import anyio
@@ -42,20 +43,69 @@
 )
 
 
+@dataclass(frozen=True, slots=True)
+class ProductForm:
+    """Answers of the caller port: own headers on all of them, errors inside broken streams."""
+
+    host_id: str
+
+
+@dataclass(frozen=True, slots=True)
+class PassedForm:
+    """Answers of upstreams as they came; a broken one closes the connection."""
+
+    request_id_name: str
+    """Header that carries the request's id on errors of the router."""
+
+
+AnswerForm = ProductForm | PassedForm
+
+
+async def answer(
+    handler: Handler, exchange: Exchange, form: AnswerForm, receive: Receive, send: Send
+) -> None:
+    """
+    Run the chain for a request whose body was read, until its end or until the caller leaves.
+
+    :param handler: the filter chain
+    :param exchange: the request
+    :param form: how answers look
+    :param receive: the ASGI receive function
+    :param send: the ASGI send function
+    """
+    sender = AnswerSender(send, exchange, form)
+    finished = False
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(_cancel_on_disconnect, receive, tasks.cancel_scope)
+        await sender.send_parts(handler)
+        finished = True
+        tasks.cancel_scope.cancel()
+    # The end is sent outside of the scope: the server reports a disconnect as soon as an answer
+    # is complete, and a cancelled send would leave the connection in an undefined state.
+    if finished:
+        await sender.end()
+
+
+async def _cancel_on_disconnect(receive: Receive, scope: anyio.CancelScope) -> None:
+    while (await receive())["type"] != "http.disconnect":
+        pass
+    scope.cancel()
+
+
 class AnswerSender:
     """Sends the answer to one exchange."""
 
-    def __init__(self, send: Send, exchange: Exchange, host_id: str) -> None:
+    def __init__(self, send: Send, exchange: Exchange, form: AnswerForm) -> None:
         """
         Prepare the sender.
 
         :param send: the ASGI send function
         :param exchange: the exchange
-        :param host_id: this router
+        :param form: how answers look
         """
         self._send = send
         self._exchange = exchange
-        self._host_id = host_id
+        self._form = form
         self._head: Head | None = None
         self._event_open = False
         self._aborted = False
@@ -102,7 +152,11 @@
 
     def _own_headers(self) -> dict[str, str]:
         exchange = self._exchange
-        own = {"x-request-id": exchange.request.request_id, "x-served-by": self._host_id}
+        match self._form:
+            case PassedForm():
+                return {}
+            case ProductForm(host_id):
+                own = {"x-request-id": exchange.request.request_id, "x-served-by": host_id}
         if exchange.attempt:
             own["x-attempt"] = str(exchange.attempt)
         if exchange.upstream_id is not None:
@@ -119,15 +173,25 @@
         request_id = self._exchange.request.request_id
         content = msgspec.json.encode(error.body(request_id))
         if self._head is None:
-            headers = _json_headers(content, error_headers(error, None))
+            headers = _json_headers(content, self._error_headers(error))
             await self._start(Head(error.status, headers))
             await self._body(content)
-        elif _is_event_stream(self._head):
+        elif isinstance(self._form, ProductForm) and _is_event_stream(self._head):
             separator = b"\n\n" if self._event_open else b""
             await self._body(separator + b"event: error\ndata: " + content + b"\n\n")
         else:
             self._aborted = True
 
+    def _error_headers(self, error: RequestError) -> tuple[tuple[str, str], ...]:
+        match self._form:
+            case ProductForm():
+                return error_headers(error, None)
+            case PassedForm(request_id_name):
+                headers = [(request_id_name, self._exchange.request.request_id)]
+                if error.retry_after_s is not None:
+                    headers.append(("retry-after", f"{error.retry_after_s:.3f}"))
+                return tuple(headers)
+
 
 async def send_json_unread(
     receive: Receive, send: Send, status: int, body: Any, headers: Iterable[tuple[str, str]] = ()
@@ -203,4 +267,12 @@
     )
 
 
-__all__ = ["AnswerSender", "error_headers", "send_json_unread"]
+__all__ = [
+    "AnswerForm",
+    "AnswerSender",
+    "PassedForm",
+    "ProductForm",
+    "answer",
+    "error_headers",
+    "send_json_unread",
+]
--- a/src/camphorvalve/model/requests.py
+++ b/src/camphorvalve/model/requests.py
@@ -8,6 +8,7 @@
 
 if TYPE_CHECKING:
     from camphorvalve.model.answers import Head
+    from camphorvalve.model.routes import Route
     from camphorvalve.model.teams import KindParameters, TeamParameters
 
 
@@ -26,7 +27,39 @@
     path: str
 
 
-Call = Completion | ServiceCall
+class PromptPart(NamedTuple):
+    """A part of a prompt, in the order of the prompt; requests with the same id share it."""
+
+    part_id: str
+    tokens_count: int
+
+
+class Prompt(NamedTuple):
+    """What a request asks of a model engine."""
+
+    parts: tuple[PromptPart, ...]
+    """The last one belongs to the request or its session alone."""
+    input_tokens_count: int
+    output_tokens_count: int
+    """Most tokens of the answer."""
+
+
+@dataclass(frozen=True, slots=True)
+class RoutedCall:
+    """A call that a route of the manifest matches; it is passed on as it came."""
+
+    method: str
+    target: str
+    """Path and query, as the caller encoded them."""
+    host: str
+    headers: tuple[tuple[str, str], ...]
+    """Headers that go on to the upstream."""
+    patience_s: float | None
+    """How long the caller waits for the end of the answer, if it says so."""
+    prompt: Prompt | None
+
+
+Call = Completion | ServiceCall | RoutedCall
 
 
 class Request(NamedTuple):
@@ -74,6 +107,10 @@
     team: TeamParameters | None = None
     kind: str = ""
     parameters: KindParameters | None = None
+    route: Route | None = None
+    """Route of a ``RoutedCall``."""
+    deadline_s: float | None = None
+    """When the answer has to be complete."""
     prefix: str | None = None
     """Key of the first block of the prompt, for prefix affinity."""
     stage: Stage = Stage.RECEIVED
@@ -84,6 +121,8 @@
     """Whether a byte of the request may have reached an upstream."""
     record_id: str | None = None
     """Record that has to be started before the first byte goes out."""
+    may_have_run: bool = False
+    """Whether an upstream may have run an attempt that failed."""
     claim_attempt: int | None = None
     """Attempt that the controllers have assigned, for accepted work."""
     failed_upstreams: set[str] = field(default_factory=set)
@@ -98,6 +137,17 @@
     """Where a later attempt continues the stream."""
     notes: list[tuple[float, str]] = field(default_factory=list)
 
+    @property
+    def streams(self) -> bool:
+        """:return: whether the answer is a stream of events"""
+        match self.request.call:
+            case Completion(streamed=streamed):
+                return streamed
+            case RoutedCall():
+                return self.route is not None and self.route.streamed
+            case ServiceCall():
+                return False
+
     @property
     def run_attempt(self) -> int:
         """:return: attempt as records and upstreams know it; accepted work counts on when moved"""
@@ -113,4 +163,15 @@
         self.notes.append((now_s, text))
 
 
-__all__ = ["BrokenStream", "Call", "Completion", "Exchange", "Request", "ServiceCall", "Stage"]
+__all__ = [
+    "BrokenStream",
+    "Call",
+    "Completion",
+    "Exchange",
+    "Prompt",
+    "PromptPart",
+    "Request",
+    "RoutedCall",
+    "ServiceCall",
+    "Stage",
+]
--- a/src/camphorvalve/registry/commands.py
+++ b/src/camphorvalve/registry/commands.py
@@ -4,6 +4,7 @@
 
 from dataclasses import dataclass
 
+from camphorvalve.model.routes import Manifest
 from camphorvalve.model.teams import Team, Template
 from camphorvalve.wire.codec import TaggedCodec
 
@@ -37,8 +38,15 @@
     draining: bool
 
 
-Change = PutTemplate | PutTeam | DeleteTeam | SetDrain
-CHANGES: tuple[type, ...] = (PutTemplate, PutTeam, DeleteTeam, SetDrain)
+@dataclass(frozen=True, slots=True)
+class PutManifest:
+    """Put a manifest in force, unless one of the same or a higher version is."""
+
+    manifest: Manifest
+
+
+Change = PutTemplate | PutTeam | DeleteTeam | SetDrain | PutManifest
+CHANGES: tuple[type, ...] = (PutTemplate, PutTeam, DeleteTeam, SetDrain, PutManifest)
 
 
 @dataclass(frozen=True, slots=True)
@@ -193,6 +201,7 @@
 
 Command = (
     ChangeConfiguration
+    | PutManifest
     | AcceptWork
     | AssignWork
     | StartRun
@@ -206,6 +215,7 @@
 )
 COMMANDS: tuple[type, ...] = (
     ChangeConfiguration,
+    PutManifest,
     AcceptWork,
     AssignWork,
     StartRun,
@@ -316,6 +326,7 @@
     "LoseRun",
     "Lost",
     "Outcome",
+    "PutManifest",
     "PutTeam",
     "PutTemplate",
     "Running",
--- a/src/camphorvalve/registry/configuration.py
+++ b/src/camphorvalve/registry/configuration.py
@@ -6,8 +6,16 @@
 
 import msgspec
 
+from camphorvalve.model.routes import Manifest
 from camphorvalve.model.teams import Team, TeamParameters, Template, resolve
-from camphorvalve.registry.commands import Change, DeleteTeam, PutTeam, PutTemplate, SetDrain
+from camphorvalve.registry.commands import (
+    Change,
+    DeleteTeam,
+    PutManifest,
+    PutTeam,
+    PutTemplate,
+    SetDrain,
+)
 
 
 class ChangeError(Exception):
@@ -21,6 +29,7 @@
     templates: dict[str, Template]
     teams: dict[str, Team]
     draining: frozenset[str]
+    manifest: Manifest | None = None
 
     def parameters(self, team: str) -> TeamParameters | None:
         """
@@ -79,6 +88,8 @@
             members = {member_id}
             drained = following.draining | members if draining else following.draining - members
             return following._replace(draining=drained)
+        case PutManifest(manifest):
+            return following._replace(manifest=manifest)
 
 
 def _check_share(owner: str, share: float) -> None:
--- a/src/camphorvalve/registry/history.py
+++ b/src/camphorvalve/registry/history.py
@@ -16,6 +16,7 @@
     Done,
     Invalid,
     Outcome,
+    PutManifest,
 )
 from camphorvalve.registry.configuration import (
     EMPTY,
@@ -24,6 +25,7 @@
     apply_change,
     encode,
 )
+from camphorvalve.registry.manifests import refusal, replaces
 from camphorvalve.wire.codec import DecodeError
 
 if TYPE_CHECKING:
@@ -81,6 +83,22 @@
             self._operations.pop(next(iter(self._operations)))
         return outcome
 
+    def put_manifest(self, index: int, command: PutManifest) -> Outcome:
+        """
+        Put a manifest in force; one that is not newer is acknowledged and changes nothing.
+
+        :param index: log index of the command
+        :param command: the command
+        :return: its outcome
+        """
+        held = self.configuration.manifest
+        if (refused := refusal(held, command.manifest)) is not None:
+            return refused
+        if replaces(held, command.manifest):
+            self.configuration = apply_change(self.configuration, command)
+            self._keep(CHANGE_CODEC.encode(command))
+        return Done(self.configuration.revision, index)
+
     def update_from(self, revision: int) -> Update | None:
         """
         Build what a router needs that has a revision in force.
--- a/src/camphorvalve/registry/state.py
+++ b/src/camphorvalve/registry/state.py
@@ -16,6 +16,7 @@
     FinishRun,
     LoseRun,
     Outcome,
+    PutManifest,
     SettleOrder,
     StartRun,
     SubmitOrder,
@@ -71,6 +72,8 @@
         match command:
             case ChangeConfiguration():
                 return self.history.change(index, command)
+            case PutManifest():
+                return self.history.put_manifest(index, command)
             case (
                 AcceptWork()
                 | AssignWork()
--- a/src/camphorvalve/reports/logs.py
+++ b/src/camphorvalve/reports/logs.py
@@ -14,6 +14,7 @@
 
     from structlog.typing import Processor, WrappedLogger
 
+    from camphorvalve.reports.sink import BoundedSink
     from camphorvalve.settings.schema import Logging
 
 HIDDEN_FIELDS = frozenset(
@@ -37,7 +38,7 @@
 """Fields that may hold secrets or text of callers; only their size is logged."""
 
 
-def configure(host_id: str, settings: Logging, stream: TextIO | None = None) -> None:
+def configure(host_id: str, settings: Logging, stream: TextIO | BoundedSink | None = None) -> None:
     """
     Set up the logs of this process, those of libraries included.
 
--- a/src/camphorvalve/settings/schema.py
+++ b/src/camphorvalve/settings/schema.py
@@ -55,6 +55,7 @@
     peer_bind: str
     """Such as ``tcp://127.0.0.1:7000``."""
     controllers: tuple[ControllerAddress, ...]
+    """Empty where ``seeds`` are given."""
     platform_url: str
     keys: Keys | None
     """``null`` leaves links between processes open; has to be written out."""
@@ -72,8 +73,17 @@
     record_timeout_s: float = 3.0
     stop_timeout_s: float = 600.0
     """Longest time that a graceful stop waits for its last answer."""
+    retry_ratio: float = 0.1
+    """Retries of this router per first try at a pool."""
+    retry_floor_count: int = 3
+    """Retries in 10 s that are allowed however few first tries there are."""
+    upstream_idle_s: float = 4.0
+    """How long an idle connection to an upstream is kept; common servers close it after 5 s."""
     logging: Logging = Logging()
     metrics: Metrics | None = None
+    seeds: tuple[str, ...] = ()
+    """Peer addresses, IP number and port, of some controllers; the router learns the others from
+    them. The id of each host is then its own peer address."""
 
 
 class ControllerSettings(NamedTuple):
@@ -85,7 +95,7 @@
     operator_url: str
     peer_bind: str
     controllers: tuple[ControllerAddress, ...]
-    """All controllers, this one included."""
+    """All controllers, this one included; empty where ``seeds`` are given."""
     platform_url: str
     data_folder: str
     keys: Keys | None
@@ -103,6 +113,15 @@
     """Silence after which a router's accepted work is assigned to another."""
     logging: Logging = Logging()
     metrics: Metrics | None = None
+    seeds: tuple[str, ...] = ()
+    """Peer addresses, IP number and port, of some controllers; a controller joins through them.
+    The id of each host is then its own peer address."""
+    bootstrap: bool = False
+    """Whether the fleet starts for the first time: the seeds form the first group."""
+    stop_timeout_s: float = 5.0
+    """Longest time that a graceful stop waits for its last answer."""
+    member_lost_s: float | None = None
+    """Silence after which the leader removes a controller from the group; it may join again."""
 
 
 __all__ = [
--- /dev/null
+++ b/src/camphorvalve/sharing/homes.py
@@ -0,0 +1,81 @@
+"""Chooses the upstream of a request: its prompt's home, as long as that is not overloaded."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, NamedTuple
+
+from camphorvalve.sharing.placement import ranked
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping, Sequence
+
+    from camphorvalve.model.requests import Prompt
+
+HOMES_COUNT = 2
+"""Upstreams that a prefix may be placed at; with more, the engines' caches lose what they hold."""
+LOAD_RATIO = 1.3
+"""Load above the mean at which a home is passed over; from the trials in ../docs/platform.md."""
+LOAD_SLACK_TOKENS = 60_000
+"""Load above that ratio that is still accepted, so that an idle fleet keeps to the homes."""
+
+
+class Load(NamedTuple):
+    """What this router has running at an upstream."""
+
+    requests_count: int = 0
+    tokens_count: int = 0
+
+
+def prefix_key(prompt: Prompt | None) -> str | None:
+    """
+    Name what requests with the same beginning of their prompts share.
+
+    :param prompt: the prompt
+    :return: the key, ``None`` for a prompt that shares nothing
+    """
+    if prompt is None or len(prompt.parts) < 2:
+        return None
+    shared = prompt.parts[: 2 if len(prompt.parts) > 2 else 1]
+    return "/".join(part.part_id for part in shared)
+
+
+def place(
+    key: str, upstream_ids: Sequence[str], loads: Mapping[str, Load], limit: int
+) -> str | None:
+    """
+    Choose among the homes of a prefix; bounded loads as in Mirrokni, Thorup and Zadimoghaddam,
+    "Consistent Hashing with Bounded Loads" (2018), by rendezvous hashing.
+
+    :param key: from ``prefix_key``
+    :param upstream_ids: usable upstreams
+    :param loads: load by upstream
+    :param limit: requests that this router may have running at one upstream
+    :return: the upstream, ``None`` when every home is full
+    """
+    total = sum(loads[one].tokens_count for one in upstream_ids if one in loads)
+    bound = LOAD_RATIO * total / max(1, len(upstream_ids)) + LOAD_SLACK_TOKENS
+    open_homes = [
+        one
+        for one in ranked(key, upstream_ids)[:HOMES_COUNT]
+        if loads.get(one, Load()).requests_count < limit
+    ]
+    within = (one for one in open_homes if loads.get(one, Load()).tokens_count <= bound)
+    return next(within, open_homes[0] if open_homes else None)
+
+
+def least_loaded(upstream_ids: Sequence[str], loads: Mapping[str, Load], limit: int) -> str | None:
+    """
+    Choose the upstream with the fewest requests of this router.
+
+    :param upstream_ids: usable upstreams in random order
+    :param loads: load by upstream
+    :param limit: requests that this router may have running at one upstream
+    :return: the upstream, ``None`` when all are full
+    """
+    best = min(upstream_ids, key=lambda one: loads.get(one, Load()).requests_count, default=None)
+    if best is None or loads.get(best, Load()).requests_count >= limit:
+        return None
+    return best
+
+
+__all__ = ["HOMES_COUNT", "Load", "least_loaded", "place", "prefix_key"]
--- /dev/null
+++ b/src/camphorvalve/sharing/routing.py
@@ -0,0 +1,88 @@
+"""Finds the route, the pool and the team of a request in the manifest in force."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from camphorvalve.model.teams import Limits, TeamParameters
+
+if TYPE_CHECKING:
+    from camphorvalve.model.routes import Manifest, Route
+
+
+class RouteTable:
+    """Indexes of one manifest."""
+
+    def __init__(self, manifest: Manifest) -> None:
+        """
+        Index a manifest.
+
+        :param manifest: a valid manifest
+        """
+        self.manifest = manifest
+        self.pools = {pool.name: pool for pool in manifest.pools}
+        self._routes: dict[str, dict[str, Route]] = {}
+        for route in manifest.routes:
+            self._routes.setdefault(route.host.lower(), {})[route.path_prefix] = route
+        self._teams = {
+            key: TeamParameters(tenant.name, 1.0, {}, Limits())
+            for tenant in manifest.tenants
+            for key in tenant.keys
+        }
+
+    def find(self, host: str, target: str) -> Route | None:
+        """
+        Find the route with the longest prefix that begins a path.
+
+        :param host: the ``Host`` header
+        :param target: path and query
+        :return: the route
+        """
+        by_prefix = self._routes.get(_without_port(host))
+        if by_prefix is None:
+            return None
+        path = target.partition("?")[0]
+        end = path.rfind("/")
+        while end >= 0:
+            if (route := by_prefix.get(path[: end + 1])) is not None:
+                return route
+            end = path.rfind("/", 0, end)
+        return None
+
+    def team(self, key: str) -> TeamParameters | None:
+        """
+        Find the team that holds a key.
+
+        :param key: key of a caller
+        :return: the team
+        """
+        return self._teams.get(key)
+
+    @property
+    def has_teams(self) -> bool:
+        """:return: whether requests on routes that are not public need a key"""
+        return bool(self.manifest.tenants)
+
+
+def split(route: Route, position: float) -> str:
+    """
+    Choose a pool by the weights of a route.
+
+    :param route: the route
+    :param position: number drawn from 0 to 1
+    :return: name of the pool
+    """
+    left = position * sum(one.weight for one in route.destinations)
+    for destination in route.destinations:
+        left -= destination.weight
+        if left < 0:
+            return destination.pool
+    return next(one.pool for one in reversed(route.destinations) if one.weight > 0)
+
+
+def _without_port(host: str) -> str:
+    name, separator, port = host.lower().rpartition(":")
+    return name if separator and port.isdigit() else host.lower()
+
+
+__all__ = ["RouteTable", "split"]
--- a/src/camphorvalve/upstreams/client.py
+++ b/src/camphorvalve/upstreams/client.py
@@ -17,8 +17,9 @@
 class _Transport(httpx.AsyncBaseTransport):
     """Chooses between a pool that keeps connections and one that never does."""
 
-    def __init__(self, delivery_limit_s: float | None) -> None:
+    def __init__(self, delivery_limit_s: float | None, keepalive_s: float) -> None:
         self._delivery_limit_s = delivery_limit_s
+        self._keepalive_s = keepalive_s
         self._pools: dict[tuple[bool, bool], httpx.AsyncHTTPTransport] = {}
 
     async def handle_async_request(self, request: httpx.Request) -> httpx.Response:
@@ -37,7 +38,7 @@
         limits = httpx.Limits(
             max_connections=None,
             max_keepalive_connections=0 if fresh else KEEPALIVE_COUNT,
-            keepalive_expiry=KEEPALIVE_S,
+            keepalive_expiry=self._keepalive_s,
         )
         # Loading the certificates takes time and memory that plain connections do not need.
         context = ssl.create_default_context() if encrypted else _NO_CERTIFICATES
@@ -61,15 +62,18 @@
     return [(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, limit_ms)]
 
 
-def create_client(delivery_limit_s: float | None = None) -> httpx.AsyncClient:
+def create_client(
+    delivery_limit_s: float | None = None, *, keepalive_s: float = KEEPALIVE_S
+) -> httpx.AsyncClient:
     """
     Create the client that ``open_attempt`` and the readers of reports use.
 
     :param delivery_limit_s: longest time that written bytes may stay undelivered; for orders
+    :param keepalive_s: how long an idle connection is kept
     :return: a client that follows no redirects and reads no proxy settings
     """
     return httpx.AsyncClient(
-        transport=_Transport(delivery_limit_s),
+        transport=_Transport(delivery_limit_s, keepalive_s),
         trust_env=False,
         headers={"Accept-Encoding": "identity"},
     )
--- a/src/camphorvalve/upstreams/errors.py
+++ b/src/camphorvalve/upstreams/errors.py
@@ -2,6 +2,11 @@
 
 from __future__ import annotations
 
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from camphorvalve.model.answers import Head
+
 
 class UpstreamError(Exception):
     """An attempt failed; the text names the upstream and the cause."""
@@ -21,6 +26,10 @@
     """No byte of the request went out; the upstream did not run it."""
 
 
+class Declined(UpstreamError):  # noqa: N818 -- as above
+    """The upstream states that it did not run the request and will not."""
+
+
 class NoAnswer(UpstreamError):  # noqa: N818 -- as above
     """The request may have arrived, and no usable answer started."""
 
@@ -29,6 +38,22 @@
     """The answer carries the id or the attempt of another request and was dropped."""
 
 
+class FailedAnswer(UpstreamError):  # noqa: N818 -- as above
+    """The upstream ran the request and answered with an error of its own."""
+
+    def __init__(self, upstream_id: str, head: Head, content: bytes) -> None:
+        """
+        Keep the answer, which is passed on unless another upstream does better.
+
+        :param upstream_id: id of the upstream
+        :param head: status and headers
+        :param content: the whole body
+        """
+        super().__init__(upstream_id, f"status {head.status}")
+        self.head = head
+        self.content = content
+
+
 class Broken(UpstreamError):  # noqa: N818 -- as above
     """The answer started and ended before it was complete."""
 
@@ -46,4 +71,12 @@
         self.text = text
 
 
-__all__ = ["Broken", "NoAnswer", "NotSent", "UpstreamError", "WrongAnswer"]
+__all__ = [
+    "Broken",
+    "Declined",
+    "FailedAnswer",
+    "NoAnswer",
+    "NotSent",
+    "UpstreamError",
+    "WrongAnswer",
+]
--- /dev/null
+++ b/src/camphorvalve/upstreams/events.py
@@ -0,0 +1,68 @@
+"""Cuts a stream of numbered server-sent events into whole events that follow each other."""
+
+from __future__ import annotations
+
+END_OF_EVENT = b"\n\n"
+_NUMBER = b"id:"
+
+
+class OutOfOrderError(Exception):
+    """An event does not follow the one before it."""
+
+
+class EventCutter:
+    """Passes whole events on and remembers the number of the last one."""
+
+    def __init__(self, last_number: int | None) -> None:
+        """
+        Start before the first event, or after the events that the caller has.
+
+        :param last_number: number of the last event that the caller has
+        """
+        self.last_number = last_number
+        self._tail = b""
+
+    @property
+    def inside_event(self) -> bool:
+        """:return: whether the bytes so far end in the middle of an event"""
+        return bool(self._tail)
+
+    def add(self, content: bytes) -> bytes:
+        """
+        Take bytes as they arrive.
+
+        :param content: the next bytes of the stream
+        :return: the whole events that are complete now, without those that the caller has
+        :raises OutOfOrderError: an event is missing
+        """
+        joined = self._tail + content if self._tail else content
+        end = joined.rfind(END_OF_EVENT) + len(END_OF_EVENT)
+        if end < len(END_OF_EVENT):
+            self._tail = joined
+            return b""
+        self._tail = joined[end:]
+        events = joined[:end].split(END_OF_EVENT)[:-1]
+        return b"".join(event + END_OF_EVENT for event in events if self._is_next(event))
+
+    def _is_next(self, event: bytes) -> bool:
+        number = _number(event)
+        if number is None:
+            return True
+        if self.last_number is not None:
+            if number <= self.last_number:
+                return False
+            if number > self.last_number + 1:
+                raise OutOfOrderError(f"event {number} follows event {self.last_number}")
+        self.last_number = number
+        return True
+
+
+def _number(event: bytes) -> int | None:
+    for line in event.split(b"\n"):
+        if line.startswith(_NUMBER):
+            text = line[len(_NUMBER) :].strip()
+            return int(text) if text.isdigit() else None
+    return None
+
+
+__all__ = ["EventCutter", "OutOfOrderError"]
--- a/src/camphorvalve/upstreams/opening.py
+++ b/src/camphorvalve/upstreams/opening.py
@@ -15,7 +15,7 @@
     from camphorvalve.model.upstreams import Upstream
     from camphorvalve.upstreams.options import AttemptOptions
 
-_SENDING = "http11.send_request_headers.started"
+SENDING_EVENT = "http11.send_request_headers.started"
 # Connection headers concern one hop; the others are set again by the router.
 _DROPPED_HEADERS = frozenset(
     {
@@ -78,7 +78,7 @@
     """
 
     async def watch(event: str, info: dict[str, Any]) -> None:
-        if event == _SENDING:
+        if event == SENDING_EVENT:
             sending.started = True
             exchange.sent_upstream = True
 
@@ -152,4 +152,4 @@
     return None
 
 
-__all__ = ["Sending", "UpstreamCall", "open_response", "response_headers"]
+__all__ = ["SENDING_EVENT", "Sending", "UpstreamCall", "open_response", "response_headers"]
--- a/src/camphorvalve/wire/link.py
+++ b/src/camphorvalve/wire/link.py
@@ -48,6 +48,8 @@
         bind_address: str,
         types: Iterable[type],
         keys: KeyPair | None,
+        *,
+        ids_are_addresses: bool = False,
     ) -> None:
         """
         Prepare the link; nothing is bound yet.
@@ -57,12 +59,14 @@
         :param bind_address: address to receive on, such as ``tcp://127.0.0.1:7000``
         :param types: message types that are understood
         :param keys: the fleet's CURVE keys; ``None`` leaves the link open
+        :param ids_are_addresses: whether the id of a peer is its IP number and port
         """
         self.host_id = host_id
         self.incarnation = incarnation
         self._bind_address = bind_address
         self._codec = EnvelopeCodec(types)
         self._keys = keys
+        self._ids_are_addresses = ids_are_addresses
         self._context = zmq.asyncio.Context()
         self._plain_context = zmq.Context(self._context)
         self._receiver = self._context.socket(zmq.PULL)
@@ -110,6 +114,15 @@
             if host_id != self.host_id and host_id not in self._addresses:
                 self._addresses[host_id] = address
 
+    def keep_only(self, peer_ids: Iterable[str]) -> None:
+        """
+        Close the connections to all other peers.
+
+        :param peer_ids: ids of the peers that messages may still go to
+        """
+        for peer_id in self._senders.keys() - set(peer_ids):
+            self._senders.pop(peer_id).close(0)
+
     def send(self, peer_id: str, message: Any) -> bool:
         """
         Send one message, or drop it when the peer is unknown, away or slow.
@@ -158,7 +171,7 @@
         return Traffic(*self._counts)
 
     def _open_sender(self, peer_id: str) -> zmq.Socket | None:
-        address = self._addresses.get(peer_id)
+        address = f"tcp://{peer_id}" if self._ids_are_addresses else self._addresses.get(peer_id)
         if address is None:
             return None
         # A plain socket: sends never wait, so that no future has to be made for each.
--- a/src/camphorvalve/wire/messages.py
+++ b/src/camphorvalve/wire/messages.py
@@ -116,11 +116,54 @@
     """A router asks a controller for newer configuration and says how it is."""
 
     revision: int
-    term: int
     leaving: bool
     waiting_count: int
     running_count: int
     url: str
+    """Where operators reach the router."""
+    data_centre: str
+    caller_address: str
+    """Where callers reach the router, as IP number and port."""
+    roster_version: int
+    """Version of the newest ``Roster`` from this controller; 0 without one."""
+
+
+class RosterRouter(NamedTuple):
+    """A router that a controller has heard recently."""
+
+    router_id: str
+    data_centre: str
+    caller_address: str
+    leaving: bool
+
+
+class Roster(NamedTuple):
+    """The processes that a controller knows; sent to a router whose copy differs."""
+
+    version: int
+    """Checksum of the content."""
+    controllers: tuple[str, ...]
+    routers: tuple[RosterRouter, ...]
+
+
+class RosterUnchanged(NamedTuple):
+    """The roster that the router holds is still the newest one of this controller."""
+
+    version: int
+
+
+class ReadRequest(NamedTuple):
+    """A controller asks the leader which entries a read has to see."""
+
+    read_id: int
+
+
+class ReadReply(NamedTuple):
+    """Answer to a ``ReadRequest`` once a majority has confirmed the leader."""
+
+    read_id: int
+    index: int
+    """Entry up to which the state has to be applied; -1 when the receiver does not lead."""
 
 
 class ConfigUpdate(NamedTuple):
@@ -177,6 +220,10 @@
     ServiceTotal,
     ConfigPoll,
     ConfigUpdate,
+    Roster,
+    RosterUnchanged,
+    ReadRequest,
+    ReadReply,
     Submit,
     Lookup,
     SubmitReply,
@@ -197,6 +244,11 @@
     "Ping",
     "Pong",
     "Progress",
+    "ReadReply",
+    "ReadRequest",
+    "Roster",
+    "RosterRouter",
+    "RosterUnchanged",
     "ServiceEntry",
     "ServiceReport",
     "ServiceTotal",
--- /dev/null
+++ b/src/camphorvalve/wiring/controller.py
@@ -0,0 +1,77 @@
+"""Builds and runs a controller."""
+
+from __future__ import annotations
+
+import random
+from typing import TYPE_CHECKING
+
+import anyio
+import structlog
+
+from camphorvalve.consensus.storage import open_storage
+from camphorvalve.controllers.backend import ControllerBackend
+from camphorvalve.controllers.feeds import follow_as_controller
+from camphorvalve.controllers.orderbook import ReplicatedOrderBook
+from camphorvalve.controllers.ordering import Ordering
+from camphorvalve.controllers.orderplan import OrderPlan
+from camphorvalve.controllers.ordersteps import Timing as OrderTiming
+from camphorvalve.controllers.replication import ReplicationController
+from camphorvalve.controllers.runtime import Runtime
+from camphorvalve.controllers.stopping import wait_for_signal
+from camphorvalve.http.operators import controller_app
+from camphorvalve.http.server import serve
+from camphorvalve.reports.metrics import Metrics, destination_of, observe_levels
+from camphorvalve.upstreams.client import create_client
+from camphorvalve.wiring.common import new_incarnation, open_link, warn_open
+
+if TYPE_CHECKING:
+    from camphorvalve.settings.schema import ControllerSettings
+
+_log = structlog.get_logger(__name__)
+
+
+async def run_controller(settings: ControllerSettings) -> None:
+    """
+    Run a controller until it is told to stop.
+
+    :param settings: checked settings
+    """
+    incarnation = new_incarnation()
+    warn_open(settings.keys, settings.operator_token)
+    storage = open_storage(settings.data_folder, settings.host_id)
+    replication = ReplicationController(settings, storage, random.Random(incarnation))
+    link = open_link(settings, incarnation)
+    runtime = Runtime(link, (replication,))
+    client = create_client()
+    timing = OrderTiming()
+    order_client = create_client(timing.delivery_s)
+    backend = ControllerBackend(settings, replication, link.traffic)
+    ordering = Ordering(
+        ReplicatedOrderBook(replication, backend.upstreams),
+        OrderPlan(settings.weight_store_bytes_per_s, timing),
+        order_client,
+        settings.order_token,
+    )
+    link.open()
+    link.connect({one.host_id: one.peer_address for one in settings.controllers})
+    metrics = Metrics(destination_of(settings.metrics))
+    shutdown = anyio.Event()
+    async with client, order_client, anyio.create_task_group() as tasks:
+        tasks.start_soon(runtime.run)
+        tasks.start_soon(replication.run, runtime.send)
+        tasks.start_soon(ordering.run)
+        tasks.start_soon(follow_as_controller, settings, client, link, backend)
+        tasks.start_soon(wait_for_signal, shutdown)
+        tasks.start_soon(observe_levels, metrics, lambda: replication.levels(storage.take_syncs()))
+        _log.info("controller started", identity=replication.status()["identity"])
+        app = controller_app(backend, settings.operator_token)
+        await serve(
+            app, settings.operator_bind, shutdown, graceful_timeout_s=settings.stop_timeout_s
+        )
+        tasks.cancel_scope.cancel()
+    storage.close()
+    link.close()
+    _log.info("controller stopped")
+
+
+__all__ = ["run_controller"]
--- a/src/camphorvalve/wiring.py
+++ b/src/camphorvalve/wiring/router.py
@@ -1,9 +1,8 @@
-"""Composition root: builds the parts of a router and of a controller and runs them."""
+"""Builds and runs a router that queues at the fleet's schedulers."""
 
 from __future__ import annotations
 
 import random
-import time
 from functools import partial
 from typing import TYPE_CHECKING, NamedTuple
 
@@ -11,26 +10,23 @@
 import httpx
 import structlog
 
-from camphorvalve.consensus.messages import MESSAGES as CONSENSUS_MESSAGES
-from camphorvalve.consensus.storage import open_storage
-from camphorvalve.controllers.backend import ControllerBackend
 from camphorvalve.controllers.demand import DemandController
-from camphorvalve.controllers.feeds import follow_as_controller, follow_as_router
-from camphorvalve.controllers.following import ConfigurationFollower, Load
+from camphorvalve.controllers.feeds import follow_as_router
+from camphorvalve.controllers.following import (
+    ConfigurationFollower,
+    Contact,
+    FixedControllers,
+    Load,
+)
 from camphorvalve.controllers.ledgers import LedgerController
 from camphorvalve.controllers.loads import LoadReader
 from camphorvalve.controllers.membership import MembershipController
-from camphorvalve.controllers.orderbook import ReplicatedOrderBook
-from camphorvalve.controllers.ordering import Ordering
-from camphorvalve.controllers.orderplan import OrderPlan
-from camphorvalve.controllers.ordersteps import Timing as OrderTiming
 from camphorvalve.controllers.queues import Queues
 from camphorvalve.controllers.recording import RecordingController
 from camphorvalve.controllers.records import Records
-from camphorvalve.controllers.replication import ReplicationController
 from camphorvalve.controllers.runtime import Runtime
 from camphorvalve.controllers.scheduling import SchedulingController
-from camphorvalve.controllers.stopping import Stopping, wait_for_signal, wait_until
+from camphorvalve.controllers.stopping import Stopping, wait_until
 from camphorvalve.controllers.work import WorkController
 from camphorvalve.filters.account import account
 from camphorvalve.filters.admission import AdmissionFilter
@@ -45,11 +41,10 @@
 from camphorvalve.filters.retry import RetryFilter
 from camphorvalve.http.callers import CallerApp
 from camphorvalve.http.lookups import RouterLookups
-from camphorvalve.http.operators import controller_app, router_app
+from camphorvalve.http.operators import router_app
 from camphorvalve.http.server import serve
 from camphorvalve.model.errors import RequestError
 from camphorvalve.model.hosts import Host, HostState, Role
-from camphorvalve.model.policies import FirstCome, FleetFair, LocalFair
 from camphorvalve.reports.burn import Burn
 from camphorvalve.reports.decisions import Decisions
 from camphorvalve.reports.explain import RouterReport
@@ -59,9 +54,7 @@
 from camphorvalve.sharing.ledger import Ledger
 from camphorvalve.sharing.scheduler import Scheduler
 from camphorvalve.upstreams.client import create_client
-from camphorvalve.wire.keys import KeyPair
-from camphorvalve.wire.link import Link
-from camphorvalve.wire.messages import MESSAGES
+from camphorvalve.wiring.common import new_incarnation, open_link, policy_of, warn_open
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
@@ -69,87 +62,15 @@
     from camphorvalve.controllers.work import Refuse
     from camphorvalve.filters.chain import Handler
     from camphorvalve.http.asgi import App
-    from camphorvalve.model.policies import Policy
     from camphorvalve.model.teams import TeamParameters
-    from camphorvalve.settings.schema import ControllerSettings, Keys, RouterSettings
+    from camphorvalve.settings.schema import RouterSettings
 
-ALL_MESSAGES = (*MESSAGES, *CONSENSUS_MESSAGES)
 WORK_STOP_TIMEOUT_S = 10.0
 """How long a stopping router waits for accepted work; the leader assigns the rest to others."""
 
 _log = structlog.get_logger(__name__)
 
 
-def policy_of(name: str) -> Policy:
-    """
-    Choose a scheduling policy by its name in the settings.
-
-    :param name: ``fleet_fair``, ``local_fair`` or ``first_come``
-    :return: the policy
-    :raises ValueError: unknown name
-    """
-    match name:
-        case "fleet_fair":
-            return FleetFair()
-        case "local_fair":
-            return LocalFair()
-        case "first_come":
-            return FirstCome()
-        case _:
-            raise ValueError(f"policy {name!r}: expected fleet_fair, local_fair or first_come")
-
-
-def new_incarnation() -> int:
-    """
-    Number this start of the process; a later start of the same host has a higher number.
-
-    :return: wall-clock time in microseconds
-    """
-    return time.time_ns() // 1000
-
-
-async def run_controller(settings: ControllerSettings) -> None:
-    """
-    Run a controller until it is told to stop.
-
-    :param settings: checked settings
-    """
-    incarnation = new_incarnation()
-    _warn_open(settings.keys, settings.operator_token)
-    storage = open_storage(settings.data_folder, settings.host_id)
-    replication = ReplicationController(settings, storage, random.Random(incarnation))
-    link = _link(settings, incarnation)
-    runtime = Runtime(link, (replication,))
-    client = create_client()
-    timing = OrderTiming()
-    order_client = create_client(timing.delivery_s)
-    backend = ControllerBackend(settings, replication, link.traffic)
-    ordering = Ordering(
-        ReplicatedOrderBook(replication, backend.upstreams),
-        OrderPlan(settings.weight_store_bytes_per_s, timing),
-        order_client,
-        settings.order_token,
-    )
-    link.open()
-    link.connect({one.host_id: one.peer_address for one in settings.controllers})
-    metrics = Metrics(destination_of(settings.metrics))
-    shutdown = anyio.Event()
-    async with client, order_client, anyio.create_task_group() as tasks:
-        tasks.start_soon(runtime.run)
-        tasks.start_soon(replication.run, runtime.send)
-        tasks.start_soon(ordering.run)
-        tasks.start_soon(follow_as_controller, settings, client, link, backend)
-        tasks.start_soon(wait_for_signal, shutdown)
-        tasks.start_soon(observe_levels, metrics, lambda: replication.levels(storage.take_syncs()))
-        _log.info("controller started", identity=replication.status()["identity"])
-        app = controller_app(backend, settings.operator_token)
-        await serve(app, settings.operator_bind, shutdown, graceful_timeout_s=5.0)
-        tasks.cancel_scope.cancel()
-    storage.close()
-    link.close()
-    _log.info("controller stopped")
-
-
 async def run_router(settings: RouterSettings) -> None:
     """
     Run a router until it has stopped gracefully.
@@ -159,7 +80,7 @@
     incarnation = new_incarnation()
     rng = random.Random(incarnation)
     router = build_router(settings, incarnation, rng)
-    _warn_open(settings.keys, settings.operator_token)
+    warn_open(settings.keys, settings.operator_token)
     router.runtime.link.open()
     async with router.client, anyio.create_task_group() as tasks:
         router.work.connect(tasks, router.background, router.refuse)
@@ -223,14 +144,18 @@
         return Load(membership.leaving, demand.backlog.total.count, demand.running_count())
 
     controller_ids = [one.host_id for one in settings.controllers]
-    following = ConfigurationFollower(controller_ids, _operator_url(settings), load)
+    following = ConfigurationFollower(
+        FixedControllers(tuple(controller_ids)),
+        Contact(_operator_url(settings), settings.data_centre, settings.caller_bind),
+        load,
+    )
     following.subscribe(lambda configuration: membership.set_draining(configuration.draining))
     demand = DemandController(policy, membership, following)
     ledger = Ledger(policy)
     scheduler = Scheduler(policy, ledger, rng)
     work = WorkController(following)
     recording = RecordingController(controller_ids, rng, work.assigned)
-    link = _link(settings, incarnation)
+    link = open_link(settings, incarnation)
     runtime = Runtime(
         link,
         (
@@ -290,7 +215,7 @@
         tokens=None if settings.callers is None else Tokens(settings.callers),
     )
     callers = CallerApp(handler, lookups.bundle(), host_id=settings.host_id)
-    stopping = Stopping(membership, settings.address_lifetime_s)
+    stopping = Stopping(membership.set_leaving, settings.address_lifetime_s)
     tasks = (
         runtime.run,
         stopping.run,
@@ -338,16 +263,4 @@
     )
 
 
-def _link(settings: RouterSettings | ControllerSettings, incarnation: int) -> Link:
-    pair = None if settings.keys is None else KeyPair(*settings.keys)
-    return Link(settings.host_id, incarnation, settings.peer_bind, ALL_MESSAGES, pair)
-
-
-def _warn_open(keys: Keys | None, operator_token: str | None) -> None:
-    if keys is None:
-        _log.warning("links between processes are open", setting="keys")
-    if operator_token is None:
-        _log.warning("the operator port is open", setting="operator_token")
-
-
-__all__ = ["Router", "build_router", "new_incarnation", "policy_of", "run_controller", "run_router"]
+__all__ = ["Router", "build_router", "run_router"]
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -316,11 +316,13 @@
 def a_poll(**fields: Any) -> ConfigPoll:
     values = {
         "revision": 0,
-        "term": 0,
         "leaving": False,
         "waiting_count": 0,
         "running_count": 0,
         "url": "http://127.0.0.1:1",
+        "data_centre": "perth-a",
+        "caller_address": "127.0.0.1:2",
+        "roster_version": 0,
     }
     return ConfigPoll(**{**values, **fields})
 
--- a/tests/consensus/pump.py
+++ b/tests/consensus/pump.py
@@ -125,9 +125,11 @@
         seed: int = 1,
         snapshot_every_count: int = 1000,
         open_files: Callable[[str], DiskFiles] | None = None,
+        timing: Timing = TIMING,
     ) -> None:
         self.random = random.Random(seed)
         self.faults = Faults()
+        self._timing = timing
         self.now_s = 0.0
         self.sent: list[tuple[float, int, Message, str]] = []
         self.leaders: dict[int, str] = {}
@@ -145,7 +147,7 @@
         """Start a host's replica from its files."""
         node = self.nodes[host]
         source = random.Random(self.random.random())
-        replica = Replica(node.files.stored, TIMING, source, self.now_s, b"open")
+        replica = Replica(node.files.stored, self._timing, source, self.now_s, b"open")
         node.machine = Recorder()
         node.driver = Driver(replica, node.files, node.machine, self._snapshot_every_count)
         node.frozen = False
--- a/tests/controllers/routers.py
+++ b/tests/controllers/routers.py
@@ -6,7 +6,12 @@
 from typing import TYPE_CHECKING, Any, NamedTuple
 
 from camphorvalve.controllers.demand import DemandController
-from camphorvalve.controllers.following import ConfigurationFollower, Load
+from camphorvalve.controllers.following import (
+    ConfigurationFollower,
+    Contact,
+    FixedControllers,
+    Load,
+)
 from camphorvalve.controllers.ledgers import LedgerController
 from camphorvalve.controllers.membership import MembershipController
 from camphorvalve.controllers.runtime import Outgoing, Sender
@@ -63,7 +68,9 @@
         policy = FleetFair()
         host = next(one for one in self._hosts if one.host_id == router_id)
         membership = MembershipController(host, rng)
-        following = ConfigurationFollower([], host.url, lambda: Load(False, 0, 0))
+        following = ConfigurationFollower(
+            FixedControllers(()), Contact(host.url, "", ""), lambda: Load(False, 0, 0)
+        )
         demand = DemandController(policy, membership, following)
         ledger = Ledger(policy)
         scheduler = Scheduler(policy, ledger, rng)
--- /dev/null
+++ b/tests/controllers/test_manifests.py
@@ -0,0 +1,124 @@
+"""Guards against manifests that are lost, or read back older than what was acknowledged."""
+
+from __future__ import annotations
+
+import unittest
+from typing import TYPE_CHECKING, Any
+
+import anyio
+import anyio.lowlevel
+
+from camphorvalve.controllers.submissions import NotLeaderError
+from camphorvalve.registry.commands import Done, PutManifest
+from camphorvalve.wire.messages import ConfigUpdate, Roster, RosterUnchanged
+from tests.builders import a_poll
+from tests.controllers.group import HOSTS, Group
+from tests.routebuilders import a_manifest
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+
+def drive(group: Group, call: Callable[[], Awaitable[Any]], duration_s: float = 1.0) -> Any:
+    """Run a call while the group's time passes; returns its result, or the error that it raised."""
+    results: list[Any] = []
+
+    async def run() -> None:
+        async def catch() -> None:
+            try:
+                results.append(await call())
+            except NotLeaderError as error:
+                results.append(error)
+
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(catch)
+            for _ in range(int(duration_s / 0.05)):
+                for _ in range(3):
+                    await anyio.lowlevel.checkpoint()
+                group.run(0.05)
+            for _ in range(3):
+                await anyio.lowlevel.checkpoint()
+            tasks.cancel_scope.cancel()
+
+    anyio.run(run)
+    return results[0] if results else None
+
+
+class ManifestTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.group = Group()
+        self.leader = self.group.leader()
+        self.leader_host = self.group.host(self.leader)
+        self.follower_host = next(host for host in HOSTS if host != self.leader_host)
+        self.follower = self.group.controllers[self.follower_host]
+
+    def put(self, controller: Any, version: int) -> Any:
+        command = PutManifest(a_manifest(version))
+        pending = controller.submit_anywhere(command, self.group.now_s)
+        return drive(self.group, pending.wait)
+
+    def test_any_controller_commits(self) -> None:
+        """Guards against a controller that refuses a manifest because another one leads."""
+        self.assertIsInstance(self.put(self.follower, 5), Done)
+        self.assertIsInstance(self.put(self.leader, 6), Done)
+        for controller in self.group.controllers.values():
+            self.assertEqual(controller.state.configuration.manifest.version, 6)
+
+    def test_any_controller_reads(self) -> None:
+        """Guards against a controller that answers from a state that lags."""
+        self.put(self.leader, 5)
+        for controller in self.group.controllers.values():
+
+            async def read(controller: Any = controller) -> int:
+                await controller.read(self.group.now_s)
+                return controller.state.configuration.manifest.version
+
+            self.assertEqual(drive(self.group, read), 5)
+
+    def test_cut_off_leader_answers_no_read(self) -> None:
+        """Guards against a leader that is cut off and reads back what was overtaken since."""
+        self.put(self.leader, 5)
+        self.group.cut.add(self.leader_host)
+
+        async def read() -> str:
+            await self.leader.read(self.group.now_s)
+            return "answered"
+
+        self.assertNotEqual(drive(self.group, read, 3.0), "answered")
+
+    def test_push(self) -> None:
+        """Guards against routers that hear of a manifest only with their next poll."""
+        self.group.send("router-1", self.leader_host, a_poll())
+        self.group.run(0.1)
+        self.group.inboxes["router-1"].clear()
+        self.put(self.leader, 5)
+        updates = [one for one in self.group.inboxes["router-1"] if isinstance(one, ConfigUpdate)]
+        self.assertEqual([one.to_revision for one in updates], [1])
+
+
+class RosterTest(unittest.TestCase):
+    def test_routers_come_and_go(self) -> None:
+        """Guards against callers that are sent to routers which are gone or leave."""
+        group = Group()
+        group.leader()
+
+        def roster(version: int = 0) -> Any:
+            group.inboxes["router-1"] = []
+            group.send("router-1", HOSTS[0], a_poll(roster_version=version))
+            group.run(0.1)
+            return group.inboxes["router-1"][-1]
+
+        group.send("router-2", HOSTS[0], a_poll(caller_address="127.0.0.1:5"))
+        first = roster()
+        self.assertEqual([one.router_id for one in first.routers], ["router-1", "router-2"])
+        self.assertEqual(set(first.controllers), set(HOSTS))
+        self.assertEqual(roster(first.version), RosterUnchanged(first.version))
+        group.send("router-2", HOSTS[0], a_poll(leaving=True))
+        self.assertEqual([one.leaving for one in roster(first.version).routers], [False, True])
+        group.run(3.0)
+        self.assertIsInstance(roster(first.version), Roster)
+        self.assertEqual([one.router_id for one in roster().routers], ["router-1"])
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/http/test_callers.py
+++ b/tests/http/test_callers.py
@@ -8,7 +8,7 @@
 import anyio
 import httpx
 
-from camphorvalve.http.callers import CallerLimits
+from camphorvalve.http.bodies import CallerLimits
 from camphorvalve.model.answers import Body
 from camphorvalve.model.errors import RequestError
 from camphorvalve.model.requests import Completion, ServiceCall
--- /dev/null
+++ b/tests/http/test_routed.py
@@ -0,0 +1,150 @@
+"""Contract of the routed callers' port at the HTTP server as used, with raw bytes in tables."""
+
+from __future__ import annotations
+
+import unittest
+from typing import TYPE_CHECKING, Any
+
+import anyio
+
+from camphorvalve.http.routed import RoutedApp
+from camphorvalve.model.answers import Body, Head
+from camphorvalve.model.errors import RequestError
+from camphorvalve_platform import calls
+from tests.http.serving import serving
+from tests.rawpeers import exchange_bytes
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+    from camphorvalve.model.answers import Part
+    from camphorvalve.model.requests import Exchange
+
+
+class _Chain:
+    """Stands in for the filter chain; answers with the target of the request."""
+
+    def __init__(self, *, fails_after: int | None = None) -> None:
+        self.exchanges: list[Exchange] = []
+        self._fails_after = fails_after
+
+    async def __call__(self, exchange: Exchange) -> AsyncIterator[Part]:
+        self.exchanges.append(exchange)
+        if self._fails_after == 0:
+            raise RequestError("overloaded", "full", retry_after_s=0.25)
+        yield Head(200, (("server-stamp", "s"), ("x-shade", "blue")))
+        yield Body(exchange.request.call.target.encode())
+        if self._fails_after:
+            raise RequestError("stream_broken", "broken")
+
+
+def request(target: str = "/a/1", headers: str = "", body: str = "") -> bytes:
+    framing = "" if "ength" in headers or "ncoding" in headers else f"Content-Length: {len(body)}\n"
+    head = f"POST {target} HTTP/1.1\nHost: h\nAttempt-Id: id-{target}\n{headers}{framing}\n"
+    return head.replace("\n", "\r\n").encode() + body.encode()
+
+
+SMUGGLED = "0\r\n\r\nPOST /smuggled HTTP/1.1\r\nHost: h\r\nAttempt-Id: x\r\n\r\n"
+
+
+class RoutedAppTest(unittest.TestCase):
+    def play(self, content: bytes, chain: _Chain | None = None, **options: Any) -> bytes:
+        self.chain = chain or _Chain()
+        app = RoutedApp(self.chain, calls.decode, request_id_name=calls.NAMES.request_id)
+
+        async def run() -> bytes:
+            async with serving(app, **options) as served:
+                return await exchange_bytes(served.port, content, wait_s=0.5)
+
+        return anyio.run(run)
+
+    def targets(self) -> list[str]:
+        return [one.request.call.target for one in self.chain.exchanges]
+
+    def test_smuggling(self) -> None:
+        """Guards against a request inside another one's body that runs as a request."""
+        length = f"Content-Length: {len(SMUGGLED)}\n"
+        rows = [
+            ("both framings", length + "Transfer-Encoding: chunked\n", []),
+            ("both, other order", "Transfer-Encoding: chunked\n" + length, []),
+            ("two lengths", length + "Content-Length: 5\n", []),
+            ("unknown coding", "Transfer-Encoding: gzip, chunked\n", []),
+            ("coding twice", "Transfer-Encoding: chunked\nTransfer-Encoding: chunked\n", []),
+            ("space in the name", "Transfer-Encoding : chunked\n" + length, []),
+            ("signed length", f"Content-Length: +{len(SMUGGLED)}\n", []),
+            ("a body that looks like a request", length, ["/a/1"]),
+        ]
+        for name, headers, targets in rows:
+            with self.subTest(name):
+                received = self.play(request(headers=headers, body=SMUGGLED))
+                self.assertEqual(self.targets(), targets)
+                if not targets:
+                    self.assertIn(b" 400 ", received[:20] + b" 400 " * (b" 501 " in received[:20]))
+
+    def test_no_upgrade(self) -> None:
+        """Guards against a header that concerns one connection and changes its protocol."""
+        rows = ["h2c", "websocket", "other"]
+        for protocol in rows:
+            with self.subTest(protocol):
+                headers = f"Connection: Upgrade, HTTP2-Settings\nUpgrade: {protocol}\n"
+                received = self.play(b"GET" + request(headers=headers)[4:])
+                self.assertNotIn(b" 101 ", received[:20])
+
+    def test_bodies(self) -> None:
+        """Guards against bodies that are cut, joined or taken from the next request."""
+        chunks = "3\r\nvio\r\n4\r\nlins\r\n0\r\n\r\n"
+        content = request("/a/1", "Transfer-Encoding: chunked\n", chunks)
+        content += request("/a/2", body="second") + request("/a/3")
+        received = self.play(content)
+        bodies = [one.request.body for one in self.chain.exchanges]
+        self.assertEqual(bodies, [b"violins", b"second", b""])
+        self.assertEqual(received.count(b" 200 "), 3)
+
+    def test_half_read_request(self) -> None:
+        """Guards against a request that runs although its body never came."""
+        self.play(request(headers="Content-Length: 100\n", body="half"))
+        self.assertEqual(self.targets(), [])
+
+    def test_forged_headers(self) -> None:
+        """Guards against callers that set what only the system may set."""
+        forged = "".join(f"{name}: forged\n" for name in sorted(calls.OWN_HEADERS))
+        hop = "Connection: close, X-Private\nX-Private: 1\nKeep-Alive: 5\nTE: trailers\n"
+        self.play(request(headers=forged + hop + "X-Shade: blue\nDeadline-Ms: 1500\n"))
+        (exchange,) = self.chain.exchanges
+        names = {name for name, _ in exchange.request.call.headers}
+        self.assertEqual(names, {"attempt-id", "x-shade", "deadline-ms"})
+        self.assertEqual(exchange.request.token, "forged")
+        self.assertEqual(exchange.request.call.patience_s, 1.5)
+
+    def test_refusal(self) -> None:
+        """Guards against a refusal without a time to come back, or with a worker's proof."""
+        received = self.play(request(), _Chain(fails_after=0))
+        self.assertIn(b" 503 ", received[:20])
+        self.assertIn(b"retry-after: 0.250", received)
+        self.assertIn(b"attempt-id: id-/a/1", received)
+        self.assertNotIn(b"server-stamp", received)
+
+    def test_broken_answer(self) -> None:
+        """Guards against a cut answer that looks complete."""
+        received = self.play(request(), _Chain(fails_after=1))
+        self.assertIn(b"/a/1", received)
+        self.assertNotIn(b"\r\n0\r\n\r\n", received)
+        self.assertNotIn(b"error", received)
+
+    def test_bad_headers(self) -> None:
+        """Guards against a request whose wrong header is read as something else."""
+        rows = [
+            "Deadline-Ms: soon\n",
+            "Token-Count: many\n",
+            "Token-Count: 1,2\nPrompt-Prefix: a:b\n",
+        ]
+        for headers in rows:
+            with self.subTest(headers):
+                received = self.play(request(headers=headers))
+                self.assertIn(b" 400 ", received[:20])
+                name = headers.split(":")[0].lower().encode()
+                self.assertIn(name, received)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the adapter in ``platform/``."""
--- /dev/null
+++ b/tests/platform/test_manifests.py
@@ -0,0 +1,78 @@
+"""Guards against manifests that are misread, and against invalid ones that pass."""
+
+from __future__ import annotations
+
+import json
+import unittest
+
+from camphorvalve.model.errors import RequestError
+from camphorvalve.model.routes import Destination, Engine, Tenant
+from camphorvalve.registry.manifests import problems
+from camphorvalve_platform import manifests
+from tests.routebuilders import a_document
+
+ROUTE = json.loads(a_document())["routes"][0]
+
+
+class ManifestsTest(unittest.TestCase):
+    def test_translation(self) -> None:
+        """Guards against a field that is read as something else."""
+        manifest = manifests.decode(a_document())
+        self.assertEqual(manifest.version, 7)
+        self.assertEqual(manifest.source, a_document())
+        (route,) = manifest.routes
+        self.assertEqual(route.destinations, (Destination("engines", 90.0),))
+        self.assertEqual((route.timeout_s, route.objective_s), (8.0, 0.4))
+        self.assertEqual((route.streamed, route.resumable, route.idempotent), (True, True, False))
+        self.assertEqual(route.attempts_count, 2)
+        self.assertEqual(manifest.pools[0].engine, Engine(96, 1000))
+        self.assertEqual(manifest.tenants, (Tenant("youth", ("key-1",), 1),))
+        self.assertEqual(manifest.bounds.idle_timeout_s, 15.0)
+
+    def test_kinds(self) -> None:
+        """Guards against a request that is repeated though its kind forbids it."""
+        rows = [
+            ("safe", False, True),
+            ("unsafe", False, False),
+            ("unsafe", True, False),
+            ("streaming", False, False),
+            ("streaming", True, True),
+            ("later-kind", False, False),
+        ]
+        for kind, resumable, repeatable in rows:
+            with self.subTest(kind=kind, resumable=resumable):
+                route = {**ROUTE, "kind": kind, "resumable": resumable}
+                found = manifests.decode(a_document(routes=[route])).routes[0]
+                self.assertEqual(found.repeatable, repeatable)
+
+    def test_invalid(self) -> None:
+        """Guards against an invalid manifest that is acknowledged; one row for each kind."""
+        service = {**ROUTE, "trafficSplit": [{"service": "none", "weight": 1}]}
+        weight = {**ROUTE, "trafficSplit": [{"service": "engines", "weight": 0}]}
+        tenant = {"name": "a", "apiKeys": ["k"]}
+        rows = [
+            ("cut short", a_document()[:-1], "manifest"),
+            ("empty", b"", "manifest"),
+            ("no text", b"\xff", "manifest"),
+            ("no version", a_document(version=None), "version"),
+            ("text as version", a_document(version="7"), "version"),
+            ("unknown service", a_document(routes=[service]), "none"),
+            ("two in one place", a_document(routes=[ROUTE, {**ROUTE, "name": "b"}]), "prefix"),
+            ("weights of 0", a_document(routes=[weight]), "weights"),
+            ("timeout of 0", a_document(routes=[{**ROUTE, "timeoutMs": 0}]), "timeout"),
+            ("shared key", a_document(tenants=[tenant, {**tenant, "name": "b"}]), "keys"),
+        ]
+        for name, content, named in rows:
+            with self.subTest(name):
+                self.assertIn(named, self.problem(content))
+
+    def problem(self, content: bytes) -> str:
+        try:
+            return " ".join(problems(manifests.decode(content)))
+        except RequestError as error:
+            self.assertEqual(error.status, 400)
+            return error.message
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/routebuilders.py
@@ -0,0 +1,136 @@
+"""Builders of manifests, routed calls and their upstreams."""
+
+from __future__ import annotations
+
+import json
+import time
+from typing import Any
+
+from camphorvalve.model.hosts import HostState
+from camphorvalve.model.requests import Exchange, Prompt, PromptPart, Request, RoutedCall
+from camphorvalve.model.routes import (
+    CallerBounds,
+    Destination,
+    Engine,
+    Manifest,
+    Pool,
+    Route,
+    Tenant,
+)
+from camphorvalve.model.upstreams import PlainService, Upstream
+from camphorvalve.upstreams.routed import HeaderNames
+
+NAMES = HeaderNames(
+    request_id="x-id",
+    time_left_ms="x-left",
+    expected_upstream="x-expected",
+    team="x-team",
+    last_event="last-event-id",
+    not_run="x-not-run",
+    proof="x-proof",
+)
+
+
+def a_route(**fields: Any) -> Route:
+    values = {
+        "name": "drafts",
+        "host": "desk.example",
+        "path_prefix": "/drafts/",
+        "destinations": (Destination("engines", 1.0),),
+        "timeout_s": 8.0,
+        "objective_s": 0.4,
+        "priority": 1,
+        "attempts_count": 2,
+        "idempotent": False,
+        "streamed": False,
+        "resumable": False,
+        "public": False,
+    }
+    return Route(**{**values, **fields})
+
+
+def a_manifest(version: int = 1, **fields: Any) -> Manifest:
+    values = {
+        "version": version,
+        "routes": (a_route(),),
+        "pools": (Pool("engines", 100, Engine(96, 1_000_000)), Pool("desk", 100, None)),
+        "tenants": (Tenant("youth", ("key-1",), 1),),
+        "bounds": CallerBounds(),
+        "source": f'{{"version":{version}}}'.encode(),
+    }
+    return Manifest(**{**values, **fields})
+
+
+def a_document(**fields: Any) -> bytes:
+    route = {
+        "name": "drafts",
+        "host": "desk.example",
+        "pathPrefix": "/drafts/",
+        "kind": "streaming",
+        "timeoutMs": 8000,
+        "targetLatencyMs": 400,
+        "priority": 1,
+        "trafficSplit": [{"service": "engines", "weight": 90}],
+        "maxAttempts": 2,
+        "resumable": True,
+        "gapTargetMs": 300,
+    }
+    document = {
+        "version": 7,
+        "routes": [route],
+        "services": [{"name": "engines", "engine": {"slots": 96, "kvCapacityTokens": 1000}}],
+        "tenants": [{"name": "youth", "apiKeys": ["key-1"], "priority": 1}],
+        "limits": {"maxBodyBytes": 1000, "idleTimeoutMs": 15000, "tokensPerS": 850000},
+    }
+    return json.dumps({**document, **fields}).encode()
+
+
+def a_prompt(*part_ids: str, tokens_count: int = 1000) -> Prompt:
+    return Prompt(tuple(PromptPart(one, tokens_count) for one in part_ids), tokens_count, 100)
+
+
+def a_routed_exchange(route: Route | None = None, **fields: Any) -> Exchange:
+    route = route or a_route()
+    values = {
+        "method": "POST",
+        "target": "/drafts/1?part=2",
+        "host": "desk.example",
+        "headers": (("x-shade", "blue"),),
+        "patience_s": None,
+        "prompt": None,
+    }
+    call = RoutedCall(**{**values, **{name: fields.pop(name) for name in values if name in fields}})
+    request_values = {
+        "request_id": "id-1",
+        "call": call,
+        "pool": route.destinations[0].pool,
+        "body": b"violins",
+        "content_type": "",
+        "token": "key-1",
+        "team": None,
+        "kind": None,
+        "idempotency_key": None,
+        "deferred": False,
+        "cost_hint_units": None,
+    }
+    names = request_values.keys() & fields.keys()
+    request = Request(**{**request_values, **{name: fields.pop(name) for name in names}})
+    now_s = time.monotonic()
+    exchange = Exchange(request, now_s, **{"deadline_s": now_s + 5.0, **fields})
+    exchange.route = route
+    exchange.parameters = route.parameters(route.destinations[0].pool)
+    exchange.attempt = 1
+    return exchange
+
+
+def a_listed(upstream_id: str = "up-1", **fields: Any) -> Upstream:
+    values = {
+        "upstream_id": upstream_id,
+        "pool": "engines",
+        "data_centre": "perth-a",
+        "url": "http://127.0.0.1:1",
+        "slots_count": 96,
+        "interface": PlainService(),
+        "state": HostState.LIVE,
+    }
+    return Upstream(**{**values, **fields})
--- /dev/null
+++ b/tests/sharing/test_routing.py
@@ -0,0 +1,58 @@
+"""Guards against requests that reach a pool to which no route leads them."""
+
+from __future__ import annotations
+
+import unittest
+from collections import Counter
+
+from camphorvalve.model.routes import Destination
+from camphorvalve.sharing.routing import RouteTable, split
+from tests.routebuilders import a_manifest, a_route
+
+
+class RouteTableTest(unittest.TestCase):
+    def test_longest_prefix(self) -> None:
+        """Guards against a shorter prefix that takes a longer one's requests."""
+        routes = (
+            a_route(name="all", path_prefix="/"),
+            a_route(name="drafts", path_prefix="/drafts/"),
+            a_route(name="old", path_prefix="/drafts/old/"),
+            a_route(name="other", host="other.example", path_prefix="/x/"),
+        )
+        table = RouteTable(a_manifest(routes=routes))
+        rows = [
+            ("desk.example", "/drafts/old/1", "old"),
+            ("desk.example", "/drafts/old", "drafts"),
+            ("desk.example", "/drafts/1?to=/drafts/old/", "drafts"),
+            ("DESK.example:80", "/x/1", "all"),
+            ("other.example", "/x/1", "other"),
+            ("other.example", "/drafts/1", None),
+            ("third.example", "/", None),
+            ("", "/", None),
+        ]
+        for host, target, expected in rows:
+            with self.subTest(host=host, target=target):
+                found = table.find(host, target)
+                self.assertEqual(None if found is None else found.name, expected)
+
+    def test_teams(self) -> None:
+        """Guards against an unknown key that speaks for a team."""
+        table = RouteTable(a_manifest())
+        self.assertEqual(table.team("key-1").name, "youth")
+        self.assertIsNone(table.team("key-2"))
+        self.assertIsNone(table.team(""))
+
+
+class SplitTest(unittest.TestCase):
+    def test_weights(self) -> None:
+        """Guards against a split that ignores the weights or picks one of weight 0."""
+        route = a_route(
+            destinations=(Destination("a", 90), Destination("none", 0), Destination("b", 10))
+        )
+        counts = Counter(split(route, n / 1000) for n in range(1000))
+        self.assertEqual(counts, {"a": 900, "b": 100})
+        self.assertEqual(split(route, 1.0), "b")
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tools/measuring/node.py
+++ b/tools/measuring/node.py
@@ -6,7 +6,12 @@
 from typing import TYPE_CHECKING, Any
 
 from camphorvalve.controllers.demand import DemandController
-from camphorvalve.controllers.following import ConfigurationFollower, Load
+from camphorvalve.controllers.following import (
+    ConfigurationFollower,
+    Contact,
+    FixedControllers,
+    Load,
+)
 from camphorvalve.controllers.ledgers import LedgerController
 from camphorvalve.controllers.membership import MembershipController
 from camphorvalve.controllers.runtime import Runtime, Sender
@@ -81,7 +86,9 @@
         policy = FleetFair()
         self.link = EncodingLink()
         self.membership = MembershipController(_router(0), rng)
-        self.following = ConfigurationFollower(("controller-1",), "", lambda: Load(False, 0, 0))
+        self.following = ConfigurationFollower(
+            FixedControllers(("controller-1",)), Contact("", "", ""), lambda: Load(False, 0, 0)
+        )
         self.following.configuration = a_configuration(teams_count)
         self.demand = DemandController(policy, self.membership, self.following)
         self.ledger = Ledger(policy)
