Keep teams to their max-min share where engines fill up, and adapt how full they get

The number of places per engine was a constant.

Ruled out: a grant for each request from a scheduler (a round trip); counting at each router alone (a team that spreads its requests looks small at each).

Change: routers report their demand by team every half second to one controller, which answers with the sums; requests beyond the max-min share get 60% of the places. The places follow the time to the first event. Short prompts and plain services stay in the own data centre.

--- a/src/camphorvalve/controllers/pools.py
+++ b/src/camphorvalve/controllers/pools.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import math
 from typing import TYPE_CHECKING, NamedTuple
 
 import structlog
@@ -11,7 +10,16 @@
 from camphorvalve.model.hosts import HostState
 from camphorvalve.model.requests import RoutedCall
 from camphorvalve.sharing.ejection import Ejections
-from camphorvalve.sharing.homes import Load, least_loaded, place, prefix_key
+from camphorvalve.sharing.homes import (
+    Limit,
+    Load,
+    cost_tokens,
+    least_loaded,
+    place,
+    prefers_near,
+    prefix_key,
+)
+from camphorvalve.sharing.limits import AdaptiveLimits
 
 if TYPE_CHECKING:
     import random
@@ -21,11 +29,20 @@
     from camphorvalve.model.upstreams import Upstream
     from camphorvalve.sharing.routing import RouteTable
 
-ENGINE_FILL_RATIO = 0.55
-"""Part of an engine's slots that the routers fill together; the first token of a fuller engine
-came later than the objective (trial: 6 of 12 places per router kept it at 0.35 s)."""
+START_FILL_RATIO = 0.6
+"""Part of an engine's slots that the routers fill together before they know how soon it answers;
+with half of them, first tokens came within the objective in the trials of docs/platform.md."""
+LEAST_FILL_RATIO = 0.25
+"""Lowest limit; an engine that answers late even then is slow for another reason."""
+MOST_FILL_RATIO = 1.0
+OVER_SHARE_RATIO = 0.6
+"""Part of the limit that requests beyond their team's share may use, so that the other teams find
+room at once."""
 SERVICE_LIMIT_COUNT = 12
 """Requests of one router at a plain service; it has 6 slots and rejects what it cannot queue."""
+NEAR_COUNT = 2
+"""Requests that a plain service in the own data centre gets before the others are considered: with
+three routers in a data centre, that fills its 6 slots."""
 RETRY_AFTER_S = 0.4
 """When a refused caller may try again: about the time in which an engine ends a request."""
 
@@ -36,7 +53,7 @@
     """A request that is counted as running at an upstream."""
 
     upstream: Upstream
-    tokens_count: int
+    tokens_count: float
 
 
 class Pools:
@@ -46,6 +63,7 @@
         self,
         table: Callable[[], RouteTable | None],
         routers_count: Callable[[], int],
+        data_centre: str,
         rng: random.Random,
     ) -> None:
         """
@@ -53,15 +71,18 @@
 
         :param table: routes in force
         :param routers_count: live routers, this one included
+        :param data_centre: of this router, whose upstreams are preferred where it costs nothing
         :param rng: source of random choices
         """
         self._table = table
         self._routers_count = routers_count
+        self._data_centre = data_centre
         self._rng = rng
         self._upstreams: dict[str, Upstream] = {}
         self._by_pool: dict[str, list[str]] = {}
         self._loads: dict[str, Load] = {}
         self._ejections = Ejections()
+        self._limits = AdaptiveLimits()
 
     def apply(self, upstreams: Iterable[Upstream]) -> None:
         """
@@ -76,6 +97,7 @@
             if one.state is HostState.LIVE:
                 self._by_pool.setdefault(one.pool, []).append(one.upstream_id)
         self._ejections.keep_only(set(self._upstreams))
+        self._limits.keep_only(set(self._upstreams))
         for one in self._upstreams.values():
             if before.get(one.upstream_id) != one:
                 _log.info(
@@ -117,7 +139,7 @@
         if chosen is None:
             message = f"pool {pool!r}: the upstreams for this request are full"
             raise RequestError("overloaded", message, retry_after_s=self._retry_after_s())
-        placement = Placement(self._upstreams[chosen], _tokens(exchange))
+        placement = Placement(self._upstreams[chosen], cost_tokens(exchange.request.call))
         self._count(placement, 1)
         return placement
 
@@ -129,6 +151,17 @@
         """
         self._count(placement, -1)
 
+    def began(self, exchange: Exchange, wait_s: float, now_s: float) -> None:
+        """
+        Learn from the start of an answer.
+
+        :param exchange: the request
+        :param wait_s: time from sending it
+        :param now_s: monotonic time
+        """
+        upstream_id = exchange.upstream_id or ""
+        self._limits.began(upstream_id, wait_s, exchange.parameters.objective_s, now_s)
+
     def succeed(self, upstream_id: str) -> None:
         """
         Note an answer.
@@ -149,21 +182,34 @@
             _log.warning("upstream left out", upstream_id=upstream_id, unreachable=unreachable)
 
     def _choose(self, exchange: Exchange, pool: str, usable: Sequence[str]) -> str | None:
-        limit = self._limit(pool)
-        call = exchange.request.call
-        key = prefix_key(call.prompt) if isinstance(call, RoutedCall) else None
-        if key is not None:
-            return place(key, usable, self._loads, limit)
+        ratio = 1.0 if exchange.within_share else OVER_SHARE_RATIO
+        limit = self._limit(pool, ratio)
+        near = [one for one in usable if self._is_near(one)]
+        match exchange.request.call:
+            case RoutedCall(prompt=prompt) if (key := prefix_key(prompt)) is not None:
+                if prefers_near(prompt) and (found := place(key, near, self._loads, limit)):
+                    return found
+                return place(key, usable, self._loads, limit)
+        if found := least_loaded(near, self._loads, lambda one: NEAR_COUNT):
+            return found
         shuffled = self._rng.sample(usable, len(usable))
         return least_loaded(shuffled, self._loads, limit)
 
-    def _limit(self, pool: str) -> int:
+    def _is_near(self, upstream_id: str) -> bool:
+        return self._upstreams[upstream_id].data_centre == self._data_centre
+
+    def _limit(self, pool: str, ratio: float) -> Limit:
         table = self._table()
         found = None if table is None else table.pools.get(pool)
         if found is None or found.engine is None:
-            return SERVICE_LIMIT_COUNT
-        routers_count = max(1, self._routers_count())
-        return max(1, math.ceil(ENGINE_FILL_RATIO * found.engine.slots_count / routers_count))
+            return lambda upstream_id: SERVICE_LIMIT_COUNT
+        part = found.engine.slots_count / max(1, self._routers_count())
+        bounds = (
+            max(1.0, LEAST_FILL_RATIO * part),
+            max(1.0, MOST_FILL_RATIO * part),
+            max(1.0, START_FILL_RATIO * part),
+        )
+        return lambda upstream_id: max(1.0, ratio * self._limits.get(upstream_id, *bounds))
 
     def _retry_after_s(self) -> float:
         # Spread, so that refused callers do not come back together.
@@ -180,12 +226,4 @@
         self._loads[upstream_id] = Load(requests_count, tokens_count)
 
 
-def _tokens(exchange: Exchange) -> int:
-    match exchange.request.call:
-        case RoutedCall(prompt=prompt) if prompt is not None:
-            return prompt.input_tokens_count + prompt.output_tokens_count
-        case _:
-            return 0
-
-
 __all__ = ["Placement", "Pools"]
--- a/src/camphorvalve/controllers/roster.py
+++ b/src/camphorvalve/controllers/roster.py
@@ -76,6 +76,10 @@
                     found[router.router_id] = router
         return [router for router in found.values() if not router.leaving]
 
+    def routers_count(self) -> int:
+        """:return: routers that accept callers"""
+        return len(self.routers())
+
     def handle(self, sender: Sender, message: Any, now_s: float) -> Iterator[Outgoing]:
         """
         Take a roster, or note that the held one is still valid.
--- /dev/null
+++ b/src/camphorvalve/controllers/shares.py
@@ -0,0 +1,113 @@
+"""Each team's share of what the engines can work off, from the demand at all routers."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+import structlog
+
+from camphorvalve.controllers.runtime import Outgoing
+from camphorvalve.sharing.placement import owner
+from camphorvalve.sharing.shares import Demand, Quotas
+from camphorvalve.wire.messages import Asked, AskedTotals, TeamTokens
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterable, Iterator
+
+    from camphorvalve.controllers.runtime import Sender
+
+WINDOW_S = 4.0
+"""Span over which the platform compares what teams got; ``quotaWindowS`` on both deployments."""
+TICK_S = 0.5
+"""An eighth of the window, so that totals lag by little of it."""
+TOTALS_LIFETIME_S = 2.0
+"""Four reports without an answer; the router's own demand stands in for the fleet's then."""
+AGGREGATOR_KEY = "demand"
+
+_log = structlog.get_logger(__name__)
+
+
+class SharesController:
+    """Owns the demand at this router and the quotas that follow from the fleet's."""
+
+    name = "shares"
+    tick_s = TICK_S
+    accepts = (AskedTotals,)
+
+    def __init__(
+        self,
+        controller_ids: Callable[[], Iterable[str]],
+        routers_count: Callable[[], int],
+        tokens_per_s: Callable[[], float | None],
+    ) -> None:
+        """
+        Start without demand.
+
+        :param controller_ids: controllers, one of which sums the demand
+        :param routers_count: live routers, to scale the own demand while no totals come
+        :param tokens_per_s: what all engines together work off, ``None`` if not known
+        """
+        self._controller_ids = controller_ids
+        self._routers_count = routers_count
+        self._tokens_per_s = tokens_per_s
+        self._demand = Demand(WINDOW_S)
+        self._quotas = Quotas()
+        self._totals: dict[str, float] = {}
+        self._totals_s = float("-inf")
+        self._over_share: set[str] = set()
+
+    def within_share(self, team: str, tokens: float, now_s: float) -> bool:
+        """
+        Count a request and decide whether it is within its team's share.
+
+        :param team: name of the team
+        :param tokens: cost of the request
+        :param now_s: monotonic time
+        :return: whether it is
+        """
+        self._demand.add(team, tokens, now_s)
+        return self._quotas.takes(team, tokens)
+
+    def handle(self, sender: Sender, message: Any, now_s: float) -> Iterator[Outgoing]:
+        """
+        Take the fleet's demand.
+
+        :param sender: the controller that sums it
+        :param message: ``AskedTotals``
+        :param now_s: monotonic time
+        :return: nothing
+        """
+        self._totals = dict(message.entries)
+        self._totals_s = now_s
+        self._set_quotas(self._totals)
+        yield from ()
+
+    def tick(self, now_s: float) -> Iterator[Outgoing]:
+        """
+        Report the demand at this router.
+
+        :param now_s: monotonic time
+        :return: the report
+        """
+        own = self._demand.totals(now_s)
+        if now_s - self._totals_s > TOTALS_LIFETIME_S:
+            count = max(1, self._routers_count())
+            self._set_quotas({team: count * tokens for team, tokens in own.items()})
+        aggregator = owner(AGGREGATOR_KEY, self._controller_ids())
+        if aggregator is not None:
+            entries = tuple(TeamTokens(team, tokens) for team, tokens in own.items())
+            yield Outgoing(aggregator, Asked(entries))
+
+    def _set_quotas(self, demands: dict[str, float]) -> None:
+        tokens_per_s = self._tokens_per_s()
+        if tokens_per_s is None:
+            return
+        self._quotas.set_ratios(demands, tokens_per_s * WINDOW_S)
+        over_share = set(self._quotas.over_share())
+        if over_share != self._over_share:
+            self._over_share = over_share
+            total = round(sum(demands.values()) / WINDOW_S)
+            _log.info("teams over their share", teams=sorted(over_share), asked_per_s=total)
+
+
+__all__ = ["WINDOW_S", "SharesController"]
--- /dev/null
+++ b/src/camphorvalve/controllers/totals.py
@@ -0,0 +1,68 @@
+"""Sums the demand that routers report, in the controller that they have chosen for it."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any, NamedTuple
+
+from camphorvalve.controllers.runtime import Outgoing
+from camphorvalve.wire.messages import Asked, AskedTotals, TeamTokens
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from camphorvalve.controllers.runtime import Sender
+
+REPORT_LIFETIME_S = 2.0
+"""Four reports; the callers of a router that is gone are counted at other routers then."""
+
+
+class _Report(NamedTuple):
+    entries: tuple[TeamTokens, ...]
+    heard_s: float
+
+
+class TotalsController:
+    """Owns the newest report of each router; soft state, rebuilt within half a second."""
+
+    name = "totals"
+    tick_s = 1.0
+    accepts = (Asked,)
+
+    def __init__(self) -> None:
+        """Start without reports."""
+        self._reports: dict[str, _Report] = {}
+
+    def handle(self, sender: Sender, message: Any, now_s: float) -> Iterator[Outgoing]:
+        """
+        Take a report and answer it with the sums.
+
+        :param sender: the router
+        :param message: ``Asked``
+        :param now_s: monotonic time
+        :return: the sums
+        """
+        self._reports[sender.host_id] = _Report(message.entries, now_s)
+        totals: dict[str, float] = {}
+        for report in self._reports.values():
+            for team, tokens in report.entries:
+                totals[team] = totals.get(team, 0.0) + tokens
+        entries = tuple(TeamTokens(team, tokens) for team, tokens in totals.items())
+        yield Outgoing(sender.host_id, AskedTotals(entries))
+
+    def tick(self, now_s: float) -> Iterator[Outgoing]:
+        """
+        Drop the reports of routers that fell silent.
+
+        :param now_s: monotonic time
+        :return: nothing
+        """
+        for router_id in [
+            one
+            for one, report in self._reports.items()
+            if now_s - report.heard_s > REPORT_LIFETIME_S
+        ]:
+            del self._reports[router_id]
+        yield from ()
+
+
+__all__ = ["TotalsController"]
--- a/src/camphorvalve/filters/place.py
+++ b/src/camphorvalve/filters/place.py
@@ -6,6 +6,7 @@
 from contextlib import aclosing
 from typing import TYPE_CHECKING
 
+from camphorvalve.model.answers import Body
 from camphorvalve.model.requests import Stage
 from camphorvalve.upstreams.errors import Declined, NotSent, UpstreamError
 
@@ -43,10 +44,16 @@
         upstream_id = placement.upstream.upstream_id
         exchange.upstream_id = upstream_id
         exchange.stage = Stage.RUNNING
-        exchange.note(time.monotonic(), f"placed at {upstream_id}")
+        sent_s = time.monotonic()
+        exchange.note(sent_s, f"placed at {upstream_id}")
+        began = False
         try:
             async with aclosing(inner(exchange)) as parts:
                 async for part in parts:
+                    if not began and isinstance(part, Body):
+                        began = True
+                        now_s = time.monotonic()
+                        self._pools.began(exchange, now_s - sent_s, now_s)
                     yield part
             self._pools.succeed(upstream_id)
         except Declined:
--- a/src/camphorvalve/model/requests.py
+++ b/src/camphorvalve/model/requests.py
@@ -109,6 +109,8 @@
     parameters: KindParameters | None = None
     route: Route | None = None
     """Route of a ``RoutedCall``."""
+    within_share: bool = True
+    """Whether it is within its team's share; others wait for engines with room."""
     deadline_s: float | None = None
     """When the answer has to be complete."""
     prefix: str | None = None
--- a/src/camphorvalve/reports/metrics.py
+++ b/src/camphorvalve/reports/metrics.py
@@ -214,6 +214,8 @@
 
 __all__ = [
     "CONTROLLER_METRICS",
+    "SYNCS_COUNT",
+    "SYNC_LONGEST",
     "ROUTER_METRICS",
     "ControllerLevels",
     "Destination",
--- a/src/camphorvalve/sharing/homes.py
+++ b/src/camphorvalve/sharing/homes.py
@@ -2,14 +2,17 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from typing import TYPE_CHECKING, NamedTuple
 
+from camphorvalve.model.requests import Prompt, RoutedCall
 from camphorvalve.sharing.placement import ranked
+from camphorvalve.sharing.shares import ANSWER_WEIGHT
 
 if TYPE_CHECKING:
     from collections.abc import Mapping, Sequence
 
-    from camphorvalve.model.requests import Prompt
+    from camphorvalve.model.requests import Call
 
 HOMES_COUNT = 2
 """Upstreams that a prefix may be placed at; with more, the engines' caches lose what they hold."""
@@ -19,11 +22,35 @@
 """Load above that ratio that is still accepted, so that an idle fleet keeps to the homes."""
 
 
+def prefers_near(prompt: Prompt) -> bool:
+    """
+    Tell whether a prompt is better read in every data centre than sent to another one.
+
+    :param prompt: the prompt
+    :return: whether its shared parts are that short
+    """
+    return sum(part.tokens_count for part in prompt.parts[:-1]) < NEAR_TOKENS
+
+
+def cost_tokens(call: Call) -> float:
+    """
+    Estimate what a call costs an engine.
+
+    :param call: the call
+    :return: tokens, generated ones by their weight; 0 for a call without a prompt
+    """
+    match call:
+        case RoutedCall(prompt=Prompt(_, read_count, written_count)):
+            return read_count + ANSWER_WEIGHT * written_count
+        case _:
+            return 0.0
+
+
 class Load(NamedTuple):
     """What this router has running at an upstream."""
 
     requests_count: int = 0
-    tokens_count: int = 0
+    tokens_count: float = 0.0
 
 
 def prefix_key(prompt: Prompt | None) -> str | None:
@@ -39,8 +66,16 @@
     return "/".join(part.part_id for part in shared)
 
 
+NEAR_TOKENS = 2_000
+"""Shared tokens that cost as little to read again as their request costs between data centres:
+at the prices of docs/platform.md, 17 KB are worth 2,000 tokens."""
+
+Limit = Callable[[str], float]
+"""Requests that this router may have running at an upstream."""
+
+
 def place(
-    key: str, upstream_ids: Sequence[str], loads: Mapping[str, Load], limit: int
+    key: str, upstream_ids: Sequence[str], loads: Mapping[str, Load], limit: Limit
 ) -> str | None:
     """
     Choose among the homes of a prefix; bounded loads as in Mirrokni, Thorup and Zadimoghaddam,
@@ -49,7 +84,7 @@
     :param key: from ``prefix_key``
     :param upstream_ids: usable upstreams
     :param loads: load by upstream
-    :param limit: requests that this router may have running at one upstream
+    :param limit: requests that this router may have running at an upstream
     :return: the upstream, ``None`` when every home is full
     """
     total = sum(loads[one].tokens_count for one in upstream_ids if one in loads)
@@ -57,25 +92,36 @@
     open_homes = [
         one
         for one in ranked(key, upstream_ids)[:HOMES_COUNT]
-        if loads.get(one, Load()).requests_count < limit
+        if loads.get(one, Load()).requests_count < limit(one)
     ]
     within = (one for one in open_homes if loads.get(one, Load()).tokens_count <= bound)
     return next(within, open_homes[0] if open_homes else None)
 
 
-def least_loaded(upstream_ids: Sequence[str], loads: Mapping[str, Load], limit: int) -> str | None:
+def least_loaded(
+    upstream_ids: Sequence[str], loads: Mapping[str, Load], limit: Limit
+) -> str | None:
     """
     Choose the upstream with the fewest requests of this router.
 
     :param upstream_ids: usable upstreams in random order
     :param loads: load by upstream
-    :param limit: requests that this router may have running at one upstream
+    :param limit: requests that this router may have running at an upstream
     :return: the upstream, ``None`` when all are full
     """
     best = min(upstream_ids, key=lambda one: loads.get(one, Load()).requests_count, default=None)
-    if best is None or loads.get(best, Load()).requests_count >= limit:
+    if best is None or loads.get(best, Load()).requests_count >= limit(best):
         return None
     return best
 
 
-__all__ = ["HOMES_COUNT", "Load", "least_loaded", "place", "prefix_key"]
+__all__ = [
+    "HOMES_COUNT",
+    "Limit",
+    "Load",
+    "cost_tokens",
+    "least_loaded",
+    "place",
+    "prefers_near",
+    "prefix_key",
+]
--- a/src/camphorvalve/upstreams/routed.py
+++ b/src/camphorvalve/upstreams/routed.py
@@ -35,8 +35,10 @@
 after a second, and another upstream is reached sooner."""
 STREAM_SILENCE_S = 1.0
 """Silence inside a stream after which another upstream continues it; callers leave after 2 s."""
-FIRST_BYTE_RATIO = 0.5
-"""Part of the time left that an attempt which may be repeated waits for the head of the answer."""
+FIRST_BYTE_S = 1.0
+FIRST_BYTE_RATIO = 2.0
+"""Times the objective, or ``FIRST_BYTE_S`` if that is longer, that an attempt which may be repeated
+waits for the head of the answer; callers leave after 2 s or four times the objective."""
 EVENT_STREAM = "text/event-stream"
 HOP_HEADERS = frozenset(
     {
@@ -227,7 +229,8 @@
     left_s = max(0.001, exchange.deadline_s - time.monotonic())
     read_s = left_s
     if exchange.parameters.idempotent and exchange.attempt < exchange.route.attempts_count:
-        read_s = FIRST_BYTE_RATIO * left_s
+        patience_s = max(FIRST_BYTE_S, FIRST_BYTE_RATIO * exchange.parameters.objective_s)
+        read_s = min(left_s / 2, patience_s)
     connect_s = min(CONNECT_TIMEOUT_S, left_s)
     return httpx.Timeout(read_s, connect=connect_s, pool=connect_s)
 
--- a/src/camphorvalve/wire/messages.py
+++ b/src/camphorvalve/wire/messages.py
@@ -152,6 +152,25 @@
     version: int
 
 
+class TeamTokens(NamedTuple):
+    """What a team asked for in the window."""
+
+    team: str
+    tokens: float
+
+
+class Asked(NamedTuple):
+    """Demand at one router, for the controller that sums it; replaces the report before."""
+
+    entries: tuple[TeamTokens, ...]
+
+
+class AskedTotals(NamedTuple):
+    """Demand at all routers, for a router that reported."""
+
+    entries: tuple[TeamTokens, ...]
+
+
 class ReadRequest(NamedTuple):
     """A controller asks the leader which entries a read has to see."""
 
@@ -222,6 +241,8 @@
     ConfigUpdate,
     Roster,
     RosterUnchanged,
+    Asked,
+    AskedTotals,
     ReadRequest,
     ReadReply,
     Submit,
@@ -232,6 +253,8 @@
 
 __all__ = [
     "MESSAGES",
+    "Asked",
+    "AskedTotals",
     "Assignment",
     "ConfigPoll",
     "ConfigUpdate",
@@ -254,5 +277,6 @@
     "ServiceTotal",
     "Submit",
     "SubmitReply",
+    "TeamTokens",
     "TotalEntry",
 ]
--- a/src/camphorvalve/wiring/joined.py
+++ b/src/camphorvalve/wiring/joined.py
@@ -9,14 +9,16 @@
 import anyio
 import structlog
 
-from camphorvalve.consensus.storage import bootstrap, open_storage
+from camphorvalve.consensus.storage import Syncs, bootstrap, open_storage
 from camphorvalve.controllers.following import ConfigurationFollower, Contact, Load
 from camphorvalve.controllers.manifests import ManifestStore
 from camphorvalve.controllers.pools import Pools
 from camphorvalve.controllers.replication import ReplicationController
 from camphorvalve.controllers.roster import RosterController
 from camphorvalve.controllers.runtime import Runtime
+from camphorvalve.controllers.shares import SharesController
 from camphorvalve.controllers.stopping import Stopping, wait_for_signal
+from camphorvalve.controllers.totals import TotalsController
 from camphorvalve.filters.account import account
 from camphorvalve.filters.chain import compose
 from camphorvalve.filters.deadline import deadline
@@ -25,9 +27,12 @@
 from camphorvalve.filters.place import PlaceFilter
 from camphorvalve.filters.retry import RetryFilter
 from camphorvalve.filters.route import route
+from camphorvalve.filters.share import share
 from camphorvalve.http.routed import RoutedApp
 from camphorvalve.http.server import serve
 from camphorvalve.reports.decisions import Decisions
+from camphorvalve.reports.exposition import Exposition
+from camphorvalve.reports.metrics import CONTROLLER_METRICS, SYNC_LONGEST, SYNCS_COUNT
 from camphorvalve.sharing.budget import RetryBudget
 from camphorvalve.sharing.routing import RouteTable
 from camphorvalve.upstreams.client import create_client
@@ -67,6 +72,7 @@
     caller_addresses: Callable[[], list[str]]
     """Addresses of the routers that accept callers, as IP number and port."""
     is_ready: Callable[[], bool]
+    metrics: App
 
 
 class RouterEdge(NamedTuple):
@@ -86,7 +92,8 @@
 
     watch_seeds: Callable[[], AsyncIterator[tuple[str, ...]]]
     """Yields the seeds when the settings have changed."""
-    ports: Callable[[ManifestStore], Sequence[Port]]
+    ports: Callable[[ManifestStore, App], Sequence[Port]]
+    """Takes the store of manifests and the application that shows the metrics."""
 
 
 class _Manifests:
@@ -95,12 +102,23 @@
     def __init__(self) -> None:
         self.table: RouteTable | None = None
 
+    def version(self) -> int:
+        return 0 if self.table is None else self.table.manifest.version
+
+    def tokens_per_s(self) -> float | None:
+        return None if self.table is None else self.table.manifest.bounds.tokens_per_s
+
     def apply(self, configuration: Configuration) -> None:
         manifest = configuration.manifest
         if manifest is None or (self.table and self.table.manifest.version == manifest.version):
             return
         self.table = RouteTable(manifest)
-        _log.info("manifest in force", version=manifest.version, routes_count=len(manifest.routes))
+        _log.info(
+            "manifest in force",
+            version=manifest.version,
+            routes_count=len(manifest.routes),
+            tokens_per_s=manifest.bounds.tokens_per_s,
+        )
 
 
 async def run_joined_router(settings: RouterSettings, edge: RouterEdge) -> None:
@@ -124,10 +142,15 @@
     following = ConfigurationFollower(roster, contact, load)
     following.subscribe(manifests.apply)
     link = open_link(settings, incarnation)
-    runtime = Runtime(link, (roster, following))
+    shares = SharesController(roster.controller_ids, roster.routers_count, manifests.tokens_per_s)
+    runtime = Runtime(link, (roster, following, shares))
     client = create_client(keepalive_s=settings.upstream_idle_s)
-    pools = Pools(lambda: manifests.table, lambda: len(roster.routers()), rng)
-    handler = _chain(settings, edge, manifests, pools, observe, client, rng)
+    exposition = Exposition()
+    pools = Pools(lambda: manifests.table, roster.routers_count, settings.data_centre, rng)
+    handler = _chain(settings, edge, manifests, pools, observe, client, rng, exposition, shares)
+    exposition.observe("running_count", "requests that have not ended", observe.open_count)
+    exposition.observe("manifest_version", "version in force", manifests.version)
+    exposition.observe("routers_count", "routers that accept callers", roster.routers_count)
 
     def caller_addresses() -> list[str]:
         found = {one.caller_address for one in roster.routers()}
@@ -150,7 +173,8 @@
         tasks.start_soon(_follow_upstreams, edge, client, pools)
         tasks.start_soon(_watch_seeds, edge.watch_seeds, roster.set_seeds)
         tasks.start_soon(_keep_peers, link, roster.controller_ids)
-        for port in edge.ports(RouterView(caller_addresses, is_ready)):
+        view = RouterView(caller_addresses, is_ready, exposition.app())
+        for port in edge.ports(view):
             tasks.start_soon(serve, port.app, port.bind, anyio.Event())
         _log.info("router started", caller_bind=settings.caller_bind, incarnation=incarnation)
         await serve(
@@ -173,14 +197,17 @@
     observe: ObserveFilter,
     client: httpx.AsyncClient,
     rng: random.Random,
+    exposition: Exposition,
+    shares: SharesController,
 ) -> Handler:
     budget = RetryBudget(ratio=settings.retry_ratio, floor_count=settings.retry_floor_count)
     return compose(
         (
-            account([Decisions().record]),
+            account([Decisions().record, exposition.record]),
             observe,
             route(lambda: manifests.table, rng),
             deadline,
+            share(shares),
             RetryFilter(budget),
             PlaceFilter(pools),
         ),
@@ -200,7 +227,7 @@
     storage = open_storage(settings.data_folder, settings.host_id)
     replication = ReplicationController(settings, storage, random.Random(incarnation))
     link = open_link(settings, incarnation)
-    runtime = Runtime(link, (replication,))
+    runtime = Runtime(link, (replication, TotalsController()))
     link.open()
     shutdown = anyio.Event()
     async with anyio.create_task_group() as tasks:
@@ -210,7 +237,8 @@
         tasks.start_soon(_keep_peers, link, replication.peer_ids)
         _log.info("controller started", identity=replication.status()["identity"])
         async with anyio.create_task_group() as servers:
-            for port in edge.ports(ManifestStore(replication)):
+            metrics = _controller_metrics(replication)
+            for port in edge.ports(ManifestStore(replication), metrics.app()):
                 stop = partial(serve, graceful_timeout_s=settings.stop_timeout_s)
                 servers.start_soon(stop, port.app, port.bind, shutdown)
             await wait_for_signal(shutdown)
@@ -220,6 +248,19 @@
     _log.info("controller stopped")
 
 
+def _controller_metrics(replication: ReplicationController) -> Exposition:
+    exposition = Exposition()
+    for metric in CONTROLLER_METRICS:
+        if metric not in (SYNCS_COUNT, SYNC_LONGEST):
+            read = partial(_level, replication, metric.name)
+            exposition.observe(metric.name, f"{metric.meaning} ({metric.unit})", read)
+    return exposition
+
+
+def _level(replication: ReplicationController, name: str) -> float:
+    return getattr(replication.levels(Syncs()), name)
+
+
 def _form_group(settings: ControllerSettings) -> None:
     """Create the data folder of a seed when the whole fleet starts for the first time."""
     if not settings.bootstrap or settings.host_id not in settings.seeds:
--- /dev/null
+++ b/tests/controllers/test_pools.py
@@ -0,0 +1,97 @@
+"""Guards against requests that are placed at upstreams which may not or cannot serve them."""
+
+from __future__ import annotations
+
+import random
+import unittest
+from typing import Any
+
+from camphorvalve.controllers.pools import NEAR_COUNT, Pools
+from camphorvalve.model.errors import RequestError, Run
+from camphorvalve.model.hosts import HostState
+from camphorvalve.sharing.routing import RouteTable
+from tests.routebuilders import a_listed, a_manifest, a_prompt, a_routed_exchange
+
+UPSTREAMS = [
+    a_listed(f"up-{number}", data_centre=f"perth-{zone}") for number, zone in enumerate("aabbccdd")
+]
+
+
+class PoolsTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.routers_count = 8
+        table = RouteTable(a_manifest())
+        self.pools = Pools(lambda: table, lambda: self.routers_count, "perth-a", random.Random(1))
+        self.pools.apply(UPSTREAMS)
+
+    def begin(self, **fields: Any) -> str:
+        return self.pools.begin(a_routed_exchange(**fields), 0.0).upstream.upstream_id
+
+    def fill(self, **fields: Any) -> int:
+        """Place requests until one is refused; returns how many were placed."""
+        for count in range(1000):
+            try:
+                self.begin(**fields)
+            except RequestError as error:
+                self.assertEqual((error.code, error.run), ("overloaded", Run.NO))
+                self.assertIsNotNone(error.retry_after_s)
+                return count
+        raise AssertionError("nothing was refused")
+
+    def test_leaving(self) -> None:
+        """Guards against new work for an upstream that leaves or is gone."""
+        leaving = [one._replace(state=HostState.LEAVING) for one in UPSTREAMS[1:]]
+        self.pools.apply([UPSTREAMS[0], *leaving])
+        found = {self.begin(prompt=a_prompt(str(n), "own")) for n in range(5)}
+        self.assertEqual(found, {"up-0"})
+        self.pools.apply([])
+        with self.assertRaises(RequestError) as caught:
+            self.begin()
+        self.assertEqual(caught.exception.code, "no_upstream")
+
+    def test_large_prompt_has_one_home(self) -> None:
+        """Guards against a long prefix that is read in every data centre."""
+        prompt = a_prompt("a", "own", tokens_count=13_000)
+        self.assertEqual(len({self.begin(prompt=prompt) for _ in range(4)}), 1)
+
+    def test_small_prompt_stays_near(self) -> None:
+        """Guards against bytes between data centres for a prefix that is read at once."""
+        found = {self.begin(prompt=a_prompt(str(n), "own", tokens_count=300)) for n in range(9)}
+        self.assertLessEqual(found, {"up-0", "up-1"})
+
+    def test_service_stays_near_until_busy(self) -> None:
+        """Guards against a near service that is overrun while others are free."""
+        found = [self.begin() for _ in range(2 * NEAR_COUNT)]
+        self.assertEqual(set(found), {"up-0", "up-1"})
+        self.assertNotIn(self.begin(), {"up-0", "up-1"})
+
+    def test_over_share_leaves_room(self) -> None:
+        """Guards against a flooding team that fills the homes of other teams' prompts."""
+        prompt = a_prompt("a", "own", tokens_count=13_000)
+        flood = self.fill(prompt=prompt, within_share=False)
+        self.assertGreater(flood, 0)
+        self.assertGreater(self.fill(prompt=prompt), 0)
+
+    def test_fewer_routers(self) -> None:
+        """Guards against engines that idle while half of the routers are gone."""
+        prompt = a_prompt("a", "own", tokens_count=13_000)
+        before = self.fill(prompt=prompt)
+        self.setUp()
+        self.routers_count = 4
+        self.assertGreater(self.fill(prompt=prompt), 1.8 * before)
+
+    def test_failed_upstream_is_not_tried_again(self) -> None:
+        """Guards against a second attempt at the upstream that has just failed."""
+        prompt = a_prompt("a", "own", tokens_count=13_000)
+        home = self.begin(prompt=prompt)
+        self.assertNotEqual(self.begin(prompt=prompt, failed_upstreams={home}), home)
+
+    def test_end(self) -> None:
+        """Guards against requests that count as running after they have ended."""
+        exchange = a_routed_exchange(prompt=a_prompt("a", "own", tokens_count=13_000))
+        for _ in range(500):
+            self.pools.end(self.pools.begin(exchange, 0.0))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/controllers/test_shares.py
@@ -0,0 +1,70 @@
+"""Guards against shares that are computed from the demand at one router alone."""
+
+from __future__ import annotations
+
+import unittest
+from typing import Any
+
+from camphorvalve.controllers.runtime import Sender
+from camphorvalve.controllers.shares import SharesController
+from camphorvalve.controllers.totals import TotalsController
+
+
+def exchange(router: SharesController, name: str, totals: TotalsController, now_s: float) -> None:
+    """Deliver a router's report and the answer to it."""
+    for report in router.tick(now_s):
+        for answer in totals.handle(Sender(name, 1), report.message, now_s):
+            list(router.handle(Sender(report.peer_id, 1), answer.message, now_s))
+
+
+def a_router(**fields: Any) -> SharesController:
+    values = {
+        "controller_ids": lambda: ("c-1", "c-2"),
+        "routers_count": lambda: 2,
+        "tokens_per_s": lambda: 25.0,
+    }
+    return SharesController(**{**values, **fields})
+
+
+class SharesTest(unittest.TestCase):
+    def test_fleet_demand(self) -> None:
+        """Guards against a team that spreads its flood over routers to look small at each."""
+        first, second, totals = a_router(), a_router(), TotalsController()
+        for router in (first, second):
+            for _ in range(10):
+                router.within_share("large", 10.0, 0.0)
+            router.within_share("small", 5.0, 0.0)
+        for _ in range(2):
+            exchange(first, "r-1", totals, 0.1)
+            exchange(second, "r-2", totals, 0.1)
+        taken = sum(first.within_share("large", 10.0, 0.2) for _ in range(100))
+        # 200 of the 210 tokens are the large team's; it gets 90 of the 100 that there are.
+        self.assertAlmostEqual(taken / 100, 0.45, delta=0.02)
+        self.assertTrue(all(first.within_share("small", 5.0, 0.2) for _ in range(10)))
+
+    def test_no_totals(self) -> None:
+        """Guards against shares that are not kept while no controller answers."""
+        router = a_router()
+        for _ in range(20):
+            router.within_share("large", 10.0, 0.0)
+        list(router.tick(0.1))
+        self.assertLess(sum(router.within_share("large", 10.0, 0.2) for _ in range(100)), 40)
+
+    def test_gone_router(self) -> None:
+        """Guards against the demand of a router that is gone and counts for ever."""
+        first, second, totals = a_router(), a_router(), TotalsController()
+        for _ in range(20):
+            second.within_share("large", 10.0, 0.0)
+        exchange(second, "r-2", totals, 0.0)
+        list(totals.tick(3.0))
+        exchange(first, "r-1", totals, 3.0)
+        self.assertTrue(all(first.within_share("large", 1.0, 3.0) for _ in range(10)))
+
+    def test_same_aggregator(self) -> None:
+        """Guards against routers that report to different controllers."""
+        reports = [next(a_router().tick(0.0)) for _ in range(3)]
+        self.assertEqual(len({report.peer_id for report in reports}), 1)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/sharing/test_homes.py
+++ b/tests/sharing/test_homes.py
@@ -11,6 +11,10 @@
 UPSTREAMS = [f"up-{number}" for number in range(9)]
 
 
+def five(upstream_id: str) -> float:
+    return 5
+
+
 class PrefixKeyTest(unittest.TestCase):
     def test_keys(self) -> None:
         """Guards against a key that holds the request's own part, which nobody shares."""
@@ -30,21 +34,21 @@
     def test_same_home_everywhere(self) -> None:
         """Guards against routers that place a prefix differently and so read it twice."""
         for number in range(50):
-            forwards = place(f"prefix-{number}", UPSTREAMS, {}, 5)
-            backwards = place(f"prefix-{number}", UPSTREAMS[::-1], {}, 5)
+            forwards = place(f"prefix-{number}", UPSTREAMS, {}, five)
+            backwards = place(f"prefix-{number}", UPSTREAMS[::-1], {}, five)
             self.assertEqual(forwards, backwards)
 
     def test_homes_move_little(self) -> None:
         """Guards against a lost upstream that moves the homes of the others' prefixes."""
-        before = {n: place(f"prefix-{n}", UPSTREAMS, {}, 5) for n in range(200)}
-        after = {n: place(f"prefix-{n}", UPSTREAMS[1:], {}, 5) for n in range(200)}
+        before = {n: place(f"prefix-{n}", UPSTREAMS, {}, five) for n in range(200)}
+        after = {n: place(f"prefix-{n}", UPSTREAMS[1:], {}, five) for n in range(200)}
         moved = [n for n in before if before[n] != after[n] and before[n] != UPSTREAMS[0]]
         self.assertEqual(moved, [])
 
     def test_loaded_home_is_passed_over(self) -> None:
         """Guards against a hot prefix that piles up at its home."""
-        home = place("hot", UPSTREAMS, {}, 5)
-        second = place("hot", UPSTREAMS, {home: Load(1, 1_000_000)}, 5)
+        home = place("hot", UPSTREAMS, {}, five)
+        second = place("hot", UPSTREAMS, {home: Load(1, 1_000_000)}, five)
         self.assertNotEqual(second, home)
 
     def test_full_homes_refuse(self) -> None:
@@ -52,22 +56,22 @@
         full = Load(5, 0)
         loads: dict[str, Load] = {}
         for _ in range(HOMES_COUNT):
-            home = place("hot", UPSTREAMS, loads, 5)
+            home = place("hot", UPSTREAMS, loads, five)
             self.assertIsNotNone(home)
             loads[home] = full
-        self.assertIsNone(place("hot", UPSTREAMS, loads, 5))
+        self.assertIsNone(place("hot", UPSTREAMS, loads, five))
 
     def test_spread(self) -> None:
         """Guards against a hash that favours some upstreams."""
-        counts = Counter(place(f"prefix-{n}", UPSTREAMS, {}, 5) for n in range(900))
+        counts = Counter(place(f"prefix-{n}", UPSTREAMS, {}, five) for n in range(900))
         self.assertGreater(min(counts.values()), 50)
 
     def test_least_loaded(self) -> None:
         """Guards against requests that wait at a busy upstream while another is free."""
         loads = {"up-0": Load(3, 0), "up-1": Load(1, 0)}
-        self.assertEqual(least_loaded(["up-0", "up-1"], loads, 5), "up-1")
-        self.assertIsNone(least_loaded(["up-0", "up-1"], loads, 1))
-        self.assertIsNone(least_loaded([], loads, 1))
+        self.assertEqual(least_loaded(["up-0", "up-1"], loads, five), "up-1")
+        self.assertIsNone(least_loaded(["up-0", "up-1"], loads, lambda one: 1))
+        self.assertIsNone(least_loaded([], loads, five))
 
 
 if __name__ == "__main__":
--- a/tests/specs/test_specs.py
+++ b/tests/specs/test_specs.py
@@ -7,19 +7,21 @@
 
 from minicheck import check_safety
 
-from specs import at_most_once, fenced_order, replicated_log
+from specs import at_most_once, fenced_order, member_removal, replicated_log
 
-MODULES = (replicated_log, at_most_once, fenced_order)
+MODULES = (replicated_log, member_removal, at_most_once, fenced_order)
 # The shortest violations lie within this many states; the whole space of a defect is larger.
 DEFECT_STATES = 40_000
 FOUND = {
     replicated_log: {"one leader per term", "committed entries never change"},
+    member_removal: {"committed entries never change"},
     at_most_once: {"at most one run"},
     fenced_order: {"no stale order where numbers are ignored"},
 }
 # What the sound protocol has to reach, so that its invariants do not hold for want of events.
 REACHED = {
     replicated_log: lambda state: any(entry.members == (0, 1, 3) for entry in state["committed"]),
+    member_removal: lambda state: any(one.members == (1, 2, 3) for one in state["committed"]),
     at_most_once: lambda state: state["outcome"] == "answer" and state["second"].sent,
     fenced_order: lambda state: state["newest"] == (2, 2),
 }
