Give each router the part of an engine that the demand at it is worth

Cause: all callers of one team may come to one router.

Change: a router's part follows from the demand within shares at it and at all routers. What is bounded and adapted is the number of requests that wait for their first token. A request waits up to an eighth of its objective for a place. Refusals close the connection, idle connections end with the manifest's idle timeout, connects to peers end after 0.5 s. Each placement and failed attempt is logged.

--- a/src/camphorvalve/controllers/manifests.py
+++ b/src/camphorvalve/controllers/manifests.py
@@ -87,6 +87,7 @@
 
     async def _commit(self, command: PutManifest) -> Outcome:
         # Resending is safe: a manifest that is in force already changes nothing.
+        first_reason: str | None = None
         with anyio.move_on_after(PUT_TIMEOUT_S):
             while True:
                 pending = self._replication.submit_anywhere(command, time.monotonic())
@@ -94,7 +95,9 @@
                     with anyio.move_on_after(TRY_TIMEOUT_S):
                         return await pending.wait()
                 except (NotLeaderError, OutcomeUnknownError) as error:
-                    _log.info("manifest is submitted again", reason=str(error))
+                    if first_reason is None:
+                        first_reason = str(error)
+                        _log.info("manifest is submitted again", reason=first_reason)
                     await anyio.sleep(RETRY_S)
                 finally:
                     self._replication.forget(pending)
--- a/src/camphorvalve/controllers/pools.py
+++ b/src/camphorvalve/controllers/pools.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+from dataclasses import dataclass
 from typing import TYPE_CHECKING, NamedTuple
 
+import anyio
 import structlog
 
 from camphorvalve.model.errors import RequestError
@@ -11,7 +13,7 @@
 from camphorvalve.model.requests import RoutedCall
 from camphorvalve.sharing.ejection import Ejections
 from camphorvalve.sharing.homes import (
-    Limit,
+    HasRoom,
     Load,
     cost_tokens,
     least_loaded,
@@ -29,15 +31,16 @@
     from camphorvalve.model.upstreams import Upstream
     from camphorvalve.sharing.routing import RouteTable
 
-START_FILL_RATIO = 0.6
-"""Part of an engine's slots that the routers fill together before they know how soon it answers;
-with half of them, first tokens came within the objective in the trials of docs/platform.md."""
-LEAST_FILL_RATIO = 0.25
+START_WAITING_COUNT = 16.0
+"""Requests that may wait for an engine's first token, at all routers together, before it is known
+how soon that comes: an engine reads about 25 such prompts within an objective of 0.4 s."""
+LEAST_WAITING_COUNT = 6.0
 """Lowest limit; an engine that answers late even then is slow for another reason."""
-MOST_FILL_RATIO = 1.0
+MOST_WAITING_COUNT = 64.0
 OVER_SHARE_RATIO = 0.6
 """Part of the limit that requests beyond their team's share may use, so that the other teams find
 room at once."""
+WAITING_BOUNDS = (LEAST_WAITING_COUNT, MOST_WAITING_COUNT, START_WAITING_COUNT)
 SERVICE_LIMIT_COUNT = 12
 """Requests of one router at a plain service; it has 6 slots and rejects what it cannot queue."""
 NEAR_COUNT = 2
@@ -49,11 +52,28 @@
 _log = structlog.get_logger(__name__)
 
 
-class Placement(NamedTuple):
+class Inputs(NamedTuple):
+    """What a placement was decided by, for the logs."""
+
+    running_count: int | None
+    """Requests of this router at the upstream."""
+    waiting_count: int | None
+    """Of these, requests whose answers have not begun."""
+    list_age_s: float
+    """Time since the list of upstreams was read."""
+    manifest_version: int
+    weight: float
+    """Part of each engine that this router may use."""
+
+
+@dataclass(slots=True)
+class Placement:
     """A request that is counted as running at an upstream."""
 
     upstream: Upstream
     tokens_count: float
+    began: bool = False
+    """Whether its answer has begun."""
 
 
 class Pools:
@@ -62,7 +82,7 @@
     def __init__(
         self,
         table: Callable[[], RouteTable | None],
-        routers_count: Callable[[], int],
+        weight: Callable[[], float],
         data_centre: str,
         rng: random.Random,
     ) -> None:
@@ -70,12 +90,12 @@
         Start without upstreams.
 
         :param table: routes in force
-        :param routers_count: live routers, this one included
+        :param weight: part of each engine that this router may use
         :param data_centre: of this router, whose upstreams are preferred where it costs nothing
         :param rng: source of random choices
         """
         self._table = table
-        self._routers_count = routers_count
+        self._weight = weight
         self._data_centre = data_centre
         self._rng = rng
         self._upstreams: dict[str, Upstream] = {}
@@ -83,13 +103,18 @@
         self._loads: dict[str, Load] = {}
         self._ejections = Ejections()
         self._limits = AdaptiveLimits()
+        self._listed_s = float("-inf")
+        self._room = anyio.Event()
+        self._queued_count = 0
 
-    def apply(self, upstreams: Iterable[Upstream]) -> None:
+    def apply(self, upstreams: Iterable[Upstream], now_s: float) -> None:
         """
         Replace the list.
 
         :param upstreams: all upstreams, leaving ones included
+        :param now_s: monotonic time
         """
+        self._listed_s = now_s
         before = self._upstreams
         self._upstreams = {one.upstream_id: one for one in upstreams}
         self._by_pool = {}
@@ -119,6 +144,23 @@
         """
         return self._upstreams.get(upstream_id)
 
+    def inputs(self, upstream_id: str | None, now_s: float) -> Inputs:
+        """
+        Tell what placements are decided by.
+
+        :param upstream_id: the chosen upstream, if any
+        :param now_s: monotonic time
+        :return: the inputs and their age
+        """
+        table = self._table()
+        return Inputs(
+            None if upstream_id is None else self._load(upstream_id).requests_count,
+            None if upstream_id is None else self._load(upstream_id).waiting_count,
+            round(now_s - self._listed_s, 3),
+            0 if table is None else table.manifest.version,
+            round(self._weight(), 3),
+        )
+
     def begin(self, exchange: Exchange, now_s: float) -> Placement:
         """
         Choose an upstream and count the request as running there.
@@ -140,7 +182,7 @@
             message = f"pool {pool!r}: the upstreams for this request are full"
             raise RequestError("overloaded", message, retry_after_s=self._retry_after_s())
         placement = Placement(self._upstreams[chosen], cost_tokens(exchange.request.call))
-        self._count(placement, 1)
+        self._count(chosen, 1, 1, placement.tokens_count)
         return placement
 
     def end(self, placement: Placement) -> None:
@@ -149,18 +191,34 @@
 
         :param placement: from ``begin``
         """
-        self._count(placement, -1)
-
-    def began(self, exchange: Exchange, wait_s: float, now_s: float) -> None:
+        waiting = 0 if placement.began else -1
+        self._count(placement.upstream.upstream_id, -1, waiting, -placement.tokens_count)
+        self._announce_room()
+
+    async def wait_for_room(self) -> None:
+        """Wait until some request has ended; the place may be taken by another one that waits."""
+        if self._room.is_set():
+            self._room = anyio.Event()
+        self._queued_count += 1
+        try:
+            await self._room.wait()
+        finally:
+            self._queued_count -= 1
+
+    def began(self, placement: Placement, objective_s: float, wait_s: float, now_s: float) -> None:
         """
-        Learn from the start of an answer.
+        Note that an answer has begun, and learn from how long that took.
 
-        :param exchange: the request
-        :param wait_s: time from sending it
+        :param placement: from ``begin``
+        :param objective_s: time that counts as on time
+        :param wait_s: time from sending the request
         :param now_s: monotonic time
         """
-        upstream_id = exchange.upstream_id or ""
-        self._limits.began(upstream_id, wait_s, exchange.parameters.objective_s, now_s)
+        placement.began = True
+        upstream_id = placement.upstream.upstream_id
+        self._count(upstream_id, 0, -1, 0.0)
+        self._limits.began(upstream_id, wait_s, objective_s, now_s)
+        self._announce_room()
 
     def succeed(self, upstream_id: str) -> None:
         """
@@ -181,49 +239,63 @@
         if self._ejections.fail(upstream_id, now_s, unreachable=unreachable):
             _log.warning("upstream left out", upstream_id=upstream_id, unreachable=unreachable)
 
+    def _announce_room(self) -> None:
+        if self._queued_count:
+            self._room.set()
+
     def _choose(self, exchange: Exchange, pool: str, usable: Sequence[str]) -> str | None:
-        ratio = 1.0 if exchange.within_share else OVER_SHARE_RATIO
-        limit = self._limit(pool, ratio)
+        has_room = self._room_at(pool, 1.0 if exchange.within_share else OVER_SHARE_RATIO)
         near = [one for one in usable if self._is_near(one)]
         match exchange.request.call:
             case RoutedCall(prompt=prompt) if (key := prefix_key(prompt)) is not None:
-                if prefers_near(prompt) and (found := place(key, near, self._loads, limit)):
+                if prefers_near(prompt) and (found := place(key, near, self._loads, has_room)):
                     return found
-                return place(key, usable, self._loads, limit)
-        if found := least_loaded(near, self._loads, lambda one: NEAR_COUNT):
+                return place(key, usable, self._loads, has_room)
+        if found := least_loaded(near, self._loads, self._is_quiet):
             return found
         shuffled = self._rng.sample(usable, len(usable))
-        return least_loaded(shuffled, self._loads, limit)
+        return least_loaded(shuffled, self._loads, has_room)
 
     def _is_near(self, upstream_id: str) -> bool:
         return self._upstreams[upstream_id].data_centre == self._data_centre
 
-    def _limit(self, pool: str, ratio: float) -> Limit:
+    def _room_at(self, pool: str, ratio: float) -> HasRoom:
         table = self._table()
         found = None if table is None else table.pools.get(pool)
         if found is None or found.engine is None:
-            return lambda upstream_id: SERVICE_LIMIT_COUNT
-        part = found.engine.slots_count / max(1, self._routers_count())
-        bounds = (
-            max(1.0, LEAST_FILL_RATIO * part),
-            max(1.0, MOST_FILL_RATIO * part),
-            max(1.0, START_FILL_RATIO * part),
-        )
-        return lambda upstream_id: max(1.0, ratio * self._limits.get(upstream_id, *bounds))
+            return lambda one: self._load(one).requests_count < SERVICE_LIMIT_COUNT
+        part = ratio * self._weight()
+        running_limit = max(1.0, part * found.engine.slots_count)
+
+        def has_room(upstream_id: str) -> bool:
+            load = self._load(upstream_id)
+            waiting_limit = max(1.0, part * self._limits.get(upstream_id, *WAITING_BOUNDS))
+            return (
+                load.requests_count + 1 <= running_limit and load.waiting_count + 1 <= waiting_limit
+            )
+
+        return has_room
+
+    def _is_quiet(self, upstream_id: str) -> bool:
+        return self._load(upstream_id).requests_count < NEAR_COUNT
+
+    def _load(self, upstream_id: str) -> Load:
+        return self._loads.get(upstream_id, Load())
 
     def _retry_after_s(self) -> float:
         # Spread, so that refused callers do not come back together.
         return RETRY_AFTER_S * (1 + self._rng.random())
 
-    def _count(self, placement: Placement, sign: int) -> None:
-        upstream_id = placement.upstream.upstream_id
-        load = self._loads.get(upstream_id, Load())
-        requests_count = load.requests_count + sign
-        if requests_count == 0:
+    def _count(self, upstream_id: str, requests: int, waiting: int, tokens: float) -> None:
+        load = self._load(upstream_id)
+        if load.requests_count + requests == 0:
             self._loads.pop(upstream_id, None)
             return
-        tokens_count = load.tokens_count + sign * placement.tokens_count
-        self._loads[upstream_id] = Load(requests_count, tokens_count)
+        self._loads[upstream_id] = Load(
+            load.requests_count + requests,
+            load.waiting_count + waiting,
+            load.tokens_count + tokens,
+        )
 
 
-__all__ = ["Placement", "Pools"]
+__all__ = ["Inputs", "Placement", "Pools"]
--- a/src/camphorvalve/controllers/shares.py
+++ b/src/camphorvalve/controllers/shares.py
@@ -22,6 +22,8 @@
 """An eighth of the window, so that totals lag by little of it."""
 TOTALS_LIFETIME_S = 2.0
 """Four reports without an answer; the router's own demand stands in for the fleet's then."""
+LEAST_PART = 0.5
+"""Part of an even share that a router may use however little came in there lately."""
 AGGREGATOR_KEY = "demand"
 
 _log = structlog.get_logger(__name__)
@@ -52,9 +54,9 @@
         self._tokens_per_s = tokens_per_s
         self._demand = Demand(WINDOW_S)
         self._quotas = Quotas()
-        self._totals: dict[str, float] = {}
         self._totals_s = float("-inf")
         self._over_share: set[str] = set()
+        self._weight = 1.0
 
     def within_share(self, team: str, tokens: float, now_s: float) -> bool:
         """
@@ -68,6 +70,16 @@
         self._demand.add(team, tokens, now_s)
         return self._quotas.takes(team, tokens)
 
+    def weight(self) -> float:
+        """
+        Tell which part of each engine this router may use.
+
+        A team's callers may all come to one router, so that an even part would starve them.
+
+        :return: above 0, at most 1; even parts while nothing is asked for
+        """
+        return self._weight
+
     def handle(self, sender: Sender, message: Any, now_s: float) -> Iterator[Outgoing]:
         """
         Take the fleet's demand.
@@ -77,9 +89,8 @@
         :param now_s: monotonic time
         :return: nothing
         """
-        self._totals = dict(message.entries)
         self._totals_s = now_s
-        self._set_quotas(self._totals)
+        self._set_quotas(dict(message.entries), self._demand.totals(now_s))
         yield from ()
 
     def tick(self, now_s: float) -> Iterator[Outgoing]:
@@ -92,17 +103,19 @@
         own = self._demand.totals(now_s)
         if now_s - self._totals_s > TOTALS_LIFETIME_S:
             count = max(1, self._routers_count())
-            self._set_quotas({team: count * tokens for team, tokens in own.items()})
+            self._set_quotas({team: count * tokens for team, tokens in own.items()}, own)
         aggregator = owner(AGGREGATOR_KEY, self._controller_ids())
         if aggregator is not None:
             entries = tuple(TeamTokens(team, tokens) for team, tokens in own.items())
             yield Outgoing(aggregator, Asked(entries))
 
-    def _set_quotas(self, demands: dict[str, float]) -> None:
+    def _set_quotas(self, demands: dict[str, float], own: dict[str, float]) -> None:
         tokens_per_s = self._tokens_per_s()
         if tokens_per_s is None:
             return
         self._quotas.set_ratios(demands, tokens_per_s * WINDOW_S)
+        least = LEAST_PART / max(1, self._routers_count())
+        self._weight = max(least, self._quotas.weight(own, demands) or 2 * least)
         over_share = set(self._quotas.over_share())
         if over_share != self._over_share:
             self._over_share = over_share
--- a/src/camphorvalve/filters/place.py
+++ b/src/camphorvalve/filters/place.py
@@ -6,18 +6,28 @@
 from contextlib import aclosing
 from typing import TYPE_CHECKING
 
+import anyio
+import structlog
+
 from camphorvalve.model.answers import Body
+from camphorvalve.model.errors import RequestError
 from camphorvalve.model.requests import Stage
 from camphorvalve.upstreams.errors import Declined, NotSent, UpstreamError
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
 
-    from camphorvalve.controllers.pools import Pools
+    from camphorvalve.controllers.pools import Placement, Pools
     from camphorvalve.filters.chain import Handler
     from camphorvalve.model.answers import Part
     from camphorvalve.model.requests import Exchange
 
+_log = structlog.get_logger(__name__)
+
+WAIT_RATIO = 1 / 8
+"""Part of its objective that a request waits for a place before it is refused: the platform counts
+a refusal as late from then on."""
+
 
 class PlaceFilter:
     """Places each attempt at an upstream that the pools' state allows."""
@@ -40,20 +50,28 @@
         :raises RequestError: no upstream may get the request now
         :raises UpstreamError: the attempt failed
         """
-        placement = self._pools.begin(exchange, time.monotonic())
+        placement = await self._begin(exchange)
         upstream_id = placement.upstream.upstream_id
         exchange.upstream_id = upstream_id
         exchange.stage = Stage.RUNNING
         sent_s = time.monotonic()
         exchange.note(sent_s, f"placed at {upstream_id}")
-        began = False
+        _log.info(
+            "request placed",
+            request_id=exchange.request.request_id,
+            attempt=exchange.attempt,
+            upstream_id=upstream_id,
+            waited_ms=round((sent_s - exchange.received_s) * 1000, 1),
+            within_share=exchange.within_share,
+            **self._pools.inputs(upstream_id, sent_s)._asdict(),
+        )
         try:
             async with aclosing(inner(exchange)) as parts:
                 async for part in parts:
-                    if not began and isinstance(part, Body):
-                        began = True
+                    if not placement.began and isinstance(part, Body):
                         now_s = time.monotonic()
-                        self._pools.began(exchange, now_s - sent_s, now_s)
+                        objective_s = exchange.parameters.objective_s
+                        self._pools.began(placement, objective_s, now_s - sent_s, now_s)
                     yield part
             self._pools.succeed(upstream_id)
         except Declined:
@@ -66,5 +84,29 @@
         finally:
             self._pools.end(placement)
 
+    async def _begin(self, exchange: Exchange) -> Placement:
+        """Wait a little for a place; a request that waits longer is told to come back."""
+        until_s = exchange.received_s + WAIT_RATIO * exchange.parameters.objective_s
+        while True:
+            now_s = time.monotonic()
+            try:
+                return self._pools.begin(exchange, now_s)
+            except RequestError as error:
+                if error.code != "overloaded" or now_s >= until_s:
+                    exchange.note(now_s, f"not placed: {error.message}")
+                    _log.info(
+                        "request not placed",
+                        request_id=exchange.request.request_id,
+                        attempt=exchange.attempt,
+                        reason=error.message,
+                        waited_ms=round((now_s - exchange.received_s) * 1000, 1),
+                        within_share=exchange.within_share,
+                        retry_after_s=error.retry_after_s,
+                        **self._pools.inputs(None, now_s)._asdict(),
+                    )
+                    raise
+            with anyio.move_on_after(until_s - now_s):
+                await self._pools.wait_for_room()
+
 
 __all__ = ["PlaceFilter"]
--- a/src/camphorvalve/filters/retry.py
+++ b/src/camphorvalve/filters/retry.py
@@ -7,6 +7,8 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+import structlog
+
 from camphorvalve.model.answers import Body, Head
 from camphorvalve.model.errors import RequestError, Run
 from camphorvalve.model.requests import BrokenStream
@@ -27,6 +29,8 @@
     from camphorvalve.model.requests import Exchange
     from camphorvalve.sharing.budget import RetryBudget
 
+_log = structlog.get_logger(__name__)
+
 MAX_ATTEMPTS_COUNT = 4
 DECLINED_RETRY_S = 0.5
 """When a caller may try again whose upstream was full; several requests end there in this time."""
@@ -147,6 +151,16 @@
                 raise
 
     def _note_failure(self, exchange: Exchange, error: UpstreamError) -> None:
+        _log.info(
+            "attempt failed",
+            request_id=exchange.request.request_id,
+            attempt=exchange.attempt,
+            upstream_id=exchange.upstream_id,
+            reason=str(error),
+            error=type(error).__name__,
+            repeatable=exchange.parameters.idempotent,
+            output_started=exchange.output_started,
+        )
         exchange.note(time.monotonic(), f"attempt {exchange.attempt} failed: {error}")
         if exchange.upstream_id is not None:
             exchange.failed_upstreams.add(exchange.upstream_id)
--- a/src/camphorvalve/http/sending.py
+++ b/src/camphorvalve/http/sending.py
@@ -12,7 +12,7 @@
 import structlog
 
 from camphorvalve.model.answers import Body, Head
-from camphorvalve.model.errors import RequestError
+from camphorvalve.model.errors import RequestError, Run
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -174,7 +174,8 @@
         content = msgspec.json.encode(error.body(request_id))
         if self._head is None:
             headers = _json_headers(content, self._error_headers(error))
-            await self._start(Head(error.status, headers))
+            self._head = Head(error.status, headers)
+            await self._send(_start_message(error.status, [*headers, *self._own_headers().items()]))
             await self._body(content)
         elif isinstance(self._form, ProductForm) and _is_event_stream(self._head):
             separator = b"\n\n" if self._event_open else b""
@@ -188,6 +189,9 @@
                 return error_headers(error, None)
             case PassedForm(request_id_name):
                 headers = [(request_id_name, self._exchange.request.request_id)]
+                if error.run is Run.NO and error.status >= 500:
+                    # Callers come back on a new connection; the old ones would use up descriptors.
+                    headers.append(("connection", "close"))
                 if error.retry_after_s is not None:
                     headers.append(("retry-after", f"{error.retry_after_s:.3f}"))
                 return tuple(headers)
--- a/src/camphorvalve/http/server.py
+++ b/src/camphorvalve/http/server.py
@@ -24,6 +24,9 @@
 """Longer than the keep-alive of common clients (5 to 60 s), so that the client closes first and
 no request meets a connection that is being closed here."""
 
+MAX_REQUESTS_COUNT = 1 << 30
+"""Requests on one connection; hypercorn's 1,000 would end it at a moment that callers can't see."""
+
 BACKLOG_COUNT = 512
 
 LINGER_S = 0.5
@@ -65,6 +68,7 @@
     graceful_timeout_s: float = 600.0,
     linger_s: float = LINGER_S,
     leaving: Callable[[], bool] = lambda: False,
+    keep_alive_s: Callable[[], float] = lambda: KEEP_ALIVE_S,
 ) -> None:
     """
     Serve until the shutdown, then finish the running requests.
@@ -74,12 +78,13 @@
     :param shutdown: stops accepting when set
     :param graceful_timeout_s: how long running requests may take after the shutdown
     :param linger_s: how long requests are still accepted after the shutdown
+    :param keep_alive_s: how long an idle connection stays open
     :param leaving: whether answers ask the caller to close the connection before the shutdown
     """
     listener = listen(bind) if isinstance(bind, str) else bind
     twin = listener.dup()
     listener_fd = listener.detach()
-    config = _config(listener_fd, graceful_timeout_s)
+    config = _config(listener_fd, graceful_timeout_s, keep_alive_s)
     gate = _Gate(app, lambda: shutdown.is_set() or leaving())
 
     async def stop() -> None:
@@ -119,12 +124,22 @@
         twin.shutdown(socket.SHUT_RD)
 
 
-def _config(listener_fd: int, graceful_timeout_s: float) -> Config:
-    config = Config()
+class _Config(Config):
+    """Settings of hypercorn whose keep-alive follows the configuration in force."""
+
+    keep_alive_s: Callable[[], float]
+    keep_alive_timeout = property(lambda self: self.keep_alive_s())
+
+
+def _config(
+    listener_fd: int, graceful_timeout_s: float, keep_alive_s: Callable[[], float]
+) -> Config:
+    config = _Config()
+    config.keep_alive_s = keep_alive_s
+    config.keep_alive_max_requests = MAX_REQUESTS_COUNT
     config.bind = [f"fd://{listener_fd}"]
     config.backlog = BACKLOG_COUNT
     config.graceful_timeout = graceful_timeout_s
-    config.keep_alive_timeout = KEEP_ALIVE_S
     config.include_server_header = False
     config.accesslog = None
     config.errorlog = logging.getLogger("hypercorn.error")
--- a/src/camphorvalve/sharing/homes.py
+++ b/src/camphorvalve/sharing/homes.py
@@ -50,6 +50,8 @@
     """What this router has running at an upstream."""
 
     requests_count: int = 0
+    waiting_count: int = 0
+    """Of these, requests whose answers have not begun."""
     tokens_count: float = 0.0
 
 
@@ -70,12 +72,12 @@
 """Shared tokens that cost as little to read again as their request costs between data centres:
 at the prices of docs/platform.md, 17 KB are worth 2,000 tokens."""
 
-Limit = Callable[[str], float]
-"""Requests that this router may have running at an upstream."""
+HasRoom = Callable[[str], bool]
+"""Tells whether this router may send another request to an upstream."""
 
 
 def place(
-    key: str, upstream_ids: Sequence[str], loads: Mapping[str, Load], limit: Limit
+    key: str, upstream_ids: Sequence[str], loads: Mapping[str, Load], has_room: HasRoom
 ) -> str | None:
     """
     Choose among the homes of a prefix; bounded loads as in Mirrokni, Thorup and Zadimoghaddam,
@@ -84,40 +86,34 @@
     :param key: from ``prefix_key``
     :param upstream_ids: usable upstreams
     :param loads: load by upstream
-    :param limit: requests that this router may have running at an upstream
+    :param has_room: which upstreams may get another request
     :return: the upstream, ``None`` when every home is full
     """
     total = sum(loads[one].tokens_count for one in upstream_ids if one in loads)
     bound = LOAD_RATIO * total / max(1, len(upstream_ids)) + LOAD_SLACK_TOKENS
-    open_homes = [
-        one
-        for one in ranked(key, upstream_ids)[:HOMES_COUNT]
-        if loads.get(one, Load()).requests_count < limit(one)
-    ]
+    open_homes = [one for one in ranked(key, upstream_ids)[:HOMES_COUNT] if has_room(one)]
     within = (one for one in open_homes if loads.get(one, Load()).tokens_count <= bound)
     return next(within, open_homes[0] if open_homes else None)
 
 
 def least_loaded(
-    upstream_ids: Sequence[str], loads: Mapping[str, Load], limit: Limit
+    upstream_ids: Sequence[str], loads: Mapping[str, Load], has_room: HasRoom
 ) -> str | None:
     """
     Choose the upstream with the fewest requests of this router.
 
     :param upstream_ids: usable upstreams in random order
     :param loads: load by upstream
-    :param limit: requests that this router may have running at an upstream
+    :param has_room: which upstreams may get another request
     :return: the upstream, ``None`` when all are full
     """
-    best = min(upstream_ids, key=lambda one: loads.get(one, Load()).requests_count, default=None)
-    if best is None or loads.get(best, Load()).requests_count >= limit(best):
-        return None
-    return best
+    free = filter(has_room, upstream_ids)
+    return min(free, key=lambda one: loads.get(one, Load()).requests_count, default=None)
 
 
 __all__ = [
     "HOMES_COUNT",
-    "Limit",
+    "HasRoom",
     "Load",
     "cost_tokens",
     "least_loaded",
--- a/src/camphorvalve/sharing/shares.py
+++ b/src/camphorvalve/sharing/shares.py
@@ -97,6 +97,20 @@
         self._ratios = {team: found / demand for team, demand in demands.items() if demand > found}
         self._saved = {team: self._saved.get(team, 0.0) for team in self._ratios}
 
+    def weight(self, own: Mapping[str, float], demands: Mapping[str, float]) -> float | None:
+        """
+        Tell which part of all demand within shares comes in at one router.
+
+        :param own: tokens by team at the router
+        :param demands: tokens by team at all routers
+        :return: 0 to 1, ``None`` without demand
+        """
+        total = sum(demand * self._ratios.get(team, 1.0) for team, demand in demands.items())
+        if total <= 0:
+            return None
+        found = sum(tokens * self._ratios.get(team, 1.0) for team, tokens in own.items())
+        return min(1.0, found / total)
+
     def over_share(self) -> Iterator[str]:
         """:return: teams that ask for more than their share"""
         yield from self._ratios
--- a/src/camphorvalve/wire/link.py
+++ b/src/camphorvalve/wire/link.py
@@ -20,9 +20,13 @@
 SEND_QUEUE_COUNT = 4096
 """Messages that may wait for a slow peer before further ones are dropped."""
 RECONNECT_MS = 100
-RECONNECT_MAX_MS = 2000
-HANDSHAKE_TIMEOUT_MS = 3000
-HEARTBEAT_MS = 1000
+RECONNECT_MAX_MS = 500
+CONNECT_TIMEOUT_MS = 500
+"""Behind a cut the kernel repeats its opening packet after 1, 3, 7 s; a new try is sooner there
+once the cut has healed, and a configuration has to arrive within 2 s."""
+HANDSHAKE_TIMEOUT_MS = 1500
+HEARTBEAT_MS = 500
+"""A connection that fell silent is given up after three of them."""
 MAX_FRAME_BYTES = 16 << 20
 
 _log = structlog.get_logger(__name__)
@@ -182,6 +186,7 @@
         sender.immediate = 1
         sender.setsockopt(zmq.RECONNECT_IVL, RECONNECT_MS)
         sender.setsockopt(zmq.RECONNECT_IVL_MAX, RECONNECT_MAX_MS)
+        sender.setsockopt(zmq.CONNECT_TIMEOUT, CONNECT_TIMEOUT_MS)
         sender.setsockopt(zmq.HANDSHAKE_IVL, HANDSHAKE_TIMEOUT_MS)
         sender.setsockopt(zmq.HEARTBEAT_IVL, HEARTBEAT_MS)
         sender.setsockopt(zmq.HEARTBEAT_TIMEOUT, 3 * HEARTBEAT_MS)
--- a/src/camphorvalve/wiring/joined.py
+++ b/src/camphorvalve/wiring/joined.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+import time
 from functools import partial
 from typing import TYPE_CHECKING, NamedTuple
 
@@ -30,6 +31,7 @@
 from camphorvalve.filters.share import share
 from camphorvalve.http.routed import RoutedApp
 from camphorvalve.http.server import serve
+from camphorvalve.model.routes import CallerBounds
 from camphorvalve.reports.decisions import Decisions
 from camphorvalve.reports.exposition import Exposition
 from camphorvalve.reports.metrics import CONTROLLER_METRICS, SYNC_LONGEST, SYNCS_COUNT
@@ -106,7 +108,13 @@
         return 0 if self.table is None else self.table.manifest.version
 
     def tokens_per_s(self) -> float | None:
-        return None if self.table is None else self.table.manifest.bounds.tokens_per_s
+        return self.bounds().tokens_per_s
+
+    def idle_timeout_s(self) -> float:
+        return self.bounds().idle_timeout_s
+
+    def bounds(self) -> CallerBounds:
+        return CallerBounds() if self.table is None else self.table.manifest.bounds
 
     def apply(self, configuration: Configuration) -> None:
         manifest = configuration.manifest
@@ -146,7 +154,7 @@
     runtime = Runtime(link, (roster, following, shares))
     client = create_client(keepalive_s=settings.upstream_idle_s)
     exposition = Exposition()
-    pools = Pools(lambda: manifests.table, roster.routers_count, settings.data_centre, rng)
+    pools = Pools(lambda: manifests.table, shares.weight, settings.data_centre, rng)
     handler = _chain(settings, edge, manifests, pools, observe, client, rng, exposition, shares)
     exposition.observe("running_count", "requests that have not ended", observe.open_count)
     exposition.observe("manifest_version", "version in force", manifests.version)
@@ -183,6 +191,7 @@
             stopping.shutdown,
             graceful_timeout_s=settings.stop_timeout_s,
             leaving=left.is_set,
+            keep_alive_s=manifests.idle_timeout_s,
         )
         tasks.cancel_scope.cancel()
     link.close()
@@ -277,7 +286,7 @@
 
 async def _follow_upstreams(edge: RouterEdge, client: httpx.AsyncClient, pools: Pools) -> None:
     async for upstreams in edge.follow_upstreams(client):
-        pools.apply(upstreams)
+        pools.apply(upstreams, time.monotonic())
 
 
 async def _watch_seeds(
--- a/tests/controllers/test_shares.py
+++ b/tests/controllers/test_shares.py
@@ -42,6 +42,21 @@
         self.assertAlmostEqual(taken / 100, 0.45, delta=0.02)
         self.assertTrue(all(first.within_share("small", 5.0, 0.2) for _ in range(10)))
 
+    def test_weight(self) -> None:
+        """Guards against a router that gets an even part though a whole team's callers are there,
+        and against a flood that takes the parts of the other routers."""
+        first, second, totals = a_router(), a_router(), TotalsController()
+        for _ in range(30):
+            first.within_share("large", 10.0, 0.0)
+        for team in ("a", "b", "c"):
+            second.within_share(team, 10.0, 0.0)
+        for _ in range(2):
+            exchange(first, "r-1", totals, 0.1)
+            exchange(second, "r-2", totals, 0.1)
+        # The large team gets 70 of the 100 tokens that there are, the others the 30 they ask for.
+        self.assertAlmostEqual(first.weight(), 0.7)
+        self.assertAlmostEqual(second.weight(), 0.3)
+
     def test_no_totals(self) -> None:
         """Guards against shares that are not kept while no controller answers."""
         router = a_router()
--- /dev/null
+++ b/tests/filters/test_place.py
@@ -0,0 +1,86 @@
+"""Guards against requests that are refused though a place is about to be free, or held too long."""
+
+from __future__ import annotations
+
+import random
+import time
+import unittest
+from contextlib import aclosing
+from typing import TYPE_CHECKING
+
+import anyio
+
+from camphorvalve.controllers.pools import Pools
+from camphorvalve.filters.place import WAIT_RATIO, PlaceFilter
+from camphorvalve.model.answers import Body, Head
+from camphorvalve.model.errors import RequestError
+from camphorvalve.sharing.routing import RouteTable
+from camphorvalve.upstreams.errors import NoAnswer
+from tests.routebuilders import a_listed, a_manifest, a_prompt, a_route, a_routed_exchange
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+    from camphorvalve.model.answers import Part
+    from camphorvalve.model.requests import Exchange
+
+PROMPT = a_prompt("a", "own", tokens_count=13_000)
+
+
+async def answer(exchange: Exchange) -> AsyncIterator[Part]:
+    yield Head(200, ())
+    yield Body(b"yes")
+
+
+async def fail(exchange: Exchange) -> AsyncIterator[Part]:
+    raise NoAnswer("up-1", "reset")
+    yield
+
+
+class PlaceFilterTest(unittest.TestCase):
+    def setUp(self) -> None:
+        table = RouteTable(a_manifest())
+        self.pools = Pools(lambda: table, lambda: 0.0, "perth-a", random.Random(1))
+        self.pools.apply([a_listed("up-1")], 0.0)
+        self.filter = PlaceFilter(self.pools)
+
+    async def run_one(self, handler: object = answer, objective_s: float = 0.4) -> list[Part]:
+        exchange = a_routed_exchange(a_route(objective_s=objective_s), prompt=PROMPT)
+        async with aclosing(self.filter(exchange, handler)) as parts:
+            return [part async for part in parts]
+
+    def test_waits_for_a_place(self) -> None:
+        """Guards against a refusal a moment before a place is free."""
+
+        async def run() -> list[Part]:
+            held = self.pools.begin(a_routed_exchange(prompt=PROMPT), 0.0)
+
+            async def end() -> None:
+                await anyio.sleep(0.05)
+                self.pools.end(held)
+
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(end)
+                return await self.run_one(objective_s=60.0)
+
+        self.assertEqual(anyio.run(run)[-1], Body(b"yes"))
+
+    def test_gives_up_early(self) -> None:
+        """Guards against a request that is held until its caller has no time left."""
+        self.pools.begin(a_routed_exchange(prompt=PROMPT), 0.0)
+        began_s = time.monotonic()
+        with self.assertRaises(RequestError) as caught:
+            anyio.run(self.run_one)
+        self.assertEqual(caught.exception.code, "overloaded")
+        self.assertGreaterEqual(time.monotonic() - began_s, WAIT_RATIO * 0.4 * 0.9)
+
+    def test_place_is_given_back(self) -> None:
+        """Guards against places that are lost with failed requests until none is left."""
+        for _ in range(20):
+            with self.assertRaises(NoAnswer):
+                anyio.run(self.run_one, fail)
+        self.assertEqual(anyio.run(self.run_one)[-1], Body(b"yes"))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/http/test_routed.py
+++ b/tests/http/test_routed.py
@@ -122,6 +122,7 @@
         self.assertIn(b" 503 ", received[:20])
         self.assertIn(b"retry-after: 0.250", received)
         self.assertIn(b"attempt-id: id-/a/1", received)
+        self.assertIn(b"connection: close", received)
         self.assertNotIn(b"server-stamp", received)
 
     def test_broken_answer(self) -> None:
