--- a/tests/cli/test_main.py
+++ b/tests/cli/test_main.py
@@ -85,7 +85,7 @@
                 self.assertEqual((code, "usage:" in output), (0, True))
 
     async def test_documented_commands_exist(self) -> None:
-        text = (EXAMPLES.parent / "docs" / "operations.md").read_text()
+        text = (EXAMPLES.parent / "docs" / "OPERATIONS.md").read_text()
         lines = re.findall(r"(?m)(?:^    |`)camphorvalve ([^`#\n]+)", text)
         self.assertGreater(len(lines), 20)
         for line in lines:
--- a/tools/quickstart.py
+++ b/tools/quickstart.py
@@ -80,7 +80,7 @@
 
 
 def _environment(fleet: Fleet, caller_url: str) -> dict[str, str]:
-    """Build the variables that the commands in README.md and docs/operations.md use."""
+    """Build the variables that the commands in README.md and docs/OPERATIONS.md use."""
 
     def operator_urls(role: str) -> str:
         return " ".join(fleet.members[member_id].operator_url for member_id in fleet.ids(role))
@@ -101,7 +101,7 @@
         for member in fleet.members.values():
             print(f"{member.member_id}: pid {member.pid}, {member.operator_url or member.url}")
         print(f"\nsettings, logs and data of every process: {fleet.folder}")
-        print("for the commands of README.md and docs/operations.md, paste into another shell:\n")
+        print("for the commands of README.md and docs/OPERATIONS.md, paste into another shell:\n")
         for name, value in _environment(fleet, caller_url).items():
             print(f'export {name}="{value}"')
         print("\nCtrl-C stops the fleet", flush=True)
