--- /dev/null
+++ b/tests/filters/test_share.py
@@ -0,0 +1,93 @@
+"""Guards against requests beyond their team's share that take places from others."""
+
+from __future__ import annotations
+
+import unittest
+from contextlib import aclosing
+from typing import TYPE_CHECKING
+
+import anyio
+
+from camphorvalve.filters.share import share
+from camphorvalve.model.answers import Head
+from camphorvalve.model.errors import RequestError, Run
+from camphorvalve.model.teams import Limits, TeamParameters
+from tests.routebuilders import a_prompt, a_routed_exchange
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+    from camphorvalve.model.answers import Part
+    from camphorvalve.model.requests import Exchange
+
+TEAM = TeamParameters("youth", 1.0, {}, Limits())
+
+
+class _Shares:
+    """Stands in for the shares; every request is beyond its share or none is."""
+
+    def __init__(self, *, within: bool, congested: bool) -> None:
+        self.starved: list[float] = []
+        self._within = within
+        self._congested = congested
+
+    def within_share(self, team: str, tokens: float, now_s: float) -> bool:
+        return self._within
+
+    def congested(self, now_s: float) -> bool:
+        return self._congested
+
+    def starve(self, tokens: float, now_s: float) -> None:
+        self.starved.append(tokens)
+
+
+class ShareTest(unittest.TestCase):
+    def play(self, shares: _Shares, *, full: bool = False, prompt: bool = True) -> int:
+        """Run the filter; returns the status."""
+
+        async def inner(exchange: Exchange) -> AsyncIterator[Part]:
+            if full:
+                raise RequestError("overloaded", "full")
+            yield Head(200, ())
+
+        async def run() -> int:
+            fields = {"prompt": a_prompt("a", "own")} if prompt else {}
+            exchange = a_routed_exchange(team=TEAM, **fields)
+            async with aclosing(share(shares)(exchange, inner)) as parts:
+                return (await anext(parts)).status
+
+        try:
+            return anyio.run(run)
+        except RequestError as error:
+            self.assertEqual(error.run, Run.NO)
+            return error.status
+
+    def test_rows(self) -> None:
+        """Guards against refusals where there is room, and floods where there is none."""
+        rows = [
+            (True, True, 200),
+            (True, False, 200),
+            (False, False, 200),
+            (False, True, 503),
+        ]
+        for within, congested, status in rows:
+            with self.subTest(within=within, congested=congested):
+                self.assertEqual(self.play(_Shares(within=within, congested=congested)), status)
+
+    def test_plain_calls(self) -> None:
+        """Guards against calls of plain services that are held to the engines' shares."""
+        shares = _Shares(within=False, congested=True)
+        self.assertEqual(self.play(shares, prompt=False), 200)
+
+    def test_starved(self) -> None:
+        """Guards against refusals within shares that no other router hears of."""
+        shares = _Shares(within=True, congested=False)
+        self.play(shares, full=True)
+        self.assertEqual(shares.starved, [1200.0])
+        beyond = _Shares(within=False, congested=False)
+        self.play(beyond, full=True)
+        self.assertEqual(beyond.starved, [])
+
+
+if __name__ == "__main__":
+    unittest.main()
