Explain a request from a log file

Cause: engineers on call have logs and metrics only, and the command line asked running routers. Change: 'camphorvalve explain log REQUEST FILE' prints the decisions on a request after what each process believed when it first met it.

--- a/src/camphorvalve/cli/explain.py
+++ b/src/camphorvalve/cli/explain.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from pathlib import Path
 from typing import Any
 from urllib.parse import quote
 
@@ -10,6 +11,7 @@
 from camphorvalve.cli.client import connect
 from camphorvalve.cli.output import CommandError, ExitCode, print_fields, print_json, say
 from camphorvalve.cli.replies import Reply, answered
+from camphorvalve.reports import logfile
 from camphorvalve.reports.burn import BurnReport, merge
 from camphorvalve.reports.tables import burn_table
 from camphorvalve.reports.teams import merge_teams
@@ -29,6 +31,25 @@
     print_fields(_with_url(found), json=json)
 
 
+async def log(request_id: str, file: str, *, json: bool = False) -> None:
+    """
+    Show the decisions on one request from a log file, and what each process believed before them.
+
+    :param request_id: id of the request
+    :param file: log of one or several processes, in order of time
+    :param json: print JSON
+    """
+    found = _read_log(file, request_id)
+    if not found:
+        raise CommandError(ExitCode.FAILED, f"{file}: no line on request {request_id!r}")
+    if json:
+        print_json(found)
+        return
+    for entry in found:
+        print_fields(entry, json=False)
+        print()
+
+
 async def team(name: str, *, router: tuple[str, ...] = (), json: bool = False) -> None:
     """
     Show what a team gets and why, over all given routers.
@@ -62,6 +83,14 @@
         print(burn_table(report))
 
 
+def _read_log(file: str, request_id: str) -> list[dict[str, Any]]:
+    try:
+        with Path(file).open(encoding="utf-8", errors="replace") as lines:
+            return list(logfile.explain(lines, request_id))
+    except OSError as error:
+        raise CommandError(ExitCode.USAGE, f"{file}: {error.strerror}") from error
+
+
 def _burn_report(reply: Reply) -> BurnReport:
     try:
         return msgspec.convert(reply.body, BurnReport)
@@ -73,4 +102,4 @@
     return {"router": reply.url, **reply.body}
 
 
-__all__ = ["burn", "request", "team"]
+__all__ = ["burn", "log", "request", "team"]
--- a/src/camphorvalve/cli/parser.py
+++ b/src/camphorvalve/cli/parser.py
@@ -56,7 +56,7 @@
         "change-role": orders.change_role,
         "list": orders.list_orders,
     },
-    "explain": {"request": explain.request, "team": explain.team},
+    "explain": {"request": explain.request, "team": explain.team, "log": explain.log},
     "burn": explain.burn,
 }
 
--- a/tests/cli/test_main.py
+++ b/tests/cli/test_main.py
@@ -214,6 +214,22 @@
                         self.assertIn(text, errors)
         self.assertEqual(controller.current.revision, 0)
 
+    async def test_explain_log(self) -> None:
+        """Guards against a log file from which the command finds nothing, or reports a failure as
+        done."""
+        with tempfile.TemporaryDirectory() as folder:
+            path = Path(folder) / "router.log"
+            lines = ({"event": event, "request_id": "r1"} for event in ("placed", "finished"))
+            path.write_text("\n".join(f"1.0 router-1 {json.dumps(line)}" for line in lines))
+            found = await self.run_json("explain", "log", "r1", str(path))
+            self.assertEqual([line["event"] for line in found], ["placed", "finished"])
+            code, output, _ = await self.run_command("explain", "log", "r1", str(path))
+            self.assertEqual((code, "finished" in output), (ExitCode.DONE, True))
+            code, _, errors = await self.run_command("explain", "log", "r2", str(path))
+            self.assertEqual((code, "r2" in errors), (ExitCode.FAILED, True))
+            code, _, errors = await self.run_command("explain", "log", "r1", f"{path}.none")
+            self.assertEqual((code, "router.log.none" in errors), (ExitCode.USAGE, True))
+
     async def test_router_commands(self) -> None:
         async with served(router_app(FakeRouter(), None)) as url:
             both = ("--router", NOBODY, f"--router={url}")
--- /dev/null
+++ b/tests/reports/test_logfile.py
@@ -0,0 +1,40 @@
+"""Guards against a failed request whose cause cannot be found in the logs."""
+
+from __future__ import annotations
+
+import unittest
+
+from camphorvalve.reports.logfile import explain
+
+LINES = [
+    '1.0 r-1 {"event": "manifest in force", "host_id": "r-1", "version": 1}',
+    '1.5 r-2 {"event": "manifest in force", "host_id": "r-2", "version": 2}',
+    '2.0 r-1 {"event": "manifest in force", "host_id": "r-1", "version": 3}',
+    "2.1 r-1 no structured line",
+    '2.2 r-1 {"event": "cut off',
+    '3.0 r-1 {"event": "request placed", "host_id": "r-1", "request_id": "a"}',
+    '3.1 r-1 {"event": "request placed", "host_id": "r-1", "request_id": "b"}',
+    '3.2 r-1 {"event": "attempt failed", "host_id": "r-1", "request_id": "a"}',
+    '3.3 r-1 {"event": "manifest in force", "host_id": "r-1", "version": 4}',
+    '3.4 r-1 {"event": "request finished", "host_id": "r-1", "request_id": "a"}',
+]
+
+
+class ExplainTest(unittest.TestCase):
+    def test_selection(self) -> None:
+        """Guards against missing decisions, and beliefs of another process or time."""
+        found = [(one["event"], one.get("version")) for one in explain(LINES, "a")]
+        self.assertEqual(
+            found,
+            [
+                ("manifest in force", 3),
+                ("request placed", None),
+                ("attempt failed", None),
+                ("request finished", None),
+            ],
+        )
+        self.assertEqual(list(explain(LINES, "c")), [])
+
+
+if __name__ == "__main__":
+    unittest.main()
