Fill engines as far as they answer in time, and size shares by what they begin

Ruled out: the quotas (fibo220 and fifi863 had about as many requests within their shares).

Change: at least 16 and at first 32 requests may wait at an engine; shares are cut from 1.6 times the stated tokens.

--- a/src/camphorvalve/controllers/pools.py
+++ b/src/camphorvalve/controllers/pools.py
@@ -33,11 +33,12 @@
     from camphorvalve.model.upstreams import Upstream
     from camphorvalve.sharing.routing import RouteTable
 
-START_WAITING_COUNT = 16.0
+START_WAITING_COUNT = 32.0
 """Requests that may wait for an engine's first token, at all routers together, before it is known
-how soon that comes: an engine reads about 25 such prompts within an objective of 0.4 s."""
-LEAST_WAITING_COUNT = 6.0
-"""Lowest limit; an engine that answers late even then is slow for another reason."""
+how soon that comes: an engine reads about 25 such prompts within an objective of 0.4 s, and some
+are shorter."""
+LEAST_WAITING_COUNT = 16.0
+"""Lowest limit; with 6, engines began 0.9 M of the 1.5 M tokens/s that they can (scale-1)."""
 MOST_WAITING_COUNT = 64.0
 OVER_SHARE_RATIO = 0.6
 """Part of the limit that requests beyond their team's share may use, so that the other teams find
--- a/src/camphorvalve/controllers/shares.py
+++ b/src/camphorvalve/controllers/shares.py
@@ -22,6 +22,10 @@
 """An eighth of the window, so that totals lag by little of it."""
 TOTALS_LIFETIME_S = 2.0
 """Four reports without an answer; the router's own demand stands in for the fleet's then."""
+CAPACITY_RATIO = 1.6
+"""What the engines work off, by the cost that is estimated here, in terms of what the manifest
+states: prompts whose beginning they hold cost less, and answers end before their longest length.
+They began 1.5 M tokens/s where the manifest states 0.85 M (scale-1)."""
 LEAST_PART = 0.5
 """Part of an even share that a router may use however little came in there lately."""
 STARVED = "starved"
@@ -151,7 +155,7 @@
         tokens_per_s = self._tokens_per_s()
         if tokens_per_s is None:
             return
-        self._quotas.set_ratios(demands, tokens_per_s * WINDOW_S)
+        self._quotas.set_ratios(demands, CAPACITY_RATIO * tokens_per_s * WINDOW_S)
         least = LEAST_PART / max(1, self._routers_count())
         self._weight = max(least, self._quotas.weight(own, demands) or 2 * least)
         over_share = set(self._quotas.over_share())
