Divide the retry budget by the routers that run, and list routers whose clock was set back

Change: the budget is divided by the routers in the roster, eight at least; a lower incarnation counts once the higher one was silent for 1.5 s (with a test that failed before); the sum is asked of a controller that answered lately; wiring has a module for each process.

--- a/src/camphorvalve/controllers/presence.py
+++ b/src/camphorvalve/controllers/presence.py
@@ -18,6 +18,9 @@
 
 ROSTER_SILENCE_S = 2.5
 """Two missed polls of 1 s and the time that a poll takes; callers are not sent there then."""
+SUCCEEDED_S = 1.5
+"""Silence after which a lower incarnation is the process that runs now: a late message of an older
+process arrives sooner, and a running one polls every second."""
 FORGET_S = 3600.0
 """Silence after which a router is no longer reported; its host was replaced by then."""
 
@@ -44,14 +47,19 @@
 
     def note(self, sender: Sender, poll: ConfigPoll | None, now_s: float) -> None:
         """
-        Take a message; one of an older incarnation than the newest is dropped.
+        Take a message; one of an older incarnation is dropped while the newer one is heard.
+
+        Incarnations come from the time of day, which may jump back between two starts.
 
         :param sender: the router
         :param poll: its poll, or ``None`` for another message
         :param now_s: monotonic time
         """
         known = self.routers.get(sender.host_id)
-        if known is None or sender.incarnation > known.incarnation:
+        newer = known is None or sender.incarnation > known.incarnation
+        if newer or (
+            sender.incarnation < known.incarnation and now_s - known.heard_s > SUCCEEDED_S
+        ):
             known = Router(sender.host_id, sender.incarnation, now_s)
             self.routers[sender.host_id] = known
         if sender.incarnation == known.incarnation:
--- a/src/camphorvalve/controllers/roster.py
+++ b/src/camphorvalve/controllers/roster.py
@@ -56,6 +56,10 @@
             known.update(dict.fromkeys(view.roster.controllers))
         return known
 
+    def live_controller_ids(self) -> Iterable[str]:
+        """:return: ids of the controllers that answered lately, of all known ones if none did"""
+        return self._views.keys() or self.controller_ids()
+
     def roster_version(self, controller_id: str) -> int:
         """
         Tell which roster of a controller is held.
--- a/src/camphorvalve/settings/schema.py
+++ b/src/camphorvalve/settings/schema.py
@@ -75,8 +75,9 @@
     """Longest time that a graceful stop waits for its last answer."""
     retry_ratio: float = 0.1
     """Retries of this router per first try at a pool."""
-    retry_floor_count: int = 3
-    """Retries in 10 s that are allowed however few first tries there are."""
+    retry_fleet_count: int = 24
+    """Retries in 10 s, of all routers together, that are allowed however few first tries there
+    are."""
     upstream_idle_s: float = 4.0
     """How long an idle connection to an upstream is kept; common servers close it after 5 s."""
     logging: Logging = Logging()
--- a/src/camphorvalve/sharing/budget.py
+++ b/src/camphorvalve/sharing/budget.py
@@ -3,6 +3,10 @@
 from __future__ import annotations
 
 from collections import deque
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
 
 BUCKET_S = 1.0
 
@@ -14,7 +18,13 @@
     Holds one bucket per second of the window and pool.
     """
 
-    def __init__(self, *, ratio: float = 0.1, floor_count: int = 3, window_s: float = 10.0) -> None:
+    def __init__(
+        self,
+        *,
+        ratio: float = 0.1,
+        floor_count: Callable[[], int] = lambda: 3,
+        window_s: float = 10.0,
+    ) -> None:
         """
         Prepare the budget.
 
@@ -47,7 +57,7 @@
         bucket = self._bucket(pool, now_s)
         first_count = sum(one[1] for one in self._pools[pool])
         retry_count = sum(one[2] for one in self._pools[pool])
-        if retry_count >= max(self._floor_count, int(self._ratio * first_count)):
+        if retry_count >= max(self._floor_count(), int(self._ratio * first_count)):
             return False
         bucket[2] += 1
         return True
--- a/src/camphorvalve/wiring/__init__.py
+++ b/src/camphorvalve/wiring/__init__.py
@@ -4,14 +4,9 @@
 
 from camphorvalve.wiring.common import new_incarnation, policy_of
 from camphorvalve.wiring.controller import run_controller
-from camphorvalve.wiring.joined import (
-    ControllerEdge,
-    Port,
-    RouterEdge,
-    RouterView,
-    run_joined_controller,
-    run_joined_router,
-)
+from camphorvalve.wiring.edges import ControllerEdge, Port, RouterEdge, RouterView
+from camphorvalve.wiring.joinedcontroller import run_joined_controller
+from camphorvalve.wiring.joinedrouter import run_joined_router
 from camphorvalve.wiring.router import Router, build_router, run_router
 
 __all__ = [
--- /dev/null
+++ b/src/camphorvalve/wiring/joinedcontroller.py
@@ -0,0 +1,91 @@
+"""Builds and runs a controller that joins its group through seeds."""
+
+from __future__ import annotations
+
+import random
+from functools import partial
+from typing import TYPE_CHECKING
+
+import anyio
+import structlog
+
+from camphorvalve.consensus.storage import Syncs, bootstrap, open_storage
+from camphorvalve.controllers.manifests import ManifestStore
+from camphorvalve.controllers.replication import ReplicationController
+from camphorvalve.controllers.runtime import Runtime
+from camphorvalve.controllers.stopping import wait_for_signal
+from camphorvalve.controllers.totals import TotalsController
+from camphorvalve.http.server import serve
+from camphorvalve.reports.exposition import Exposition
+from camphorvalve.reports.metrics import CONTROLLER_METRICS, SYNC_LONGEST, SYNCS_COUNT
+from camphorvalve.wiring.common import new_incarnation, open_link
+from camphorvalve.wiring.edges import follow_seeds, keep_peers
+
+if TYPE_CHECKING:
+    from camphorvalve.settings.schema import ControllerSettings
+    from camphorvalve.wiring.edges import ControllerEdge
+
+_log = structlog.get_logger(__name__)
+
+
+async def run_joined_controller(settings: ControllerSettings, edge: ControllerEdge) -> None:
+    """
+    Run a controller that joins its group through seeds, until it is told to stop.
+
+    :param settings: checked settings, with seeds
+    :param edge: the platform's side
+    """
+    incarnation = new_incarnation()
+    _form_group(settings)
+    storage = open_storage(settings.data_folder, settings.host_id)
+    replication = ReplicationController(settings, storage, random.Random(incarnation))
+    link = open_link(settings, incarnation)
+    runtime = Runtime(link, (replication, TotalsController()))
+    link.open()
+    shutdown = anyio.Event()
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(runtime.run)
+        tasks.start_soon(replication.run, runtime.send)
+        tasks.start_soon(follow_seeds, edge.watch_seeds, replication.set_seeds)
+        tasks.start_soon(keep_peers, link, replication.peer_ids)
+        _log.info("controller started", identity=replication.status()["identity"])
+        async with anyio.create_task_group() as servers:
+            metrics = _controller_metrics(replication)
+            for port in edge.ports(ManifestStore(replication), metrics.app()):
+                stop = partial(serve, graceful_timeout_s=settings.stop_timeout_s)
+                servers.start_soon(stop, port.app, port.bind, shutdown)
+            await wait_for_signal(shutdown)
+        tasks.cancel_scope.cancel()
+    storage.close()
+    link.close()
+    _log.info("controller stopped")
+
+
+def _controller_metrics(replication: ReplicationController) -> Exposition:
+    exposition = Exposition()
+    for metric in CONTROLLER_METRICS:
+        if metric not in (SYNCS_COUNT, SYNC_LONGEST):
+            read = partial(_level, replication, metric.name)
+            exposition.observe(metric.name, f"{metric.meaning} ({metric.unit})", read)
+    return exposition
+
+
+def _level(replication: ReplicationController, name: str) -> float:
+    return getattr(replication.levels(Syncs()), name)
+
+
+def _form_group(settings: ControllerSettings) -> None:
+    """Create the data folder of a seed when the whole fleet starts for the first time."""
+    if not settings.bootstrap or settings.host_id not in settings.seeds:
+        return
+    # The seeds are the same on all first members, and no later fleet starts on these disks.
+    seed = "first group of " + ",".join(sorted(settings.seeds))
+    try:
+        identity = bootstrap(settings.data_folder, settings.host_id, settings.seeds, seed)
+    except FileExistsError:
+        _log.info("data folder holds a replica already", folder=settings.data_folder)
+        return
+    _log.info("data folder created", identity=identity, members=list(settings.seeds))
+
+
+__all__ = ["run_joined_controller"]
--- /dev/null
+++ b/src/camphorvalve/wiring/joinedrouter.py
@@ -0,0 +1,171 @@
+"""Builds and runs a router that finds its fleet from seeds and serves routed calls."""
+
+from __future__ import annotations
+
+import random
+import time
+from typing import TYPE_CHECKING
+
+import anyio
+import structlog
+
+from camphorvalve.controllers.following import ConfigurationFollower, Contact, Load
+from camphorvalve.controllers.inforce import ManifestInForce
+from camphorvalve.controllers.pools import Pools
+from camphorvalve.controllers.roster import RosterController
+from camphorvalve.controllers.runtime import Runtime
+from camphorvalve.controllers.shares import SharesController
+from camphorvalve.controllers.stopping import Stopping
+from camphorvalve.filters.account import account
+from camphorvalve.filters.chain import compose
+from camphorvalve.filters.deadline import deadline
+from camphorvalve.filters.forward import forward
+from camphorvalve.filters.observe import ObserveFilter
+from camphorvalve.filters.place import PlaceFilter
+from camphorvalve.filters.retry import RetryFilter
+from camphorvalve.filters.route import route
+from camphorvalve.filters.share import share
+from camphorvalve.http.routed import RoutedApp
+from camphorvalve.http.server import serve
+from camphorvalve.reports.exposition import Exposition
+from camphorvalve.sharing.budget import RetryBudget
+from camphorvalve.upstreams.client import create_client
+from camphorvalve.upstreams.routed import RoutedAttempts
+from camphorvalve.wiring.common import new_incarnation, open_link
+from camphorvalve.wiring.edges import RouterView, follow_seeds, keep_peers
+
+if TYPE_CHECKING:
+    from camphorvalve.filters.chain import Handler
+    from camphorvalve.settings.schema import RouterSettings
+    from camphorvalve.wiring.edges import RouterEdge
+
+LEAST_ROUTERS_COUNT = 8
+"""Routers among which the fixed part of the retry budget is divided at least: a router that has
+just started does not know the others yet."""
+
+_log = structlog.get_logger(__name__)
+
+
+class JoinedRouter:
+    """The parts of a router, joined to each other."""
+
+    def __init__(self, settings: RouterSettings, edge: RouterEdge) -> None:
+        """
+        Wire the parts.
+
+        :param settings: checked settings, with seeds
+        :param edge: the platform's side
+        """
+        self.incarnation = new_incarnation()
+        self._rng = random.Random(self.incarnation)
+        self._settings = settings
+        self._edge = edge
+        self._left = anyio.Event()
+        self._observe = ObserveFilter()
+        self._manifest = ManifestInForce()
+        self._roster = RosterController(settings.seeds)
+        contact = Contact("", settings.data_centre, settings.caller_bind)
+        self._following = ConfigurationFollower(self._roster, contact, self._load)
+        self._following.subscribe(self._manifest.apply)
+        self._shares = SharesController(
+            self._roster.live_controller_ids,
+            self._roster.routers_count,
+            lambda: self._manifest.bounds().tokens_per_s,
+        )
+        link = open_link(settings, self.incarnation)
+        self._runtime = Runtime(link, (self._roster, self._following, self._shares))
+        self._client = create_client(keepalive_s=settings.upstream_idle_s)
+        self._pools = Pools(
+            self._manifest.table, self._shares.weight, settings.data_centre, self._rng
+        )
+        self._exposition = Exposition()
+        self._observe_levels()
+
+    async def run(self) -> None:
+        """Run until the router has stopped gracefully."""
+        settings, edge, link = self._settings, self._edge, self._runtime.link
+        stopping = Stopping(self._leave, settings.address_lifetime_s)
+        name = edge.names.request_id
+        callers = RoutedApp(self._handler(), edge.decode, request_id_name=name)
+        link.open()
+        async with self._client, anyio.create_task_group() as tasks:
+            tasks.start_soon(self._runtime.run)
+            tasks.start_soon(stopping.run)
+            tasks.start_soon(self._follow_upstreams)
+            tasks.start_soon(follow_seeds, edge.watch_seeds, self._roster.set_seeds)
+            tasks.start_soon(keep_peers, link, self._roster.controller_ids)
+            view = RouterView(self._caller_addresses, self._is_ready, self._exposition.app())
+            for port in edge.ports(view):
+                tasks.start_soon(serve, port.app, port.bind, anyio.Event())
+            _log.info(
+                "router started", caller_bind=settings.caller_bind, incarnation=self.incarnation
+            )
+            await serve(
+                callers,
+                settings.caller_bind,
+                stopping.shutdown,
+                graceful_timeout_s=settings.stop_timeout_s,
+                leaving=self._left.is_set,
+                keep_alive_s=lambda: self._manifest.bounds().idle_timeout_s,
+            )
+            tasks.cancel_scope.cancel()
+        link.close()
+        _log.info("router stopped")
+
+    def _handler(self) -> Handler:
+        budget = RetryBudget(ratio=self._settings.retry_ratio, floor_count=self._retry_floor_count)
+        return compose(
+            (
+                account([self._exposition.record]),
+                self._observe,
+                route(self._manifest.table, self._rng),
+                deadline,
+                share(self._shares),
+                RetryFilter(budget),
+                PlaceFilter(self._pools),
+            ),
+            forward(self._pools, RoutedAttempts(self._client, self._edge.names)),
+        )
+
+    def _retry_floor_count(self) -> int:
+        routers_count = max(LEAST_ROUTERS_COUNT, self._roster.routers_count())
+        return self._settings.retry_fleet_count // routers_count
+
+    def _observe_levels(self) -> None:
+        observe = self._exposition.observe
+        observe("running_count", "requests that have not ended", self._observe.open_count)
+        observe("manifest_version", "version in force", self._manifest.version)
+        observe("routers_count", "routers that accept callers", self._roster.routers_count)
+        observe("engine_part", "part of each engine for this router", self._shares.weight)
+
+    def _load(self) -> Load:
+        return Load(self._left.is_set(), 0, self._observe.open_count())
+
+    def _is_ready(self) -> bool:
+        return self._manifest.table() is not None and not self._left.is_set()
+
+    def _caller_addresses(self) -> list[str]:
+        own = self._settings.caller_bind
+        others = {one.caller_address for one in self._roster.routers()} - {own}
+        return sorted({*others, own} if self._is_ready() else others)
+
+    def _leave(self) -> None:
+        self._left.set()
+        self._runtime.send(self._following.poll())
+
+    async def _follow_upstreams(self) -> None:
+        async for upstreams in self._edge.follow_upstreams(self._client):
+            self._pools.apply(upstreams, time.monotonic())
+
+
+async def run_joined_router(settings: RouterSettings, edge: RouterEdge) -> None:
+    """
+    Run a router until it has stopped gracefully.
+
+    :param settings: checked settings, with seeds
+    :param edge: the platform's side
+    """
+    await JoinedRouter(settings, edge).run()
+
+
+__all__ = ["JoinedRouter", "run_joined_router"]
--- a/tests/controllers/test_manifests.py
+++ b/tests/controllers/test_manifests.py
@@ -97,6 +97,29 @@
 
 
 class RosterTest(unittest.TestCase):
+    def test_clock_set_back(self) -> None:
+        """Guards against a router that restarts after its time of day jumped back and is never
+        listed again, and against late messages of a process that has ended."""
+        group = Group()
+        group.leader()
+
+        def leaving(incarnation: int) -> None:
+            group.send("router-2", HOSTS[0], a_poll(leaving=True), incarnation)
+
+        def listed() -> list[bool]:
+            group.inboxes["router-1"] = []
+            group.send("router-1", HOSTS[0], a_poll())
+            group.run(0.1)
+            routers = group.inboxes["router-1"][-1].routers
+            return [one.leaving for one in routers if one.router_id == "router-2"]
+
+        group.send("router-2", HOSTS[0], a_poll(), incarnation=9)
+        leaving(8)
+        self.assertEqual(listed(), [False])
+        group.run(2.0)
+        leaving(4)
+        self.assertEqual(listed(), [True])
+
     def test_routers_come_and_go(self) -> None:
         """Guards against callers that are sent to routers which are gone or leave."""
         group = Group()
--- a/tests/filters/test_retry.py
+++ b/tests/filters/test_retry.py
@@ -114,7 +114,7 @@
         self.assertLessEqual(runs_count, 200 * 1.1 + 3)
 
     async def test_failures_that_are_not_tried_again_leave_the_budget_alone(self) -> None:
-        budget = RetryBudget(ratio=0.0, floor_count=1)
+        budget = RetryBudget(ratio=0.0, floor_count=lambda: 1)
         for _ in range(5):
             exchange = _exchange(idempotent=False, streamed=False)
             await self._end(exchange, Script((0, NO_ANSWER)), budget)
--- a/tests/sharing/test_budget.py
+++ b/tests/sharing/test_budget.py
@@ -9,7 +9,7 @@
 
 class RetryBudgetTest(unittest.TestCase):
     def setUp(self) -> None:
-        self.budget = RetryBudget(ratio=0.1, floor_count=3, window_s=10.0)
+        self.budget = RetryBudget(ratio=0.1, floor_count=lambda: 3, window_s=10.0)
 
     def _allowed(self, pool: str, now_s: float) -> int:
         return sum(self.budget.allow(pool, now_s) for _ in range(1000))
