Raise the part of a team that is served less than others over their share; pass events on at once again

Change: reports of demand carry what was served; a team over its share that got less than the mean of such teams has its part raised step by step, and with it the part of its router. The pause in streams is gone. The garbage collector of routers runs less often (trial: 9.5 instead of 11.1 ms for a streamed answer, on a busy machine).

--- a/src/camphorvalve/controllers/shares.py
+++ b/src/camphorvalve/controllers/shares.py
@@ -68,6 +68,7 @@
         self._totals_s = float("-inf")
         self._over_share: set[str] = set()
         self._weight = 1.0
+        self._served = Demand(WINDOW_S)
         self._starved = Demand(STARVED_WINDOW_S)
         self._congested_until_s = float("-inf")
 
@@ -83,6 +84,16 @@
         self._demand.add(team, tokens, now_s)
         return self._quotas.takes(team, tokens)
 
+    def serve(self, team: str, tokens: float, now_s: float) -> None:
+        """
+        Count a request whose answer has begun.
+
+        :param team: name of the team
+        :param tokens: its cost
+        :param now_s: monotonic time
+        """
+        self._served.add(team, tokens, now_s)
+
     def starve(self, tokens: float, now_s: float) -> None:
         """
         Count a request that was refused although it was within its team's share.
@@ -121,7 +132,9 @@
         :return: nothing
         """
         self._totals_s = now_s
-        self._set_quotas(dict(message.entries), self._demand.totals(now_s))
+        demands = {team: tokens for team, tokens, _ in message.entries}
+        served = {team: served_tokens for team, _, served_tokens in message.entries}
+        self._set_quotas(demands, self._demand.totals(now_s), served)
         self._set_starved(message.starved_tokens, now_s)
         yield from ()
 
@@ -133,14 +146,17 @@
         :return: the report
         """
         own = self._demand.totals(now_s)
+        served = self._served.totals(now_s)
         starved_tokens = self._starved.totals(now_s).get(STARVED, 0.0)
         if now_s - self._totals_s > TOTALS_LIFETIME_S:
             count = max(1, self._routers_count())
-            self._set_quotas({team: count * tokens for team, tokens in own.items()}, own)
+            self._set_quotas({team: count * tokens for team, tokens in own.items()}, own, served)
             self._set_starved(starved_tokens, now_s)
         aggregator = owner(AGGREGATOR_KEY, self._controller_ids())
         if aggregator is not None:
-            entries = tuple(TeamTokens(team, tokens) for team, tokens in own.items())
+            entries = tuple(
+                TeamTokens(team, tokens, served.get(team, 0.0)) for team, tokens in own.items()
+            )
             yield Outgoing(aggregator, Asked(entries, starved_tokens))
 
     def _set_starved(self, tokens: float, now_s: float) -> None:
@@ -151,11 +167,13 @@
             _log.info("shares are enforced strictly", starved_tokens=round(tokens))
         self._congested_until_s = now_s + CONGESTED_S
 
-    def _set_quotas(self, demands: dict[str, float], own: dict[str, float]) -> None:
+    def _set_quotas(
+        self, demands: dict[str, float], own: dict[str, float], served: dict[str, float]
+    ) -> None:
         tokens_per_s = self._tokens_per_s()
         if tokens_per_s is None:
             return
-        self._quotas.set_ratios(demands, CAPACITY_RATIO * tokens_per_s * WINDOW_S)
+        self._quotas.set_ratios(demands, CAPACITY_RATIO * tokens_per_s * WINDOW_S, served)
         least = LEAST_PART / max(1, self._routers_count())
         self._weight = max(least, self._quotas.weight(own, demands) or 2 * least)
         over_share = set(self._quotas.over_share())
--- a/src/camphorvalve/controllers/totals.py
+++ b/src/camphorvalve/controllers/totals.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from typing import TYPE_CHECKING, Any, NamedTuple
 
 from camphorvalve.controllers.runtime import Outgoing
@@ -42,12 +43,14 @@
         :return: the sums
         """
         self._reports[sender.host_id] = _Report(message, now_s)
-        totals: dict[str, float] = {}
+        asked: Counter[str] = Counter()
+        served: Counter[str] = Counter()
         for report in self._reports.values():
-            for team, tokens in report.asked.entries:
-                totals[team] = totals.get(team, 0.0) + tokens
+            for team, tokens, served_tokens in report.asked.entries:
+                asked[team] += tokens
+                served[team] += served_tokens
         starved_tokens = sum(report.asked.starved_tokens for report in self._reports.values())
-        entries = tuple(TeamTokens(team, tokens) for team, tokens in totals.items())
+        entries = tuple(TeamTokens(team, asked[team], served[team]) for team in asked)
         yield Outgoing(sender.host_id, AskedTotals(entries, starved_tokens))
 
     def tick(self, now_s: float) -> Iterator[Outgoing]:
--- a/src/camphorvalve/filters/share.py
+++ b/src/camphorvalve/filters/share.py
@@ -8,6 +8,7 @@
 
 import structlog
 
+from camphorvalve.model.answers import Body
 from camphorvalve.model.errors import RequestError
 from camphorvalve.sharing.homes import cost_tokens
 
@@ -35,6 +36,8 @@
 
     async def filter_(exchange: Exchange, inner: Handler) -> AsyncIterator[Part]:
         tokens = cost_tokens(exchange.request.call)
+        # Calls without a prompt take no engine, and those without a team have no share.
+        began = not tokens or exchange.team is None
         if tokens and exchange.team is not None:
             now_s = time.monotonic()
             exchange.within_share = shares.within_share(exchange.team.name, tokens, now_s)
@@ -43,6 +46,9 @@
         try:
             async with aclosing(inner(exchange)) as parts:
                 async for part in parts:
+                    if not began and isinstance(part, Body):
+                        began = True
+                        shares.serve(exchange.team.name, tokens, time.monotonic())
                     yield part
         except RequestError as error:
             if error.code == "overloaded" and exchange.within_share:
--- a/src/camphorvalve/settings/schema.py
+++ b/src/camphorvalve/settings/schema.py
@@ -75,8 +75,6 @@
     """Longest time that a graceful stop waits for its last answer."""
     caller_connections_count: int = 1024
     """Connections of callers to routed calls above which a refusal closes its connection."""
-    stream_gather_s: float = 0.0
-    """Time that events of a routed stream may wait to be passed on together."""
     retry_ratio: float = 0.1
     """Retries of this router per first try at a pool."""
     retry_fleet_count: int = 24
--- a/src/camphorvalve/sharing/shares.py
+++ b/src/camphorvalve/sharing/shares.py
@@ -10,6 +10,11 @@
 
 BUCKETS_COUNT = 8
 """Buckets of the window; a finer window would only cost time."""
+MOST_STEP = 1.15
+"""Largest change of a team's part with one report, every half second; what was served is counted
+over eight of them, and larger steps overshoot."""
+MOST_CORRECTION = 4.0
+LEAST_SERVED_RATIO = 0.01
 ANSWER_WEIGHT = 2.0
 """A generated token takes as much of an engine as two that are read."""
 
@@ -85,18 +90,43 @@
         """Start without teams."""
         self._ratios: dict[str, float] = {}
         self._saved: dict[str, float] = {}
-
-    def set_ratios(self, demands: Mapping[str, float], capacity: float) -> None:
+        self._corrections: dict[str, float] = {}
+
+    def set_ratios(
+        self,
+        demands: Mapping[str, float],
+        capacity: float,
+        served: Mapping[str, float] | None = None,
+    ) -> None:
         """
         Set the part of each team's demand that is within its share.
 
+        Teams over their share are owed the same. One that gets less than the others, because its
+        callers come to a busy router or its prompts to busy engines, has its part raised.
+
         :param demands: tokens by team, of the whole fleet
         :param capacity: tokens to divide
+        :param served: tokens by team that were served in the same window
         """
         found = level(demands, capacity)
-        self._ratios = {team: found / demand for team, demand in demands.items() if demand > found}
+        over = {team: found / demand for team, demand in demands.items() if demand > found}
+        self._correct(over, served or {})
+        self._ratios = {
+            team: min(1.0, ratio * self._corrections[team]) for team, ratio in over.items()
+        }
         self._saved = {team: self._saved.get(team, 0.0) for team in self._ratios}
 
+    def _correct(self, over: Mapping[str, float], served: Mapping[str, float]) -> None:
+        self._corrections = {team: self._corrections.get(team, 1.0) for team in over}
+        total = sum(served.get(team, 0.0) for team in over)
+        if total <= 0:
+            return
+        for team in over:
+            got = max(served.get(team, 0.0), LEAST_SERVED_RATIO * total) * len(over)
+            step = min(MOST_STEP, max(1 / MOST_STEP, (total / got) ** 0.5))
+            raised = self._corrections[team] * step
+            self._corrections[team] = min(MOST_CORRECTION, max(1 / MOST_CORRECTION, raised))
+
     def weight(self, own: Mapping[str, float], demands: Mapping[str, float]) -> float | None:
         """
         Tell which part of all demand within shares comes in at one router.
--- a/src/camphorvalve/upstreams/pump.py
+++ b/src/camphorvalve/upstreams/pump.py
@@ -17,9 +17,8 @@
 class _Pump:
     """Pieces that have arrived and were not taken yet."""
 
-    def __init__(self, source: AsyncIterator[bytes], gather_s: float) -> None:
+    def __init__(self, source: AsyncIterator[bytes]) -> None:
         self._source = source
-        self._gather_s = gather_s
         self._pieces: list[bytes] = []
         self._size_bytes = 0
         self._ended = False
@@ -29,7 +28,7 @@
 
     async def fill(self) -> None:
         try:
-            async for piece in self._gathered():
+            async for piece in self._source:
                 self._pieces.append(piece)
                 self._size_bytes += len(piece)
                 self._arrived.set()
@@ -41,25 +40,6 @@
         self._ended = True
         self._arrived.set()
 
-    async def _gathered(self) -> AsyncGenerator[bytes, None]:
-        """Read on at once while pieces are there, and pause before the source is waited for."""
-        loop = asyncio.get_running_loop()
-        started = False
-        while True:
-            waited = asyncio.Event()
-            handle = loop.call_soon(waited.set)
-            try:
-                piece = await anext(self._source)
-            except StopAsyncIteration:
-                return
-            finally:
-                handle.cancel()
-            # What was waited for came alone; the pieces after it arrive during the pause.
-            if waited.is_set() and started and self._gather_s:
-                await asyncio.sleep(self._gather_s)
-            started = True
-            yield piece
-
     async def joined(self) -> AsyncGenerator[bytes, None]:
         while True:
             await self._arrived.wait()
@@ -77,18 +57,14 @@
 
 
 @asynccontextmanager
-async def coalesced(
-    source: AsyncIterator[bytes], gather_s: float = 0.0
-) -> AsyncIterator[AsyncIterator[bytes]]:
+async def coalesced(source: AsyncIterator[bytes]) -> AsyncIterator[AsyncIterator[bytes]]:
     """
     Join the pieces of a source that arrive together.
 
     :param source: pieces, such as the raw chunks of a response
-    :param gather_s: time that pieces after the first one may wait for others; a piece costs the
-        processor the same whatever its size
     :return: an iterator of joined pieces, which raises what the source raises
     """
-    pump = _Pump(source, gather_s)
+    pump = _Pump(source)
     # A task group cannot be held open across the yields of a generator; a bare task can.
     task = asyncio.create_task(pump.fill())
     try:
--- a/src/camphorvalve/upstreams/routed.py
+++ b/src/camphorvalve/upstreams/routed.py
@@ -92,17 +92,13 @@
 class RoutedAttempts:
     """Opens attempts of routed calls."""
 
-    def __init__(
-        self, client: httpx.AsyncClient, names: HeaderNames, gather_s: float = 0.0
-    ) -> None:
+    def __init__(self, client: httpx.AsyncClient, names: HeaderNames) -> None:
         """
         Prepare attempts.
 
         :param client: client from ``create_client``
         :param names: names of the headers
-        :param gather_s: time that events after the first one may wait to go on together
         """
-        self._gather_s = gather_s
         self._client = client
         self._names = names
 
@@ -211,7 +207,7 @@
         cutter = EventCutter(self._first_number(exchange))
         cause = "the stream ended inside an event"
         try:
-            async with coalesced(response.aiter_raw(), self._gather_s) as pieces:
+            async with coalesced(response.aiter_raw()) as pieces:
                 async for piece in pieces:
                     if whole := cutter.add(piece):
                         yield Body(whole)
--- a/src/camphorvalve/wire/messages.py
+++ b/src/camphorvalve/wire/messages.py
@@ -153,10 +153,11 @@
 
 
 class TeamTokens(NamedTuple):
-    """What a team asked for in the window."""
+    """What a team asked for in the window, and what of it was served."""
 
     team: str
     tokens: float
+    served_tokens: float
 
 
 class Asked(NamedTuple):
--- a/src/camphorvalve/wiring/common.py
+++ b/src/camphorvalve/wiring/common.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import gc
 import time
 from typing import TYPE_CHECKING
 
@@ -17,6 +18,8 @@
     from camphorvalve.model.policies import Policy
     from camphorvalve.settings.schema import ControllerSettings, Keys, RouterSettings
 
+COLLECTOR_THRESHOLDS = (20_000, 20, 50)
+"""Objects and collections between two collections; 700, 10, 10 by default."""
 ALL_MESSAGES = (*MESSAGES, *CONSENSUS_MESSAGES)
 _log = structlog.get_logger(__name__)
 
@@ -49,6 +52,12 @@
     return time.time_ns() // 1000
 
 
+def relax_collector() -> None:
+    """Let the garbage collector run less often; a streamed answer took 9.5 instead of 11.1 ms."""
+    gc.freeze()
+    gc.set_threshold(*COLLECTOR_THRESHOLDS)
+
+
 def open_link(settings: RouterSettings | ControllerSettings, incarnation: int) -> Link:
     """
     Prepare the link of a process.
@@ -81,4 +90,11 @@
         _log.warning("the operator port is open", setting="operator_token")
 
 
-__all__ = ["ALL_MESSAGES", "new_incarnation", "open_link", "policy_of", "warn_open"]
+__all__ = [
+    "ALL_MESSAGES",
+    "new_incarnation",
+    "open_link",
+    "policy_of",
+    "relax_collector",
+    "warn_open",
+]
--- a/src/camphorvalve/wiring/joinedrouter.py
+++ b/src/camphorvalve/wiring/joinedrouter.py
@@ -32,7 +32,7 @@
 from camphorvalve.sharing.budget import RetryBudget
 from camphorvalve.upstreams.client import create_client
 from camphorvalve.upstreams.routed import RoutedAttempts
-from camphorvalve.wiring.common import new_incarnation, open_link
+from camphorvalve.wiring.common import new_incarnation, open_link, relax_collector
 from camphorvalve.wiring.edges import RouterView, follow_seeds, keep_peers
 
 if TYPE_CHECKING:
@@ -118,7 +118,6 @@
 
     def _handler(self) -> Handler:
         budget = RetryBudget(ratio=self._settings.retry_ratio, floor_count=self._retry_floor_count)
-        attempts = RoutedAttempts(self._client, self._edge.names, self._settings.stream_gather_s)
         return compose(
             (
                 account([self._exposition.record]),
@@ -129,7 +128,7 @@
                 RetryFilter(budget),
                 PlaceFilter(self._pools),
             ),
-            forward(self._pools, attempts),
+            forward(self._pools, RoutedAttempts(self._client, self._edge.names)),
         )
 
     def _retry_floor_count(self) -> int:
@@ -173,7 +172,9 @@
     :param settings: checked settings, with seeds
     :param edge: the platform's side
     """
-    await JoinedRouter(settings, edge).run()
+    router = JoinedRouter(settings, edge)
+    relax_collector()
+    await router.run()
 
 
 __all__ = ["JoinedRouter", "run_joined_router"]
--- a/tests/filters/test_share.py
+++ b/tests/filters/test_share.py
@@ -9,7 +9,7 @@
 import anyio
 
 from camphorvalve.filters.share import share
-from camphorvalve.model.answers import Head
+from camphorvalve.model.answers import Body, Head
 from camphorvalve.model.errors import RequestError, Run
 from camphorvalve.model.teams import Limits, TeamParameters
 from tests.routebuilders import a_prompt, a_routed_exchange
@@ -28,6 +28,7 @@
 
     def __init__(self, *, within: bool, congested: bool) -> None:
         self.starved: list[float] = []
+        self.served: list[tuple[str, float]] = []
         self._within = within
         self._congested = congested
 
@@ -37,6 +38,9 @@
     def congested(self, now_s: float) -> bool:
         return self._congested
 
+    def serve(self, team: str, tokens: float, now_s: float) -> None:
+        self.served.append((team, tokens))
+
     def starve(self, tokens: float, now_s: float) -> None:
         self.starved.append(tokens)
 
@@ -49,12 +53,15 @@
             if full:
                 raise RequestError("overloaded", "full")
             yield Head(200, ())
+            yield Body(b"yes")
+            yield Body(b"and more")
 
         async def run() -> int:
             fields = {"prompt": a_prompt("a", "own")} if prompt else {}
             exchange = a_routed_exchange(team=TEAM, **fields)
             async with aclosing(share(shares)(exchange, inner)) as parts:
-                return (await anext(parts)).status
+                found = [part async for part in parts]
+            return found[0].status
 
         try:
             return anyio.run(run)
@@ -79,6 +86,14 @@
         shares = _Shares(within=False, congested=True)
         self.assertEqual(self.play(shares, prompt=False), 200)
 
+    def test_served(self) -> None:
+        """Guards against service that is counted twice, or for calls that take no engine."""
+        shares = _Shares(within=True, congested=False)
+        self.play(shares)
+        self.play(shares, prompt=False)
+        self.play(shares, full=True)
+        self.assertEqual(shares.served, [("youth", 1200.0)])
+
     def test_starved(self) -> None:
         """Guards against refusals within shares that no other router hears of."""
         shares = _Shares(within=True, congested=False)
--- a/tests/platform/builders.py
+++ b/tests/platform/builders.py
@@ -19,7 +19,6 @@
         "limits": {"memoryMb": 300, "maxFds": 4100},
         "bounds": {
             "contactMs": 3000,
-            "passMs": 120,
             "graceS": 8,
             "retryBudgetRatio": 0.2,
             "retryBudgetMin": 56,
--- a/tests/sharing/test_shares.py
+++ b/tests/sharing/test_shares.py
@@ -57,6 +57,19 @@
         self.assertAlmostEqual(taken / sum(sizes), 1 / 3, delta=0.03)
         self.assertTrue(all(quotas.takes("small", 1.0) for _ in range(100)))
 
+    def test_equal_service(self) -> None:
+        """Guards against a team over its share that gets less than another one for long."""
+        quotas = Quotas()
+        asked = {"busy": 900.0, "free": 900.0, "small": 10.0}
+        # Of what is within its share, half of the busy router's requests find a place.
+        served = {"busy": 100.0, "free": 200.0, "small": 10.0}
+        for _ in range(40):
+            quotas.set_ratios(asked, 410.0, served)
+            parts = {team: sum(quotas.takes(team, 1.0) for _ in range(900)) for team in asked}
+            served = {"busy": parts["busy"] / 2, "free": parts["free"], "small": 10.0}
+        self.assertLess(abs(served["busy"] - served["free"]), 0.1 * served["free"])
+        self.assertEqual(parts["small"], 900)
+
     def test_large_requests(self) -> None:
         """Guards against a share that is used up by small requests alone."""
         quotas = Quotas()
--- a/tools/joinedfleet.py
+++ b/tools/joinedfleet.py
@@ -200,7 +200,6 @@
 directory = "{ip}:{ports.directory}"
 [bounds]
 contactMs = 1000
-passMs = 120
 graceS = 8
 retryBudgetRatio = 0.2
 retryBudgetMin = 56
