Count demand over two seconds instead of four

Ruled out: the steps towards equal service (fibo220, starved before, got its part with them).

Change: the window is 2 s. The tests' capacity follows the window; what they check is the same.

--- a/src/camphorvalve/controllers/shares.py
+++ b/src/camphorvalve/controllers/shares.py
@@ -16,10 +16,11 @@
 
     from camphorvalve.controllers.runtime import Sender
 
-WINDOW_S = 4.0
-"""Span over which the platform compares what teams got; ``quotaWindowS`` on both deployments."""
+WINDOW_S = 2.0
+"""Span over which demand is counted: half of the platform's ``quotaWindowS``. With 4 s, a team
+whose demand had just fallen got too small a part, and one whose demand rose too large a one."""
 TICK_S = 0.5
-"""An eighth of the window, so that totals lag by little of it."""
+"""A quarter of the window, so that totals lag by little of it."""
 TOTALS_LIFETIME_S = 2.0
 """Four reports without an answer; the router's own demand stands in for the fleet's then."""
 CAPACITY_RATIO = 1.6
--- a/tests/controllers/test_shares.py
+++ b/tests/controllers/test_shares.py
@@ -6,7 +6,7 @@
 from typing import Any
 
 from camphorvalve.controllers.runtime import Sender
-from camphorvalve.controllers.shares import CAPACITY_RATIO, CONGESTED_S, SharesController
+from camphorvalve.controllers.shares import CAPACITY_RATIO, CONGESTED_S, WINDOW_S, SharesController
 from camphorvalve.controllers.totals import TotalsController
 
 
@@ -21,7 +21,7 @@
     values = {
         "controller_ids": lambda: ("c-1", "c-2"),
         "routers_count": lambda: 2,
-        "tokens_per_s": lambda: 25.0 / CAPACITY_RATIO,
+        "tokens_per_s": lambda: 100.0 / WINDOW_S / CAPACITY_RATIO,
     }
     return SharesController(**{**values, **fields})
 
