--- a/specs/member_removal.py
+++ b/specs/member_removal.py
@@ -12,7 +12,15 @@
 
 from minicheck import Protocol
 
-from specs.replicated_log import Entry, Replica
+from specs.replicated_log import (
+    Entry,
+    Replica,
+    commits,
+    is_majority,
+    members,
+    newness,
+    put,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -47,34 +55,13 @@
 Step = tuple[str, State]
 
 
-def members(log: tuple[Entry, ...]) -> tuple[int, ...]:
-    """
-    Find the voting members.
-
-    :param log: the log of a replica
-    :return: identities by its newest change
-    """
-    return next((one.members for one in reversed(log) if one.members), FIRST_MEMBERS)
-
-
-def _majority(log: tuple[Entry, ...], present: set[int]) -> bool:
-    voters = members(log)
-    return 2 * len(present.intersection(voters)) > len(voters)
-
-
-def _put(state: State, identity: int, replica: Replica) -> State:
-    replicas = list(state.replicas)
-    replicas[identity] = replica
-    return state._replace(replicas=tuple(replicas))
-
-
 def _elections(state: State) -> Iterator[Step]:
     for identity in REMOVES:
         replica = state.replicas[identity]
-        if replica.term < LAST_TERM and identity in members(replica.log):
+        if replica.term < LAST_TERM and identity in members(replica.log, FIRST_MEMBERS):
             raised = Replica(replica.term + 1, identity, replica.log, stands=True)
             given = state.votes | {(raised.term, identity, identity)}
-            yield f"campaign {identity}", _put(state._replace(votes=given), identity, raised)
+            yield f"campaign {identity}", put(state._replace(votes=given), identity, raised)
         if replica.stands:
             yield from _votes_for(state, identity, replica)
 
@@ -83,21 +70,17 @@
     term = candidate.term
     if (term, identity) in state.leaders:
         return
-    for voter in set(members(candidate.log)).intersection(REACHES[identity]):
+    for voter in set(members(candidate.log, FIRST_MEMBERS)).intersection(REACHES[identity]):
         replica = state.replicas[voter]
-        if replica.term < term and _newness(candidate.log) >= _newness(replica.log):
+        if replica.term < term and newness(candidate.log) >= newness(replica.log):
             given = state.votes | {(term, voter, identity)}
             voted = Replica(term, identity, replica.log)
-            yield f"vote {voter} for {identity}", _put(state._replace(votes=given), voter, voted)
+            yield f"vote {voter} for {identity}", put(state._replace(votes=given), voter, voted)
     present = {voter for at, voter, chosen in state.votes if (at, chosen) == (term, identity)}
-    if _majority(candidate.log, present):
+    if is_majority(members(candidate.log, FIRST_MEMBERS), present):
         yield f"lead {identity}", state._replace(leaders=state.leaders | {(term, identity)})
 
 
-def _newness(log: tuple[Entry, ...]) -> tuple[int, int]:
-    return (log[-1].term if log else 0, len(log))
-
-
 def _leaders(state: State, defect: bool) -> Iterator[Step]:
     for term, identity in state.leaders:
         leader = state.replicas[identity]
@@ -111,8 +94,8 @@
             vote = replica.vote if replica.term == term else None
             acks = state.acks | {(term, other, len(leader.log))}
             stored = Replica(term, vote, leader.log)
-            yield f"replicate {identity} to {other}", _put(state._replace(acks=acks), other, stored)
-        yield from _commits(state, identity, leader)
+            yield f"replicate {identity} to {other}", put(state._replace(acks=acks), other, stored)
+        yield from commits(state, identity, leader, FIRST_MEMBERS)
 
 
 def _appends(state: State, identity: int, leader: Replica, defect: bool) -> Iterator[Step]:
@@ -121,30 +104,14 @@
     opened = bool(leader.log) and leader.log[-1].term == leader.term
     if not opened:
         extended = leader._replace(log=(*leader.log, Entry(leader.term, None)))
-        yield f"open term {leader.term}", _put(state, identity, extended)
+        yield f"open term {leader.term}", put(state, identity, extended)
     if not defect and not (opened and state.committed == leader.log):
         return
     removed = REMOVES[identity]
-    if removed in members(leader.log):
-        left = tuple(one for one in members(leader.log) if one != removed)
+    if removed in members(leader.log, FIRST_MEMBERS):
+        left = tuple(one for one in members(leader.log, FIRST_MEMBERS) if one != removed)
         extended = leader._replace(log=(*leader.log, Entry(leader.term, left)))
-        yield f"remove {removed}", _put(state, identity, extended)
-
-
-def _commits(state: State, identity: int, leader: Replica) -> Iterator[Step]:
-    for length in range(1, len(leader.log) + 1):
-        if leader.log[length - 1].term != leader.term:
-            continue
-        present = {who for at, who, held in state.acks if at == leader.term and held >= length}
-        if not _majority(leader.log, present | {identity}):
-            continue
-        prefix = leader.log[:length]
-        shared = min(length, len(state.committed))
-        changed = prefix[:shared] != state.committed[:shared]
-        longest = max(prefix, state.committed, key=len)
-        if changed or longest != state.committed:
-            following = state._replace(committed=longest, changed=state.changed or changed)
-            yield f"commit {length} by {identity}", following
+        yield f"remove {removed}", put(state, identity, extended)
 
 
 def protocol(*, defect: bool) -> Protocol:
--- a/specs/replicated_log.py
+++ b/specs/replicated_log.py
@@ -8,7 +8,7 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING, NamedTuple
+from typing import TYPE_CHECKING, Any, NamedTuple
 
 from minicheck import Protocol
 
@@ -58,22 +58,39 @@
 Step = tuple[str, State]
 
 
-def members(log: tuple[Entry, ...]) -> tuple[int, ...]:
+def members(
+    log: tuple[Entry, ...], first_members: tuple[int, ...] = FIRST_MEMBERS
+) -> tuple[int, ...]:
     """
     Find the voting members.
 
     :param log: the log of a replica
+    :param first_members: members before any change
     :return: identities by its newest change
     """
-    return next((one.members for one in reversed(log) if one.members), FIRST_MEMBERS)
+    return next((one.members for one in reversed(log) if one.members), first_members)
 
 
-def _majority(log: tuple[Entry, ...], present: set[int]) -> bool:
-    voters = members(log)
+def is_majority(voters: tuple[int, ...], present: set[int]) -> bool:
+    """
+    Tell whether replicas hold a majority of the members.
+
+    :param voters: the members
+    :param present: replicas, members or not
+    :return: whether more than half of the members are present
+    """
     return 2 * len(present.intersection(voters)) > len(voters)
 
 
-def _put(state: State, identity: int, replica: Replica | None) -> State:
+def put(state: Any, identity: int, replica: Replica | None) -> Any:
+    """
+    Replace what one identity has.
+
+    :param state: state of a specification, with ``replicas``
+    :param identity: the identity
+    :param replica: what it has from now on
+    :return: the state after
+    """
     replicas = list(state.replicas)
     replicas[identity] = replica
     return state._replace(replicas=tuple(replicas))
@@ -86,7 +103,7 @@
         if replica.term < LAST_TERM and identity in members(replica.log):
             raised = Replica(replica.term + 1, identity, replica.log, stands=True)
             given = state.votes | {(raised.term, identity, identity)}
-            yield f"campaign {identity}", _put(state._replace(votes=given), identity, raised)
+            yield f"campaign {identity}", put(state._replace(votes=given), identity, raised)
         if replica.stands:
             yield from _votes_for(state, identity, replica)
 
@@ -97,16 +114,22 @@
         if replica is None or voter not in members(candidate.log):
             continue
         free = replica.term < term or (replica.term == term and replica.vote is None)
-        if free and _newness(candidate.log) >= _newness(replica.log):
+        if free and newness(candidate.log) >= newness(replica.log):
             given = state.votes | {(term, voter, identity)}
             voted = Replica(term, identity, replica.log)
-            yield f"vote {voter} for {identity}", _put(state._replace(votes=given), voter, voted)
+            yield f"vote {voter} for {identity}", put(state._replace(votes=given), voter, voted)
     present = {voter for at, voter, chosen in state.votes if (at, chosen) == (term, identity)}
-    if (term, identity) not in state.leaders and _majority(candidate.log, present):
+    if (term, identity) not in state.leaders and is_majority(members(candidate.log), present):
         yield f"lead {identity}", state._replace(leaders=state.leaders | {(term, identity)})
 
 
-def _newness(log: tuple[Entry, ...]) -> tuple[int, int]:
+def newness(log: tuple[Entry, ...]) -> tuple[int, int]:
+    """
+    Rank a log; voters refuse candidates of a lower rank.
+
+    :param log: the log of a replica
+    :return: term of its last entry, and its length
+    """
     return (log[-1].term if log else 0, len(log))
 
 
@@ -124,8 +147,8 @@
             # Only the highest index of an acknowledgement matters.
             older = {one for one in state.acks if one[:2] == (term, other)}
             acks = (state.acks - older) | {(term, other, len(leader.log))}
-            yield f"replicate {identity} to {other}", _put(state._replace(acks=acks), other, stored)
-        yield from _commits(state, identity, leader)
+            yield f"replicate {identity} to {other}", put(state._replace(acks=acks), other, stored)
+        yield from commits(state, identity, leader, FIRST_MEMBERS)
 
 
 def _appends(state: State, identity: int, leader: Replica) -> Iterator[Step]:
@@ -149,15 +172,27 @@
 
 
 def _extend(state: State, identity: int, leader: Replica, entry: Entry) -> State:
-    return _put(state, identity, leader._replace(log=(*leader.log, entry)))
+    return put(state, identity, leader._replace(log=(*leader.log, entry)))
 
 
-def _commits(state: State, identity: int, leader: Replica) -> Iterator[Step]:
+def commits(
+    state: Any, identity: int, leader: Replica, first_members: tuple[int, ...]
+) -> Iterator[tuple[str, Any]]:
+    """
+    Commit what a majority of a leader's members has stored.
+
+    :param state: state of a specification, with ``acks``, ``committed`` and ``changed``
+    :param identity: the leader
+    :param leader: what it has
+    :param first_members: members before any change
+    :return: steps
+    """
+    voters = members(leader.log, first_members)
     for length in range(1, len(leader.log) + 1):
         if leader.log[length - 1].term != leader.term:
             continue
         present = {who for at, who, held in state.acks if at == leader.term and held >= length}
-        if not _majority(leader.log, present | {identity}):
+        if not is_majority(voters, present | {identity}):
             continue
         prefix = leader.log[:length]
         shared = min(length, len(state.committed))
@@ -174,9 +209,9 @@
     empty = Replica(0, None, ())
     if defect:
         if state.replicas[LOST] != empty:
-            yield "lose the disk, keep the identity", _put(state, LOST, empty)
+            yield "lose the disk, keep the identity", put(state, LOST, empty)
         return
-    yield "lose the disk", _put(_put(state, LOST, None), NEW, empty)
+    yield "lose the disk", put(put(state, LOST, None), NEW, empty)
 
 
 def protocol(*, defect: bool) -> Protocol:
@@ -214,4 +249,13 @@
     )
 
 
-__all__ = ["protocol"]
+__all__ = [
+    "Entry",
+    "Replica",
+    "commits",
+    "is_majority",
+    "members",
+    "newness",
+    "protocol",
+    "put",
+]
