--- a/tools/joinedfleet.py
+++ b/tools/joinedfleet.py
@@ -58,7 +58,11 @@
         :return: an IP number
         """
         if name not in self._addresses:
-            self._addresses[name] = f"127.0.0.{10 + len(self._addresses)}"
+            # Every process has the same ports, some of them fixed, so that two fleets on the same
+            # addresses would take each other's.
+            high, low = divmod(os.getpid(), 250)
+            last = 10 + len(self._addresses)
+            self._addresses[name] = f"127.{1 + high % 250}.{1 + low}.{last}"
         return self._addresses[name]
 
     def url(self, name: str, port: int) -> str:
