Watch the deadline of a stream without a scope around each event

The router to which the callers of a large team come, front-khomas-b-2, used 0.547 cores of its 0.537, and 0.472 on the first path; 99% of the answers of its zone began within 4.4 s, 1.1 s before.

Ruled out: shares (452 refusals beyond them, all from 19 s on, after the router had fallen behind at 14 s).

Change: after the first event the deadline is compared at each event; upstreams are given up after a second of silence anyway.

--- a/src/camphorvalve/filters/deadline.py
+++ b/src/camphorvalve/filters/deadline.py
@@ -8,6 +8,7 @@
 
 import anyio
 
+from camphorvalve.model.answers import Body
 from camphorvalve.model.errors import RequestError
 
 if TYPE_CHECKING:
@@ -28,15 +29,24 @@
     :raises RequestError: ``timed_out``, or ``overloaded`` when nothing was sent to an upstream
     """
     async with aclosing(inner(exchange)) as parts:
+        begun = False
         while True:
             try:
-                # Around each part only: a scope must not stay open while a generator waits.
-                with anyio.fail_after(exchange.deadline_s - time.monotonic()):
+                if begun:
+                    # Silent upstreams are given up after a second, and scopes around events took
+                    # 15% of a streamed answer's time in a profile.
                     part = await anext(parts)
+                else:
+                    # Around each part only: a scope must not stay open while a generator waits.
+                    with anyio.fail_after(exchange.deadline_s - time.monotonic()):
+                        part = await anext(parts)
             except StopAsyncIteration:
                 return
             except TimeoutError:
                 raise _late(exchange) from None
+            if begun and time.monotonic() > exchange.deadline_s:
+                raise _late(exchange)
+            begun = begun or isinstance(part, Body)
             yield part
 
 
