Bound the part of the engines that one router may use

Cause: the router to which a large team's callers come took as much of the engines as their demand was worth and ran out of processor time; on the first path even parts had kept it below.

Change: a router uses 1.25 even parts at most.

--- a/src/camphorvalve/wiring/joinedrouter.py
+++ b/src/camphorvalve/wiring/joinedrouter.py
@@ -44,6 +44,10 @@
 """Routers among which the fixed part of the retry budget is divided at least: a router that has
 just started does not know the others yet."""
 
+MOST_PART = 1.25
+"""Even parts of the engines that a router may use at most, whatever comes in there: with more, one
+ran out of processor time on a calm day (ktc-capsule quiet-1, worth 0.57 against 0.81)."""
+
 _log = structlog.get_logger(__name__)
 
 
@@ -77,7 +81,7 @@
         self._runtime = Runtime(link, (self._roster, self._following, self._shares))
         self._client = create_client(keepalive_s=settings.upstream_idle_s)
         self._pools = Pools(
-            self._manifest.table, self._shares.weight, settings.data_centre, self._rng
+            self._manifest.table, self._engine_part, settings.data_centre, self._rng
         )
         self._exposition = Exposition()
         self._observe_levels()
@@ -135,12 +139,16 @@
         routers_count = max(LEAST_ROUTERS_COUNT, self._roster.routers_count())
         return self._settings.retry_fleet_count // routers_count
 
+    def _engine_part(self) -> float:
+        routers_count = max(1, self._roster.routers_count())
+        return min(self._shares.weight(), MOST_PART / routers_count)
+
     def _observe_levels(self) -> None:
         observe = self._exposition.observe
         observe("running_count", "requests that have not ended", self._observe.open_count)
         observe("manifest_version", "version in force", self._manifest.version)
         observe("routers_count", "routers that accept callers", self._roster.routers_count)
-        observe("engine_part", "part of each engine for this router", self._shares.weight)
+        observe("engine_part", "part of each engine for this router", self._engine_part)
 
     def _idle_timeout_s(self) -> float:
         return self._manifest.bounds().idle_timeout_s
