--- a/src/camphorvalve/cli/main.py
+++ b/src/camphorvalve/cli/main.py
@@ -6,8 +6,7 @@
 import sys
 from typing import TYPE_CHECKING, Any
 
-import anyio
-
+from camphorvalve import loop
 from camphorvalve.cli import daemons
 from camphorvalve.cli.output import CommandError, ExitCode, say
 from camphorvalve.settings.loader import SettingsError
@@ -25,7 +24,7 @@
     """
     arguments = sys.argv[1:] if argv is None else argv
     try:
-        return anyio.run(execute, arguments)
+        return loop.run(execute, arguments)
     except KeyboardInterrupt:
         return ExitCode.FAILED
 
