Serve the committed configuration before a leader is elected

Ruled out: a shorter first election. A restarted replica may have answered a leader whose lease still holds.

Change: a replica keeps its newest committed entry (index and term) on disk, twice a second at most, and applies what it proves at its start. A router that has just started takes an even part of the engines among 8 routers for 2.5 s, as it knows no others yet.

Tests: the pump's fault runs check the restored state; entries of another term are not taken for the committed one; a damaged file is ignored with a log line.

--- a/src/camphorvalve/cli/daemons.py
+++ b/src/camphorvalve/cli/daemons.py
@@ -21,7 +21,7 @@
     :param settings: settings file of the router
     """
     loaded = load_router(settings)
-    from camphorvalve.wiring import run_router
+    from camphorvalve.wiring.router import run_router
 
     logs.configure(loaded.host_id, loaded.logging)
     await run_router(loaded)
@@ -34,7 +34,7 @@
     :param settings: settings file of the controller
     """
     loaded = load_controller(settings)
-    from camphorvalve.wiring import run_controller
+    from camphorvalve.wiring.controller import run_controller
 
     logs.configure(loaded.host_id, loaded.logging)
     await run_controller(loaded)
--- a/src/camphorvalve/consensus/driver.py
+++ b/src/camphorvalve/consensus/driver.py
@@ -25,10 +25,12 @@
 
     from camphorvalve.consensus.events import Effect, Event
     from camphorvalve.consensus.messages import Entry
-    from camphorvalve.consensus.replica import Replica
+    from camphorvalve.consensus.replica import Committed, Replica
 
 SNAPSHOT_BYTES = 8 << 20
 """Bytes of commands after which a snapshot is taken, whatever their count."""
+KEEP_COMMITTED_S = 0.5
+"""Least time between two writes of what is committed, so that they add few syncs under load."""
 
 
 class Machine(Protocol):
@@ -73,6 +75,9 @@
     def install(self, snapshot: Snapshot, entries: Sequence[Entry]) -> None:
         """See ``Storage``."""
 
+    def keep_committed(self, committed: Committed) -> None:
+        """See ``Storage``."""
+
 
 @dataclass(frozen=True, slots=True)
 class Applied:
@@ -100,7 +105,8 @@
         self, replica: Replica, files: Files, machine: Machine, snapshot_every_count: int
     ) -> None:
         """
-        Join the parts; the state machine is restored from the replica's snapshot.
+        Join the parts; the state machine is restored from the replica's snapshot and what is known
+        to be committed after it, so that it can be read before a leader is elected.
 
         :param replica: the replica
         :param files: its storage
@@ -114,7 +120,12 @@
         self._snapshot_every_count = snapshot_every_count
         self._since_snapshot_bytes = 0
         self._held: list[Send] = []
+        self._kept = replica.committed()
+        self._keep_due_s = float("-inf")
         machine.restore(replica.state.log.snapshot.data)
+        for entry in replica.state.log.between(self.applied_index + 1, self._kept.index):
+            # Nobody waits for the outcome.
+            list(self._apply(entry))
 
     @property
     def unflushed(self) -> bool:
@@ -152,6 +163,15 @@
             yield from held
             yield from self.step(Synced(synced_index), now_s)
         yield from self._compact(now_s)
+        self._keep_committed(now_s)
+
+    def _keep_committed(self, now_s: float) -> None:
+        committed = self.replica.committed()
+        if committed == self._kept or now_s < self._keep_due_s:
+            return
+        self._kept = committed
+        self._keep_due_s = now_s + KEEP_COMMITTED_S
+        self._files.keep_committed(committed)
 
     def _carry_out(self, effect: Effect) -> Iterator[Report]:
         match effect:
--- a/src/camphorvalve/consensus/replica.py
+++ b/src/camphorvalve/consensus/replica.py
@@ -36,6 +36,13 @@
     from camphorvalve.consensus.messages import Message
 
 
+class Committed(NamedTuple):
+    """The newest entry that a replica has kept as committed."""
+
+    index: int
+    term: int
+
+
 class Stored(NamedTuple):
     """What a replica's files hold."""
 
@@ -44,6 +51,8 @@
     voted_for: str | None
     snapshot: Snapshot
     entries: tuple[Entry, ...]
+    committed: Committed = Committed(0, 0)
+    """Later entries may be committed as well; earlier ones are."""
 
 
 class Replica:
@@ -75,7 +84,7 @@
             term=stored.term,
             voted_for=stored.voted_for,
             log=log,
-            commit_index=stored.snapshot.index,
+            commit_index=_commit_index(log, stored),
             synced_index=log.last_index,
             # Before the restart this replica may have answered a leader whose lease still holds.
             heard_s=now_s,
@@ -140,6 +149,11 @@
         """
         return replication.confirmed_s(self.state, now_s)
 
+    def committed(self) -> Committed:
+        """:return: the newest entry that is known to be committed"""
+        index = self.state.commit_index
+        return Committed(index, self.state.log.term(index) or 0)
+
     def _receive(self, message: Message, now_s: float) -> Iterator[Effect]:
         state = self.state
         if isinstance(message, Join):
@@ -163,4 +177,11 @@
                 yield from transfer.on_stored(state, message, now_s)
 
 
-__all__ = ["Replica", "Role", "Stored", "Timing"]
+def _commit_index(log: Log, stored: Stored) -> int:
+    """Logs that hold the same entry are equal up to it, so that it proves the ones before it."""
+    index, term = stored.committed
+    known = index > stored.snapshot.index and log.term(index) == term
+    return index if known else stored.snapshot.index
+
+
+__all__ = ["Committed", "Replica", "Role", "Stored", "Timing"]
--- a/src/camphorvalve/consensus/storage.py
+++ b/src/camphorvalve/consensus/storage.py
@@ -1,4 +1,4 @@
-"""Files of one replica: identity, term and vote, log, snapshot."""
+"""Files of one replica: identity, term and vote, log, snapshot, and what is committed."""
 
 from __future__ import annotations
 
@@ -9,6 +9,7 @@
 from typing import TYPE_CHECKING, NamedTuple
 
 import msgspec
+import structlog
 import xxhash
 
 from camphorvalve.consensus.files import (
@@ -21,7 +22,7 @@
 from camphorvalve.consensus.journal import Journal, read_journal
 from camphorvalve.consensus.members import host_of, identity
 from camphorvalve.consensus.messages import Entry, Snapshot
-from camphorvalve.consensus.replica import Stored
+from camphorvalve.consensus.replica import Committed, Stored
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
@@ -30,9 +31,12 @@
 VOTE_FILE = "vote"
 SNAPSHOT_FILE = "snapshot"
 LOG_FILE = "log"
+COMMITTED_FILE = "committed"
 
 SEED_LENGTH = 8
 
+_log = structlog.get_logger(__name__)
+
 
 class _Vote(NamedTuple):
     term: int
@@ -109,6 +113,14 @@
         write_sealed(self._folder / SNAPSHOT_FILE, msgspec.msgpack.encode(snapshot))
         self._journal.rewrite(entries)
 
+    def keep_committed(self, committed: Committed) -> None:
+        """
+        Store durably which entries need no election to be applied after a restart.
+
+        :param committed: the newest committed entry, which the log file holds
+        """
+        write_sealed(self._folder / COMMITTED_FILE, msgspec.msgpack.encode(committed))
+
     def close(self) -> None:
         """Close the log file without syncing it."""
         self._journal.close()
@@ -136,7 +148,8 @@
     if entries and entries[0].term < snapshot.term:
         # The process ended between storing a leader's snapshot and dropping the entries before it.
         entries = ()
-    stored = Stored(replica, vote.term, vote.voted_for, snapshot, entries)
+    committed = _read_committed(path / COMMITTED_FILE)
+    stored = Stored(replica, vote.term, vote.voted_for, snapshot, entries, committed)
     return Storage(path, stored, Journal(path / LOG_FILE))
 
 
@@ -196,6 +209,17 @@
     write_sealed(path / IDENTITY_FILE, replica.encode())
 
 
+def _read_committed(path: Path) -> Committed:
+    if not path.exists():
+        return Committed(0, 0)
+    try:
+        return msgspec.msgpack.decode(read_sealed(path), type=Committed)
+    except (DamagedError, msgspec.MsgspecError) as error:
+        # The next leader tells again what is committed.
+        _log.warning("file of committed entries ignored", reason=str(error))
+        return Committed(0, 0)
+
+
 def _holds_data(path: Path) -> bool:
     if path.name == LOG_FILE:
         return path.exists() and os.path.getsize(path) > 0
--- a/src/camphorvalve/wiring/joinedrouter.py
+++ b/src/camphorvalve/wiring/joinedrouter.py
@@ -43,6 +43,9 @@
 LEAST_ROUTERS_COUNT = 8
 """Routers among which the fixed part of the retry budget is divided at least: a router that has
 just started does not know the others yet."""
+STARTING_S = 2.5
+"""Time after the start in which engines are divided among that many as well: two polls of 1 s pass
+until the controllers have heard all routers of a fleet that starts together."""
 
 MOST_PART = 1.25
 """Even parts of the engines that a router may use at most, whatever comes in there: with more, one
@@ -66,6 +69,7 @@
         self._settings = settings
         self._edge = edge
         self._left = anyio.Event()
+        self._started_s = time.monotonic()
         self._observe = ObserveFilter()
         self._manifest = ManifestInForce()
         self._roster = RosterController(settings.seeds)
@@ -140,7 +144,9 @@
         return self._settings.retry_fleet_count // routers_count
 
     def _engine_part(self) -> float:
-        routers_count = max(1, self._roster.routers_count())
+        starting = time.monotonic() - self._started_s < STARTING_S
+        least_count = LEAST_ROUTERS_COUNT if starting else 1
+        routers_count = max(least_count, self._roster.routers_count())
         return min(self._shares.weight(), MOST_PART / routers_count)
 
     def _observe_levels(self) -> None:
--- a/tests/cli/test_main.py
+++ b/tests/cli/test_main.py
@@ -269,7 +269,8 @@
             return f"{host_id}#1"
 
         modules = {
-            "camphorvalve.wiring": SimpleNamespace(run_router=run, run_controller=run),
+            "camphorvalve.wiring.router": SimpleNamespace(run_router=run),
+            "camphorvalve.wiring.controller": SimpleNamespace(run_controller=run),
             "camphorvalve.consensus.storage": SimpleNamespace(bootstrap=create),
         }
         with mock.patch.dict(sys.modules, modules), mock.patch.object(logs, "configure"):
--- a/tests/consensus/pump.py
+++ b/tests/consensus/pump.py
@@ -19,6 +19,8 @@
     from collections.abc import Callable, Iterable, Sequence
     from pathlib import Path
 
+    from camphorvalve.consensus.replica import Committed
+
 TIMING = Timing(election_timeout_s=1.0, heartbeat_s=0.2)
 STEP_S = 0.02
 
@@ -69,6 +71,9 @@
         self.stored = self.stored._replace(snapshot=snapshot, entries=tuple(entries))
         self._waiting = []
 
+    def keep_committed(self, committed: Committed) -> None:
+        self.stored = self.stored._replace(committed=committed)
+
     def crash(self) -> None:
         self._waiting = []
 
--- a/tests/consensus/test_replica.py
+++ b/tests/consensus/test_replica.py
@@ -26,7 +26,7 @@
     SnapshotChunk,
     Vote,
 )
-from camphorvalve.consensus.replica import Replica, Stored
+from camphorvalve.consensus.replica import Committed, Replica, Stored
 from camphorvalve.consensus.storage import bootstrap
 from tests.consensus.pump import TIMING, DiskFiles, Faults, Pump, few_kept_entries
 
@@ -219,6 +219,37 @@
         self.assertEqual([one.index for one in commit.entries], [1, 2])
 
 
+class CommittedTest(unittest.TestCase):
+    def test_what_was_committed_is_applied_before_a_leader_is_elected(self) -> None:
+        pump = Pump(("a", "b", "c"))
+        fill(pump, 5)
+        pump.run(1.0)
+        for host in pump.nodes:
+            pump.restart(host)
+        for node in pump.nodes.values():
+            self.assertIsNone(node.replica.state.leader)
+            self.assertIn(b"x4", [payload for _, payload in node.machine.commands])
+        pump.check()
+        fill(pump, 5, "y")
+        pump.check()
+
+    def test_an_entry_that_was_replaced_is_not_taken_for_the_committed_one(self) -> None:
+        members = ("a#1", "b#1", "c#1")
+        held = (Entry(1, 1, None, b"one"), Entry(2, 2, None, b"two"))
+        empty = Snapshot(0, 0, members, b"")
+        cases = {
+            "held": (Committed(2, 2), 2),
+            "other term": (Committed(2, 1), 0),
+            "beyond the log": (Committed(3, 2), 0),
+            "nothing known": (Committed(0, 0), 0),
+        }
+        for name, (committed, expected) in cases.items():
+            with self.subTest(name):
+                stored = Stored("a#1", 2, None, empty, held, committed)
+                replica = Replica(stored, TIMING, random.Random(1), 0.0)
+                self.assertEqual(replica.state.commit_index, expected)
+
+
 class MembersTest(unittest.TestCase):
     def test_the_state_survives_a_second_loss_after_the_repair(self) -> None:
         for snapshot_every_count in (5, 1000):
--- a/tests/consensus/test_storage.py
+++ b/tests/consensus/test_storage.py
@@ -12,6 +12,7 @@
 from camphorvalve.consensus.files import DamagedError
 from camphorvalve.consensus.members import host_of
 from camphorvalve.consensus.messages import Entry, Snapshot
+from camphorvalve.consensus.replica import Committed
 from camphorvalve.consensus.storage import bootstrap, first_identities, open_storage
 
 if TYPE_CHECKING:
@@ -123,9 +124,13 @@
         storage.append(entries(10, 1))
         storage.sync()
         storage.close()
-        self.assertEqual(self.stored()[3:], (snapshot, entries(7, 4)))
+        self.assertEqual(self.stored()[3:], (snapshot, entries(7, 4), Committed(0, 0)))
         (self.folder / "log").write_bytes(before)
-        self.assertEqual(self.stored()[3:], (snapshot, entries(7, 3)), "crash before the rewrite")
+        self.assertEqual(
+            self.stored()[3:],
+            (snapshot, entries(7, 3), Committed(0, 0)),
+            "crash before the rewrite",
+        )
         storage.install(snapshot._replace(term=2), ())
         (self.folder / "log").write_bytes(before)
         self.assertEqual(self.stored().entries, (), "entries of an older history")
@@ -170,6 +175,18 @@
                     with self.assertRaisesRegex(DamagedError, f"{path}: offset"):
                         open_storage(self.folder, "a")
 
+    def test_what_is_committed_is_kept_and_only_a_hint(self) -> None:
+        self.write(entries(1, 2))
+        storage = open_storage(self.folder, "a")
+        storage.keep_committed(Committed(2, 1))
+        storage.close()
+        self.assertEqual(self.stored().committed, Committed(2, 1))
+        path = self.folder / "committed"
+        for how, content in (("damaged", path.read_bytes()[:-1]), ("not a record", b"")):
+            with self.subTest(how):
+                path.write_bytes(content)
+                self.assertEqual(self.stored().committed, Committed(0, 0))
+
     def test_the_files_of_another_host_are_refused(self) -> None:
         self.write()
         with self.assertRaisesRegex(DamagedError, "not to 'b'"):
--- a/tools/measuring/capacity.py
+++ b/tools/measuring/capacity.py
@@ -10,7 +10,7 @@
 
 import structlog
 
-import camphorvalve.wiring  # noqa: F401 -- a router's memory starts with its imports
+import camphorvalve.wiring.router  # noqa: F401 -- a router's memory starts with its imports
 from tools.measuring import slopes
 from tools.measuring.node import Node
 
