Give joined routers settings of their own, rank homes once, and use the priority of teams and routes

Three lists of connection headers and two cutters of whole events and bodies; a joined router filled settings that it does not use with empty text; fields of pools and engines were decoded and used by nothing; requests that wait for a place ranked their homes again at each wake-up; the priority of teams and routes was decoded and used by nothing.

Change: model.headers, upstreams.opening.read_whole and upstreams.events.WholeEvents serve all callers; JoinedRouterSettings; homes are ranked once for each list of upstreams; each rank of more urgent work at a pool keeps a tenth of the limit free (team before route).

Ruled out: hiding controllers that forward commands from the presence: nothing shows them.

--- a/src/camphorvalve/controllers/pools.py
+++ b/src/camphorvalve/controllers/pools.py
@@ -22,6 +22,7 @@
     prefix_key,
 )
 from camphorvalve.sharing.limits import AdaptiveLimits
+from camphorvalve.sharing.placement import ranked
 
 if TYPE_CHECKING:
     import random
@@ -42,6 +43,13 @@
 OVER_SHARE_RATIO = 0.6
 """Part of the limit that requests beyond their team's share may use, so that the other teams find
 room at once."""
+STEP_RATIO = 0.1
+"""Part of the limit that is kept free for each rank of more urgent work, so that this finds room at
+once where engines fill up."""
+LEAST_URGENT_RATIO = 0.6
+"""Part that the least urgent work may use, however many ranks there are."""
+HOMES_KEPT_COUNT = 4096
+"""Prefixes whose homes are remembered; ranking takes 1 us for each upstream."""
 SERVICE_LIMIT_COUNT = 12
 """Requests of one router at a plain service; it has 6 slots and rejects what it cannot queue."""
 NEAR_COUNT = 2
@@ -101,6 +109,7 @@
         self._rng = rng
         self._upstreams: dict[str, Upstream] = {}
         self._by_pool: dict[str, list[str]] = {}
+        self._homes: dict[tuple[str, str], list[str]] = {}
         self._loads: dict[str, Load] = {}
         self._ejections = Ejections()
         self._limits = AdaptiveLimits()
@@ -119,6 +128,7 @@
         before = self._upstreams
         self._upstreams = {one.upstream_id: one for one in upstreams}
         self._by_pool = {}
+        self._homes.clear()
         for one in self._upstreams.values():
             if one.state is HostState.LIVE:
                 self._by_pool.setdefault(one.pool, []).append(one.upstream_id)
@@ -245,18 +255,32 @@
             self._room.set()
 
     def _choose(self, exchange: Exchange, pool: str, usable: Sequence[str]) -> str | None:
-        has_room = self._room_at(pool, 1.0 if exchange.within_share else OVER_SHARE_RATIO)
+        has_room = self._room_at(pool, _part_of_limit(exchange))
         near = [one for one in usable if self._is_near(one)]
         match exchange.request.call:
             case RoutedCall(prompt=prompt) if (key := prefix_key(prompt)) is not None:
-                if prefers_near(prompt) and (found := place(key, near, self._loads, has_room)):
+                homes = self._ranked(pool, key, usable)
+                near_homes = [one for one in homes if self._is_near(one)]
+                if prefers_near(prompt) and (found := place(near_homes, self._loads, has_room)):
                     return found
-                return place(key, usable, self._loads, has_room)
+                return place(homes, self._loads, has_room)
         if found := least_loaded(near, self._loads, self._is_quiet):
             return found
         shuffled = self._rng.sample(usable, len(usable))
         return least_loaded(shuffled, self._loads, has_room)
 
+    def _ranked(self, pool: str, key: str, usable: Sequence[str]) -> list[str]:
+        """Rank upstreams for a key; requests that wait for a place ask again and again."""
+        homes = self._homes.get((pool, key))
+        if homes is None:
+            if len(self._homes) >= HOMES_KEPT_COUNT:
+                self._homes.clear()
+            homes = self._homes[pool, key] = ranked(key, self._by_pool[pool])
+        if len(usable) == len(homes):
+            return homes
+        kept = set(usable)
+        return [one for one in homes if one in kept]
+
     def _is_near(self, upstream_id: str) -> bool:
         return self._upstreams[upstream_id].data_centre == self._data_centre
 
@@ -295,4 +319,9 @@
         )
 
 
+def _part_of_limit(exchange: Exchange) -> float:
+    share_ratio = 1.0 if exchange.within_share else OVER_SHARE_RATIO
+    return share_ratio * max(LEAST_URGENT_RATIO, 1.0 - STEP_RATIO * exchange.steps_behind)
+
+
 __all__ = ["Inputs", "Placement", "Pools"]
--- a/src/camphorvalve/filters/route.py
+++ b/src/camphorvalve/filters/route.py
@@ -59,6 +59,8 @@
     exchange.route = found
     exchange.kind = found.name
     exchange.parameters = found.parameters(pool)
+    team = None if exchange.team is None else exchange.team.name
+    exchange.steps_behind = table.steps_behind(found, team, pool)
     exchange.request = exchange.request._replace(pool=pool)
     patience_s = found.timeout_s
     if call.patience_s is not None:
--- a/src/camphorvalve/http/sending.py
+++ b/src/camphorvalve/http/sending.py
@@ -14,6 +14,7 @@
 
 from camphorvalve.model.answers import Body, Head
 from camphorvalve.model.errors import RequestError, Run
+from camphorvalve.model.headers import HOP_HEADERS
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -29,19 +30,7 @@
 """How long an unread body is discarded before the connection closes. Closing at once resets the
 connection, and the caller may lose the error that was sent to it."""
 
-_NOT_PASSED_ON = frozenset(
-    {
-        "connection",
-        "date",
-        "keep-alive",
-        "proxy-authenticate",
-        "proxy-connection",
-        "te",
-        "trailer",
-        "transfer-encoding",
-        "upgrade",
-    }
-)
+_NOT_PASSED_ON = HOP_HEADERS | {"date"}
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/camphorvalve/model/requests.py
+++ b/src/camphorvalve/model/requests.py
@@ -109,6 +109,8 @@
     parameters: KindParameters | None = None
     route: Route | None = None
     """Route of a ``RoutedCall``."""
+    steps_behind: int = 0
+    """Ranks of more urgent work at the same pool."""
     within_share: bool = True
     """Whether it is within its team's share; others wait for engines with room."""
     deadline_s: float | None = None
--- a/src/camphorvalve/model/routes.py
+++ b/src/camphorvalve/model/routes.py
@@ -61,15 +61,12 @@
     """Capacity of each model engine of a pool."""
 
     slots_count: int
-    memory_tokens: int
 
 
 class Pool(NamedTuple):
     """Upstreams of one kind."""
 
     name: str
-    connections_count: int
-    """Connections that each upstream accepts from all routers together."""
     engine: Engine | None
     """``None`` for a pool of plain services."""
 
@@ -80,6 +77,7 @@
     name: str
     keys: tuple[str, ...]
     priority: int
+    """Goes before the priority of the route."""
 
 
 class CallerBounds(NamedTuple):
--- a/src/camphorvalve/settings/schema.py
+++ b/src/camphorvalve/settings/schema.py
@@ -55,7 +55,6 @@
     peer_bind: str
     """Such as ``tcp://127.0.0.1:7000``."""
     controllers: tuple[ControllerAddress, ...]
-    """Empty where ``seeds`` are given."""
     platform_url: str
     keys: Keys | None
     """``null`` leaves links between processes open; has to be written out."""
@@ -73,20 +72,38 @@
     record_timeout_s: float = 3.0
     stop_timeout_s: float = 600.0
     """Longest time that a graceful stop waits for its last answer."""
-    caller_connections_count: int = 1024
-    """Connections of callers to routed calls above which a refusal closes its connection."""
-    retry_ratio: float = 0.1
+    logging: Logging = Logging()
+    metrics: Metrics | None = None
+
+
+class JoinedRouterSettings(NamedTuple):
+    """Settings of a router that finds its fleet from seeds and serves routed calls."""
+
+    host_id: str
+    """Its own peer address: IP number and port."""
+    data_centre: str
+    caller_bind: str
+    """IP number and port for callers."""
+    seeds: tuple[str, ...]
+    """Peer addresses of some controllers; the router learns the others from them."""
+    address_lifetime_s: float
+    """How long callers may keep a discovery answer."""
+    stop_timeout_s: float
+    """Longest time that a graceful stop waits for its last answer."""
+    caller_connections_count: int
+    """Connections of callers above which a refusal closes its connection."""
+    retry_ratio: float
     """Retries of this router per first try at a pool."""
-    retry_fleet_count: int = 24
+    retry_fleet_count: int
     """Retries in 10 s, of all routers together, that are allowed however few first tries there
     are."""
     upstream_idle_s: float = 4.0
     """How long an idle connection to an upstream is kept; common servers close it after 5 s."""
-    logging: Logging = Logging()
-    metrics: Metrics | None = None
-    seeds: tuple[str, ...] = ()
-    """Peer addresses, IP number and port, of some controllers; the router learns the others from
-    them. The id of each host is then its own peer address."""
+
+    @property
+    def peer_bind(self) -> str:
+        """:return: where the other processes of the fleet reach this one"""
+        return f"tcp://{self.host_id}"
 
 
 class ControllerSettings(NamedTuple):
--- a/src/camphorvalve/sharing/homes.py
+++ b/src/camphorvalve/sharing/homes.py
@@ -6,7 +6,6 @@
 from typing import TYPE_CHECKING, NamedTuple
 
 from camphorvalve.model.requests import Prompt, RoutedCall
-from camphorvalve.sharing.placement import ranked
 from camphorvalve.sharing.shares import ANSWER_WEIGHT
 
 if TYPE_CHECKING:
@@ -77,25 +76,19 @@
 """Tells whether this router may send another request to an upstream."""
 
 
-def place(
-    key: str,
-    upstream_ids: Sequence[str],
-    loads: Mapping[str, Load],
-    has_room: HasRoom,
-) -> str | None:
+def place(ranked_ids: Sequence[str], loads: Mapping[str, Load], has_room: HasRoom) -> str | None:
     """
     Choose among the homes of a prefix; bounded loads as in Mirrokni, Thorup and Zadimoghaddam,
     "Consistent Hashing with Bounded Loads" (2018), by rendezvous hashing.
 
-    :param key: from ``prefix_key``
-    :param upstream_ids: usable upstreams
+    :param ranked_ids: usable upstreams, ranked for the key from ``prefix_key``
     :param loads: load by upstream
     :param has_room: which upstreams may get another request
     :return: the upstream, ``None`` when every home is full
     """
-    total = sum(loads[one].tokens_count for one in upstream_ids if one in loads)
-    bound = LOAD_RATIO * total / max(1, len(upstream_ids)) + LOAD_SLACK_TOKENS
-    open_homes = [one for one in ranked(key, upstream_ids)[:HOMES_COUNT] if has_room(one)]
+    total = sum(loads[one].tokens_count for one in ranked_ids if one in loads)
+    bound = LOAD_RATIO * total / max(1, len(ranked_ids)) + LOAD_SLACK_TOKENS
+    open_homes = [one for one in ranked_ids[:HOMES_COUNT] if has_room(one)]
     within = (one for one in open_homes if loads.get(one, Load()).tokens_count <= bound)
     return next(within, open_homes[0] if open_homes else None)
 
--- a/src/camphorvalve/sharing/routing.py
+++ b/src/camphorvalve/sharing/routing.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from camphorvalve.model.routes import URGENT_PRIORITY
 from camphorvalve.model.teams import Limits, TeamParameters
 
 if TYPE_CHECKING:
@@ -29,6 +30,8 @@
             for tenant in manifest.tenants
             for key in tenant.keys
         }
+        self._priorities = {tenant.name: tenant.priority for tenant in manifest.tenants}
+        self._ranks = {pool: self._ranks_at(pool) for pool in self.pools}
 
     def find(self, host: str, target: str) -> Route | None:
         """
@@ -58,6 +61,27 @@
         """
         return self._teams.get(key)
 
+    def steps_behind(self, route: Route, team: str | None, pool: str) -> int:
+        """
+        Count the ranks of work at a pool that go before a request.
+
+        :param route: route of the request
+        :param team: name of its team, ``None`` on a public route
+        :param pool: its pool
+        :return: 0 for the most urgent work; teams go before routes
+        """
+        rank = (self._priorities.get(team or "", URGENT_PRIORITY), route.priority)
+        return sum(other < rank for other in self._ranks[pool])
+
+    def _ranks_at(self, pool: str) -> set[tuple[int, int]]:
+        routes = {
+            route.priority
+            for route in self.manifest.routes
+            if any(one.pool == pool for one in route.destinations)
+        }
+        teams = set(self._priorities.values()) or {URGENT_PRIORITY}
+        return {(team, route) for team in teams for route in routes}
+
     @property
     def has_teams(self) -> bool:
         """:return: whether requests on routes that are not public need a key"""
--- a/src/camphorvalve/upstreams/engine.py
+++ b/src/camphorvalve/upstreams/engine.py
@@ -12,7 +12,13 @@
 
 from camphorvalve.model.answers import Body, Head
 from camphorvalve.upstreams.errors import Broken, NoAnswer
-from camphorvalve.upstreams.opening import Sending, UpstreamCall, open_response, response_headers
+from camphorvalve.upstreams.opening import (
+    Sending,
+    UpstreamCall,
+    open_response,
+    read_whole,
+    response_headers,
+)
 from camphorvalve.upstreams.options import ContinueText, FromStart, ResumeStream
 from camphorvalve.upstreams.pump import coalesced
 from camphorvalve.upstreams.transcript import Transcript
@@ -138,7 +144,7 @@
 ) -> AsyncGenerator[Part, None]:
     head = Head(response.status_code, response_headers(response))
     if not _is_stream(response):
-        content = await _whole(upstream, response)
+        content = await read_whole(upstream, response)
         if response.status_code == 200:
             exchange.served_units += _answer_units(exchange.request.body, content)
         yield head
@@ -154,14 +160,6 @@
             yield part
 
 
-async def _whole(upstream: Upstream, response: httpx.Response) -> bytes:
-    """Read a whole body before its head goes on, so that a broken one can still be retried."""
-    try:
-        return b"".join([piece async for piece in response.aiter_raw()])
-    except httpx.HTTPError as error:
-        raise Broken(upstream.upstream_id, f"{type(error).__name__}: {error}") from error
-
-
 async def _events(
     upstream: Upstream, exchange: Exchange, transcript: Transcript, response: httpx.Response
 ) -> AsyncGenerator[Part, None]:
--- a/src/camphorvalve/upstreams/events.py
+++ b/src/camphorvalve/upstreams/events.py
@@ -1,4 +1,4 @@
-"""Cuts a stream of numbered server-sent events into whole events that follow each other."""
+"""Cuts a stream of server-sent events into whole events, and checks that they follow each other."""
 
 from __future__ import annotations
 
@@ -10,6 +10,34 @@
     """An event does not follow the one before it."""
 
 
+class WholeEvents:
+    """Holds back what has arrived of an event until it is complete."""
+
+    def __init__(self) -> None:
+        """Start between two events."""
+        self._tail = b""
+
+    @property
+    def inside_event(self) -> bool:
+        """:return: whether the bytes so far end in the middle of an event"""
+        return bool(self._tail)
+
+    def add(self, content: bytes) -> bytes:
+        """
+        Take bytes as they arrive.
+
+        :param content: the next bytes of the stream
+        :return: the events that are complete now
+        """
+        joined = self._tail + content if self._tail else content
+        end = joined.rfind(END_OF_EVENT) + len(END_OF_EVENT)
+        if end < len(END_OF_EVENT):
+            self._tail = joined
+            return b""
+        self._tail = joined[end:]
+        return joined[:end]
+
+
 class EventCutter:
     """Passes whole events on and remembers the number of the last one."""
 
@@ -20,12 +48,12 @@
         :param last_number: number of the last event that the caller has
         """
         self.last_number = last_number
-        self._tail = b""
+        self._whole = WholeEvents()
 
     @property
     def inside_event(self) -> bool:
         """:return: whether the bytes so far end in the middle of an event"""
-        return bool(self._tail)
+        return self._whole.inside_event
 
     def add(self, content: bytes) -> bytes:
         """
@@ -35,13 +63,7 @@
         :return: the whole events that are complete now, without those that the caller has
         :raises OutOfOrderError: an event is missing
         """
-        joined = self._tail + content if self._tail else content
-        end = joined.rfind(END_OF_EVENT) + len(END_OF_EVENT)
-        if end < len(END_OF_EVENT):
-            self._tail = joined
-            return b""
-        self._tail = joined[end:]
-        events = joined[:end].split(END_OF_EVENT)[:-1]
+        events = self._whole.add(content).split(END_OF_EVENT)[:-1]
         return b"".join(event + END_OF_EVENT for event in events if self._is_next(event))
 
     def _is_next(self, event: bytes) -> bool:
@@ -65,4 +87,4 @@
     return None
 
 
-__all__ = ["EventCutter", "OutOfOrderError"]
+__all__ = ["END_OF_EVENT", "EventCutter", "OutOfOrderError", "WholeEvents"]
--- a/src/camphorvalve/upstreams/opening.py
+++ b/src/camphorvalve/upstreams/opening.py
@@ -7,8 +7,9 @@
 
 import httpx
 
+from camphorvalve.model.headers import HOP_HEADERS
 from camphorvalve.upstreams.client import FRESH
-from camphorvalve.upstreams.errors import NoAnswer, NotSent, WrongAnswer
+from camphorvalve.upstreams.errors import Broken, NoAnswer, NotSent, WrongAnswer
 
 if TYPE_CHECKING:
     from camphorvalve.model.requests import Exchange
@@ -16,22 +17,8 @@
     from camphorvalve.upstreams.options import AttemptOptions
 
 SENDING_EVENT = "http11.send_request_headers.started"
-# Connection headers concern one hop; the others are set again by the router.
-_DROPPED_HEADERS = frozenset(
-    {
-        "connection",
-        "date",
-        "keep-alive",
-        "proxy-authenticate",
-        "server",
-        "te",
-        "trailer",
-        "transfer-encoding",
-        "upgrade",
-        "x-attempt",
-        "x-request-id",
-    }
-)
+# The others are set again by the router.
+_DROPPED_HEADERS = HOP_HEADERS | {"date", "server", "x-attempt", "x-request-id"}
 
 
 class UpstreamCall(NamedTuple):
@@ -115,6 +102,21 @@
     )
 
 
+async def read_whole(upstream: Upstream, response: httpx.Response) -> bytes:
+    """
+    Read a whole body before its head goes on, so that a broken one can still be retried.
+
+    :param upstream: the upstream
+    :param response: its response, unread
+    :return: the body
+    :raises Broken: the body ended before it was complete
+    """
+    try:
+        return b"".join([piece async for piece in response.aiter_raw()])
+    except httpx.HTTPError as error:
+        raise Broken(upstream.upstream_id, f"{type(error).__name__}: {error}") from error
+
+
 def _request_headers(
     exchange: Exchange, attempt: int, options: AttemptOptions
 ) -> list[tuple[bytes, bytes]]:
@@ -152,4 +154,11 @@
     return None
 
 
-__all__ = ["SENDING_EVENT", "Sending", "UpstreamCall", "open_response", "response_headers"]
+__all__ = [
+    "SENDING_EVENT",
+    "Sending",
+    "UpstreamCall",
+    "open_response",
+    "read_whole",
+    "response_headers",
+]
--- a/src/camphorvalve/upstreams/routed.py
+++ b/src/camphorvalve/upstreams/routed.py
@@ -10,6 +10,7 @@
 import httpx
 
 from camphorvalve.model.answers import Body, Head
+from camphorvalve.model.headers import end_to_end
 from camphorvalve.upstreams.client import FRESH
 from camphorvalve.upstreams.errors import (
     Broken,
@@ -20,7 +21,7 @@
     WrongAnswer,
 )
 from camphorvalve.upstreams.events import EventCutter, OutOfOrderError
-from camphorvalve.upstreams.opening import SENDING_EVENT
+from camphorvalve.upstreams.opening import SENDING_EVENT, read_whole
 from camphorvalve.upstreams.pump import coalesced
 
 if TYPE_CHECKING:
@@ -40,20 +41,6 @@
 """Times the objective, or ``FIRST_BYTE_S`` if that is longer, that an attempt which may be repeated
 waits for the head of the answer; callers leave after 2 s or four times the objective."""
 EVENT_STREAM = "text/event-stream"
-HOP_HEADERS = frozenset(
-    {
-        "connection",
-        "keep-alive",
-        "proxy-authenticate",
-        "proxy-authorization",
-        "proxy-connection",
-        "te",
-        "trailer",
-        "transfer-encoding",
-        "upgrade",
-    }
-)
-"""Headers that concern one connection (RFC 9110, 7.6.1)."""
 
 
 class HeaderNames(NamedTuple):
@@ -73,22 +60,6 @@
     """In an answer: made by the upstream for this request."""
 
 
-def end_to_end(headers: list[tuple[str, str]]) -> list[tuple[str, str]]:
-    """
-    Drop the headers that concern one connection.
-
-    :param headers: names in lower case, and values
-    :return: the others
-    """
-    named = {
-        name.strip().lower()
-        for key, value in headers
-        if key == "connection"
-        for name in value.split(",")
-    }
-    return [(key, value) for key, value in headers if key not in HOP_HEADERS and key not in named]
-
-
 class RoutedAttempts:
     """Opens attempts of routed calls."""
 
@@ -178,7 +149,7 @@
         self._check(upstream, exchange, response)
         head = Head(response.status_code, tuple(end_to_end(response.headers.multi_items())))
         if response.status_code >= 500 and exchange.parameters.idempotent:
-            raise FailedAnswer(upstream.upstream_id, head, await _whole(upstream, response))
+            raise FailedAnswer(upstream.upstream_id, head, await read_whole(upstream, response))
         if response.headers.get("content-type", "").startswith(EVENT_STREAM):
             yield head
             events = self._events(upstream, exchange, response)
@@ -189,7 +160,7 @@
         if exchange.output_started:
             raise NoAnswer(upstream.upstream_id, "the continuation of a stream is not a stream")
         yield head
-        yield Body(await _whole(upstream, response))
+        yield Body(await read_whole(upstream, response))
 
     def _check(self, upstream: Upstream, exchange: Exchange, response: httpx.Response) -> None:
         names, headers = self._names, response.headers
@@ -235,12 +206,4 @@
     return httpx.Timeout(read_s, connect=connect_s, pool=connect_s)
 
 
-async def _whole(upstream: Upstream, response: httpx.Response) -> bytes:
-    """Read a whole body before its head goes on, so that a broken one can still be retried."""
-    try:
-        return b"".join([piece async for piece in response.aiter_raw()])
-    except httpx.HTTPError as error:
-        raise Broken(upstream.upstream_id, f"{type(error).__name__}: {error}") from error
-
-
-__all__ = ["EVENT_STREAM", "HOP_HEADERS", "HeaderNames", "RoutedAttempts", "end_to_end"]
+__all__ = ["EVENT_STREAM", "HeaderNames", "RoutedAttempts"]
--- a/src/camphorvalve/upstreams/transcript.py
+++ b/src/camphorvalve/upstreams/transcript.py
@@ -6,12 +6,12 @@
 
 import msgspec
 
+from camphorvalve.upstreams.events import END_OF_EVENT, WholeEvents
 from camphorvalve.upstreams.options import ContinueText, FromStart, ResumeStream
 
 if TYPE_CHECKING:
     from camphorvalve.upstreams.options import Begin
 
-END_OF_EVENT = b"\n\n"
 DONE = b"data: [DONE]\n\n"
 _DATA = b"data: "
 _NUMBER = b"id: "
@@ -39,7 +39,7 @@
                 self._earlier_count, self._earlier_text = 0, ""
             case ResumeStream(events_count, text) | ContinueText(events_count, text):
                 self._earlier_count, self._earlier_text = events_count, text
-        self._tail = b""
+        self._whole = WholeEvents()
         self._parts: list[bytes] = []
 
     def add(self, content: bytes) -> tuple[bytes, int]:
@@ -49,13 +49,9 @@
         :param content: the next bytes of the stream
         :return: the whole events that are complete now, and how many of them are tokens
         """
-        joined = self._tail + content if self._tail else content
-        end = joined.rfind(END_OF_EVENT) + len(END_OF_EVENT)
-        if end < len(END_OF_EVENT):
-            self._tail = joined
+        whole = self._whole.add(content)
+        if not whole:
             return b"", 0
-        whole = joined[:end]
-        self._tail = joined[end:]
         self.done = whole.endswith(DONE)
         count = whole.count(END_OF_EVENT) - self.done
         self._parts.append(whole)
--- a/src/camphorvalve/wiring/common.py
+++ b/src/camphorvalve/wiring/common.py
@@ -16,7 +16,12 @@
 
 if TYPE_CHECKING:
     from camphorvalve.model.policies import Policy
-    from camphorvalve.settings.schema import ControllerSettings, Keys, RouterSettings
+    from camphorvalve.settings.schema import (
+        ControllerSettings,
+        JoinedRouterSettings,
+        Keys,
+        RouterSettings,
+    )
 
 COLLECTOR_THRESHOLDS = (20_000, 20, 50)
 """Objects and collections between two collections; 700, 10, 10 by default."""
@@ -60,20 +65,31 @@
 
 def open_link(settings: RouterSettings | ControllerSettings, incarnation: int) -> Link:
     """
-    Prepare the link of a process.
+    Prepare the link of a process whose settings list its peers.
 
     :param settings: its settings
     :param incarnation: number of this start
     :return: the link, not bound yet
     """
     pair = None if settings.keys is None else KeyPair(*settings.keys)
+    return Link(settings.host_id, incarnation, settings.peer_bind, ALL_MESSAGES, pair)
+
+
+def open_joined_link(settings: JoinedRouterSettings | ControllerSettings, incarnation: int) -> Link:
+    """
+    Prepare the link of a process that finds its peers from seeds; it is open to all of them.
+
+    :param settings: its settings
+    :param incarnation: number of this start
+    :return: the link, not bound yet
+    """
     return Link(
         settings.host_id,
         incarnation,
         settings.peer_bind,
         ALL_MESSAGES,
-        pair,
-        ids_are_addresses=bool(settings.seeds),
+        None,
+        ids_are_addresses=True,
     )
 
 
@@ -93,6 +109,7 @@
 __all__ = [
     "ALL_MESSAGES",
     "new_incarnation",
+    "open_joined_link",
     "open_link",
     "policy_of",
     "relax_collector",
--- a/src/camphorvalve/wiring/joinedcontroller.py
+++ b/src/camphorvalve/wiring/joinedcontroller.py
@@ -18,7 +18,7 @@
 from camphorvalve.http.server import serve
 from camphorvalve.reports.exposition import Exposition
 from camphorvalve.reports.metrics import CONTROLLER_METRICS, SYNC_LONGEST, SYNCS_COUNT
-from camphorvalve.wiring.common import new_incarnation, open_link
+from camphorvalve.wiring.common import new_incarnation, open_joined_link
 from camphorvalve.wiring.edges import follow_seeds, keep_peers
 
 if TYPE_CHECKING:
@@ -39,7 +39,7 @@
     _form_group(settings)
     storage = open_storage(settings.data_folder, settings.host_id)
     replication = ReplicationController(settings, storage, random.Random(incarnation))
-    link = open_link(settings, incarnation)
+    link = open_joined_link(settings, incarnation)
     runtime = Runtime(link, (replication, TotalsController()))
     link.open()
     shutdown = anyio.Event()
--- a/src/camphorvalve/wiring/joinedrouter.py
+++ b/src/camphorvalve/wiring/joinedrouter.py
@@ -32,12 +32,12 @@
 from camphorvalve.sharing.budget import RetryBudget
 from camphorvalve.upstreams.client import create_client
 from camphorvalve.upstreams.routed import RoutedAttempts
-from camphorvalve.wiring.common import new_incarnation, open_link, relax_collector
+from camphorvalve.wiring.common import new_incarnation, open_joined_link, relax_collector
 from camphorvalve.wiring.edges import RouterView, follow_seeds, keep_peers
 
 if TYPE_CHECKING:
     from camphorvalve.filters.chain import Handler
-    from camphorvalve.settings.schema import RouterSettings
+    from camphorvalve.settings.schema import JoinedRouterSettings
     from camphorvalve.wiring.edges import RouterEdge
 
 LEAST_ROUTERS_COUNT = 8
@@ -57,7 +57,7 @@
 class JoinedRouter:
     """The parts of a router, joined to each other."""
 
-    def __init__(self, settings: RouterSettings, edge: RouterEdge) -> None:
+    def __init__(self, settings: JoinedRouterSettings, edge: RouterEdge) -> None:
         """
         Wire the parts.
 
@@ -81,7 +81,7 @@
             self._roster.routers_count,
             lambda: self._manifest.bounds().tokens_per_s,
         )
-        link = open_link(settings, self.incarnation)
+        link = open_joined_link(settings, self.incarnation)
         self._runtime = Runtime(link, (self._roster, self._following, self._shares))
         self._client = create_client(keepalive_s=settings.upstream_idle_s)
         self._pools = Pools(
@@ -179,7 +179,7 @@
             self._pools.apply(upstreams, time.monotonic())
 
 
-async def run_joined_router(settings: RouterSettings, edge: RouterEdge) -> None:
+async def run_joined_router(settings: JoinedRouterSettings, edge: RouterEdge) -> None:
     """
     Run a router until it has stopped gracefully.
 
--- a/tests/controllers/test_pools.py
+++ b/tests/controllers/test_pools.py
@@ -81,6 +81,22 @@
         self.assertGreater(flood, 0)
         self.assertGreater(self.fill(prompt=prompt), 0)
 
+    def test_urgent_work_finds_room(self) -> None:
+        """Guards against urgent work that is refused behind less urgent work."""
+        prompt = a_prompt("a", "own", tokens_count=13_000)
+        self.weight = 1.0
+        self.assertGreater(self.fill(prompt=prompt, steps_behind=1), 0)
+        self.assertGreater(self.fill(prompt=prompt), 0)
+
+    def test_homes_follow_the_list(self) -> None:
+        """Guards against a home that is remembered though another upstream ranks before it."""
+        prompt = a_prompt("a", "own", tokens_count=13_000)
+        home = self.begin(prompt=prompt)
+        self.pools.apply([one for one in UPSTREAMS if one.upstream_id != home], 1.0)
+        self.assertNotEqual(self.begin(prompt=prompt), home)
+        self.pools.apply(UPSTREAMS, 2.0)
+        self.assertEqual(self.begin(prompt=prompt), home)
+
     def test_larger_part(self) -> None:
         """Guards against a team that is starved because all its callers come to one router."""
         prompt = a_prompt("a", "own", tokens_count=13_000)
--- a/tests/routebuilders.py
+++ b/tests/routebuilders.py
@@ -53,7 +53,7 @@
     values = {
         "version": version,
         "routes": (a_route(),),
-        "pools": (Pool("engines", 100, Engine(96, 1_000_000)), Pool("desk", 100, None)),
+        "pools": (Pool("engines", Engine(96)), Pool("desk", None)),
         "tenants": (Tenant("youth", ("key-1",), 1),),
         "bounds": CallerBounds(),
         "source": f'{{"version":{version}}}'.encode(),
--- a/tests/sharing/test_homes.py
+++ b/tests/sharing/test_homes.py
@@ -6,6 +6,7 @@
 from collections import Counter
 
 from camphorvalve.sharing.homes import HOMES_COUNT, Load, least_loaded, place, prefix_key
+from camphorvalve.sharing.placement import ranked
 from tests.routebuilders import a_prompt
 
 UPSTREAMS = [f"up-{number}" for number in range(9)]
@@ -34,35 +35,39 @@
     def test_same_home_everywhere(self) -> None:
         """Guards against routers that place a prefix differently and so read it twice."""
         for number in range(50):
-            forwards = place(f"prefix-{number}", UPSTREAMS, {}, any_upstream)
-            backwards = place(f"prefix-{number}", UPSTREAMS[::-1], {}, any_upstream)
+            forwards = place(ranked(f"prefix-{number}", UPSTREAMS), {}, any_upstream)
+            backwards = place(ranked(f"prefix-{number}", UPSTREAMS[::-1]), {}, any_upstream)
             self.assertEqual(forwards, backwards)
 
     def test_homes_move_little(self) -> None:
         """Guards against a lost upstream that moves the homes of the others' prefixes."""
-        before = {n: place(f"prefix-{n}", UPSTREAMS, {}, any_upstream) for n in range(200)}
-        after = {n: place(f"prefix-{n}", UPSTREAMS[1:], {}, any_upstream) for n in range(200)}
+        before = {n: place(ranked(f"prefix-{n}", UPSTREAMS), {}, any_upstream) for n in range(200)}
+        after = {
+            n: place(ranked(f"prefix-{n}", UPSTREAMS[1:]), {}, any_upstream) for n in range(200)
+        }
         moved = [n for n in before if before[n] != after[n] and before[n] != UPSTREAMS[0]]
         self.assertEqual(moved, [])
 
     def test_loaded_home_is_passed_over(self) -> None:
         """Guards against a hot prefix that piles up at its home."""
-        home = place("hot", UPSTREAMS, {}, any_upstream)
-        second = place("hot", UPSTREAMS, {home: Load(1, 0, 1_000_000)}, any_upstream)
+        home = place(ranked("hot", UPSTREAMS), {}, any_upstream)
+        second = place(ranked("hot", UPSTREAMS), {home: Load(1, 0, 1_000_000)}, any_upstream)
         self.assertNotEqual(second, home)
 
     def test_full_homes_refuse(self) -> None:
         """Guards against spilling to an upstream that would evict other prefixes."""
         full: set[str] = set()
         for _ in range(HOMES_COUNT):
-            home = place("hot", UPSTREAMS, {}, lambda one: one not in full)
+            home = place(ranked("hot", UPSTREAMS), {}, lambda one: one not in full)
             self.assertIsNotNone(home)
             full.add(home)
-        self.assertIsNone(place("hot", UPSTREAMS, {}, lambda one: one not in full))
+        self.assertIsNone(place(ranked("hot", UPSTREAMS), {}, lambda one: one not in full))
 
     def test_spread(self) -> None:
         """Guards against a hash that favours some upstreams."""
-        counts = Counter(place(f"prefix-{n}", UPSTREAMS, {}, any_upstream) for n in range(900))
+        counts = Counter(
+            place(ranked(f"prefix-{n}", UPSTREAMS), {}, any_upstream) for n in range(900)
+        )
         self.assertGreater(min(counts.values()), 50)
 
     def test_least_loaded(self) -> None:
--- a/tests/sharing/test_routing.py
+++ b/tests/sharing/test_routing.py
@@ -5,7 +5,7 @@
 import unittest
 from collections import Counter
 
-from camphorvalve.model.routes import Destination
+from camphorvalve.model.routes import Destination, Tenant
 from camphorvalve.sharing.routing import RouteTable, split
 from tests.routebuilders import a_manifest, a_route
 
@@ -42,6 +42,27 @@
         self.assertIsNone(table.team("key-2"))
         self.assertIsNone(table.team(""))
 
+    def test_ranks(self) -> None:
+        """Guards against a route's priority that goes before its team's or counts elsewhere."""
+        routes = (
+            a_route(name="urgent", path_prefix="/a/", priority=0),
+            a_route(name="normal", path_prefix="/b/", priority=1),
+            a_route(name="elsewhere", destinations=(Destination("desk", 1.0),), priority=0),
+        )
+        tenants = (Tenant("first", ("k1",), 1), Tenant("second", ("k2",), 2))
+        table = RouteTable(a_manifest(routes=routes, tenants=tenants))
+        rows = [
+            ("urgent", "first", 0),
+            ("normal", "first", 1),
+            ("urgent", "second", 2),
+            ("normal", "second", 3),
+        ]
+        by_name = {route.name: route for route in routes}
+        for name, team, expected in rows:
+            with self.subTest(name=name, team=team):
+                self.assertEqual(table.steps_behind(by_name[name], team, "engines"), expected)
+        self.assertEqual(RouteTable(a_manifest()).steps_behind(a_route(), "youth", "engines"), 0)
+
 
 class SplitTest(unittest.TestCase):
     def test_weights(self) -> None:
