Serve first tries before callers who come back, within a team's share

A team over its share was served tries at random, so that places went to answers that were late already, while first tries were refused that would have been on time.

Ruled out: late first tokens at the engines; at the routers they began after 112 to 275 ms at the median and 340 to 560 ms for 80 of 100 in the same seconds.

Change: a caller whose remaining patience is below 0.85 of the longest one lately for its route has come back (sharing.patience); a team's share goes to first tries, and what they leave to the others. Routers report the tokens of returned callers with their demand.

--- a/src/camphorvalve/controllers/shares.py
+++ b/src/camphorvalve/controllers/shares.py
@@ -7,6 +7,7 @@
 import structlog
 
 from camphorvalve.controllers.runtime import Outgoing
+from camphorvalve.sharing.patience import Patience
 from camphorvalve.sharing.placement import owner
 from camphorvalve.sharing.shares import Demand, Quotas
 from camphorvalve.wire.messages import Asked, AskedTotals, TeamTokens
@@ -65,6 +66,8 @@
         self._routers_count = routers_count
         self._tokens_per_s = tokens_per_s
         self._demand = Demand(WINDOW_S)
+        self._returned = Demand(WINDOW_S)
+        self._patience = Patience()
         self._quotas = Quotas()
         self._totals_s = float("-inf")
         self._over_share: set[str] = set()
@@ -73,17 +76,33 @@
         self._starved = Demand(STARVED_WINDOW_S)
         self._congested_until_s = float("-inf")
 
-    def within_share(self, team: str, tokens: float, now_s: float) -> bool:
+    def came_back(self, kind: str, patience_s: float | None, now_s: float) -> bool:
+        """
+        Note a caller, and tell whether it was refused before.
+
+        :param kind: kind of the request
+        :param patience_s: how long the caller still waits, ``None`` if it did not say
+        :param now_s: monotonic time
+        :return: whether it came back
+        """
+        return self._patience.came_back(kind, patience_s, now_s)
+
+    def within_share(
+        self, team: str, tokens: float, now_s: float, *, came_back: bool = False
+    ) -> bool:
         """
         Count a request and decide whether it is within its team's share.
 
         :param team: name of the team
         :param tokens: cost of the request
         :param now_s: monotonic time
+        :param came_back: whether its caller was refused before
         :return: whether it is
         """
         self._demand.add(team, tokens, now_s)
-        return self._quotas.takes(team, tokens)
+        if came_back:
+            self._returned.add(team, tokens, now_s)
+        return self._quotas.takes(team, tokens, came_back=came_back)
 
     def serve(self, team: str, tokens: float, now_s: float) -> None:
         """
@@ -133,9 +152,10 @@
         :return: nothing
         """
         self._totals_s = now_s
-        demands = {team: tokens for team, tokens, _ in message.entries}
-        served = {team: served_tokens for team, _, served_tokens in message.entries}
-        self._set_quotas(demands, self._demand.totals(now_s), served)
+        demands = {entry.team: entry.tokens for entry in message.entries}
+        served = {entry.team: entry.served_tokens for entry in message.entries}
+        returned = {entry.team: entry.returned_tokens for entry in message.entries}
+        self._set_quotas(demands, self._demand.totals(now_s), served, returned)
         self._set_starved(message.starved_tokens, now_s)
         yield from ()
 
@@ -148,15 +168,19 @@
         """
         own = self._demand.totals(now_s)
         served = self._served.totals(now_s)
+        returned = self._returned.totals(now_s)
         starved_tokens = self._starved.totals(now_s).get(STARVED, 0.0)
         if now_s - self._totals_s > TOTALS_LIFETIME_S:
             count = max(1, self._routers_count())
-            self._set_quotas({team: count * tokens for team, tokens in own.items()}, own, served)
+            demands = {team: count * tokens for team, tokens in own.items()}
+            returned_all = {team: count * tokens for team, tokens in returned.items()}
+            self._set_quotas(demands, own, served, returned_all)
             self._set_starved(starved_tokens, now_s)
         aggregator = owner(AGGREGATOR_KEY, self._controller_ids())
         if aggregator is not None:
             entries = tuple(
-                TeamTokens(team, tokens, served.get(team, 0.0)) for team, tokens in own.items()
+                TeamTokens(team, tokens, served.get(team, 0.0), returned.get(team, 0.0))
+                for team, tokens in own.items()
             )
             yield Outgoing(aggregator, Asked(entries, starved_tokens))
 
@@ -169,12 +193,17 @@
         self._congested_until_s = now_s + CONGESTED_S
 
     def _set_quotas(
-        self, demands: dict[str, float], own: dict[str, float], served: dict[str, float]
+        self,
+        demands: dict[str, float],
+        own: dict[str, float],
+        served: dict[str, float],
+        returned: dict[str, float],
     ) -> None:
         tokens_per_s = self._tokens_per_s()
         if tokens_per_s is None:
             return
-        self._quotas.set_ratios(demands, CAPACITY_RATIO * tokens_per_s * WINDOW_S, served)
+        capacity = CAPACITY_RATIO * tokens_per_s * WINDOW_S
+        self._quotas.set_ratios(demands, capacity, served, returned)
         least = LEAST_PART / max(1, self._routers_count())
         self._weight = max(least, self._quotas.weight(own, demands) or 2 * least)
         over_share = set(self._quotas.over_share())
--- a/src/camphorvalve/filters/share.py
+++ b/src/camphorvalve/filters/share.py
@@ -40,7 +40,11 @@
         began = not tokens or exchange.team is None
         if tokens and exchange.team is not None:
             now_s = time.monotonic()
-            exchange.within_share = shares.within_share(exchange.team.name, tokens, now_s)
+            call = exchange.request.call
+            came_back = shares.came_back(exchange.route.name, call.patience_s, now_s)
+            exchange.within_share = shares.within_share(
+                exchange.team.name, tokens, now_s, came_back=came_back
+            )
             if not exchange.within_share and shares.congested(now_s):
                 raise _refusal(exchange)
         try:
--- a/src/camphorvalve/sharing/shares.py
+++ b/src/camphorvalve/sharing/shares.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections import deque
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, NamedTuple
 
 if TYPE_CHECKING:
     from collections.abc import Iterator, Mapping
@@ -83,13 +83,23 @@
     return float("inf")
 
 
+class _Ratios(NamedTuple):
+    """Parts of a team's requests that lie within its share."""
+
+    overall: float
+    first: float
+    """Of requests whose callers ask for the first time; they go first."""
+    returned: float
+    """Of requests whose callers came back after a refusal: those answers are late anyway."""
+
+
 class Quotas:
     """Picks the part of each team's requests that lies within its share, evenly over time."""
 
     def __init__(self) -> None:
         """Start without teams."""
-        self._ratios: dict[str, float] = {}
-        self._saved: dict[str, float] = {}
+        self._ratios: dict[str, _Ratios] = {}
+        self._saved: dict[tuple[str, bool], float] = {}
         self._corrections: dict[str, float] = {}
 
     def set_ratios(
@@ -97,6 +107,7 @@
         demands: Mapping[str, float],
         capacity: float,
         served: Mapping[str, float] | None = None,
+        returned: Mapping[str, float] | None = None,
     ) -> None:
         """
         Set the part of each team's demand that is within its share.
@@ -107,14 +118,20 @@
         :param demands: tokens by team, of the whole fleet
         :param capacity: tokens to divide
         :param served: tokens by team that were served in the same window
+        :param returned: tokens by team, of the demands, whose callers came back
         """
         found = level(demands, capacity)
         over = {team: found / demand for team, demand in demands.items() if demand > found}
         self._correct(over, served or {})
         self._ratios = {
-            team: min(1.0, ratio * self._corrections[team]) for team, ratio in over.items()
+            team: _split(
+                demands[team],
+                (returned or {}).get(team, 0.0),
+                min(1.0, ratio * self._corrections[team]),
+            )
+            for team, ratio in over.items()
         }
-        self._saved = {team: self._saved.get(team, 0.0) for team in self._ratios}
+        self._saved = {key: saved for key, saved in self._saved.items() if key[0] in self._ratios}
 
     def _correct(self, over: Mapping[str, float], served: Mapping[str, float]) -> None:
         self._corrections = {team: self._corrections.get(team, 1.0) for team in over}
@@ -135,34 +152,50 @@
         :param demands: tokens by team at all routers
         :return: 0 to 1, ``None`` without demand
         """
-        total = sum(demand * self._ratios.get(team, 1.0) for team, demand in demands.items())
-        if total <= 0:
-            return None
-        found = sum(tokens * self._ratios.get(team, 1.0) for team, tokens in own.items())
-        return min(1.0, found / total)
+        total = self._within(demands)
+        return min(1.0, self._within(own) / total) if total > 0 else None
+
+    def _within(self, demands: Mapping[str, float]) -> float:
+        return sum(
+            tokens * (self._ratios[team].overall if team in self._ratios else 1.0)
+            for team, tokens in demands.items()
+        )
 
     def over_share(self) -> Iterator[str]:
         """:return: teams that ask for more than their share"""
         yield from self._ratios
 
-    def takes(self, team: str, tokens: float) -> bool:
+    def takes(self, team: str, tokens: float, *, came_back: bool = False) -> bool:
         """
         Decide whether a request is within its team's share; call it once for each request.
 
         :param team: name of the team
         :param tokens: cost of the request
+        :param came_back: whether its caller came back after a refusal
         :return: whether it is
         """
-        ratio = self._ratios.get(team)
-        if ratio is None:
+        ratios = self._ratios.get(team)
+        if ratios is None:
             return True
+        ratio = ratios.returned if came_back else ratios.first
+        key = (team, came_back)
         # Error diffusion: what a refused request leaves unused counts for the next one, whatever
         # their sizes, so that large requests get their part as well. What is saved stays within
         # half of the largest request.
-        saved = self._saved[team] + ratio * tokens
-        taken = saved >= tokens / 2
-        self._saved[team] = saved - tokens if taken else saved
+        saved = self._saved.get(key, 0.0) + ratio * tokens
+        taken = ratio > 0 and saved >= tokens / 2
+        self._saved[key] = saved - tokens if taken else saved
         return taken
 
 
+def _split(demand: float, returned: float, ratio: float) -> _Ratios:
+    """Give a team's share to first requests, and what they leave to those that came back."""
+    share = ratio * demand
+    first = demand - returned
+    first_ratio = min(1.0, share / first) if first > 0 else 1.0
+    left = share - first_ratio * first
+    returned_ratio = min(1.0, max(0.0, left / returned)) if returned > 0 else first_ratio
+    return _Ratios(ratio, first_ratio, returned_ratio)
+
+
 __all__ = ["ANSWER_WEIGHT", "Demand", "Quotas", "level"]
--- a/tests/filters/test_share.py
+++ b/tests/filters/test_share.py
@@ -32,7 +32,12 @@
         self._within = within
         self._congested = congested
 
-    def within_share(self, team: str, tokens: float, now_s: float) -> bool:
+    def came_back(self, kind: str, patience_s: float | None, now_s: float) -> bool:
+        return False
+
+    def within_share(
+        self, team: str, tokens: float, now_s: float, *, came_back: bool = False
+    ) -> bool:
         return self._within
 
     def congested(self, now_s: float) -> bool:
--- /dev/null
+++ b/tests/sharing/test_patience.py
@@ -0,0 +1,38 @@
+"""Guards against callers who come back being taken for first tries, and the other way round."""
+
+from __future__ import annotations
+
+import unittest
+
+from camphorvalve.sharing.patience import SPAN_S, Patience
+
+
+class PatienceTest(unittest.TestCase):
+    def test_rows(self) -> None:
+        """Guards against first tries of one kind that are measured by another kind's patience."""
+        patience = Patience()
+        rows = [
+            ("drafts", 8.0, False),
+            ("drafts", 7.0, False),
+            ("drafts", 5.9, True),
+            ("drafts", None, False),
+            ("digests", 5.0, False),
+            ("digests", 4.3, False),
+            ("digests", 2.9, True),
+        ]
+        for kind, patience_s, expected in rows:
+            with self.subTest(kind=kind, patience_s=patience_s):
+                self.assertEqual(patience.came_back(kind, patience_s, 0.0), expected)
+
+    def test_shorter_patience(self) -> None:
+        """Guards against an operator's shorter timeout after which all callers seem late."""
+        patience = Patience()
+        patience.came_back("drafts", 8.0, 0.0)
+        self.assertTrue(patience.came_back("drafts", 4.0, 1.0))
+        for turn in range(2):
+            patience.came_back("drafts", 4.0, (turn + 1) * (SPAN_S + 1.0))
+        self.assertFalse(patience.came_back("drafts", 4.0, 2 * SPAN_S + 3.0))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/sharing/test_shares.py
+++ b/tests/sharing/test_shares.py
@@ -70,6 +70,25 @@
         self.assertLess(abs(served["busy"] - served["free"]), 0.1 * served["free"])
         self.assertEqual(parts["small"], 900)
 
+    def test_first_requests_go_first(self) -> None:
+        """Guards against a share that is spent on answers which come late anyway."""
+        rows = [
+            # Demand, of which returned, capacity; parts of first and returned requests.
+            (300.0, 200.0, 50.0, 0.5, 0.0),
+            (300.0, 200.0, 100.0, 1.0, 0.0),
+            (300.0, 200.0, 150.0, 1.0, 0.25),
+            (300.0, 0.0, 150.0, 0.5, 0.5),
+            (300.0, 300.0, 150.0, 1.0, 0.5),
+        ]
+        for demand, returned, capacity, first_part, returned_part in rows:
+            with self.subTest(demand=demand, returned=returned, capacity=capacity):
+                quotas = Quotas()
+                quotas.set_ratios({"a": demand}, capacity, returned={"a": returned})
+                first = sum(quotas.takes("a", 1.0) for _ in range(200))
+                late = sum(quotas.takes("a", 1.0, came_back=True) for _ in range(200))
+                self.assertAlmostEqual(first / 200, first_part, delta=0.01)
+                self.assertAlmostEqual(late / 200, returned_part, delta=0.01)
+
     def test_large_requests(self) -> None:
         """Guards against a share that is used up by small requests alone."""
         quotas = Quotas()
