Poll five times a second until the first configuration has come

A controller opens its connection back to a router with its first answer, and drops what it sends before that stands; the router asked again a second later.

Change: polls every 0.2 s while a router has no configuration, for 10 s at most.

Ruled out: queueing on connections that do not stand; queued messages would arrive stale after a cut.

--- a/src/camphorvalve/controllers/following.py
+++ b/src/camphorvalve/controllers/following.py
@@ -19,6 +19,14 @@
     from camphorvalve.controllers.runtime import Sender
     from camphorvalve.registry.configuration import Configuration
 
+POLL_S = 1.0
+"""Half of the time in which a change has to be in force on the platform, whose push was lost."""
+FIRST_POLL_S = 0.2
+"""While there is no configuration: answers are dropped until a connection back stands, so that a
+router that starts together with the controllers needs several polls."""
+FIRST_POLLS_COUNT = 50
+"""Polls after which a fleet without any configuration is left at that."""
+
 _log = structlog.get_logger(__name__)
 
 
@@ -77,7 +85,6 @@
     """Owns the configuration in force on this router."""
 
     name = "following"
-    tick_s = 1.0
     accepts = (ConfigUpdate,)
 
     def __init__(
@@ -95,9 +102,16 @@
         self._load = load
         self._on_change: list[Callable[[Configuration], None]] = []
         self._total_shares: dict[str, float] = {}
+        self._polls_count = 0
         self.configuration = configuration.EMPTY
         self.heard_s: dict[str, float] = {}
 
+    @property
+    def tick_s(self) -> float:
+        """:return: time until the next poll"""
+        waits = self.configuration.revision == 0 and self._polls_count < FIRST_POLLS_COUNT
+        return FIRST_POLL_S if waits else POLL_S
+
     def subscribe(self, on_change: Callable[[Configuration], None]) -> None:
         """
         Ask to be told of each new revision.
@@ -163,6 +177,7 @@
         :param now_s: current time
         :return: polls
         """
+        self._polls_count += 1
         yield from self.poll()
 
     def poll(self) -> Iterator[Outgoing]:
