Test the part of the engines and of the retry budget that one router may use

Behaviour is unchanged.

Tried and dropped: a test of a link whose opening packets are lost, by a listener whose queue is full. It passes without the cure on this machine, whose kernel repeats the packets sooner, so that it would guard nothing.

--- a/src/camphorvalve/wiring/joinedrouter.py
+++ b/src/camphorvalve/wiring/joinedrouter.py
@@ -30,6 +30,7 @@
 from camphorvalve.http.server import serve
 from camphorvalve.reports.exposition import Exposition
 from camphorvalve.sharing.budget import RetryBudget
+from camphorvalve.sharing.parts import engine_part, retry_floor_count
 from camphorvalve.upstreams.client import create_client
 from camphorvalve.upstreams.routed import RoutedAttempts
 from camphorvalve.wiring.common import new_incarnation, open_joined_link, relax_collector
@@ -40,17 +41,6 @@
     from camphorvalve.settings.schema import JoinedRouterSettings
     from camphorvalve.wiring.edges import RouterEdge
 
-LEAST_ROUTERS_COUNT = 8
-"""Routers among which the fixed part of the retry budget is divided at least: a router that has
-just started does not know the others yet."""
-STARTING_S = 2.5
-"""Time after the start in which engines are divided among that many as well: two polls of 1 s pass
-until the controllers have heard all routers of a fleet that starts together."""
-
-MOST_PART = 1.25
-"""Even parts of the engines that a router may use at most, whatever comes in there: with more, one
-ran out of processor time on a calm day (ktc-capsule quiet-1, worth 0.57 against 0.81)."""
-
 _log = structlog.get_logger(__name__)
 
 
@@ -140,14 +130,11 @@
         )
 
     def _retry_floor_count(self) -> int:
-        routers_count = max(LEAST_ROUTERS_COUNT, self._roster.routers_count())
-        return self._settings.retry_fleet_count // routers_count
+        return retry_floor_count(self._settings.retry_fleet_count, self._roster.routers_count())
 
     def _engine_part(self) -> float:
-        starting = time.monotonic() - self._started_s < STARTING_S
-        least_count = LEAST_ROUTERS_COUNT if starting else 1
-        routers_count = max(least_count, self._roster.routers_count())
-        return min(self._shares.weight(), MOST_PART / routers_count)
+        age_s = time.monotonic() - self._started_s
+        return engine_part(self._shares.weight(), self._roster.routers_count(), age_s)
 
     def _observe_levels(self) -> None:
         observe = self._exposition.observe
--- /dev/null
+++ b/tests/sharing/test_parts.py
@@ -0,0 +1,52 @@
+"""Guards against routers that together use more than there is, or one that takes too much."""
+
+from __future__ import annotations
+
+import unittest
+
+from camphorvalve.sharing.budget import RetryBudget
+from camphorvalve.sharing.parts import (
+    LEAST_ROUTERS_COUNT,
+    MOST_PART,
+    STARTING_S,
+    engine_part,
+    retry_floor_count,
+)
+
+
+class EnginePartTest(unittest.TestCase):
+    def test_rows(self) -> None:
+        """Guards against a router that takes more streams than it has processor time for
+        (ktc-capsule quiet-1), and one that has just started and takes whole engines."""
+        rows = [
+            ("even", 1 / 8, 8, 60.0, 1 / 8),
+            ("a whole team's callers", 0.6, 8, 60.0, MOST_PART / 8),
+            ("alone", 1.0, 1, 60.0, 1.0),
+            ("just started, knows nobody", 1.0, 1, STARTING_S / 2, MOST_PART / LEAST_ROUTERS_COUNT),
+            ("just started, knows many", 1.0, 60, STARTING_S / 2, MOST_PART / 60),
+            ("quiet", 0.01, 8, 60.0, 0.01),
+        ]
+        for name, weight, routers_count, age_s, expected in rows:
+            with self.subTest(name):
+                self.assertAlmostEqual(engine_part(weight, routers_count, age_s), expected)
+
+
+class RetryFloorTest(unittest.TestCase):
+    def test_fleet_budget(self) -> None:
+        """Guards against routers that count on their own and overspend the fleet's budget."""
+        ratio, fleet_count, first_count = 0.14, 39, 10
+        for routers_count in (1, 3, 8, 67):
+            with self.subTest(routers_count=routers_count):
+                floor = retry_floor_count(fleet_count, routers_count)
+                retries = 0
+                for _ in range(routers_count):
+                    budget = RetryBudget(ratio=ratio, floor_count=lambda floor=floor: floor)
+                    for _ in range(first_count):
+                        budget.first_try("engines", 1.0)
+                    retries += sum(budget.allow("engines", 2.0) for _ in range(1000))
+                allowed = ratio * first_count * routers_count + fleet_count
+                self.assertLessEqual(retries, allowed)
+
+
+if __name__ == "__main__":
+    unittest.main()
