Let each router of a large fleet run two requests at an engine

Change: a router counts at least 3.75 slots of each engine as its own; nothing changes where its part is larger.

Tried and dropped: leaving routers out of the directory whose wake-ups lag by 60 ms or by 20 ms. A team whose callers come to one router stays there.

--- a/src/camphorvalve/controllers/pools.py
+++ b/src/camphorvalve/controllers/pools.py
@@ -40,6 +40,10 @@
 late, kept 63% of the requests within shares out where others kept 20% (scale-1)."""
 MOST_FILL_RATIO = 0.8
 FILL_BOUNDS = (LEAST_FILL_RATIO, MOST_FILL_RATIO, START_FILL_RATIO)
+LEAST_SLOTS_COUNT = 3.75
+"""Slots of an engine that a router counts as its own however many routers there are: with the start
+ratio, two requests fit. With one, requests for the same home stood in each other's way on
+karri-auditions-grown, where the even part of a router is 0.18 slots."""
 OVER_SHARE_RATIO = 0.6
 """Part of the limit that requests beyond their team's share may use, so that the other teams find
 room at once."""
@@ -295,7 +299,7 @@
         found = None if table is None else table.pools.get(pool)
         if found is None or found.engine is None:
             return lambda one: self._load(one).requests_count < SERVICE_LIMIT_COUNT
-        part = self._weight() * found.engine.slots_count
+        part = max(LEAST_SLOTS_COUNT, self._weight() * found.engine.slots_count)
         ratio = _part_of_limit(exchange)
 
         def has_room(upstream_id: str) -> bool:
--- a/tests/controllers/test_pools.py
+++ b/tests/controllers/test_pools.py
@@ -10,6 +10,7 @@
 from camphorvalve.model.errors import RequestError, Run
 from camphorvalve.model.hosts import HostState
 from camphorvalve.model.routes import Destination
+from camphorvalve.sharing.homes import HOMES_COUNT
 from camphorvalve.sharing.routing import RouteTable
 from tests.routebuilders import a_listed, a_manifest, a_prompt, a_route, a_routed_exchange
 
@@ -97,6 +98,13 @@
         self.pools.apply(UPSTREAMS, 2.0)
         self.assertEqual(self.begin(prompt=prompt), home)
 
+    def test_many_routers(self) -> None:
+        """Guards against routers of which each may run one request at an engine, however idle it is
+        (karri-auditions-grown, where the even part is 0.18 slots)."""
+        prompt = a_prompt("a", "own", tokens_count=13_000)
+        self.weight = 1 / 500
+        self.assertGreaterEqual(self.fill(prompt=prompt), 2 * HOMES_COUNT)
+
     def test_larger_part(self) -> None:
         """Guards against a team that is starved because all its callers come to one router."""
         prompt = a_prompt("a", "own", tokens_count=13_000)
