--- a/src/camphorvalve/controllers/replication.py
+++ b/src/camphorvalve/controllers/replication.py
@@ -14,7 +14,6 @@
     Accepted,
     Confirm,
     LeaderChanged,
-    Propose,
     Received,
     Refused,
     Send,
@@ -28,26 +27,14 @@
 from camphorvalve.controllers.informing import Informing
 from camphorvalve.controllers.machine import RegistryMachine
 from camphorvalve.controllers.presence import Presence
+from camphorvalve.controllers.proposals import Proposals
 from camphorvalve.controllers.reads import FollowerRead, LocalRead, Reads
 from camphorvalve.controllers.recovery import Recovery
 from camphorvalve.controllers.runtime import Outgoing, Sender
 from camphorvalve.controllers.status import ControllerStatus, describe
-from camphorvalve.controllers.submissions import (
-    NotLeaderError,
-    Pending,
-    Submissions,
-    Waiter,
-)
-from camphorvalve.registry.commands import (
-    COMMAND_CODEC,
-    OUTCOME_CODEC,
-    AcceptWork,
-    Exhausted,
-    Invalid,
-    TakeLeadership,
-)
+from camphorvalve.controllers.submissions import NotLeaderError, Pending, Submissions
+from camphorvalve.registry.commands import COMMAND_CODEC, TakeLeadership
 from camphorvalve.reports.metrics import ControllerLevels
-from camphorvalve.wire.codec import DecodeError
 from camphorvalve.wire.messages import (
     ConfigPoll,
     Lookup,
@@ -61,6 +48,7 @@
     from collections.abc import Callable, Iterable, Iterator
     from random import Random
 
+    from camphorvalve.consensus.events import Event
     from camphorvalve.consensus.storage import Storage, Syncs
     from camphorvalve.controllers.reads import Read
     from camphorvalve.registry.commands import Command
@@ -119,12 +107,19 @@
         self._presence = Presence(settings.router_lost_s, started_s)
         self._recovery = self._new_recovery()
         self._submissions = Submissions()
+        self._proposals = Proposals(
+            self._replica,
+            self._machine,
+            self._submissions,
+            self._step,
+            lambda: self.leader_id,
+            settings.result_store_bytes,
+        )
         self._reads = Reads()
         self._forwarding = Forwarding(f"{settings.host_id}/{started_s}")
         self._informing = Informing(self._presence)
         self._seeds = settings.seeds
         self._outbox: list[Outgoing] = []
-        self._count = 0
         self._join_due_s = started_s
         self._recovery_due_s = started_s
         self._wake = anyio.Event()
@@ -255,15 +250,15 @@
             case Submit():
                 # A router may submit before its first poll arrives, and must not count as lost.
                 self._presence.note(sender, None, now_s)
-                yield from self._submit(sender, message, now_s)
+                yield from self._proposals.submit(sender, message, now_s)
             case Lookup():
-                yield self._look_up(sender, message, now_s)
+                yield self._proposals.look_up(sender, message, now_s)
             case Join() if not self.leads and self.leader_id is not None:
                 # A new controller may know only followers; the leader alone brings it up to date.
                 yield Outgoing(self.leader_id, message)
             case _:
                 if self._trusts(sender, message):
-                    yield from self._carry_out(self._driver.step(Received(message), now_s), now_s)
+                    yield from self._step(Received(message), now_s)
         yield from self._settle_reads(now_s)
         self._rouse()
 
@@ -274,7 +269,7 @@
         :param now_s: monotonic time
         :return: messages to send
         """
-        yield from self._carry_out(self._driver.step(Tick(), now_s), now_s)
+        yield from self._step(Tick(), now_s)
         if now_s >= self._join_due_s and self._replica.state.wants_to_join:
             self._join_due_s = now_s + JOIN_INTERVAL_S
             join = Join(self._replica.state.identity)
@@ -311,7 +306,7 @@
         :return: to wait for the outcome
         """
         pending = Pending()
-        self._outbox.extend(self._propose(command, pending, now_s))
+        self._outbox.extend(self._proposals.propose(command, pending, now_s))
         self._rouse()
         return pending
 
@@ -363,7 +358,7 @@
             yield from self._reads.refuse(read)
             return
         self._reads.begin(read, self._replica.state.commit_index, now_s)
-        yield from self._carry_out(self._driver.step(Confirm(), now_s), now_s)
+        yield from self._step(Confirm(), now_s)
         yield from self._settle_reads(now_s)
 
     def _settle_reads(self, now_s: float) -> Iterator[Outgoing]:
@@ -376,54 +371,6 @@
             case Leader(progress=progress):
                 yield from map(host_of, progress)
 
-    def _submit(self, sender: Sender, message: Submit, now_s: float) -> Iterator[Outgoing]:
-        proposal_id = f"{sender.host_id}/{sender.incarnation}/{message.submit_id}"
-        if self._submissions.knows(proposal_id):
-            return
-        if (refusal := self._refusal(message.command)) is not None:
-            outcome = OUTCOME_CODEC.encode(refusal)
-            reply = SubmitReply(message.submit_id, True, self.leader_id, outcome)
-            yield Outgoing(sender.host_id, reply)
-            return
-        waiter = Waiter(sender.host_id, message.submit_id)
-        self._submissions.add(proposal_id, waiter, now_s)
-        event = Propose(proposal_id, message.command)
-        yield from self._carry_out(self._driver.step(event, now_s), now_s)
-
-    def _refusal(self, encoded: bytes) -> Invalid | Exhausted | None:
-        """Say why a command is not to be appended."""
-        try:
-            command = COMMAND_CODEC.decode(encoded)
-        except DecodeError as error:
-            return Invalid(str(error))
-        match command:
-            case AcceptWork(work_id=work_id, payload=payload) if self.leads:
-                records = self.state.records
-                full = records.held_bytes + len(payload) > self._settings.result_store_bytes
-                if full and records.get(work_id) is None:
-                    return Exhausted(records.held_bytes)
-        return None
-
-    def _propose(
-        self, command: Command, pending: Pending | None, now_s: float
-    ) -> Iterator[Outgoing]:
-        self._count += 1
-        proposal_id = f"local/{self._count}"
-        self._submissions.add(proposal_id, pending, now_s)
-        event = Propose(proposal_id, COMMAND_CODEC.encode(command))
-        yield from self._carry_out(self._driver.step(event, now_s), now_s)
-
-    def _look_up(self, sender: Sender, message: Lookup, now_s: float) -> Outgoing:
-        # Only a leader with a valid lease knows that no later command has been committed.
-        if not self.lease_valid(now_s):
-            reply = SubmitReply(message.submit_id, False, self.leader_id, b"")
-            return Outgoing(sender.host_id, reply)
-        outcome = self.state.records.state_of(message.record_id)
-        encoded = OUTCOME_CODEC.encode(outcome)
-        return Outgoing(
-            sender.host_id, SubmitReply(message.submit_id, True, self.leader_id, encoded)
-        )
-
     def _recover(self, now_s: float) -> Iterator[Outgoing]:
         # A new leader first applies what older ones have committed.
         if not self.lease_valid(now_s):
@@ -432,9 +379,12 @@
         commands = list(self._recovery.proposals(records, self._presence, now_s))
         expiry = self._recovery.expiry(records, self._wall_clock(), now_s)
         for command in commands if expiry is None else [*commands, expiry]:
-            yield from self._propose(command, None, now_s)
+            yield from self._proposals.propose(command, None, now_s)
         yield from self._recovery.assignments(records, self._presence, now_s)
 
+    def _step(self, event: Event, now_s: float) -> Iterator[Outgoing]:
+        yield from self._carry_out(self._driver.step(event, now_s), now_s)
+
     def _carry_out(self, reports: Iterable[Report], now_s: float) -> Iterator[Outgoing]:
         for report in reports:
             match report:
--- a/src/camphorvalve/reports/sink.py
+++ b/src/camphorvalve/reports/sink.py
@@ -64,7 +64,8 @@
 
         :return: whether there is room and the rate is not used up; counts a line otherwise
         """
-        self._refill()
+        if self._allowed < 1:
+            self._refill()
         if self._allowed >= 1 and len(self._waiting) < BUFFER_BYTES:
             return True
         self.dropped_count += 1
