--- a/src/camphorvalve/http/server.py
+++ b/src/camphorvalve/http/server.py
@@ -27,7 +27,10 @@
 MAX_REQUESTS_COUNT = 1 << 30
 """Requests on one connection; hypercorn's 1,000 would end it at a moment that callers can't see."""
 
-BACKLOG_COUNT = 512
+BACKLOG_COUNT = 64
+"""Connections that wait to be accepted. uvloop accepts one in a turn of the loop, and turns of a
+flooded router take tens of milliseconds: with 512, callers had given up after a second before
+theirs was accepted (karri-auditions-grown scale-1, RECOVER). Further ones try another router."""
 
 LINGER_S = 0.5
 """How long new requests are still served after the shutdown, and new connections for half of it.
