--- a/src/camphorvalve/controllers/listing.py
+++ b/src/camphorvalve/controllers/listing.py
@@ -47,6 +47,7 @@
         self,
         controller_ids: Callable[[], Iterable[str]],
         apply: Callable[[Iterable[Upstream], float], None],
+        confirm: Callable[[float], None],
         rng: random.Random,
         now_s: float,
     ) -> None:
@@ -54,12 +55,14 @@
         Start without a list.
 
         :param controller_ids: controllers that answered lately
-        :param apply: takes each list and when it was read
+        :param apply: takes each new list and when it was read
+        :param confirm: takes when the held list was read again
         :param rng: source of the spread of own reads
         :param now_s: monotonic time
         """
         self._controller_ids = controller_ids
         self._apply = apply
+        self._confirm = confirm
         self._rng = rng
         self._version = 0
         self._read_s = now_s
@@ -110,6 +113,7 @@
                 self._take(version, upstreams, now_s - age_s)
             case ListUnchanged(version, age_s) if version == self._version:
                 self._read_s = max(self._read_s, now_s - age_s)
+                self._confirm(self._read_s)
         yield from ()
 
     def tick(self, now_s: float) -> Iterator[Outgoing]:
--- a/src/camphorvalve/controllers/pools.py
+++ b/src/camphorvalve/controllers/pools.py
@@ -156,6 +156,14 @@
         for gone in before.keys() - self._upstreams.keys():
             _log.info("upstream gone", upstream_id=gone, pool=before[gone].pool)
 
+    def confirm(self, read_s: float) -> None:
+        """
+        Note that the list was read again and has not changed.
+
+        :param read_s: when, in monotonic time
+        """
+        self._listed_s = read_s
+
     def upstream(self, upstream_id: str) -> Upstream | None:
         """
         Look up an upstream.
--- a/src/camphorvalve/wiring/joinedrouter.py
+++ b/src/camphorvalve/wiring/joinedrouter.py
@@ -76,7 +76,11 @@
             self._manifest.table, self._engine_part, settings.data_centre, self._rng
         )
         self._listing = ListFollower(
-            self._roster.live_controller_ids, self._pools.apply, self._rng, self._started_s
+            self._roster.live_controller_ids,
+            self._pools.apply,
+            self._pools.confirm,
+            self._rng,
+            self._started_s,
         )
         link = open_joined_link(settings, self.incarnation)
         state = (self._roster, self._following, self._shares, self._listing)
--- a/tests/controllers/test_listing.py
+++ b/tests/controllers/test_listing.py
@@ -31,7 +31,10 @@
     def setUp(self) -> None:
         self.applied: list[tuple[list[Upstream], float]] = []
         self.keepers = {name: ListKeeper() for name in ("c-1", "c-2", "c-3")}
-        self.follower = ListFollower(lambda: self.keepers, self.apply, random.Random(1), 0.0)
+        self.confirmed_s: list[float] = []
+        self.follower = ListFollower(
+            lambda: self.keepers, self.apply, self.confirmed_s.append, random.Random(1), 0.0
+        )
 
     def apply(self, upstreams: Iterable[Upstream], read_s: float) -> None:
         self.applied.append((list(upstreams), read_s))
@@ -69,6 +72,8 @@
             self.read(ENGINES, turn / 2 + 0.1)
             self.assertFalse(self.follower.reads_itself(turn / 2 + 0.4))
         self.assertEqual(len(self.applied), 1)
+        # Placements log the age of the list that they were decided by.
+        self.assertEqual(self.confirmed_s[-1], 9.6)
         self.assertFalse(any(keeper.wanted(10 + WANTED_S) for keeper in self.keepers.values()))
 
     def test_change(self) -> None:
