--- a/tests/filters/test_place.py
+++ b/tests/filters/test_place.py
@@ -46,7 +46,7 @@
         self.filter = PlaceFilter(self.pools)
 
     def fill(self) -> list[Placement]:
-        """Take every place of this router; its part is 0, and it may run a few requests all the same."""
+        """Take every place; the part of this router is 0, and a few requests fit all the same."""
         held = []
         while True:
             try:
