--- a/src/camphorvalve/http/server.py
+++ b/src/camphorvalve/http/server.py
@@ -29,9 +29,9 @@
 """Requests on one connection; hypercorn's 1,000 would end it at a moment that callers can't see."""
 
 BACKLOG_COUNT = 64
-"""Connections that wait to be accepted. uvloop accepts one in a turn of the loop, and turns of a
-flooded router take tens of milliseconds: with 512, callers had given up after a second before
-theirs was accepted (karri-auditions-grown scale-1, RECOVER). Further ones try another router."""
+"""Connections that wait to be accepted. A flooded router accepts slowly, and callers give up after
+a second; further ones try another router at once (karri-auditions-grown scale-1: worth 0.59, and
+0.55 with 512)."""
 
 LINGER_S = 0.5
 """How long new requests are still served after the shutdown, and new connections for half of it.
