Log each second how busy a process is

The logs could not tell a loop that accepts too little from one without processor time, nor count requests once lines were dropped. A line `levels` each second has the lag of the loop, the processor time, new connections and requests by how they ended; controllers log messages received, sent and dropped.

--- a/src/camphorvalve/http/connections.py
+++ b/src/camphorvalve/http/connections.py
@@ -25,6 +25,8 @@
         self._idle_s = idle_s
         self._seen_s: dict[tuple[str, int], float] = {}
         self._pruned_s = 0.0
+        self.opened_count = 0
+        """Connections since the start on which a request has come."""
 
     def note(self, client: tuple[str, int], now_s: float) -> None:
         """
@@ -33,6 +35,8 @@
         :param client: the caller's IP number and port
         :param now_s: monotonic time
         """
+        if client not in self._seen_s:
+            self.opened_count += 1
         self._seen_s[client] = now_s
 
     def crowded(self, now_s: float) -> bool:
--- /dev/null
+++ b/src/camphorvalve/reports/levels.py
@@ -0,0 +1,120 @@
+"""How busy a process is: a log line each second, and the same figures for the metrics address."""
+
+from __future__ import annotations
+
+import time
+from typing import TYPE_CHECKING, NamedTuple
+
+import anyio
+import structlog
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+LAG_PERIOD_S = 0.05
+"""Time between two measurements of the loop's lag; the loop wakes up more often under any load."""
+REPORT_S = 1.0
+
+_log = structlog.get_logger(__name__)
+
+
+class Levels(NamedTuple):
+    """Figures of one report."""
+
+    lag_ms: float
+    """Longest time by which the loop was late since the last report."""
+    processor_ratio: float
+    """Processor time per time that passed since the last report."""
+    counts: dict[str, int]
+    """Events since the last report, by name."""
+    gauges: dict[str, float]
+    """Values at the report, by name."""
+
+
+class LevelReporter:
+    """Measures the lag of the loop and logs it once a second with counters of the process."""
+
+    def __init__(
+        self,
+        clock: Callable[[], float] = time.monotonic,
+        processor_clock: Callable[[], float] = time.process_time,
+    ) -> None:
+        """
+        Start without counters.
+
+        :param clock: monotonic time
+        :param processor_clock: processor time of the process
+        """
+        self._clock = clock
+        self._processor_clock = processor_clock
+        self._counters: dict[str, Callable[[], int]] = {}
+        self._gauges: dict[str, Callable[[], float]] = {}
+        self._last_counts: dict[str, int] = {}
+        self._longest_lag_s = 0.0
+        self._reported_s = clock()
+        self._reported_processor_s = processor_clock()
+        self.lag_s = 0.0
+        """Lag of the loop at the last measurement."""
+
+    def count(self, name: str, read: Callable[[], int]) -> None:
+        """
+        Report a counter by what it has grown.
+
+        :param name: name of the field
+        :param read: tells the events since the start
+        """
+        self._counters[name] = read
+        self._last_counts[name] = read()
+
+    def gauge(self, name: str, read: Callable[[], float]) -> None:
+        """
+        Report a value.
+
+        :param name: name of the field
+        :param read: tells the value
+        """
+        self._gauges[name] = read
+
+    def measure(self, lag_s: float) -> None:
+        """
+        Take a measurement.
+
+        :param lag_s: time by which the loop was late
+        """
+        self.lag_s = max(0.0, lag_s)
+        self._longest_lag_s = max(self._longest_lag_s, self.lag_s)
+
+    def report(self) -> Levels:
+        """:return: the figures since the last report; starts the next one"""
+        now_s, processor_s = self._clock(), self._processor_clock()
+        passed_s = max(1e-6, now_s - self._reported_s)
+        counts = {name: read() for name, read in self._counters.items()}
+        levels = Levels(
+            lag_ms=round(1000 * self._longest_lag_s, 1),
+            processor_ratio=round((processor_s - self._reported_processor_s) / passed_s, 3),
+            counts={name: count - self._last_counts[name] for name, count in counts.items()},
+            gauges={name: read() for name, read in self._gauges.items()},
+        )
+        self._last_counts = counts
+        self._longest_lag_s = 0.0
+        self._reported_s, self._reported_processor_s = now_s, processor_s
+        return levels
+
+    async def run(self) -> None:
+        """Measure, and log a report each second, until cancelled."""
+        while True:
+            due_s = self._clock() + LAG_PERIOD_S
+            await anyio.sleep(LAG_PERIOD_S)
+            self.measure(self._clock() - due_s)
+            if self._clock() - self._reported_s >= REPORT_S:
+                levels = self.report()
+                _log.info(
+                    "levels",
+                    lag_ms=levels.lag_ms,
+                    processor_ratio=levels.processor_ratio,
+                    **levels.counts,
+                    **levels.gauges,
+                )
+
+
+__all__ = ["LevelReporter", "Levels"]
--- a/src/camphorvalve/reports/outcomes.py
+++ b/src/camphorvalve/reports/outcomes.py
@@ -5,8 +5,9 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, NamedTuple
 
+from camphorvalve.model.errors import Run
+
 if TYPE_CHECKING:
-    from camphorvalve.model.errors import Run
     from camphorvalve.model.requests import Exchange
 
 
@@ -60,4 +61,41 @@
             return "caller_left"
 
 
-__all__ = ["Answered", "CallerLeft", "Failed", "Finished", "Outcome", "outcome_name"]
+class OutcomeCounts:
+    """Counts finished requests since the start by how they ended."""
+
+    def __init__(self) -> None:
+        """Start at zero."""
+        self.answered = 0
+        self.refused = 0
+        """Refused before anything was sent to an upstream."""
+        self.failed = 0
+        """Failed while it is unknown or certain that they ran."""
+        self.callers_left = 0
+
+    def record(self, finished: Finished) -> None:
+        """
+        Count a finished request.
+
+        :param finished: the request
+        """
+        match finished.outcome:
+            case Answered():
+                self.answered += 1
+            case Failed(_, Run.NO):
+                self.refused += 1
+            case Failed():
+                self.failed += 1
+            case CallerLeft():
+                self.callers_left += 1
+
+
+__all__ = [
+    "Answered",
+    "CallerLeft",
+    "Failed",
+    "Finished",
+    "Outcome",
+    "OutcomeCounts",
+    "outcome_name",
+]
--- a/src/camphorvalve/wiring/joinedcontroller.py
+++ b/src/camphorvalve/wiring/joinedcontroller.py
@@ -19,12 +19,14 @@
 from camphorvalve.controllers.totals import TotalsController
 from camphorvalve.http.server import serve
 from camphorvalve.reports.exposition import Exposition
+from camphorvalve.reports.levels import LevelReporter
 from camphorvalve.reports.metrics import CONTROLLER_METRICS, SYNC_LONGEST, SYNCS_COUNT
 from camphorvalve.wiring.common import new_incarnation, open_joined_link
 from camphorvalve.wiring.edges import follow_seeds, keep_peers
 
 if TYPE_CHECKING:
     from camphorvalve.settings.schema import ControllerSettings
+    from camphorvalve.wire.link import Link
     from camphorvalve.wiring.edges import ControllerEdge
 
 _log = structlog.get_logger(__name__)
@@ -52,6 +54,7 @@
         tasks.start_soon(follow_seeds, edge.watch_seeds, replication.set_seeds)
         tasks.start_soon(keep_peers, link, replication.peer_ids)
         tasks.start_soon(_follow_upstreams, edge, listing, runtime)
+        tasks.start_soon(_levels(link).run)
         _log.info("controller started", identity=replication.status()["identity"])
         async with anyio.create_task_group() as servers:
             metrics = _controller_metrics(replication)
@@ -84,6 +87,14 @@
     return exposition
 
 
+def _levels(link: Link) -> LevelReporter:
+    levels = LevelReporter()
+    levels.count("received_count", lambda: link.traffic().received_count)
+    levels.count("sent_count", lambda: link.traffic().sent_count)
+    levels.count("not_sent_count", lambda: link.traffic().dropped_count)
+    return levels
+
+
 def _level(replication: ReplicationController, name: str) -> float:
     return getattr(replication.levels(Syncs()), name)
 
--- a/src/camphorvalve/wiring/joinedrouter.py
+++ b/src/camphorvalve/wiring/joinedrouter.py
@@ -30,6 +30,8 @@
 from camphorvalve.http.routed import RoutedApp
 from camphorvalve.http.server import serve
 from camphorvalve.reports.exposition import Exposition
+from camphorvalve.reports.levels import LevelReporter
+from camphorvalve.reports.outcomes import OutcomeCounts
 from camphorvalve.sharing.budget import RetryBudget
 from camphorvalve.sharing.parts import engine_part, retry_floor_count
 from camphorvalve.upstreams.client import create_client
@@ -86,7 +88,10 @@
         state = (self._roster, self._following, self._shares, self._listing)
         self._runtime = Runtime(link, state)
         self._client = create_client(keepalive_s=settings.upstream_idle_s)
+        self._connections = Connections(settings.caller_connections_count, self._idle_timeout_s)
         self._exposition = Exposition()
+        self._outcomes = OutcomeCounts()
+        self._levels = LevelReporter()
         self._observe_levels()
 
     async def run(self) -> None:
@@ -94,14 +99,14 @@
         settings, edge, link = self._settings, self._edge, self._runtime.link
         stopping = Stopping(self._leave, settings.address_lifetime_s)
         name = edge.names.request_id
-        connections = Connections(settings.caller_connections_count, self._idle_timeout_s)
         callers = RoutedApp(
-            self._handler(), edge.decode, request_id_name=name, connections=connections
+            self._handler(), edge.decode, request_id_name=name, connections=self._connections
         )
         link.open()
         async with self._client, anyio.create_task_group() as tasks:
             tasks.start_soon(self._runtime.run)
             tasks.start_soon(stopping.run)
+            tasks.start_soon(self._levels.run)
             tasks.start_soon(self._follow_upstreams)
             tasks.start_soon(follow_seeds, edge.watch_seeds, self._roster.set_seeds)
             tasks.start_soon(keep_peers, link, self._roster.controller_ids)
@@ -127,7 +132,7 @@
         budget = RetryBudget(ratio=self._settings.retry_ratio, floor_count=self._retry_floor_count)
         return compose(
             (
-                account([self._exposition.record]),
+                account([self._exposition.record, self._outcomes.record]),
                 self._observe,
                 route(self._manifest.table, self._rng),
                 deadline,
@@ -151,6 +156,15 @@
         observe("manifest_version", "version in force", self._manifest.version)
         observe("routers_count", "routers that accept callers", self._roster.routers_count)
         observe("engine_part", "part of each engine for this router", self._engine_part)
+        observe("lag_seconds", "time by which the loop was late", lambda: self._levels.lag_s)
+        levels = self._levels
+        levels.count("connections_count", lambda: self._connections.opened_count)
+        levels.count("answered_count", lambda: self._outcomes.answered)
+        levels.count("refused_count", lambda: self._outcomes.refused)
+        levels.count("failed_count", lambda: self._outcomes.failed)
+        levels.count("callers_left_count", lambda: self._outcomes.callers_left)
+        levels.gauge("running_count", self._observe.open_count)
+        levels.gauge("routers_count", self._roster.routers_count)
 
     def _idle_timeout_s(self) -> float:
         return self._manifest.bounds().idle_timeout_s
