--- a/tests/http/test_server.py
+++ b/tests/http/test_server.py
@@ -1,7 +1,8 @@
-"""Guards against a stop that cuts a running answer or leaves connections open."""
+"""Guards against a stop that cuts answers, and against a busy loop that leaves callers waiting."""
 
 from __future__ import annotations
 
+import socket
 import time
 import unittest
 from typing import TYPE_CHECKING
@@ -11,6 +12,7 @@
 import httpx
 
 from camphorvalve import loop
+from camphorvalve.http.asgi import send_json
 from camphorvalve.http.server import listen, serve
 from camphorvalve.model.answers import Body
 from tests.builders import a_head
@@ -19,10 +21,13 @@
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
 
+    from camphorvalve.http.asgi import Receive, Scope, Send
     from camphorvalve.model.answers import Part
     from camphorvalve.model.requests import Exchange
 
 
+WAITING_COUNT = 50
+"""Connections that come while the loop is busy; the queue takes 64."""
 LINGER_S = 1.2
 """Long enough that a processor used up for half of it shows beside what the test does."""
 
@@ -114,6 +119,36 @@
             await anyio.lowlevel.checkpoint()
         self.assertTrue(scope.cancelled_caught)
 
+    def test_all_waiting_connections_are_accepted_in_few_turns_of_the_loop(self) -> None:
+        """Guards against a busy router that accepts one connection a turn (RECOVER)."""
+        turns_count = loop.run(self.serve_waiting)
+        self.assertLess(turns_count, WAITING_COUNT // 2)
+
+    async def serve_waiting(self) -> int:
+        """Let requests wait on new connections, then serve; return the turns that this takes."""
+        served_count = turns_count = 0
+
+        async def app(scope: Scope, receive: Receive, send: Send) -> None:
+            nonlocal served_count
+            served_count += 1
+            await send_json(send, 200, {})
+
+        async with serving(app) as served:
+            await anyio.sleep(0.05)
+            callers = [
+                socket.create_connection(("127.0.0.1", served.port), 5)
+                for _ in range(WAITING_COUNT)
+            ]
+            for caller in callers:
+                caller.sendall(b"GET / HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")
+            with anyio.fail_after(5):
+                while served_count < WAITING_COUNT:
+                    await anyio.lowlevel.checkpoint()
+                    turns_count += 1
+            for caller in callers:
+                caller.close()
+        return turns_count
+
     def test_bind_addresses(self) -> None:
         for bind in ("127.0.0.1", "127.0.0.1:", "127.0.0.1:http"):
             with self.subTest(bind), self.assertRaises(ValueError):
