Bound what an upstream may send without end

A body without a length and an event without its end were kept in memory until the process died, and a stream whose bytes completed no event never reached the filter that watches the deadline, so that the request never ended. Joining each piece to the rest took time that grew with the square of the event.

Ruled out: heads and status lines without end (the HTTP library's bound of 100 KB holds), provisional answers without end (the deadline ends them); both have rows in the tests now.

Change: 4 MiB for a body that is read as a whole, 1 MiB for an event, on the platform's path and the product's own; a stream checks its deadline when bytes complete no event.

Before: the new rows "body", "event", "event in small pieces" and "a stream" ran into their limit of 5 s. After: all pass.

--- a/src/camphorvalve/upstreams/engine.py
+++ b/src/camphorvalve/upstreams/engine.py
@@ -12,6 +12,7 @@
 
 from camphorvalve.model.answers import Body, Head
 from camphorvalve.upstreams.errors import Broken, NoAnswer
+from camphorvalve.upstreams.events import EventError
 from camphorvalve.upstreams.opening import (
     Sending,
     UpstreamCall,
@@ -171,7 +172,7 @@
                 exchange.served_units += count
                 if whole:
                     yield Body(whole)
-    except httpx.HTTPError as error:
+    except (httpx.HTTPError, EventError) as error:
         cause = f"{type(error).__name__}: {error}"
     if not transcript.done:
         number = transcript.last_number()
--- a/src/camphorvalve/upstreams/events.py
+++ b/src/camphorvalve/upstreams/events.py
@@ -3,19 +3,29 @@
 from __future__ import annotations
 
 END_OF_EVENT = b"\n\n"
+MOST_EVENT_BYTES = 1 << 20
+"""Longest event; an upstream in trouble may send bytes without end that complete none."""
 _NUMBER = b"id:"
 
 
-class OutOfOrderError(Exception):
+class EventError(Exception):
+    """What a stream sends cannot be passed on."""
+
+
+class OutOfOrderError(EventError):
     """An event does not follow the one before it."""
 
 
+class EndlessEventError(EventError):
+    """An event is longer than ``MOST_EVENT_BYTES``."""
+
+
 class WholeEvents:
     """Holds back what has arrived of an event until it is complete."""
 
     def __init__(self) -> None:
         """Start between two events."""
-        self._tail = b""
+        self._tail = bytearray()
 
     @property
     def inside_event(self) -> bool:
@@ -28,14 +38,19 @@
 
         :param content: the next bytes of the stream
         :return: the events that are complete now
+        :raises EndlessEventError: an event is too long
         """
-        joined = self._tail + content if self._tail else content
-        end = joined.rfind(END_OF_EVENT) + len(END_OF_EVENT)
+        # The end may lie across the seam; the rest was searched before.
+        searched_bytes = max(0, len(self._tail) - len(END_OF_EVENT) + 1)
+        self._tail += content
+        end = self._tail.rfind(END_OF_EVENT, searched_bytes) + len(END_OF_EVENT)
         if end < len(END_OF_EVENT):
-            self._tail = joined
+            if len(self._tail) > MOST_EVENT_BYTES:
+                raise EndlessEventError(f"an event is longer than {MOST_EVENT_BYTES} bytes")
             return b""
-        self._tail = joined[end:]
-        return joined[:end]
+        whole = bytes(self._tail[:end])
+        del self._tail[:end]
+        return whole
 
 
 class EventCutter:
@@ -62,6 +77,7 @@
         :param content: the next bytes of the stream
         :return: the whole events that are complete now, without those that the caller has
         :raises OutOfOrderError: an event is missing
+        :raises EndlessEventError: an event is too long
         """
         events = self._whole.add(content).split(END_OF_EVENT)[:-1]
         return b"".join(event + END_OF_EVENT for event in events if self._is_next(event))
@@ -87,4 +103,12 @@
     return None
 
 
-__all__ = ["END_OF_EVENT", "EventCutter", "OutOfOrderError", "WholeEvents"]
+__all__ = [
+    "END_OF_EVENT",
+    "MOST_EVENT_BYTES",
+    "EndlessEventError",
+    "EventCutter",
+    "EventError",
+    "OutOfOrderError",
+    "WholeEvents",
+]
--- a/src/camphorvalve/upstreams/opening.py
+++ b/src/camphorvalve/upstreams/opening.py
@@ -102,6 +102,10 @@
     )
 
 
+MOST_ANSWER_BYTES = 4 << 20
+"""Longest body that is read as a whole; an upstream in trouble may send bytes without end."""
+
+
 async def read_whole(upstream: Upstream, response: httpx.Response) -> bytes:
     """
     Read a whole body before its head goes on, so that a broken one can still be retried.
@@ -109,10 +113,18 @@
     :param upstream: the upstream
     :param response: its response, unread
     :return: the body
-    :raises Broken: the body ended before it was complete
+    :raises Broken: the body ended before it was complete, or is too long
     """
+    pieces: list[bytes] = []
+    size_bytes = 0
     try:
-        return b"".join([piece async for piece in response.aiter_raw()])
+        async for piece in response.aiter_raw():
+            pieces.append(piece)
+            size_bytes += len(piece)
+            if size_bytes > MOST_ANSWER_BYTES:
+                cause = f"the body is longer than {MOST_ANSWER_BYTES} bytes"
+                raise Broken(upstream.upstream_id, cause)
+        return b"".join(pieces)
     except httpx.HTTPError as error:
         raise Broken(upstream.upstream_id, f"{type(error).__name__}: {error}") from error
 
@@ -155,6 +167,7 @@
 
 
 __all__ = [
+    "MOST_ANSWER_BYTES",
     "SENDING_EVENT",
     "Sending",
     "UpstreamCall",
--- a/src/camphorvalve/upstreams/routed.py
+++ b/src/camphorvalve/upstreams/routed.py
@@ -10,6 +10,7 @@
 import httpx
 
 from camphorvalve.model.answers import Body, Head
+from camphorvalve.model.errors import RequestError
 from camphorvalve.model.headers import end_to_end
 from camphorvalve.upstreams.client import FRESH
 from camphorvalve.upstreams.errors import (
@@ -20,7 +21,7 @@
     NotSent,
     WrongAnswer,
 )
-from camphorvalve.upstreams.events import EventCutter, OutOfOrderError
+from camphorvalve.upstreams.events import EventCutter, EventError
 from camphorvalve.upstreams.opening import SENDING_EVENT, read_whole
 from camphorvalve.upstreams.pump import coalesced
 
@@ -85,6 +86,7 @@
         :raises FailedAnswer: the upstream failed, and the request may be repeated
         :raises NoAnswer: no usable answer started
         :raises Broken: the answer ended before it was complete
+        :raises RequestError: ``timed_out`` when bytes come after the deadline that end no event
         """
         response = await self._send(upstream, exchange)
         try:
@@ -182,9 +184,12 @@
                 async for piece in pieces:
                     if whole := cutter.add(piece):
                         yield Body(whole)
+                    elif time.monotonic() > exchange.deadline_s:
+                        # Nothing reaches the filter that watches the deadline.
+                        raise RequestError("timed_out", "the answer was not complete in time")
             if not cutter.inside_event:
                 return
-        except (httpx.HTTPError, OutOfOrderError) as error:
+        except (httpx.HTTPError, EventError) as error:
             cause = f"{type(error).__name__}: {error}"
         raise Broken(upstream.upstream_id, cause, cutter.last_number or 0)
 
--- a/tests/rawpeers.py
+++ b/tests/rawpeers.py
@@ -21,12 +21,14 @@
 
     content: bytes
     ending: str = "keep"
-    """``close``, ``reset``, ``keep`` to leave the connection open, or ``extra`` to send another
-    answer that nobody asked for."""
+    """``close``, ``reset``, ``keep`` to leave the connection open, ``extra`` to send another answer
+    that nobody asked for, or ``endless`` to send ``repeated`` until the caller closes."""
     pause_s: float = 0.0
     """Before the ending, so that the bytes arrive first."""
     early: bool = False
     """Whether to answer before the body was read."""
+    repeated: bytes = b""
+    repeat_pause_s: float = 0.0
 
 
 class ScriptedUpstream:
@@ -35,6 +37,9 @@
     def __init__(self, *scripts: Script) -> None:
         self.received: list[bytes] = []
         self.connections_count = 0
+        self.repeated_bytes = 0
+        self.left = anyio.Event()
+        """Set when a caller has closed a connection on which bytes come without end."""
         self._scripts = list(scripts)
 
     async def handle(self, stream: SocketStream) -> None:
@@ -54,11 +59,23 @@
                         return
                     case "extra":
                         await stream.send(script.content)
+                    case "endless":
+                        await self._repeat(stream, script)
+                        return
                     case "reset":
                         _reset(stream)
                         return
             await anyio.sleep_forever()
 
+    async def _repeat(self, stream: SocketStream, script: Script) -> None:
+        try:
+            while True:
+                await stream.send(script.repeated)
+                self.repeated_bytes += len(script.repeated)
+                await anyio.sleep(script.repeat_pause_s)
+        except (anyio.BrokenResourceError, anyio.ClosedResourceError):
+            self.left.set()
+
 
 @asynccontextmanager
 async def upstream(*scripts: Script) -> AsyncIterator[tuple[str, ScriptedUpstream]]:
--- a/tests/upstreams/test_routed.py
+++ b/tests/upstreams/test_routed.py
@@ -2,13 +2,17 @@
 
 from __future__ import annotations
 
+import time
 import unittest
 from contextlib import aclosing
 from typing import TYPE_CHECKING, Any, NamedTuple
 
 import anyio
 
+from camphorvalve.filters.chain import compose
+from camphorvalve.filters.deadline import deadline
 from camphorvalve.model.answers import Body, Head
+from camphorvalve.model.errors import RequestError
 from camphorvalve.model.requests import BrokenStream
 from camphorvalve.upstreams.client import create_client
 from camphorvalve.upstreams.errors import (
@@ -20,6 +24,7 @@
     UpstreamError,
     WrongAnswer,
 )
+from camphorvalve.upstreams.opening import MOST_ANSWER_BYTES
 from camphorvalve.upstreams.routed import RoutedAttempts
 from tests.rawpeers import Script, upstream
 from tests.routebuilders import NAMES, a_listed, a_route, a_routed_exchange
@@ -77,7 +82,11 @@
     def play(self, script: Script, **fields: Any) -> Seen:
         async def run() -> Seen:
             async with upstream(script) as (url, self.peer):
-                return await attempt(url, a_routed_exchange(**fields))
+                with anyio.fail_after(5):
+                    seen = await attempt(url, a_routed_exchange(**fields))
+                    if script.ending == "endless":
+                        await self.peer.left.wait()
+                return seen
 
         return anyio.run(run)
 
@@ -132,6 +141,53 @@
                 self.assertEqual(type(seen.error), error or type(None), seen.error)
                 self.assertEqual(seen.content, content)
 
+    def test_bytes_without_end(self) -> None:
+        """Guards against an upstream in trouble that fills the memory until the process ends."""
+        head = b"HTTP/1.1 200 OK\r\n"
+        stream = head + OWN + b"content-type: text/event-stream\r\n\r\n"
+        streamed = a_route(streamed=True, resumable=True)
+        rows = [
+            ("status line", a_route(), b"HTTP/1.1 200 ", b"x" * 10_000, NoAnswer),
+            ("head", a_route(), head, b"x-more: %s\r\n" % (b"x" * 1000), NoAnswer),
+            ("no HTTP", a_route(), b"", b"garbage " * 100, NoAnswer),
+            ("body", a_route(), head + OWN + b"\r\n", b"x" * 65536, Broken),
+            ("event", streamed, stream, b"x" * 65536, Broken),
+            ("event in small pieces", streamed, stream + EVENTS, b"data: x\n" * 50, Broken),
+        ]
+        for name, route, content, repeated, error in rows:
+            with self.subTest(name):
+                seen = self.play(Script(content, "endless", repeated=repeated), route=route)
+                self.assertEqual(type(seen.error), error, seen.error)
+                self.assertLess(self.peer.repeated_bytes, 4 * MOST_ANSWER_BYTES)
+
+    def test_bytes_without_end_that_complete_nothing(self) -> None:
+        """Guards against a request that outlasts its deadline as something always comes."""
+        stream = chunked(EVENTS, end=b"")
+        rows = [
+            ("provisional answers", a_route(), b"", b"HTTP/1.1 102 Wait\r\n\r\n" * 10, 0.0),
+            ("a stream", a_route(streamed=True, resumable=True), stream, b"1\r\nx\r\n", 0.02),
+        ]
+        for name, route, content, repeated, pause_s in rows:
+            script = Script(content, "endless", repeated=repeated, repeat_pause_s=pause_s)
+            with self.subTest(name):
+                exchange = a_routed_exchange(route, deadline_s=time.monotonic() + 0.3)
+                self.assertEqual(anyio.run(self.error_code, script, exchange), "timed_out")
+
+    async def error_code(self, script: Script, exchange: Exchange) -> str | None:
+        """Run a request below the filter that watches its deadline, until the upstream is left."""
+        code = None
+        async with upstream(script) as (url, peer), create_client() as client:
+            attempts = RoutedAttempts(client, NAMES)
+            handler = compose((deadline,), lambda one: attempts.open(a_listed(url=url), one))
+            with anyio.fail_after(5):
+                try:
+                    async for _ in handler(exchange):
+                        pass
+                except RequestError as error:
+                    code = error.code
+                await peer.left.wait()
+        return code
+
     def test_streams(self) -> None:
         """Guards against streams that look complete though events are missing."""
         route = a_route(streamed=True, resumable=True)
