--- /dev/null
+++ b/tests/processes/joinedcase.py
@@ -0,0 +1,81 @@
+"""Starts a joined fleet of real processes before stand-ins for each test."""
+
+from __future__ import annotations
+
+import tempfile
+import unittest
+from contextlib import AsyncExitStack
+from pathlib import Path
+from typing import TYPE_CHECKING
+
+from tools.joinedfleet import JoinedFleet
+from tools.standins.karrilane import Workers
+from tools.standins.serving import running
+
+from tests.routebuilders import a_document
+
+if TYPE_CHECKING:
+    import httpx
+
+CONTROLLERS = ["controller-1", "controller-2", "controller-3", "controller-4", "controller-5"]
+ROUTERS = ["router-1", "router-2"]
+ROUTES = [
+    {
+        "name": name,
+        "host": "desk.example",
+        "pathPrefix": f"/{name}/",
+        "kind": kind,
+        "timeoutMs": 4000,
+        "service": "engines",
+        "maxAttempts": 2,
+        "resumable": kind == "streaming",
+    }
+    for name, kind in (("stream", "streaming"), ("once", "unsafe"))
+]
+
+
+class JoinedFleetCase(unittest.IsolatedAsyncioTestCase):
+    """Base of tests whose fleet has five controllers, two routers and two workers."""
+
+    async def asyncSetUp(self) -> None:
+        self.stack = await AsyncExitStack().__aenter__()
+        self.addAsyncCleanup(self.stack.aclose)
+        folder = Path(self.stack.enter_context(tempfile.TemporaryDirectory()))
+        self.workers = Workers("engines")
+        list_url = await self.stack.enter_async_context(running(self.workers.serve_list))
+        for worker_id in ("i-1", "i-2"):
+            app = self.workers.worker(worker_id)
+            self.workers.add(worker_id, await self.stack.enter_async_context(running(app)))
+        self.fleet = JoinedFleet(folder, list_url)
+        self.stack.push_async_callback(self.fleet.close)
+        self.fleet.seeds = CONTROLLERS[:3]
+        # Nobody listens yet when the first ones look for the others.
+        for name in [*ROUTERS, *CONTROLLERS[::-1]]:
+            await self.fleet.start(name, bootstrap=True)
+        await self.fleet.until(lambda: self.accepted("controller-4", 5))
+        for router in ROUTERS:
+            await self.fleet.until(lambda router=router: self.fleet.is_ready(router))
+
+    def document(self, version: int) -> bytes:
+        return a_document(version=version, routes=ROUTES)
+
+    async def accepted(self, name: str, version: int) -> bool:
+        return await self.fleet.put(name, self.document(version)) == 200
+
+    async def version(self, name: str) -> int:
+        document = await self.fleet.read(name)
+        return -1 if document is None else document["version"]
+
+    async def call(self, path: str, router: str = "router-1", **headers: str) -> httpx.Response:
+        sent = {
+            "host": "desk.example",
+            "credential": "key-1",
+            "attempt-id": f"id-{len(self.workers.runs)}-{path}",
+            "deadline-ms": "3000",
+            **{name.replace("_", "-"): value for name, value in headers.items()},
+        }
+        url = self.fleet.url(router, self.fleet.ports.front) + path
+        return await self.fleet.client.post(url, content=b"violins", headers=sent)
+
+
+__all__ = ["CONTROLLERS", "ROUTERS", "JoinedFleetCase"]
--- /dev/null
+++ b/tests/processes/test_recovery.py
@@ -0,0 +1,97 @@
+"""Guards the return of service after faults of the fleet or of a flooded router (RECOVER)."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+import unittest
+from collections import Counter
+
+from tests.processes.joinedcase import CONTROLLERS, ROUTERS, JoinedFleetCase
+
+WAITING_COUNT = 200
+"""Callers that connect while a router is frozen."""
+CONNECT_S = 1.0
+"""How long callers wait for a connection."""
+ANSWER_S = 5.0
+CALLERS_COUNT = 30
+"""Callers that press on one router, each with one try after the other on new connections."""
+RECOVERY_S = 12.0
+"""Time after which service has to be back, as on the platform."""
+PRESS_S = 2.0
+
+
+class RecoveryTest(JoinedFleetCase):
+    async def try_once(self, router: str, number: int) -> str:
+        """Send one request on a connection of its own; tell its status, or how it ended else."""
+        request = (
+            f"POST /once/1 HTTP/1.1\r\nHost: desk.example\r\nCredential: key-1\r\n"
+            f"Attempt-Id: try-{number}\r\nDeadline-Ms: 3000\r\nContent-Length: 7\r\n"
+            f"Connection: close\r\n\r\nviolins"
+        )
+        try:
+            async with asyncio.timeout(CONNECT_S):
+                reader, writer = await asyncio.open_connection(
+                    self.fleet.ip(router), self.fleet.ports.front
+                )
+        except OSError as error:
+            return type(error).__name__
+        try:
+            writer.write(request.encode())
+            async with asyncio.timeout(ANSWER_S):
+                answer = await reader.read()
+            return answer[len("HTTP/1.1 ") :][:3].decode()
+        except OSError as error:
+            return type(error).__name__
+        finally:
+            writer.close()
+
+    async def test_callers_that_connect_to_a_frozen_router_get_answers(self) -> None:
+        """Guards against callers who are left without a connection once the queue is full."""
+        router = self.fleet.process("router-1")
+        router.send_signal(signal.SIGSTOP)
+        async with asyncio.TaskGroup() as tasks:
+            tries = [
+                tasks.create_task(self.try_once("router-1", number))
+                for number in range(WAITING_COUNT)
+            ]
+            await asyncio.sleep(CONNECT_S / 2)
+            router.send_signal(signal.SIGCONT)
+        ended = Counter(one.result() for one in tries)
+        self.assertEqual(ended["200"] + ended["503"], WAITING_COUNT, ended)
+        self.assertGreater(ended["200"], 0, ended)
+
+    async def test_service_returns_after_all_processes_were_killed(self) -> None:
+        """Guards against a fleet whose processes run again and whose callers are not served, while
+        all callers of one team press on one router."""
+        ended: Counter[str] = Counter()
+        measuring = False
+
+        async def press(number: int) -> None:
+            while True:
+                outcome = await self.try_once("router-1", number)
+                if measuring:
+                    ended[outcome] += 1
+                await asyncio.sleep(0.01)
+
+        async with asyncio.TaskGroup() as tasks:
+            pressing = [tasks.create_task(press(number)) for number in range(CALLERS_COUNT)]
+            await asyncio.sleep(0.5)
+            for name in [*ROUTERS, *CONTROLLERS]:
+                await self.fleet.stop(name)
+            for name in [*ROUTERS, *CONTROLLERS]:
+                await self.fleet.start(name)
+            await asyncio.sleep(RECOVERY_S)
+            measuring = True
+            await asyncio.sleep(PRESS_S)
+            measuring = False
+            for one in pressing:
+                one.cancel()
+        self.assertGreater(4 * ended["200"], ended.total(), ended)
+        self.assertEqual(ended["200"] + ended["503"], ended.total(), ended)
+        for name in ROUTERS:
+            self.assertTrue(await self.fleet.is_ready(name))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tools/joinedfleet.py
+++ b/tools/joinedfleet.py
@@ -112,6 +112,15 @@
         process.send_signal(number)
         return await asyncio.wait_for(process.wait(), 20.0)
 
+    def process(self, name: str) -> asyncio.subprocess.Process:
+        """
+        Look up a running process, to send it signals.
+
+        :param name: its name
+        :return: the process
+        """
+        return self._processes[name]
+
     def wipe(self, name: str) -> None:
         """
         Empty the data folder of a stopped controller.
