Refuse new connections by team

Cause: the intake refused the same part of all new connections, so that teams which ask for little were refused for the flood of another one.

Change: one level for all teams, in connections between two measurements; a team above it is refused, the others are not. The head of the request is read to find its team while time is short; a connection that is taken is handed to the HTTP server with what was read. While time is not short, the server gets connections unseen, 8 between two measurements.

--- a/src/camphorvalve/http/refusing.py
+++ b/src/camphorvalve/http/refusing.py
@@ -17,44 +17,56 @@
 
     from camphorvalve.sharing.intake import Intake
 
+    ProtocolFactory = Callable[[], asyncio.Protocol]
+
 HEAD_END = b"\r\n\r\n"
 MOST_HEAD_BYTES = 64 << 10
-"""A longer head gets no answer: the connection is closed."""
+"""Longest head that is decided about; a longer one is left to the server."""
 
 
 class ConnectionGuard:
-    """Lets the intake decide about new connections, and answers the requests on the others."""
+    """Lets the intake decide about new connections, and answers the requests on refused ones."""
 
     def __init__(
-        self, intake: Intake, request_id_name: str, log: Callable[[str | None], None]
+        self,
+        intake: Intake,
+        request_id_name: str,
+        team_of: Callable[[str | None], str | None],
+        key_name: str,
+        log: Callable[[str | None], None],
     ) -> None:
         """
         Prepare the answer.
 
         :param intake: decides
         :param request_id_name: header that carries the id of a request
+        :param team_of: finds the team that holds a key
+        :param key_name: header that carries the key
         :param log: takes the id of each request that was refused
         """
         self._intake = intake
         self._request_id_name = request_id_name
+        self._team_of = team_of
+        self._key_name = key_name
         self._log = log
         self._error = RequestError(
             "overloaded", "this router is short of processor time", retry_after_s=RETRY_AFTER_S
         )
 
-    def admits(self) -> bool:
-        """:return: whether the next connection is served"""
-        return self._intake.takes()
-
-    def refuse(self, connection: socket.socket) -> RefusingProtocol | None:
+    def admit(
+        self, connection: socket.socket, protocol_factory: ProtocolFactory
+    ) -> asyncio.Protocol | None:
         """
-        Refuse the request on a connection that is not served.
+        Decide about a connection, at once if its request has arrived.
 
         :param connection: accepted and non-blocking
-        :return: the protocol that takes the connection over; ``None`` where all had arrived, so
-            that the connection is answered and closed
+        :param protocol_factory: makes the server's protocol
+        :return: the protocol that takes the connection over; ``None`` where it was refused and
+            closed
         """
-        protocol = RefusingProtocol(self.answer)
+        if self._intake.takes_unseen():
+            return protocol_factory()
+        protocol = DecidingProtocol(self, protocol_factory)
         try:
             data = connection.recv(MOST_HEAD_BYTES)
         except BlockingIOError:
@@ -63,8 +75,8 @@
             # The caller has left.
             connection.close()
             return None
-        answer = protocol.take(data)
         try:
+            answer = protocol.take(data)
             if answer:
                 connection.send(answer)
         except OSError:
@@ -75,9 +87,18 @@
         connection.close()
         return None
 
+    def takes(self, head: bytes) -> bool:
+        """
+        Decide about a request.
+
+        :param head: its request line and headers
+        :return: whether it is served
+        """
+        return self._intake.takes(self._team_of(_field(head, self._key_name)))
+
     def answer(self, head: bytes) -> bytes:
         """
-        Build the answer to a request.
+        Build the answer to a refused request.
 
         :param head: its request line and headers
         :return: a whole HTTP answer that asks to close the connection
@@ -97,26 +118,29 @@
         return "\r\n".join(lines).encode("latin-1") + HEAD_END + content
 
 
-class RefusingProtocol(asyncio.Protocol):
-    """Answers the first request on a connection, and closes the connection once it is read."""
+class DecidingProtocol(asyncio.Protocol):
+    """Reads the head of the first request; then hands the connection over, or answers and ends."""
 
-    def __init__(self, answer: Callable[[bytes], bytes]) -> None:
+    def __init__(self, guard: ConnectionGuard, protocol_factory: ProtocolFactory) -> None:
         """
         Wait for a request.
 
-        :param answer: builds the answer to the head of a request
+        :param guard: decides about it
+        :param protocol_factory: makes the server's protocol
         """
-        self._answer = answer
-        self._transport: asyncio.Transport
-        self._head = bytearray()
+        self._guard = guard
+        self._protocol_factory = protocol_factory
+        self._transport: asyncio.Transport | None = None
+        self._received = bytearray()
+        self._admitted = False
         self._answered = False
         self._unread_bytes: int | None = None
-        """Bytes of the body that are still to come, ``None`` if its length is not known."""
+        """Bytes of a refused body that are to come, ``None`` if its length is not known."""
         self._timer: asyncio.TimerHandle | None = None
 
     @property
     def complete(self) -> bool:
-        """:return: whether the request was answered and read to its end"""
+        """:return: whether the request was refused and read to its end"""
         return self._answered and self._unread_bytes is not None and self._unread_bytes <= 0
 
     def take(self, data: bytes) -> bytes:
@@ -124,41 +148,51 @@
         Read a part of the request.
 
         :param data: what arrived
-        :return: the answer once the head is complete, empty before and after
+        :return: the answer once the head is complete and refused, empty otherwise
         """
         if self._answered:
             self._read_body(len(data))
             return b""
-        self._head += data
-        end = self._head.find(HEAD_END)
+        self._received += data
+        end = self._received.find(HEAD_END)
         if end < 0:
+            self._admitted = len(self._received) > MOST_HEAD_BYTES
+            return b""
+        head = bytes(self._received[:end])
+        self._admitted = self._guard.takes(head)
+        if self._admitted:
             return b""
-        head = bytes(self._head[:end])
         self._answered = True
         self._unread_bytes = _body_bytes(head)
-        self._read_body(len(self._head) - end - len(HEAD_END))
-        return self._answer(head)
+        self._read_body(len(self._received) - end - len(HEAD_END))
+        return self._guard.answer(head)
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """
-        Wait for the rest of the request for a bounded time.
+        Go on, or wait for the rest of the request for a bounded time.
 
         :param transport: the loop's side of the connection
         """
         self._transport = transport  # type: ignore[assignment]
-        self._timer = asyncio.get_running_loop().call_later(LINGER_S, transport.close)
+        if self._admitted:
+            self._hand_over()
+        else:
+            self._timer = asyncio.get_running_loop().call_later(LINGER_S, self._end_waiting)
 
     def data_received(self, data: bytes) -> None:
         """
-        Answer once the head is complete; close once the body is.
+        Decide once the head is complete; close once the body of a refused request is.
 
         :param data: what the caller sent
         """
         answer = self.take(data)
+        if self._admitted:
+            self._hand_over()
+            return
         if answer:
             self._transport.write(answer)
         # Closing with unread bytes resets the connection, and the caller may lose the answer.
-        if self.complete or (not self._answered and len(self._head) > MOST_HEAD_BYTES):
+        if self.complete:
             self._transport.close()
 
     def eof_received(self) -> bool:
@@ -174,6 +208,22 @@
         if self._timer is not None:
             self._timer.cancel()
 
+    def _end_waiting(self) -> None:
+        if self._answered:
+            self._transport.close()
+        else:
+            # The server knows what to do with a caller that is slow.
+            self._hand_over()
+
+    def _hand_over(self) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+        successor = self._protocol_factory()
+        self._transport.set_protocol(successor)
+        successor.connection_made(self._transport)
+        if self._received:
+            successor.data_received(bytes(self._received))
+
     def _read_body(self, size_bytes: int) -> None:
         if self._unread_bytes is not None:
             self._unread_bytes -= size_bytes
@@ -198,4 +248,4 @@
     return int(length) if length.isdecimal() else None
 
 
-__all__ = ["ConnectionGuard", "RefusingProtocol"]
+__all__ = ["ConnectionGuard", "DecidingProtocol"]
--- a/src/camphorvalve/loop.py
+++ b/src/camphorvalve/loop.py
@@ -27,15 +27,15 @@
 class Guard(Protocol):
     """Decides about the new connections of a port."""
 
-    def admits(self) -> bool:
-        """:return: whether the next connection is served"""
-
-    def refuse(self, connection: socket.socket) -> asyncio.BaseProtocol | None:
+    def admit(
+        self, connection: socket.socket, protocol_factory: Callable[[], asyncio.Protocol]
+    ) -> asyncio.Protocol | None:
         """
-        Take a connection that is not served.
+        Decide about a connection.
 
         :param connection: accepted and non-blocking
-        :return: the protocol that ends it, ``None`` if it is closed already
+        :param protocol_factory: makes the protocol that serves a connection
+        :return: the protocol that takes the connection, ``None`` if it is closed already
         """
 
 
@@ -51,7 +51,7 @@
         self,
         loop: asyncio.AbstractEventLoop,
         listener: socket.socket,
-        protocol_factory: Callable[[], asyncio.BaseProtocol],
+        protocol_factory: Callable[[], asyncio.Protocol],
         guard: Guard | None = None,
     ) -> None:
         """
@@ -123,10 +123,10 @@
             self._hand_over(accepted)
 
     def _hand_over(self, accepted: socket.socket) -> None:
-        if self._guard is None or self._guard.admits():
+        if self._guard is None:
             protocol = self._protocol_factory()
         else:
-            protocol = self._guard.refuse(accepted)
+            protocol = self._guard.admit(accepted, self._protocol_factory)
         if protocol is None:
             return
         task = self._loop.create_task(self._open(accepted, protocol))
@@ -138,7 +138,7 @@
             self._loop.remove_reader(self._listener.fileno())
             self._retry = self._loop.call_later(ACCEPT_PAUSE_S, self._watch)
 
-    async def _open(self, accepted: socket.socket, protocol: asyncio.BaseProtocol) -> None:
+    async def _open(self, accepted: socket.socket, protocol: asyncio.Protocol) -> None:
         # A caller that has left already is no fault of this process.
         with contextlib.suppress(OSError):
             await self._loop.connect_accepted_socket(lambda: protocol, accepted)
@@ -164,7 +164,7 @@
 
     async def create_server(
         self,
-        protocol_factory: Callable[[], asyncio.BaseProtocol],
+        protocol_factory: Callable[[], asyncio.Protocol],
         *arguments: Any,
         sock: socket.socket | None = None,
         ssl: Any = None,
--- a/src/camphorvalve/sharing/intake.py
+++ b/src/camphorvalve/sharing/intake.py
@@ -16,30 +16,40 @@
 INCREASE_RATIO = 1.05
 EASY_INCREASE_RATIO = 1.1
 """Factor while there is time to spare."""
-INCREASE_STEP_RATIO = 0.005
-"""With the factor above, from the least part to all in 1.6 s, at 20 measurements a second."""
-MOST_TAKEN_COUNT = 16
-"""Connections that are taken between two measurements at most: served ones take up to 4 ms each at
-half a core, and 512 that waited for a frozen router would keep the loop busy for seconds."""
-LEAST_RATIO = 0.02
-"""Part that is always taken, so that the intake shows when there is time again."""
+INCREASE_STEP_COUNT = 0.05
+"""With the factor above, from the least level to the most in 2 s, at 20 measurements a second."""
+MOST_LEVEL_COUNT = 16.0
+"""Level at which nothing is refused but what exceeds it: 320 connections of a team a second."""
+LEAST_LEVEL_COUNT = 0.2
+"""Level that always remains, 4 connections of a team a second, so that the intake shows when there
+is time again."""
+UNSEEN_COUNT = 8
+"""Connections between two measurements that are taken before their team is known, while processor
+time is not short; with the highest level of one team this leaves room for others."""
+MOST_TAKEN_COUNT = 32
+"""Connections of all teams that are taken between two measurements at most: served ones take up to
+4 ms each at half a core, and 512 that waited for a frozen router would keep the loop busy for
+seconds."""
 RETRY_AFTER_S = 1.0
 """When a caller who was not taken may come back: the intake changes by half in that time."""
 
 
 class Intake:
     """
-    The part of new connections that are served; all others are refused without being parsed.
+    How many new connections of each team are served; all others are refused without being parsed.
 
-    The part falls in proportion to how late the loop is, and while what is taken is refused later
-    on; it grows while the loop is on time.
+    All teams have the same level, so that a team whose callers all come to this router is refused
+    and the others are not. The level falls in proportion to how late the loop is, and while what is
+    taken is refused later on; it grows while the loop is on time.
     """
 
     def __init__(self) -> None:
-        """Start by taking all."""
-        self.ratio = 1.0
+        """Start at the highest level."""
+        self.level_count = MOST_LEVEL_COUNT
+        """Connections of one team between two measurements."""
+        self._credits: dict[str | None, float] = {}
+        """What is left of the level, of teams that have used some of it."""
         self._last_lag_s = 0.0
-        self._owed = 0.0
         self._taken_count = 0
         self._served_count = 0
         self._wasted_count = 0
@@ -56,41 +66,59 @@
         """
         served, wasted = served_count - self._served_count, wasted_count - self._wasted_count
         self._served_count, self._wasted_count = served_count, wasted_count
-        self._taken_count = 0
         # One long turn says little about the next ones; a router that starts has some.
         steady_lag_s, self._last_lag_s = min(lag_s, self._last_lag_s), lag_s
         if steady_lag_s > TARGET_LAG_S:
-            ratio = self.ratio * max(LEAST_DECREASE_RATIO, TARGET_LAG_S / steady_lag_s)
+            level = self.level_count * max(LEAST_DECREASE_RATIO, TARGET_LAG_S / steady_lag_s)
         elif lag_s < EASY_LAG_S:
-            ratio = self.ratio * EASY_INCREASE_RATIO + INCREASE_STEP_RATIO
+            level = self.level_count * EASY_INCREASE_RATIO + INCREASE_STEP_COUNT
         elif wasted > REFUSED_RATIO * (served + wasted):
-            ratio = self.ratio * REFUSED_DECREASE_RATIO
+            level = self.level_count * REFUSED_DECREASE_RATIO
         else:
-            ratio = self.ratio * INCREASE_RATIO + INCREASE_STEP_RATIO
-        self.ratio = min(1.0, max(LEAST_RATIO, ratio))
+            level = self.level_count * INCREASE_RATIO + INCREASE_STEP_COUNT
+        self.level_count = min(MOST_LEVEL_COUNT, max(LEAST_LEVEL_COUNT, level))
+        self._taken_count = 0
+        grown = {team: credit + self.level_count for team, credit in self._credits.items()}
+        self._credits = {team: credit for team, credit in grown.items() if credit < self._most()}
 
-    def takes(self) -> bool:
+    def takes(self, team: str | None) -> bool:
         """
-        Decide about one connection; refused ones are spread evenly.
+        Decide about one connection.
 
+        :param team: team of the request on it, ``None`` if it has none that is known
         :return: whether it is served
         """
-        self._owed = min(2.0, self._owed + self.ratio)
-        if self._owed >= 1.0 and self._taken_count < MOST_TAKEN_COUNT:
-            self._owed -= 1.0
+        credit = self._credits.get(team, self._most())
+        if credit >= 1.0 and self._taken_count < MOST_TAKEN_COUNT:
+            self._credits[team] = credit - 1.0
             self._taken_count += 1
             return True
         self.refused_count += 1
         return False
 
     def is_short(self) -> bool:
-        """:return: whether connections are refused at present"""
-        return self.ratio < 1.0
+        """:return: whether processor time is short, so that connections are decided about"""
+        return self.level_count < MOST_LEVEL_COUNT
+
+    def takes_unseen(self) -> bool:
+        """
+        Decide about one connection before its request is known, where its team makes no difference.
+
+        :return: whether it is served; otherwise ``takes`` has to decide
+        """
+        if self.is_short() or self._taken_count >= UNSEEN_COUNT:
+            return False
+        self._taken_count += 1
+        return True
+
+    def _most(self) -> float:
+        return max(1.0, self.level_count)
 
 
 __all__ = [
     "EASY_LAG_S",
-    "LEAST_RATIO",
+    "LEAST_LEVEL_COUNT",
+    "MOST_LEVEL_COUNT",
     "MOST_TAKEN_COUNT",
     "RETRY_AFTER_S",
     "TARGET_LAG_S",
--- a/src/camphorvalve/wiring/edges.py
+++ b/src/camphorvalve/wiring/edges.py
@@ -53,6 +53,8 @@
     """The platform's side of a router."""
 
     names: HeaderNames
+    key_name: str
+    """Header, in lower case, that carries the key of a caller's team."""
     decode: DecodeRequest
     follow_upstreams: FollowUpstreams
     watch_seeds: WatchSeeds
--- a/src/camphorvalve/wiring/joinedrouter.py
+++ b/src/camphorvalve/wiring/joinedrouter.py
@@ -132,7 +132,7 @@
                 graceful_timeout_s=settings.stop_timeout_s,
                 leaving=self._left.is_set,
                 keep_alive_s=self._idle_timeout_s,
-                guard=ConnectionGuard(self._intake, name, self._refusals.note),
+                guard=self._guard(),
             )
             tasks.cancel_scope.cancel()
         link.close()
@@ -153,6 +153,21 @@
             forward(self._pools, RoutedAttempts(self._client, self._edge.names)),
         )
 
+    def _guard(self) -> ConnectionGuard:
+        edge = self._edge
+        return ConnectionGuard(
+            self._intake,
+            edge.names.request_id,
+            self._team_of,
+            edge.key_name,
+            self._refusals.note,
+        )
+
+    def _team_of(self, key: str | None) -> str | None:
+        table = self._manifest.table()
+        team = None if table is None or key is None else table.team(key)
+        return None if team is None else team.name
+
     def _on_lag(self, lag_s: float) -> None:
         counts = self._outcomes
         self._intake.measure(lag_s, counts.answered + counts.failed, counts.refused)
@@ -161,7 +176,7 @@
     def _intake_inputs(self) -> dict[str, float]:
         return {
             "lag_ms": round(1000 * self._levels.lag_s, 1),
-            "intake_ratio": round(self._intake.ratio, 3),
+            "intake_level_count": round(self._intake.level_count, 2),
         }
 
     def _retry_floor_count(self) -> int:
@@ -178,7 +193,11 @@
         observe("routers_count", "routers that accept callers", self._roster.routers_count)
         observe("engine_part", "part of each engine for this router", self._engine_part)
         observe("lag_seconds", "time by which the loop was late", lambda: self._levels.lag_s)
-        observe("intake_ratio", "part of new connections served", lambda: self._intake.ratio)
+        observe(
+            "intake_level_count",
+            "new connections of a team that are served in 50 ms",
+            lambda: self._intake.level_count,
+        )
         levels = self._levels
         levels.count("connections_count", lambda: self._connections.opened_count)
         levels.count("answered_count", lambda: self._outcomes.answered)
@@ -186,7 +205,7 @@
         levels.count("failed_count", lambda: self._outcomes.failed)
         levels.count("callers_left_count", lambda: self._outcomes.callers_left)
         levels.count("not_taken_count", lambda: self._intake.refused_count)
-        levels.gauge("intake_ratio", lambda: round(self._intake.ratio, 3))
+        levels.gauge("intake_level_count", lambda: round(self._intake.level_count, 2))
         levels.gauge("running_count", self._observe.open_count)
         levels.gauge("routers_count", self._roster.routers_count)
 
