Tell refused callers to come back when there may be room

Cause: every caller that the intake refused was told to come back after 1 s, when the router was as short of processor time as before: of 1,600 tries a second at front-perth-d-1 most were second tries that were refused again.

Change: the time to come back is what it takes to serve all that the team was refused in the last second, 1 s at least and 30 s at most.

Test: sharing.test_intake (test_callers_come_back_when_there_may_be_room).

--- a/src/camphorvalve/http/refusing.py
+++ b/src/camphorvalve/http/refusing.py
@@ -9,7 +9,6 @@
 
 from camphorvalve.http.sending import LINGER_S
 from camphorvalve.model.errors import RequestError
-from camphorvalve.sharing.intake import RETRY_AFTER_S
 
 if TYPE_CHECKING:
     import socket
@@ -49,9 +48,6 @@
         self._team_of = team_of
         self._key_name = key_name
         self._log = log
-        self._error = RequestError(
-            "overloaded", "this router is short of processor time", retry_after_s=RETRY_AFTER_S
-        )
 
     def admit(
         self, connection: socket.socket, protocol_factory: ProtocolFactory
@@ -87,31 +83,28 @@
         connection.close()
         return None
 
-    def takes(self, head: bytes) -> bool:
+    def decide(self, head: bytes) -> bytes | None:
         """
         Decide about a request.
 
         :param head: its request line and headers
-        :return: whether it is served
-        """
-        return self._intake.takes(self._team_of(_field(head, self._key_name)))
-
-    def answer(self, head: bytes) -> bytes:
-        """
-        Build the answer to a refused request.
-
-        :param head: its request line and headers
-        :return: a whole HTTP answer that asks to close the connection
+        :return: ``None`` if it is served, otherwise a whole answer that closes the connection
         """
+        team = self._team_of(_field(head, self._key_name))
+        if self._intake.takes(team):
+            return None
         request_id = _field(head, self._request_id_name)
         self._log(request_id)
-        content = msgspec.json.encode(self._error.body(request_id))
+        retry_after_s = self._intake.retry_after_s(team)
+        message = "this router is short of processor time"
+        error = RequestError("overloaded", message, retry_after_s=round(retry_after_s, 3))
+        content = msgspec.json.encode(error.body(request_id))
         lines = [
-            f"HTTP/1.1 {self._error.status} ",
+            f"HTTP/1.1 {error.status} ",
             "content-type: application/json",
             f"content-length: {len(content)}",
             "connection: close",
-            f"retry-after: {RETRY_AFTER_S:.3f}",
+            f"retry-after: {retry_after_s:.3f}",
         ]
         if request_id is not None:
             lines.append(f"{self._request_id_name}: {request_id}")
@@ -159,13 +152,14 @@
             self._admitted = len(self._received) > MOST_HEAD_BYTES
             return b""
         head = bytes(self._received[:end])
-        self._admitted = self._guard.takes(head)
-        if self._admitted:
+        answer = self._guard.decide(head)
+        if answer is None:
+            self._admitted = True
             return b""
         self._answered = True
         self._unread_bytes = _body_bytes(head)
         self._read_body(len(self._received) - end - len(HEAD_END))
-        return self._guard.answer(head)
+        return answer
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """
--- a/src/camphorvalve/sharing/intake.py
+++ b/src/camphorvalve/sharing/intake.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from dataclasses import dataclass
+
 TARGET_LAG_S = 0.04
 """Lag of the loop above which fewer connections are taken: a fifth of the 200 ms in which an event
 of a stream has to be passed on, as an event crosses the loop several times."""
@@ -30,8 +32,21 @@
 """Connections of all teams that are taken between two measurements at most: served ones take up to
 4 ms each at half a core, and 512 that waited for a frozen router would keep the loop busy for
 seconds."""
-RETRY_AFTER_S = 1.0
-"""When a caller who was not taken may come back: the intake changes by half in that time."""
+LEAST_RETRY_AFTER_S = 1.0
+"""When a caller who was not taken may come back at the soonest: the intake changes by half then."""
+MOST_RETRY_AFTER_S = 30.0
+FADING_RATIO = 0.95
+"""Part of the counts that each measurement leaves, which makes them those of about a second."""
+FORGOTTEN_COUNT = 0.5
+"""Refusals below which a team is forgotten."""
+
+
+@dataclass(slots=True)
+class _Recent:
+    """Connections of a team in about the last second."""
+
+    taken_count: float = 0.0
+    refused_count: float = 0.0
 
 
 class Intake:
@@ -49,6 +64,8 @@
         """Connections of one team between two measurements."""
         self._credits: dict[str | None, float] = {}
         """What is left of the level, of teams that have used some of it."""
+        self._recent: dict[str | None, _Recent] = {}
+        """Of teams that were refused lately."""
         self._last_lag_s = 0.0
         self._taken_count = 0
         self._served_count = 0
@@ -80,6 +97,14 @@
         self._taken_count = 0
         grown = {team: credit + self.level_count for team, credit in self._credits.items()}
         self._credits = {team: credit for team, credit in grown.items() if credit < self._most()}
+        for recent in self._recent.values():
+            recent.taken_count *= FADING_RATIO
+            recent.refused_count *= FADING_RATIO
+        self._recent = {
+            team: recent
+            for team, recent in self._recent.items()
+            if recent.refused_count > FORGOTTEN_COUNT
+        }
 
     def takes(self, team: str | None) -> bool:
         """
@@ -92,10 +117,24 @@
         if credit >= 1.0 and self._taken_count < MOST_TAKEN_COUNT:
             self._credits[team] = credit - 1.0
             self._taken_count += 1
+            if recent := self._recent.get(team):
+                recent.taken_count += 1
             return True
+        self._recent.setdefault(team, _Recent()).refused_count += 1
         self.refused_count += 1
         return False
 
+    def retry_after_s(self, team: str | None) -> float:
+        """
+        Tell when a refused caller may come back.
+
+        :param team: team of its request
+        :return: how long it takes to serve all that the team was refused in the last second
+        """
+        recent = self._recent.get(team, _Recent())
+        wait_s = recent.refused_count / max(1.0, recent.taken_count)
+        return min(MOST_RETRY_AFTER_S, max(LEAST_RETRY_AFTER_S, wait_s))
+
     def is_short(self) -> bool:
         """:return: whether processor time is short, so that connections are decided about"""
         return self.level_count < MOST_LEVEL_COUNT
@@ -118,9 +157,10 @@
 __all__ = [
     "EASY_LAG_S",
     "LEAST_LEVEL_COUNT",
+    "LEAST_RETRY_AFTER_S",
     "MOST_LEVEL_COUNT",
+    "MOST_RETRY_AFTER_S",
     "MOST_TAKEN_COUNT",
-    "RETRY_AFTER_S",
     "TARGET_LAG_S",
     "Intake",
 ]
--- a/tests/sharing/test_intake.py
+++ b/tests/sharing/test_intake.py
@@ -8,6 +8,8 @@
 from camphorvalve.sharing.intake import (
     EASY_LAG_S,
     LEAST_LEVEL_COUNT,
+    LEAST_RETRY_AFTER_S,
+    MOST_RETRY_AFTER_S,
     MOST_TAKEN_COUNT,
     TARGET_LAG_S,
     Intake,
@@ -144,6 +146,20 @@
                     intake.measure(lag_s, number * served_count, number * wasted_count)
                 self.assertEqual(intake.level_count > level_count, grows)
 
+    def test_callers_come_back_when_there_may_be_room(self) -> None:
+        """Guards against callers who come back at a time when they are refused again."""
+        intake = late_intake(2 * TARGET_LAG_S)
+        self.assertEqual(intake.retry_after_s("calm"), LEAST_RETRY_AFTER_S)
+        for _ in range(40):
+            taken_count(intake, 80, "flooding")
+            taken_count(intake, 1, "calm")
+            intake.measure(2 * TARGET_LAG_S)
+        # Of 1,600 a second 4 are taken.
+        self.assertEqual(intake.retry_after_s("flooding"), MOST_RETRY_AFTER_S)
+        for _ in range(200):
+            intake.measure(0.0)
+        self.assertEqual(intake.retry_after_s("flooding"), LEAST_RETRY_AFTER_S)
+
     def test_turns_stay_short_and_time_is_used_in_a_flood(self) -> None:
         """Guards against a router that takes all connections and is late for all of them."""
         self.assertGreater(flooded(None, 900.0).longest_turn_s, 1.0)
