Test that service and manifest return when a disk is lost as all processes end

The process test of the service form of RECOVER now also empties the disk of the controller that has just acknowledged a manifest, and reads that manifest back from all controllers. It passes without a change of the code.

--- a/tests/processes/joinedcase.py
+++ b/tests/processes/joinedcase.py
@@ -2,11 +2,12 @@
 
 from __future__ import annotations
 
+import json
 import tempfile
 import unittest
 from contextlib import AsyncExitStack
 from pathlib import Path
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 from tools.joinedfleet import JoinedFleet
 from tools.standins.karrilane import Workers
@@ -77,5 +78,18 @@
         url = self.fleet.url(router, self.fleet.ports.front) + path
         return await self.fleet.client.post(url, content=b"violins", headers=sent)
 
+    def logged(self, name: str, event: str) -> list[dict[str, Any]]:
+        lines = map(json.loads, self.fleet.log(name).splitlines())
+        return [line for line in lines if line["event"] == event]
+
+    async def all_controllers_vote(self) -> bool:
+        found = self.logged("router-1", "roster received")
+        return bool(found) and len(found[-1]["controllers"]) == len(CONTROLLERS)
+
+    async def reads(self, name: str, version: int) -> bool:
+        found = await self.version(name)
+        self.assertIn(found, (-1, version))
+        return found == version
+
 
 __all__ = ["CONTROLLERS", "ROUTERS", "JoinedFleetCase"]
--- a/tests/processes/test_joined.py
+++ b/tests/processes/test_joined.py
@@ -3,10 +3,8 @@
 from __future__ import annotations
 
 import asyncio
-import json
 import signal
 import unittest
-from typing import Any
 
 from tests.processes.joinedcase import CONTROLLERS, ROUTERS, JoinedFleetCase
 
@@ -16,14 +14,6 @@
         url = self.fleet.url(router, self.fleet.ports.directory) + "/-/resolve?name=desk.example"
         return (await self.fleet.client.get(url)).json()["addresses"]
 
-    def logged(self, name: str, event: str) -> list[dict[str, Any]]:
-        lines = map(json.loads, self.fleet.log(name).splitlines())
-        return [line for line in lines if line["event"] == event]
-
-    async def all_controllers_vote(self) -> bool:
-        found = self.logged("router-1", "roster received")
-        return bool(found) and len(found[-1]["controllers"]) == len(CONTROLLERS)
-
     async def test_calls(self) -> None:
         """Guards the whole path: directory, request, stream, continuation, refusal."""
         answer = await self.call("/once/1", tenant="forged", hold="forged")
@@ -97,11 +87,6 @@
             await self.fleet.stop(name)
         self.assertIsNone(await self.fleet.read("controller-2"))
 
-    async def reads(self, name: str, version: int) -> bool:
-        found = await self.version(name)
-        self.assertIn(found, (-1, version))
-        return found == version
-
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/processes/test_recovery.py
+++ b/tests/processes/test_recovery.py
@@ -19,6 +19,7 @@
 RECOVERY_S = 12.0
 """Time after which service has to be back, as on the platform."""
 PRESS_S = 2.0
+MANIFEST_VERSION = 10
 
 
 class RecoveryTest(JoinedFleetCase):
@@ -62,8 +63,10 @@
         self.assertGreater(ended["200"], 0, ended)
 
     async def test_service_returns_after_all_processes_were_killed(self) -> None:
-        """Guards against a fleet whose processes run again and whose callers are not served, while
+        """Guards against a fleet whose processes run again and whose callers are not served, or
+        which has lost an acknowledged manifest with the disk of the controller that took it, while
         all callers of one team press on one router."""
+        await self.fleet.until(self.all_controllers_vote)
         ended: Counter[str] = Counter()
         measuring = False
 
@@ -77,8 +80,10 @@
         async with asyncio.TaskGroup() as tasks:
             pressing = [tasks.create_task(press(number)) for number in range(CALLERS_COUNT)]
             await asyncio.sleep(0.5)
+            self.assertTrue(await self.accepted("controller-2", MANIFEST_VERSION))
             for name in [*ROUTERS, *CONTROLLERS]:
                 await self.fleet.stop(name)
+            self.fleet.wipe("controller-2")
             for name in [*ROUTERS, *CONTROLLERS]:
                 await self.fleet.start(name)
             await asyncio.sleep(RECOVERY_S)
@@ -91,6 +96,8 @@
         self.assertEqual(ended["200"] + ended["503"], ended.total(), ended)
         for name in ROUTERS:
             self.assertTrue(await self.fleet.is_ready(name))
+        for name in CONTROLLERS:
+            await self.fleet.until(lambda name=name: self.reads(name, MANIFEST_VERSION))
 
 
 if __name__ == "__main__":
