Choose what happens to a new connection by match on its decision

Three flags told whether the first request on a connection is undecided, taken or refused; they are data classes now.

--- a/src/camphorvalve/http/refusing.py
+++ b/src/camphorvalve/http/refusing.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
+from dataclasses import dataclass, replace
 from typing import TYPE_CHECKING
 
 import msgspec
@@ -23,6 +25,43 @@
 """Longest head that is decided about; a longer one is left to the server."""
 
 
+@dataclass(frozen=True, slots=True)
+class Undecided:
+    """The head of the request is not complete."""
+
+
+@dataclass(frozen=True, slots=True)
+class Taken:
+    """The server takes the connection over, with all that has arrived."""
+
+
+@dataclass(frozen=True, slots=True)
+class Refused:
+    """The request is answered here, and the connection closed."""
+
+    answer: bytes
+    unread_bytes: int | None
+    """Bytes of the body that are to come, ``None`` if its length is not known."""
+
+    def is_read(self) -> bool:
+        """:return: whether the request was read to its end"""
+        return self.unread_bytes is not None and self.unread_bytes <= 0
+
+    def after(self, size_bytes: int) -> Refused:
+        """
+        Count what has arrived of the body.
+
+        :param size_bytes: bytes that have arrived
+        :return: the request with less to come
+        """
+        if self.unread_bytes is None:
+            return self
+        return replace(self, unread_bytes=self.unread_bytes - size_bytes)
+
+
+Decision = Undecided | Taken | Refused
+
+
 class ConnectionGuard:
     """Lets the intake decide about new connections, and answers the requests on refused ones."""
 
@@ -68,31 +107,27 @@
         except BlockingIOError:
             return protocol
         except OSError:
-            # The caller has left.
-            connection.close()
-            return None
-        try:
-            answer = protocol.take(data)
-            if answer:
+            data = b""
+        answer = protocol.take(data)
+        if answer:
+            # The caller may have left meanwhile.
+            with contextlib.suppress(OSError):
                 connection.send(answer)
-        except OSError:
-            connection.close()
-            return None
-        if data and not protocol.complete:
+        if data and not protocol.has_ended():
             return protocol
         connection.close()
         return None
 
-    def decide(self, head: bytes) -> bytes | None:
+    def decide(self, head: bytes) -> Taken | Refused:
         """
         Decide about a request.
 
         :param head: its request line and headers
-        :return: ``None`` if it is served, otherwise a whole answer that closes the connection
+        :return: the decision; a refusal has a whole answer that asks to close the connection
         """
         team = self._team_of(_field(head, self._key_name))
         if self._intake.takes(team):
-            return None
+            return Taken()
         request_id = _field(head, self._request_id_name)
         self._log(request_id)
         retry_after_s = self._intake.retry_after_s(team)
@@ -108,7 +143,8 @@
         ]
         if request_id is not None:
             lines.append(f"{self._request_id_name}: {request_id}")
-        return "\r\n".join(lines).encode("latin-1") + HEAD_END + content
+        answer = "\r\n".join(lines).encode("latin-1") + HEAD_END + content
+        return Refused(answer, _body_bytes(head))
 
 
 class DecidingProtocol(asyncio.Protocol):
@@ -125,16 +161,16 @@
         self._protocol_factory = protocol_factory
         self._transport: asyncio.Transport | None = None
         self._received = bytearray()
-        self._admitted = False
-        self._answered = False
-        self._unread_bytes: int | None = None
-        """Bytes of a refused body that are to come, ``None`` if its length is not known."""
+        self._decision: Decision = Undecided()
         self._timer: asyncio.TimerHandle | None = None
 
-    @property
-    def complete(self) -> bool:
+    def has_ended(self) -> bool:
         """:return: whether the request was refused and read to its end"""
-        return self._answered and self._unread_bytes is not None and self._unread_bytes <= 0
+        match self._decision:
+            case Refused() as refused:
+                return refused.is_read()
+            case _:
+                return False
 
     def take(self, data: bytes) -> bytes:
         """
@@ -143,23 +179,23 @@
         :param data: what arrived
         :return: the answer once the head is complete and refused, empty otherwise
         """
-        if self._answered:
-            self._read_body(len(data))
-            return b""
+        match self._decision:
+            case Refused() as refused:
+                self._decision = refused.after(len(data))
+                return b""
         self._received += data
         end = self._received.find(HEAD_END)
         if end < 0:
-            self._admitted = len(self._received) > MOST_HEAD_BYTES
+            if len(self._received) > MOST_HEAD_BYTES:
+                self._decision = Taken()
             return b""
-        head = bytes(self._received[:end])
-        answer = self._guard.decide(head)
-        if answer is None:
-            self._admitted = True
-            return b""
-        self._answered = True
-        self._unread_bytes = _body_bytes(head)
-        self._read_body(len(self._received) - end - len(HEAD_END))
-        return answer
+        match self._guard.decide(bytes(self._received[:end])):
+            case Refused(answer) as refused:
+                self._decision = refused.after(len(self._received) - end - len(HEAD_END))
+                return answer
+            case taken:
+                self._decision = taken
+                return b""
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """
@@ -168,10 +204,11 @@
         :param transport: the loop's side of the connection
         """
         self._transport = transport  # type: ignore[assignment]
-        if self._admitted:
-            self._hand_over()
-        else:
-            self._timer = asyncio.get_running_loop().call_later(LINGER_S, self._end_waiting)
+        match self._decision:
+            case Taken():
+                self._hand_over()
+            case _:
+                self._timer = asyncio.get_running_loop().call_later(LINGER_S, self._end_waiting)
 
     def data_received(self, data: bytes) -> None:
         """
@@ -180,14 +217,14 @@
         :param data: what the caller sent
         """
         answer = self.take(data)
-        if self._admitted:
-            self._hand_over()
-            return
         if answer:
             self._transport.write(answer)
-        # Closing with unread bytes resets the connection, and the caller may lose the answer.
-        if self.complete:
-            self._transport.close()
+        match self._decision:
+            case Taken():
+                self._hand_over()
+            case Refused() as refused if refused.is_read():
+                # With unread bytes the close would be a reset, and the caller may lose the answer.
+                self._transport.close()
 
     def eof_received(self) -> bool:
         """:return: false, so that the connection is closed when the caller has left"""
@@ -203,11 +240,12 @@
             self._timer.cancel()
 
     def _end_waiting(self) -> None:
-        if self._answered:
-            self._transport.close()
-        else:
-            # The server knows what to do with a caller that is slow.
-            self._hand_over()
+        match self._decision:
+            case Refused():
+                self._transport.close()
+            case _:
+                # The server knows what to do with a caller that is slow.
+                self._hand_over()
 
     def _hand_over(self) -> None:
         if self._timer is not None:
@@ -218,10 +256,6 @@
         if self._received:
             successor.data_received(bytes(self._received))
 
-    def _read_body(self, size_bytes: int) -> None:
-        if self._unread_bytes is not None:
-            self._unread_bytes -= size_bytes
-
 
 def _field(head: bytes, name: str) -> str | None:
     wanted = name.encode()
@@ -242,4 +276,4 @@
     return int(length) if length.isdecimal() else None
 
 
-__all__ = ["ConnectionGuard", "DecidingProtocol"]
+__all__ = ["ConnectionGuard", "DecidingProtocol", "Refused", "Taken", "Undecided"]
