--- a/src/camphorvalve/sharing/intake.py
+++ b/src/camphorvalve/sharing/intake.py
@@ -35,6 +35,7 @@
 LEAST_RETRY_AFTER_S = 1.0
 """When a caller who was not taken may come back at the soonest: the intake changes by half then."""
 MOST_RETRY_AFTER_S = 30.0
+"""Longer than callers of the deployments wait for an answer, 10 s."""
 FADING_RATIO = 0.95
 """Part of the counts that each measurement leaves, which makes them those of about a second."""
 FORGOTTEN_COUNT = 0.5
