Read the head of a refused request once, and build replies to submissions in one place

Found when the change was read again. The guard of new connections split the same head for each header that it looked up, four times for a refusal; it reads them once now, the first of each name as before. Three places of Proposals built a SubmitReply alike. Behaviour stays as it was.

--- a/src/camphorvalve/controllers/proposals.py
+++ b/src/camphorvalve/controllers/proposals.py
@@ -75,9 +75,7 @@
         if self._submissions.knows(proposal_id):
             return
         if (refusal := self._refusal(message.command)) is not None:
-            outcome = OUTCOME_CODEC.encode(refusal)
-            reply = SubmitReply(message.submit_id, True, self._leader_id(), outcome)
-            yield Outgoing(sender.host_id, reply)
+            yield self._reply(sender, message, OUTCOME_CODEC.encode(refusal))
             return
         self._submissions.add(proposal_id, Waiter(sender.host_id, message.submit_id), now_s)
         yield from self._step(Propose(proposal_id, message.command), now_s)
@@ -108,11 +106,14 @@
         :return: the answer
         """
         if not self._replica.lease_valid(now_s):
-            reply = SubmitReply(message.submit_id, False, self._leader_id(), b"")
-            return Outgoing(sender.host_id, reply)
+            return self._reply(sender, message, None)
         outcome = self._machine.state.records.state_of(message.record_id)
-        encoded = OUTCOME_CODEC.encode(outcome)
-        reply = SubmitReply(message.submit_id, True, self._leader_id(), encoded)
+        return self._reply(sender, message, OUTCOME_CODEC.encode(outcome))
+
+    def _reply(self, sender: Sender, message: Submit | Lookup, outcome: bytes | None) -> Outgoing:
+        """Answer with an outcome, ``None`` where this controller cannot tell one."""
+        decided = outcome is not None
+        reply = SubmitReply(message.submit_id, decided, self._leader_id(), outcome or b"")
         return Outgoing(sender.host_id, reply)
 
     def _refusal(self, encoded: bytes) -> Invalid | Exhausted | None:
--- a/src/camphorvalve/http/refusing.py
+++ b/src/camphorvalve/http/refusing.py
@@ -125,10 +125,11 @@
         :param head: its request line and headers
         :return: the decision; a refusal has a whole answer that asks to close the connection
         """
-        team = self._team_of(_field(head, self._key_name))
+        fields = _fields(head)
+        team = self._team_of(fields.get(self._key_name))
         if self._intake.takes(team):
             return Taken()
-        request_id = _field(head, self._request_id_name)
+        request_id = fields.get(self._request_id_name)
         self._log(request_id)
         retry_after_s = self._intake.retry_after_s(team)
         message = "this router is short of processor time"
@@ -144,7 +145,7 @@
         if request_id is not None:
             lines.append(f"{self._request_id_name}: {request_id}")
         answer = "\r\n".join(lines).encode("latin-1") + HEAD_END + content
-        return Refused(answer, _body_bytes(head))
+        return Refused(answer, _body_bytes(fields))
 
 
 class DecidingProtocol(asyncio.Protocol):
@@ -257,22 +258,19 @@
             successor.data_received(bytes(self._received))
 
 
-def _field(head: bytes, name: str) -> str | None:
-    wanted = name.encode()
+def _fields(head: bytes) -> dict[str, str]:
+    """Read the headers by lower-case name: the first of each, without those that cannot be sent."""
+    fields: dict[str, str] = {}
     for line in head.split(b"\r\n")[1:]:
         key, _, value = line.partition(b":")
-        if key.lower() == wanted:
-            text = value.strip().decode("latin-1")
-            return text if text.isprintable() else None
-    return None
+        fields.setdefault(key.lower().decode("latin-1"), value.strip().decode("latin-1"))
+    return {name: value for name, value in fields.items() if value.isprintable()}
 
 
-def _body_bytes(head: bytes) -> int | None:
-    if _field(head, "transfer-encoding") is not None:
+def _body_bytes(fields: dict[str, str]) -> int | None:
+    if "transfer-encoding" in fields:
         return None
-    length = _field(head, "content-length")
-    if length is None:
-        return 0
+    length = fields.get("content-length", "0")
     return int(length) if length.isdecimal() else None
 
 
