Log the age and reach of the fleet's demand, and what the intake refuses of each team

Change: totals say from how many routers they were summed; 'teams over their share' has their age, the demand at this router, and what the intake turned away by team; the controller that sums logs who reports; age and reach are metrics. The head of a refused request is read by the adapter's own rule for the cost of a prompt. No decision has changed.

Tests: controllers.test_shares, http.test_refusing, platform.test_calls.

--- a/src/camphorvalve/controllers/shares.py
+++ b/src/camphorvalve/controllers/shares.py
@@ -46,6 +46,8 @@
 CONGESTED_S = 1.0
 """How long requests beyond shares stand back; renewed while others are refused."""
 AGGREGATOR_KEY = "demand"
+LONGEST_AGE_S = 1e6
+"""Age in log lines of totals that were never heard; JSON has no infinity."""
 
 _log = structlog.get_logger(__name__)
 
@@ -85,6 +87,8 @@
         self._weight = 1.0
         self._served = Demand(WINDOW_S)
         self._starved = Demand(STARVED_WINDOW_S)
+        self._turned_away = Demand(WINDOW_S)
+        self._reports_count = 0
         self._congested_until_s = float("-inf")
 
     def came_back(self, kind: str, patience_s: float | None, now_s: float) -> bool:
@@ -124,6 +128,16 @@
             return 1.0
         return min(MOST_GROWTH, recent_per_s / own_per_s)
 
+    def turn_away(self, team: str, tokens: float, now_s: float) -> None:
+        """
+        Count a request that was refused before its share was asked for.
+
+        :param team: name of the team
+        :param tokens: its cost
+        :param now_s: monotonic time
+        """
+        self._turned_away.add(team, tokens, now_s)
+
     def serve(self, team: str, tokens: float, now_s: float) -> None:
         """
         Count a request whose answer has begun.
@@ -154,6 +168,19 @@
         """
         return now_s < self._congested_until_s or self._quotas.is_ahead(team)
 
+    def totals_age_s(self, now_s: float) -> float:
+        """
+        Tell how old the fleet's demand is.
+
+        :param now_s: monotonic time
+        :return: time since it was heard, infinite before the first time
+        """
+        return now_s - self._totals_s
+
+    def reports_count(self) -> int:
+        """:return: routers whose demand is in the totals that were heard last"""
+        return self._reports_count
+
     def weight(self) -> float:
         """
         Tell which part of each engine this router may use.
@@ -174,10 +201,11 @@
         :return: nothing
         """
         self._totals_s = now_s
+        self._reports_count = message.reports_count
         demands = {entry.team: entry.tokens for entry in message.entries}
         served = {entry.team: entry.served_tokens for entry in message.entries}
         returned = {entry.team: entry.returned_tokens for entry in message.entries}
-        self._set_quotas(demands, self._demand.totals(now_s), served, returned)
+        self._set_quotas(demands, self._demand.totals(now_s), served, returned, now_s)
         self._set_starved(message.starved_tokens, now_s)
         yield from ()
 
@@ -196,7 +224,7 @@
             count = max(1, self._routers_count())
             demands = {team: count * tokens for team, tokens in own.items()}
             returned_all = {team: count * tokens for team, tokens in returned.items()}
-            self._set_quotas(demands, own, served, returned_all)
+            self._set_quotas(demands, own, served, returned_all, now_s)
             self._set_starved(starved_tokens, now_s)
         aggregator = owner(AGGREGATOR_KEY, self._controller_ids())
         if aggregator is not None:
@@ -220,6 +248,7 @@
         own: dict[str, float],
         served: dict[str, float],
         returned: dict[str, float],
+        now_s: float,
     ) -> None:
         tokens_per_s = self._tokens_per_s()
         if tokens_per_s is None:
@@ -229,20 +258,33 @@
         self._own = own
         least = LEAST_PART / max(1, self._routers_count())
         self._weight = max(least, self._quotas.weight(own, demands) or 2 * least)
-        self._log_over_share(demands, served)
+        self._log_over_share(demands, own, served, now_s)
 
-    def _log_over_share(self, demands: dict[str, float], served: dict[str, float]) -> None:
+    def _log_over_share(
+        self,
+        demands: dict[str, float],
+        own: dict[str, float],
+        served: dict[str, float],
+        now_s: float,
+    ) -> None:
         over_share = dict(self._quotas.over_share())
-        if not over_share and not self._over_share:
+        turned_away = self._turned_away.totals(now_s)
+        if not over_share and not self._over_share and not turned_away:
             return
         self._over_share = set(over_share)
         _log.info(
             "teams over their share",
             asked_per_s=round(sum(demands.values()) / WINDOW_S),
             engine_part=round(self._weight, 3),
+            totals_age_s=round(min(LONGEST_AGE_S, self.totals_age_s(now_s)), 3),
+            reports_count=self._reports_count,
+            turned_away_per_s={
+                team: round(tokens / WINDOW_S) for team, tokens in sorted(turned_away.items())
+            },
             teams={
                 team: {
                     "asked_per_s": round(demands[team] / WINDOW_S),
+                    "asked_here_per_s": round(own.get(team, 0.0) / WINDOW_S),
                     "served_per_s": round(served.get(team, 0.0) / WINDOW_S),
                     "first_ratio": round(ratios.first, 3),
                     "returned_ratio": round(ratios.returned, 3),
--- a/src/camphorvalve/controllers/totals.py
+++ b/src/camphorvalve/controllers/totals.py
@@ -5,6 +5,8 @@
 from collections import Counter
 from typing import TYPE_CHECKING, Any, NamedTuple
 
+import structlog
+
 from camphorvalve.controllers.runtime import Outgoing
 from camphorvalve.wire.messages import Asked, AskedTotals, TeamTokens
 
@@ -16,6 +18,8 @@
 REPORT_LIFETIME_S = 2.0
 """Four reports; the callers of a router that is gone are counted at other routers then."""
 
+_log = structlog.get_logger(__name__)
+
 
 class _Report(NamedTuple):
     asked: Asked
@@ -32,6 +36,7 @@
     def __init__(self) -> None:
         """Start without reports."""
         self._reports: dict[str, _Report] = {}
+        self._logged_count = 0
 
     def handle(self, sender: Sender, message: Any, now_s: float) -> Iterator[Outgoing]:
         """
@@ -55,7 +60,7 @@
         entries = tuple(
             TeamTokens(team, asked[team], served[team], returned[team]) for team in asked
         )
-        yield Outgoing(sender.host_id, AskedTotals(entries, starved_tokens))
+        yield Outgoing(sender.host_id, AskedTotals(entries, starved_tokens, len(self._reports)))
 
     def tick(self, now_s: float) -> Iterator[Outgoing]:
         """
@@ -70,6 +75,9 @@
             if now_s - report.heard_s > REPORT_LIFETIME_S
         ]:
             del self._reports[router_id]
+        if len(self._reports) != self._logged_count:
+            self._logged_count = len(self._reports)
+            _log.info("routers report their demand", reports_count=self._logged_count)
         yield from ()
 
 
--- a/src/camphorvalve/http/refusing.py
+++ b/src/camphorvalve/http/refusing.py
@@ -5,7 +5,7 @@
 import asyncio
 import contextlib
 from dataclasses import dataclass, replace
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, NamedTuple
 
 import msgspec
 
@@ -14,7 +14,7 @@
 
 if TYPE_CHECKING:
     import socket
-    from collections.abc import Callable
+    from collections.abc import Callable, Mapping
 
     from camphorvalve.sharing.intake import Intake
 
@@ -62,6 +62,15 @@
 Decision = Undecided | Taken | Refused
 
 
+class RefusedRequest(NamedTuple):
+    """What the head of a request on a refused connection says."""
+
+    request_id: str | None
+    team: str | None
+    cost_tokens: float
+    """What the request would cost an engine; 0 for one without a prompt."""
+
+
 class ConnectionGuard:
     """Lets the intake decide about new connections, and answers the requests on refused ones."""
 
@@ -71,7 +80,8 @@
         request_id_name: str,
         team_of: Callable[[str | None], str | None],
         key_name: str,
-        log: Callable[[str | None], None],
+        cost_tokens: Callable[[Mapping[str, str]], float],
+        on_refused: Callable[[RefusedRequest], None],
     ) -> None:
         """
         Prepare the answer.
@@ -80,13 +90,15 @@
         :param request_id_name: header that carries the id of a request
         :param team_of: finds the team that holds a key
         :param key_name: header that carries the key
-        :param log: takes the id of each request that was refused
+        :param cost_tokens: estimates what a request costs an engine, from its headers
+        :param on_refused: takes each request that was refused
         """
         self._intake = intake
         self._request_id_name = request_id_name
         self._team_of = team_of
         self._key_name = key_name
-        self._log = log
+        self._cost_tokens = cost_tokens
+        self._on_refused = on_refused
 
     def admit(
         self, connection: socket.socket, protocol_factory: ProtocolFactory
@@ -130,7 +142,7 @@
         if self._intake.takes(team):
             return Taken()
         request_id = fields.get(self._request_id_name)
-        self._log(request_id)
+        self._on_refused(RefusedRequest(request_id, team, self._cost_tokens(fields)))
         retry_after_s = self._intake.retry_after_s(team)
         message = "this router is short of processor time"
         error = RequestError("overloaded", message, retry_after_s=round(retry_after_s, 3))
@@ -274,4 +286,11 @@
     return int(length) if length.isdecimal() else None
 
 
-__all__ = ["ConnectionGuard", "DecidingProtocol", "Refused", "Taken", "Undecided"]
+__all__ = [
+    "ConnectionGuard",
+    "DecidingProtocol",
+    "Refused",
+    "RefusedRequest",
+    "Taken",
+    "Undecided",
+]
--- a/src/camphorvalve/sharing/homes.py
+++ b/src/camphorvalve/sharing/homes.py
@@ -40,12 +40,22 @@
     :return: tokens, generated ones by their weight; 0 for a call without a prompt
     """
     match call:
-        case RoutedCall(prompt=Prompt(_, read_count, written_count)):
-            return read_count + ANSWER_WEIGHT * written_count
+        case RoutedCall(prompt=Prompt() as prompt):
+            return prompt_tokens(prompt)
         case _:
             return 0.0
 
 
+def prompt_tokens(prompt: Prompt) -> float:
+    """
+    Estimate what a prompt and its answer cost an engine.
+
+    :param prompt: the prompt
+    :return: tokens, generated ones by their weight
+    """
+    return prompt.input_tokens_count + ANSWER_WEIGHT * prompt.output_tokens_count
+
+
 class Load(NamedTuple):
     """What this router has running at an upstream."""
 
@@ -117,4 +127,5 @@
     "place",
     "prefers_near",
     "prefix_key",
+    "prompt_tokens",
 ]
--- a/src/camphorvalve/wire/messages.py
+++ b/src/camphorvalve/wire/messages.py
@@ -175,6 +175,8 @@
 
     entries: tuple[TeamTokens, ...]
     starved_tokens: float
+    reports_count: int
+    """Routers whose demand is in the sums."""
 
 
 class ListPoll(NamedTuple):
--- a/src/camphorvalve/wiring/edges.py
+++ b/src/camphorvalve/wiring/edges.py
@@ -8,7 +8,7 @@
 import structlog
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator, Callable, Iterable, Sequence
+    from collections.abc import AsyncIterator, Callable, Iterable, Mapping, Sequence
 
     import httpx
 
@@ -55,6 +55,8 @@
     names: HeaderNames
     key_name: str
     """Header, in lower case, that carries the key of a caller's team."""
+    cost_tokens: Callable[[Mapping[str, str]], float]
+    """Estimates what a request costs an engine, from its headers by lower-case name."""
     decode: DecodeRequest
     follow_upstreams: FollowUpstreams
     watch_seeds: WatchSeeds
--- a/src/camphorvalve/wiring/joinedrouter.py
+++ b/src/camphorvalve/wiring/joinedrouter.py
@@ -44,6 +44,7 @@
 
 if TYPE_CHECKING:
     from camphorvalve.filters.chain import Handler
+    from camphorvalve.http.refusing import RefusedRequest
     from camphorvalve.settings.schema import JoinedRouterSettings
     from camphorvalve.wiring.edges import RouterEdge
 
@@ -160,7 +161,8 @@
             edge.names.request_id,
             self._team_of,
             edge.key_name,
-            self._refusals.note,
+            edge.cost_tokens,
+            self._on_refused,
         )
 
     def _team_of(self, key: str | None) -> str | None:
@@ -168,6 +170,11 @@
         team = None if table is None or key is None else table.team(key)
         return None if team is None else team.name
 
+    def _on_refused(self, refused: RefusedRequest) -> None:
+        self._refusals.note(refused.request_id)
+        if refused.team is not None:
+            self._shares.turn_away(refused.team, refused.cost_tokens, time.monotonic())
+
     def _on_lag(self, lag_s: float) -> None:
         counts = self._outcomes
         self._intake.measure(lag_s, counts.answered + counts.failed, counts.refused)
@@ -186,12 +193,19 @@
         age_s = time.monotonic() - self._started_s
         return engine_part(self._shares.weight(), self._roster.routers_count(), age_s)
 
+    def _totals_age_s(self) -> float:
+        return self._shares.totals_age_s(time.monotonic())
+
     def _observe_levels(self) -> None:
         observe = self._exposition.observe
         observe("running_count", "requests that have not ended", self._observe.open_count)
         observe("manifest_version", "version in force", self._manifest.version)
         observe("routers_count", "routers that accept callers", self._roster.routers_count)
         observe("engine_part", "part of each engine for this router", self._engine_part)
+        observe("totals_age_seconds", "time since the fleet's demand was heard", self._totals_age_s)
+        observe(
+            "reports_count", "routers whose demand is in the totals", self._shares.reports_count
+        )
         observe("lag_seconds", "time by which the loop was late", lambda: self._levels.lag_s)
         observe(
             "intake_level_count",
--- a/tests/controllers/test_shares.py
+++ b/tests/controllers/test_shares.py
@@ -5,6 +5,8 @@
 import unittest
 from typing import Any
 
+from structlog.testing import capture_logs
+
 from camphorvalve.controllers.runtime import Sender
 from camphorvalve.controllers.shares import CAPACITY_RATIO, CONGESTED_S, WINDOW_S, SharesController
 from camphorvalve.controllers.totals import TotalsController
@@ -42,6 +44,22 @@
         self.assertAlmostEqual(taken / 100, 0.45, delta=0.02)
         self.assertTrue(all(first.within_share("small", 5.0, 0.2) for _ in range(10)))
 
+    def test_totals_are_dated(self) -> None:
+        """Guards against a log that cannot tell shares of the fleet from those of one router."""
+        router, totals = a_router(), TotalsController()
+        self.assertEqual(router.totals_age_s(5.0), float("inf"))
+        exchange(a_router(), "r-2", totals, 0.5)
+        exchange(router, "r-1", totals, 1.0)
+        self.assertEqual((router.totals_age_s(5.0), router.reports_count()), (4.0, 2))
+
+    def test_demand_turned_away_is_logged(self) -> None:
+        """Guards against a flood at the intake that no log line of shares shows (FAIR)."""
+        router, totals = a_router(), TotalsController()
+        router.turn_away("large", 300.0, 0.0)
+        with capture_logs() as lines:
+            exchange(router, "r-1", totals, 0.1)
+        self.assertEqual(lines[0]["turned_away_per_s"], {"large": 150})
+
     def test_weight(self) -> None:
         """Guards against a router that gets an even part though a whole team's callers are there,
         and against a flood that takes the parts of the other routers."""
--- a/tests/http/test_refusing.py
+++ b/tests/http/test_refusing.py
@@ -17,12 +17,14 @@
 
 from camphorvalve import loop
 from camphorvalve.http.asgi import read_body, send_json
-from camphorvalve.http.refusing import MOST_HEAD_BYTES, ConnectionGuard
+from camphorvalve.http.refusing import MOST_HEAD_BYTES, ConnectionGuard, RefusedRequest
 from camphorvalve.sharing.intake import Intake
 from tests.http.serving import serving
 from tests.rawpeers import exchange_bytes
 
 if TYPE_CHECKING:
+    from collections.abc import Mapping
+
     from camphorvalve.http.asgi import Receive, Scope, Send
 
 HEAD = b"POST /a/1 HTTP/1.1\r\nHost: h\r\nAttempt-Id: id-1\r\n"
@@ -44,14 +46,20 @@
         return team == "youth"
 
 
-def a_guard(intake: Intake, refused: list[str | None]) -> ConnectionGuard:
+def a_guard(intake: Intake, refused: list[RefusedRequest]) -> ConnectionGuard:
     teams = {"key-1": "youth", "key-2": "choir"}
-    return ConnectionGuard(intake, "attempt-id", teams.get, "credential", refused.append)
+    return ConnectionGuard(
+        intake, "attempt-id", teams.get, "credential", _cost_tokens, refused.append
+    )
+
+
+def _cost_tokens(headers: Mapping[str, str]) -> float:
+    return float(headers.get("tokens", 0))
 
 
 class RefusingTest(unittest.TestCase):
     def setUp(self) -> None:
-        self.refused: list[str | None] = []
+        self.refused: list[RefusedRequest] = []
         self.guard = a_guard(_Closed(), self.refused)
 
     def play(self, *pieces: bytes, busy_s: float = 0.0) -> bytes:
@@ -101,7 +109,7 @@
                 self.assertIn(b"retry-after: 1.000", fields)
                 self.assertIn(b"content-length: %d" % len(body), fields)
                 self.assertEqual(json.loads(body)["error"]["run"], "no")
-                self.assertEqual(self.refused, ["id-1"])
+                self.assertEqual([one.request_id for one in self.refused], ["id-1"])
 
     def test_requests_of_teams_that_are_taken_are_served_whole(self) -> None:
         """Guards against bytes that are lost between the decision and the server."""
@@ -125,6 +133,15 @@
         answer = self.play(head + b"\r\n", HEAD + b"Credential: key-2\r\n\r\n")
         self.assertEqual(answer.count(b"HTTP/1.1 200 "), 2)
 
+    def test_refused_demand_is_told(self) -> None:
+        """Guards against demand that nobody counts as it never reaches the filter chain (FAIR)."""
+        self.play(HEAD + b"Credential: key-2\r\nTokens: 1200\r\n\r\n")
+        self.play(HEAD + b"Credential: key-2\r\n\r\n")
+        self.assertEqual(
+            self.refused,
+            [RefusedRequest("id-1", "choir", 1200.0), RefusedRequest("id-1", "choir", 0.0)],
+        )
+
     def test_other_teams_and_unknown_keys_are_refused(self) -> None:
         for key in (b"key-2", b"key-9"):
             with self.subTest(key):
--- /dev/null
+++ b/tests/platform/test_calls.py
@@ -0,0 +1,38 @@
+"""Guards against heads of requests whose cost is misread."""
+
+from __future__ import annotations
+
+import unittest
+
+from camphorvalve.model.requests import RoutedCall
+from camphorvalve.sharing import homes
+from camphorvalve_platform import calls
+
+SCOPE = {"type": "http", "method": "POST", "path": "/a/1", "raw_path": b"/a/1", "query_string": b""}
+
+
+class CostTest(unittest.TestCase):
+    def test_rows(self) -> None:
+        """Guards against demand that is lost because one refused request cannot be read."""
+        rows = [
+            ({"token-count": "1460,80"}, 1620.0),
+            ({"token-count": "1460,80", "prompt-prefix": "5c1e:800,91bd:660"}, 1620.0),
+            ({"token-count": "1460"}, 1460.0),
+            ({}, 0.0),
+            ({"token-count": "many"}, 0.0),
+        ]
+        for headers, expected in rows:
+            with self.subTest(headers):
+                self.assertEqual(calls.cost_tokens(headers), expected)
+
+    def test_as_decoded(self) -> None:
+        """Guards against demand that counts differently at the intake and behind it."""
+        head = {"token-count": "17020,120", "prompt-prefix": "5c1e:13300,91bd:3720"}
+        headers = [(name.encode(), value.encode()) for name, value in head.items()]
+        call = calls.decode({**SCOPE, "headers": headers}).call
+        self.assertIsInstance(call, RoutedCall)
+        self.assertEqual(calls.cost_tokens(head), homes.cost_tokens(call))
+
+
+if __name__ == "__main__":
+    unittest.main()
