Let a team's share pass as a rate at each router, not as a part of its attempts

What callers saw: after a burst, and while callers come back, a team got next to nothing for seconds beside idle engines.

Cause: a router let a part of the attempts pass, share over demand, and four figures of different age acted on that part: the totals (up to 2.5 s old), the growth since then, the part of callers who come back, the correction. Demand that has ended divides what is asked now. The class: a delayed ratio multiplied with a fresh quantity.

Ruled out: missing totals (their age is below 1 s in these seconds), lag of the loop (0.7 ms).

Change: the share is a rate in tokens, divided among the routers by where the team asked, with a depth of one second or three requests. It follows from the demand of the others and not from the own one, so that growth needs no guess; callers who come back use what is left above half of the depth. The growth factor, the recent window and the sums of returned demand are removed.

--- a/src/camphorvalve/controllers/shares.py
+++ b/src/camphorvalve/controllers/shares.py
@@ -7,9 +7,10 @@
 import structlog
 
 from camphorvalve.controllers.runtime import Outgoing
+from camphorvalve.sharing.allowances import Allowances
 from camphorvalve.sharing.patience import Patience
 from camphorvalve.sharing.placement import owner
-from camphorvalve.sharing.shares import Demand, Quotas
+from camphorvalve.sharing.shares import Demand
 from camphorvalve.wire.messages import Asked, AskedTotals, TeamTokens
 
 if TYPE_CHECKING:
@@ -18,16 +19,8 @@
     from camphorvalve.controllers.runtime import Sender
 
 WINDOW_S = 2.0
-"""Span over which demand is counted: half of the platform's ``quotaWindowS``. With 4 s, a team
-whose demand had just fallen got too small a part, and one whose demand rose too large a one."""
-RECENT_S = 1.0
-"""Span that shows a demand which grows. Shares follow from a window that ends up to a second ago: a
-team whose demand rose sixfold in 2 s got 0.78 M tokens/s where 0.24 were its share (karri-auditions
-scale-1, FAIR)."""
-GROWTH_SLACK_TOKENS = 40_000
-"""Two large prompts; fewer requests say little about a rate."""
-MOST_GROWTH = 4.0
-"""Growth that one window and its lag can hide of a demand that doubles each second."""
+"""Span over which demand and service are counted: half of the platform's ``quotaWindowS``. With
+4 s, shares followed a changed demand too late."""
 TICK_S = 0.5
 """A quarter of the window, so that totals lag by little of it."""
 TOTALS_LIFETIME_S = 2.0
@@ -53,7 +46,7 @@
 
 
 class SharesController:
-    """Owns the demand at this router and the quotas that follow from the fleet's."""
+    """Owns the demand at this router and the allowances that follow from the fleet's."""
 
     name = "shares"
     tick_s = TICK_S
@@ -76,12 +69,8 @@
         self._routers_count = routers_count
         self._tokens_per_s = tokens_per_s
         self._demand = Demand(WINDOW_S)
-        self._returned = Demand(WINDOW_S)
-        self._recent = Demand(RECENT_S)
-        self._own: dict[str, float] = {}
-        """Demand at this router when the shares were set."""
         self._patience = Patience()
-        self._quotas = Quotas()
+        self._allowances = Allowances(WINDOW_S)
         self._totals_s = float("-inf")
         self._over_share: set[str] = set()
         self._weight = 1.0
@@ -115,18 +104,7 @@
         :return: whether it is
         """
         self._demand.add(team, tokens, now_s)
-        self._recent.add(team, tokens, now_s)
-        if came_back:
-            self._returned.add(team, tokens, now_s)
-        growth = self._growth(team, now_s)
-        return self._quotas.takes(team, tokens, growth=growth, came_back=came_back)
-
-    def _growth(self, team: str, now_s: float) -> float:
-        own_per_s = self._own.get(team, 0.0) / WINDOW_S
-        recent_per_s = (self._recent.total(team, now_s) - GROWTH_SLACK_TOKENS) / RECENT_S
-        if own_per_s <= 0 or recent_per_s <= own_per_s:
-            return 1.0
-        return min(MOST_GROWTH, recent_per_s / own_per_s)
+        return self._allowances.takes(team, tokens, now_s, came_back=came_back)
 
     def turn_away(self, team: str, tokens: float, now_s: float) -> None:
         """
@@ -166,7 +144,7 @@
         :return: whether requests within shares are refused anywhere in the fleet, or the team gets
             more than another one that waits as well
         """
-        return now_s < self._congested_until_s or self._quotas.is_ahead(team)
+        return now_s < self._congested_until_s or self._allowances.is_ahead(team)
 
     def totals_age_s(self, now_s: float) -> float:
         """
@@ -204,8 +182,7 @@
         self._reports_count = message.reports_count
         demands = {entry.team: entry.tokens for entry in message.entries}
         served = {entry.team: entry.served_tokens for entry in message.entries}
-        returned = {entry.team: entry.returned_tokens for entry in message.entries}
-        self._set_quotas(demands, self._demand.totals(now_s), served, returned, now_s)
+        self._set_allowances(demands, self._demand.totals(now_s), served, now_s)
         self._set_starved(message.starved_tokens, now_s)
         yield from ()
 
@@ -218,19 +195,16 @@
         """
         own = self._demand.totals(now_s)
         served = self._served.totals(now_s)
-        returned = self._returned.totals(now_s)
         starved_tokens = self._starved.totals(now_s).get(STARVED, 0.0)
         if now_s - self._totals_s > TOTALS_LIFETIME_S:
             count = max(1, self._routers_count())
             demands = {team: count * tokens for team, tokens in own.items()}
-            returned_all = {team: count * tokens for team, tokens in returned.items()}
-            self._set_quotas(demands, own, served, returned_all, now_s)
+            self._set_allowances(demands, own, served, now_s)
             self._set_starved(starved_tokens, now_s)
         aggregator = owner(AGGREGATOR_KEY, self._controller_ids())
         if aggregator is not None:
             entries = tuple(
-                TeamTokens(team, tokens, served.get(team, 0.0), returned.get(team, 0.0))
-                for team, tokens in own.items()
+                TeamTokens(team, tokens, served.get(team, 0.0)) for team, tokens in own.items()
             )
             yield Outgoing(aggregator, Asked(entries, starved_tokens))
 
@@ -242,22 +216,20 @@
             _log.info("shares are enforced strictly", starved_tokens=round(tokens))
         self._congested_until_s = now_s + CONGESTED_S
 
-    def _set_quotas(
+    def _set_allowances(
         self,
         demands: dict[str, float],
         own: dict[str, float],
         served: dict[str, float],
-        returned: dict[str, float],
         now_s: float,
     ) -> None:
         tokens_per_s = self._tokens_per_s()
         if tokens_per_s is None:
             return
         capacity = CAPACITY_RATIO * tokens_per_s * WINDOW_S
-        self._quotas.set_shares(demands, capacity, served, returned)
-        self._own = own
+        self._allowances.set_shares(demands, own, capacity, served, now_s)
         least = LEAST_PART / max(1, self._routers_count())
-        self._weight = max(least, self._quotas.weight(own, demands) or 2 * least)
+        self._weight = max(least, self._allowances.weight(own, demands) or 2 * least)
         self._log_over_share(demands, own, served, now_s)
 
     def _log_over_share(
@@ -267,11 +239,11 @@
         served: dict[str, float],
         now_s: float,
     ) -> None:
-        over_share = dict(self._quotas.over_share())
+        over_share = list(self._allowances.over_share())
         turned_away = self._turned_away.totals(now_s)
         if not over_share and not self._over_share and not turned_away:
             return
-        self._over_share = set(over_share)
+        self._over_share = {team for team, _, _ in over_share}
         _log.info(
             "teams over their share",
             asked_per_s=round(sum(demands.values()) / WINDOW_S),
@@ -286,11 +258,11 @@
                     "asked_per_s": round(demands[team] / WINDOW_S),
                     "asked_here_per_s": round(own.get(team, 0.0) / WINDOW_S),
                     "served_per_s": round(served.get(team, 0.0) / WINDOW_S),
-                    "first_ratio": round(ratios.first, 3),
-                    "returned_ratio": round(ratios.returned, 3),
-                    "ahead": self._quotas.is_ahead(team),
+                    "share_per_s": round(share_per_s),
+                    "allowed_here_per_s": round(here_per_s),
+                    "ahead": self._allowances.is_ahead(team),
                 }
-                for team, ratios in sorted(over_share.items())
+                for team, share_per_s, here_per_s in sorted(over_share)
             },
         )
 
--- a/src/camphorvalve/controllers/totals.py
+++ b/src/camphorvalve/controllers/totals.py
@@ -50,16 +50,12 @@
         self._reports[sender.host_id] = _Report(message, now_s)
         asked: Counter[str] = Counter()
         served: Counter[str] = Counter()
-        returned: Counter[str] = Counter()
         for report in self._reports.values():
-            for team, tokens, served_tokens, returned_tokens in report.asked.entries:
+            for team, tokens, served_tokens in report.asked.entries:
                 asked[team] += tokens
                 served[team] += served_tokens
-                returned[team] += returned_tokens
         starved_tokens = sum(report.asked.starved_tokens for report in self._reports.values())
-        entries = tuple(
-            TeamTokens(team, asked[team], served[team], returned[team]) for team in asked
-        )
+        entries = tuple(TeamTokens(team, asked[team], served[team]) for team in asked)
         yield Outgoing(sender.host_id, AskedTotals(entries, starved_tokens, len(self._reports)))
 
     def tick(self, now_s: float) -> Iterator[Outgoing]:
--- /dev/null
+++ b/src/camphorvalve/sharing/allowances.py
@@ -0,0 +1,176 @@
+"""What of each team's requests at one router lies within its share: a rate with some depth."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from camphorvalve.sharing.shares import ahead, newcomer_share, shares
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator, Mapping
+
+DEPTH_S = 1.0
+"""Time of the rate that a team may use at once; two reports of the demand, after which its part at
+this router has followed."""
+DEPTH_COUNT = 3
+"""Its largest requests that a team may begin at once at least: with 67 routers, the rate at one of
+them is about one request a second, and requests come unevenly."""
+RETURNED_RATIO = 0.5
+"""Part of the depth that is kept for callers who ask for the first time."""
+MOST_STEP = 1.08
+"""Largest change of a team's part with one report, every half second; what was served is counted
+over four of them, and larger steps overshoot: with 1.15, a team of karri-auditions scale-1 swung
+between 0.11 and 0.78 M tokens/s."""
+MOST_CORRECTION = 1.4
+"""Two teams that ask for the same then differ by less than the factor of 2 that breaks the
+platform's rule, whatever was measured."""
+LEAST_SERVED_RATIO = 0.01
+
+
+@dataclass(slots=True)
+class _Balance:
+    """Tokens that a team may still use; negative after a request that was larger."""
+
+    tokens: float
+    rate_per_s: float
+    filled_s: float
+    largest_tokens: float = 0.0
+
+    def most(self) -> float:
+        return max(DEPTH_S * self.rate_per_s, DEPTH_COUNT * self.largest_tokens)
+
+    def fill(self, now_s: float) -> None:
+        grown = self.tokens + self.rate_per_s * (now_s - self.filled_s)
+        self.tokens, self.filled_s = min(self.most(), grown), now_s
+
+
+class Allowances:
+    """
+    Tokens of each team that this router lets pass as within the team's share.
+
+    A team's share is divided among the routers by where it asks. The rate does not depend on how
+    much is asked, so that a demand which rises or falls between two reports gets the same.
+    """
+
+    def __init__(self, window_s: float) -> None:
+        """
+        Start without shares; everything is within them until they are known.
+
+        :param window_s: span over which demand and service are counted
+        """
+        self._window_s = window_s
+        self._balances: dict[str, _Balance] = {}
+        self._rates: dict[str, float] = {}
+        self._newcomer_per_s: float | None = None
+        self._shares: dict[str, float] = {}
+        self._corrections: dict[str, float] = {}
+        self._ahead: set[str] = set()
+
+    def set_shares(
+        self,
+        demands: Mapping[str, float],
+        own: Mapping[str, float],
+        capacity: float,
+        served: Mapping[str, float],
+        now_s: float,
+    ) -> None:
+        """
+        Set the rate of each team.
+
+        Teams over their share are owed the same. One that gets less than the others, because its
+        callers come to a busy router or its prompts to busy engines, has its rate raised.
+
+        :param demands: tokens by team in the window, at all routers
+        :param own: the part of these at this router
+        :param capacity: tokens of the window to divide
+        :param served: tokens by team in the window that were served, at all routers
+        :param now_s: monotonic time
+        """
+        for balance in self._balances.values():
+            balance.fill(now_s)
+        self._balances = {team: one for team, one in self._balances.items() if team in demands}
+        found = shares(demands, capacity)
+        over = {team for team, demand in demands.items() if demand > found[team]}
+        self._correct(over, served)
+        self._ahead = ahead((team, served.get(team, 0.0)) for team in over)
+        self._shares = {
+            team: tokens * self._corrections.get(team, 1.0) for team, tokens in found.items()
+        }
+        self._newcomer_per_s = newcomer_share(demands, capacity) / self._window_s
+        self._rates = {
+            team: self._shares[team] * own.get(team, 0.0) / demand / self._window_s
+            for team, demand in demands.items()
+            if demand > 0
+        }
+        for team, balance in self._balances.items():
+            balance.rate_per_s = self._rates.get(team, 0.0)
+
+    def _correct(self, over: set[str], served: Mapping[str, float]) -> None:
+        self._corrections = {team: self._corrections.get(team, 1.0) for team in over}
+        total = sum(served.get(team, 0.0) for team in over)
+        if total <= 0:
+            return
+        for team in over:
+            got = max(served.get(team, 0.0), LEAST_SERVED_RATIO * total) * len(over)
+            step = min(MOST_STEP, max(1 / MOST_STEP, (total / got) ** 0.5))
+            raised = self._corrections[team] * step
+            self._corrections[team] = min(MOST_CORRECTION, max(1 / MOST_CORRECTION, raised))
+
+    def takes(self, team: str, tokens: float, now_s: float, *, came_back: bool = False) -> bool:
+        """
+        Decide whether a request is within its team's share; call it once for each request.
+
+        :param team: name of the team
+        :param tokens: cost of the request
+        :param now_s: monotonic time
+        :param came_back: whether its caller came back after a refusal
+        :return: whether it is
+        """
+        if self._newcomer_per_s is None:
+            return True
+        balance = self._balances.get(team)
+        if balance is None:
+            # A team that the totals do not hold yet may have all its callers here.
+            rate_per_s = self._rates.get(team, self._newcomer_per_s)
+            balance = self._balances[team] = _Balance(float("inf"), rate_per_s, now_s)
+        balance.largest_tokens = max(balance.largest_tokens, tokens)
+        balance.fill(now_s)
+        if balance.tokens <= (RETURNED_RATIO * balance.most() if came_back else 0.0):
+            return False
+        balance.tokens -= tokens
+        return True
+
+    def weight(self, own: Mapping[str, float], demands: Mapping[str, float]) -> float | None:
+        """
+        Tell which part of all demand within shares comes in at one router.
+
+        :param own: tokens by team at the router
+        :param demands: tokens by team at all routers
+        :return: 0 to 1, ``None`` without demand
+        """
+        within = {
+            team: min(1.0, self._shares.get(team, demand) / demand)
+            for team, demand in demands.items()
+            if demand > 0
+        }
+        total = sum(part * demands[team] for team, part in within.items())
+        here = sum(part * own.get(team, 0.0) for team, part in within.items())
+        return min(1.0, here / total) if total > 0 else None
+
+    def over_share(self) -> Iterator[tuple[str, float, float]]:
+        """:return: teams over their share, the share, and the rate of it here, in tokens/s"""
+        for team in self._corrections:
+            yield team, self._shares[team] / self._window_s, self._rates.get(team, 0.0)
+
+    def is_ahead(self, team: str) -> bool:
+        """
+        Tell whether a team gets more than another one that waits as well.
+
+        :param team: name of the team
+        :return: whether requests beyond its share have to stand back
+        """
+        return team in self._ahead
+
+
+__all__ = ["DEPTH_COUNT", "DEPTH_S", "RETURNED_RATIO", "Allowances"]
--- a/src/camphorvalve/sharing/shares.py
+++ b/src/camphorvalve/sharing/shares.py
@@ -3,21 +3,13 @@
 from __future__ import annotations
 
 from collections import deque
-from typing import TYPE_CHECKING, NamedTuple
+from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from collections.abc import Iterator, Mapping
+    from collections.abc import Iterable, Mapping
 
 BUCKETS_COUNT = 8
 """Buckets of the window; a finer window would only cost time."""
-MOST_STEP = 1.08
-"""Largest change of a team's part with one report, every half second; what was served is counted
-over four of them, and larger steps overshoot: with 1.15, a team of karri-auditions scale-1 swung
-between 0.11 and 0.78 M tokens/s."""
-MOST_CORRECTION = 1.4
-"""Two teams that ask for the same then differ by less than the factor of 2 that breaks the
-platform's rule, whatever was measured."""
-LEAST_SERVED_RATIO = 0.01
 AHEAD_RATIO = 1.25
 """Service above that of the least served team over its share from which a team gets nothing beyond
 its own share; the platform's rule is broken at 2."""
@@ -100,151 +92,44 @@
     return float("inf")
 
 
-class Ratios(NamedTuple):
-    """Parts of a team's requests that lie within its share."""
-
-    first: float
-    """Of requests whose callers ask for the first time; they go first."""
-    returned: float
-    """Of requests whose callers came back after a refusal: those answers are late anyway."""
-
-
-class _Standing(NamedTuple):
-    """A team's demand in the fleet compared with its share."""
-
-    headroom: float
-    """Share over demand; below 1 for a team over its share."""
-    returned_part: float
-    """Part of the demand whose callers came back."""
-
-    def ratios(self, growth: float) -> Ratios:
-        """Give the share to first requests, and what they leave to those that came back."""
-        share = min(1.0, self.headroom / growth)
-        first_part = 1.0 - self.returned_part
-        first = min(1.0, share / first_part) if first_part > 0 else 1.0
-        left = share - first * first_part
-        if self.returned_part <= 0:
-            return Ratios(first, first)
-        return Ratios(first, min(1.0, max(0.0, left / self.returned_part)))
-
+def shares(demands: Mapping[str, float], capacity: float) -> dict[str, float]:
+    """
+    Find what each team may get at the current demand of the others.
 
-class Quotas:
-    """Picks the part of each team's requests that lies within its share, evenly over time."""
+    :param demands: tokens by team
+    :param capacity: tokens to divide
+    :return: tokens by team: the level where some team asks for more; otherwise the demand and what
+        nobody asks for, or what one more team without bound would get if that is more
+    """
+    found = level(demands, capacity)
+    if found != float("inf"):
+        return dict.fromkeys(demands, found)
+    free = capacity - sum(demands.values())
+    least = newcomer_share(demands, capacity)
+    return {team: max(least, demand + free) for team, demand in demands.items()}
 
-    def __init__(self) -> None:
-        """Start without teams."""
-        self._standings: dict[str, _Standing] = {}
-        self._saved: dict[tuple[str, bool], float] = {}
-        self._corrections: dict[str, float] = {}
-        self._ahead: set[str] = set()
 
-    def set_shares(
-        self,
-        demands: Mapping[str, float],
-        capacity: float,
-        served: Mapping[str, float] | None = None,
-        returned: Mapping[str, float] | None = None,
-    ) -> None:
-        """
-        Set the part of each team's demand that is within its share.
+def newcomer_share(demands: Mapping[str, float], capacity: float) -> float:
+    """
+    Find what a team gets that starts to ask without bound.
 
-        Teams over their share are owed the same. One that gets less than the others, because its
-        callers come to a busy router or its prompts to busy engines, has its part raised.
+    :param demands: tokens by team, of the others
+    :param capacity: tokens to divide
+    :return: tokens
+    """
+    return level({**demands, "": float("inf")}, capacity)
 
-        :param demands: tokens by team, of the whole fleet
-        :param capacity: tokens to divide
-        :param served: tokens by team that were served in the same window
-        :param returned: tokens by team, of the demands, whose callers came back
-        """
-        found = level(demands, capacity)
-        over = {team for team, demand in demands.items() if demand > found}
-        self._correct(over, served or {})
-        self._standings = {}
-        if over:
-            self._standings = {
-                team: _Standing(
-                    found * self._corrections.get(team, 1.0) / demand,
-                    (returned or {}).get(team, 0.0) / demand,
-                )
-                for team, demand in demands.items()
-                if demand > 0
-            }
-        self._ahead = _ahead(over, served or {})
-        self._saved = {key: saved for key, saved in self._saved.items() if key[0] in over}
-
-    def _correct(self, over: set[str], served: Mapping[str, float]) -> None:
-        self._corrections = {team: self._corrections.get(team, 1.0) for team in over}
-        total = sum(served.get(team, 0.0) for team in over)
-        if total <= 0:
-            return
-        for team in over:
-            got = max(served.get(team, 0.0), LEAST_SERVED_RATIO * total) * len(over)
-            step = min(MOST_STEP, max(1 / MOST_STEP, (total / got) ** 0.5))
-            raised = self._corrections[team] * step
-            self._corrections[team] = min(MOST_CORRECTION, max(1 / MOST_CORRECTION, raised))
-
-    def weight(self, own: Mapping[str, float], demands: Mapping[str, float]) -> float | None:
-        """
-        Tell which part of all demand within shares comes in at one router.
 
-        :param own: tokens by team at the router
-        :param demands: tokens by team at all routers
-        :return: 0 to 1, ``None`` without demand
-        """
-        total = self._within(demands)
-        return min(1.0, self._within(own) / total) if total > 0 else None
-
-    def _within(self, demands: Mapping[str, float]) -> float:
-        standings = self._standings
-        return sum(
-            tokens * (min(1.0, standings[team].headroom) if team in standings else 1.0)
-            for team, tokens in demands.items()
-        )
-
-    def over_share(self) -> Iterator[tuple[str, Ratios]]:
-        """:return: teams that ask for more than their share, and the parts within it"""
-        for team in self._corrections:
-            yield team, self._standings[team].ratios(1.0)
-
-    def is_ahead(self, team: str) -> bool:
-        """
-        Tell whether a team gets more than another one that waits as well.
+def ahead(served: Iterable[tuple[str, float]]) -> set[str]:
+    """
+    Find teams that get more than others which wait as well.
 
-        :param team: name of the team
-        :return: whether requests beyond its share have to stand back
-        """
-        return team in self._ahead
+    :param served: team and tokens, of the teams that ask for more than their share
+    :return: names of those that are ahead
+    """
+    by_team = dict(served)
+    least = min(by_team.values(), default=0.0)
+    return {team for team, tokens in by_team.items() if tokens > AHEAD_RATIO * least}
 
-    def takes(
-        self, team: str, tokens: float, *, growth: float = 1.0, came_back: bool = False
-    ) -> bool:
-        """
-        Decide whether a request is within its team's share; call it once for each request.
 
-        :param team: name of the team
-        :param tokens: cost of the request
-        :param growth: how much the team's demand has grown since the shares were set
-        :param came_back: whether its caller came back after a refusal
-        :return: whether it is
-        """
-        standing = self._standings.get(team)
-        if standing is None or standing.headroom >= growth:
-            return True
-        ratios = standing.ratios(growth)
-        ratio = ratios.returned if came_back else ratios.first
-        key = (team, came_back)
-        # Error diffusion: what a refused request leaves unused counts for the next one, whatever
-        # their sizes, so that large requests get their part as well. What is saved stays within
-        # half of the largest request.
-        saved = self._saved.get(key, 0.0) + ratio * tokens
-        taken = ratio > 0 and saved >= tokens / 2
-        self._saved[key] = saved - tokens if taken else saved
-        return taken
-
-
-def _ahead(over: set[str], served: Mapping[str, float]) -> set[str]:
-    least = min((served.get(team, 0.0) for team in over), default=0.0)
-    return {team for team in over if served.get(team, 0.0) > AHEAD_RATIO * least}
-
-
-__all__ = ["ANSWER_WEIGHT", "Demand", "Quotas", "Ratios", "level"]
+__all__ = ["ANSWER_WEIGHT", "Demand", "ahead", "level", "newcomer_share", "shares"]
--- a/src/camphorvalve/wire/messages.py
+++ b/src/camphorvalve/wire/messages.py
@@ -158,8 +158,6 @@
     team: str
     tokens: float
     served_tokens: float
-    returned_tokens: float
-    """Part of ``tokens`` that callers asked for who came back after a refusal."""
 
 
 class Asked(NamedTuple):
