Sum the demand at two controllers, hold the sums, and guess nobody's demand from one router's

Cause: one controller of nine sums all demand, and routers noticed its loss after 3 s; for 4.8 s nobody had totals. After 2 s a router took its own demand times the number of routers for the fleet's, which is right for a team spread evenly and wrong by 67 for a team at one router. The class: a guess that stands in for a missing sum, and a sum that only one process holds.

Change: routers report to the first two controllers of the same ranking and believe the sums that cover most routers; sums that cover less than before and less than half of the known routers are left out, as those of a controller that has just started. Without any, a router divides by its own demand alone. A controller keeps the sums up to date instead of adding all reports anew for each of them (67 times 30 entries, 134 times a second).

Price: 2 more small messages a router and second.

--- a/src/camphorvalve/controllers/shares.py
+++ b/src/camphorvalve/controllers/shares.py
@@ -9,8 +9,9 @@
 from camphorvalve.controllers.runtime import Outgoing
 from camphorvalve.sharing.allowances import Allowances
 from camphorvalve.sharing.patience import Patience
-from camphorvalve.sharing.placement import owner
+from camphorvalve.sharing.placement import ranked
 from camphorvalve.sharing.shares import Demand
+from camphorvalve.sharing.sources import TotalsSource
 from camphorvalve.wire.messages import Asked, AskedTotals, TeamTokens
 
 if TYPE_CHECKING:
@@ -23,8 +24,8 @@
 4 s, shares followed a changed demand too late."""
 TICK_S = 0.5
 """A quarter of the window, so that totals lag by little of it."""
-TOTALS_LIFETIME_S = 2.0
-"""Four reports without an answer; the router's own demand stands in for the fleet's then."""
+AGGREGATORS_COUNT = 2
+"""Controllers that sum the demand, so that the loss of one leaves no router without sums."""
 CAPACITY_RATIO = 1.6
 """What the engines work off, by the cost that is estimated here, in terms of what the manifest
 states: prompts whose beginning they hold cost less, and answers end before their longest length.
@@ -61,8 +62,8 @@
         """
         Start without demand.
 
-        :param controller_ids: controllers, one of which sums the demand
-        :param routers_count: live routers, to scale the own demand while no totals come
+        :param controller_ids: controllers, some of which sum the demand
+        :param routers_count: live routers, of which the sums have to cover a good part
         :param tokens_per_s: what all engines together work off, ``None`` if not known
         """
         self._controller_ids = controller_ids
@@ -71,13 +72,12 @@
         self._demand = Demand(WINDOW_S)
         self._patience = Patience()
         self._allowances = Allowances(WINDOW_S)
-        self._totals_s = float("-inf")
+        self._source = TotalsSource()
         self._over_share: set[str] = set()
         self._weight = 1.0
         self._served = Demand(WINDOW_S)
         self._starved = Demand(STARVED_WINDOW_S)
         self._turned_away = Demand(WINDOW_S)
-        self._reports_count = 0
         self._congested_until_s = float("-inf")
 
     def came_back(self, kind: str, patience_s: float | None, now_s: float) -> bool:
@@ -153,11 +153,11 @@
         :param now_s: monotonic time
         :return: time since it was heard, infinite before the first time
         """
-        return now_s - self._totals_s
+        return self._source.age_s(now_s)
 
     def reports_count(self) -> int:
         """:return: routers whose demand is in the totals that were heard last"""
-        return self._reports_count
+        return self._source.reports_count
 
     def weight(self) -> float:
         """
@@ -171,15 +171,16 @@
 
     def handle(self, sender: Sender, message: Any, now_s: float) -> Iterator[Outgoing]:
         """
-        Take the fleet's demand.
+        Take the fleet's demand, unless better sums are in force.
 
-        :param sender: the controller that sums it
+        :param sender: a controller that sums it
         :param message: ``AskedTotals``
         :param now_s: monotonic time
         :return: nothing
         """
-        self._totals_s = now_s
-        self._reports_count = message.reports_count
+        reports_count, routers_count = message.reports_count, self._routers_count()
+        if not self._source.accepts(sender.host_id, reports_count, routers_count, now_s):
+            return
         demands = {entry.team: entry.tokens for entry in message.entries}
         served = {entry.team: entry.served_tokens for entry in message.entries}
         self._set_allowances(demands, self._demand.totals(now_s), served, now_s)
@@ -196,16 +197,15 @@
         own = self._demand.totals(now_s)
         served = self._served.totals(now_s)
         starved_tokens = self._starved.totals(now_s).get(STARVED, 0.0)
-        if now_s - self._totals_s > TOTALS_LIFETIME_S:
-            count = max(1, self._routers_count())
-            demands = {team: count * tokens for team, tokens in own.items()}
-            self._set_allowances(demands, own, served, now_s)
+        if not self._source.is_held(now_s):
+            # The demand of other routers is not known, and must not be guessed from the own one:
+            # all callers of a team may come to this router.
+            self._set_allowances(own, own, served, now_s)
             self._set_starved(starved_tokens, now_s)
-        aggregator = owner(AGGREGATOR_KEY, self._controller_ids())
-        if aggregator is not None:
-            entries = tuple(
-                TeamTokens(team, tokens, served.get(team, 0.0)) for team, tokens in own.items()
-            )
+        entries = tuple(
+            TeamTokens(team, tokens, served.get(team, 0.0)) for team, tokens in own.items()
+        )
+        for aggregator in ranked(AGGREGATOR_KEY, self._controller_ids())[:AGGREGATORS_COUNT]:
             yield Outgoing(aggregator, Asked(entries, starved_tokens))
 
     def _set_starved(self, tokens: float, now_s: float) -> None:
@@ -249,7 +249,7 @@
             asked_per_s=round(sum(demands.values()) / WINDOW_S),
             engine_part=round(self._weight, 3),
             totals_age_s=round(min(LONGEST_AGE_S, self.totals_age_s(now_s)), 3),
-            reports_count=self._reports_count,
+            reports_count=self._source.reports_count,
             turned_away_per_s={
                 team: round(tokens / WINDOW_S) for team, tokens in sorted(turned_away.items())
             },
--- a/src/camphorvalve/controllers/totals.py
+++ b/src/camphorvalve/controllers/totals.py
@@ -1,4 +1,4 @@
-"""Sums the demand that routers report, in the controller that they have chosen for it."""
+"""Sums the demand that routers report, in the controllers that they have chosen for it."""
 
 from __future__ import annotations
 
@@ -36,6 +36,8 @@
     def __init__(self) -> None:
         """Start without reports."""
         self._reports: dict[str, _Report] = {}
+        self._asked: Counter[str] = Counter()
+        self._served: Counter[str] = Counter()
         self._logged_count = 0
 
     def handle(self, sender: Sender, message: Any, now_s: float) -> Iterator[Outgoing]:
@@ -47,15 +49,11 @@
         :param now_s: monotonic time
         :return: the sums
         """
-        self._reports[sender.host_id] = _Report(message, now_s)
-        asked: Counter[str] = Counter()
-        served: Counter[str] = Counter()
-        for report in self._reports.values():
-            for team, tokens, served_tokens in report.asked.entries:
-                asked[team] += tokens
-                served[team] += served_tokens
+        self._replace(sender.host_id, _Report(message, now_s))
         starved_tokens = sum(report.asked.starved_tokens for report in self._reports.values())
-        entries = tuple(TeamTokens(team, asked[team], served[team]) for team in asked)
+        entries = tuple(
+            TeamTokens(team, tokens, self._served[team]) for team, tokens in self._asked.items()
+        )
         yield Outgoing(sender.host_id, AskedTotals(entries, starved_tokens, len(self._reports)))
 
     def tick(self, now_s: float) -> Iterator[Outgoing]:
@@ -70,11 +68,25 @@
             for one, report in self._reports.items()
             if now_s - report.heard_s > REPORT_LIFETIME_S
         ]:
-            del self._reports[router_id]
+            self._replace(router_id, None)
         if len(self._reports) != self._logged_count:
             self._logged_count = len(self._reports)
             _log.info("routers report their demand", reports_count=self._logged_count)
         yield from ()
 
+    def _replace(self, router_id: str, report: _Report | None) -> None:
+        """Keep the sums up to date: adding all reports anew costs the square of the routers."""
+        old = self._reports.pop(router_id, None)
+        if old is not None:
+            for team, tokens, served_tokens in old.asked.entries:
+                self._asked[team] -= tokens
+                self._served[team] -= served_tokens
+        if report is not None:
+            self._reports[router_id] = report
+            for team, tokens, served_tokens in report.asked.entries:
+                self._asked[team] += tokens
+                self._served[team] += served_tokens
+        self._asked = +self._asked
+
 
 __all__ = ["TotalsController"]
--- a/tests/controllers/sharetrial.py
+++ b/tests/controllers/sharetrial.py
@@ -10,7 +10,7 @@
 from camphorvalve.controllers.runtime import Sender
 from camphorvalve.controllers.shares import AGGREGATOR_KEY, TICK_S, SharesController
 from camphorvalve.controllers.totals import TotalsController
-from camphorvalve.sharing.placement import owner
+from camphorvalve.sharing.placement import ranked
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable, Iterator, Mapping
@@ -31,7 +31,7 @@
 SILENCE_S = 3.0
 """Until routers notice that a controller is gone."""
 CONTROLLERS_COUNT = 9
-AGGREGATOR_ID = owner(AGGREGATOR_KEY, [f"c-{number}" for number in range(CONTROLLERS_COUNT)])
+AGGREGATOR_ID = ranked(AGGREGATOR_KEY, [f"c-{number}" for number in range(CONTROLLERS_COUNT)])[0]
 """Controller that sums the demand while all are there."""
 COMES_BACK_S = 1.5
 """When a refused caller asks once more."""
--- /dev/null
+++ b/tests/sharing/test_sources.py
@@ -0,0 +1,50 @@
+"""Guards against routers that believe sums of little, or none while others have them (FAIR)."""
+
+from __future__ import annotations
+
+import unittest
+
+from camphorvalve.sharing.sources import HELD_S, SILENCE_S, TotalsSource
+
+
+class TotalsSourceTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.source = TotalsSource()
+        self.source.accepts("c-1", 60, 67, 10.0)
+
+    def test_rows(self) -> None:
+        rows = [
+            # Controller, routers in its sums, time; whether the sums are believed.
+            ("c-1", 60, 10.5, True),
+            ("c-1", 50, 10.5, True),
+            ("c-2", 60, 10.5, False),
+            ("c-2", 61, 10.5, True),
+            ("c-2", 60, 10.1 + SILENCE_S, True),
+            ("c-2", 40, 10.1 + SILENCE_S, True),
+            ("c-2", 3, 10.1 + SILENCE_S, False),
+            ("c-1", 1, 10.5, False),
+            ("c-1", 1, 10.1 + HELD_S, True),
+        ]
+        for controller_id, reports_count, now_s, expected in rows:
+            with self.subTest(controller_id=controller_id, reports_count=reports_count):
+                self.setUp()
+                found = self.source.accepts(controller_id, reports_count, 67, now_s)
+                self.assertEqual(found, expected)
+
+    def test_the_first_sums(self) -> None:
+        """Guards against a fleet that starts and waits for sums of half of it."""
+        source = TotalsSource()
+        self.assertFalse(source.is_held(0.0))
+        self.assertEqual(
+            [source.accepts("c-1", count, 67, 0.1 * count) for count in (1, 2, 20)], [True] * 3
+        )
+
+    def test_age(self) -> None:
+        self.source.accepts("c-2", 1, 67, 12.0)
+        self.assertEqual(self.source.age_s(12.5), 2.5)
+        self.assertTrue(self.source.is_held(10.0 + HELD_S))
+        self.assertFalse(self.source.is_held(10.1 + HELD_S))
+
+
+if __name__ == "__main__":
+    unittest.main()
