Count what the intake refuses as demand of its team

Cause: two gates in series, of which the second does not know what the first refuses. front-perth-a-7 refused 1,200 to 1,900 connections a second at its intake from 14 s on; the fleet's totals held 0.8 to 1.0 million tokens/s for demi90 where 7.7 were asked. So it was within its share, in nobody's list of teams that wait, and wuti871 was let through with up to 2.9 million tokens/s. The same for front-khomas-d-12, mira730 and fiye261. The class: demand measured behind the point where it is cut.

Ruled out: missing totals (those of these seconds came each half second), parts of engines (13 to 38 requests a second were refused as full there, 58 to 69 were placed: a smaller effect, not cured here).

Change: the guard of new connections tells team and cost of each refused request, and they are demand.

--- a/src/camphorvalve/controllers/shares.py
+++ b/src/camphorvalve/controllers/shares.py
@@ -108,12 +108,13 @@
 
     def turn_away(self, team: str, tokens: float, now_s: float) -> None:
         """
-        Count a request that was refused before its share was asked for.
+        Count the demand of a request that was refused before its share was asked for.
 
         :param team: name of the team
         :param tokens: its cost
         :param now_s: monotonic time
         """
+        self._demand.add(team, tokens, now_s)
         self._turned_away.add(team, tokens, now_s)
 
     def serve(self, team: str, tokens: float, now_s: float) -> None:
--- a/tests/controllers/test_shares.py
+++ b/tests/controllers/test_shares.py
@@ -63,6 +63,22 @@
             exchange(router, "r-1", totals, 0.1)
         self.assertEqual(lines[0]["turned_away_per_s"], {"large": 150})
 
+    def test_demand_turned_away_is_demand(self) -> None:
+        """Guards against a team that counts as within its share while most of what it asks for is
+        refused by the intake, so that nothing is kept free for it (FAIR)."""
+        flooded, other, totals = a_router(), a_router(), TotalsController()
+        flooded.turn_away("flood", 500.0, 0.0)
+        for _ in range(20):
+            other.within_share("spread", 10.0, 0.0)
+        for _ in range(2):
+            exchange(flooded, "r-1", totals, 0.1)
+            exchange(other, "r-2", totals, 0.1)
+        # 100 tokens in 2 s are there; both ask for more than half of them.
+        tenths = [0.1 + step / 10 for step in range(220)]
+        taken = [now_s for now_s in tenths if other.within_share("spread", 10.0, now_s)]
+        self.assertAlmostEqual(sum(10.0 for now_s in taken if now_s >= 2.1) / 20, 25.0, delta=0.5)
+        self.assertAlmostEqual(flooded.weight(), 0.5)
+
     def test_weight(self) -> None:
         """Guards against a router that gets an even part though a whole team's callers are there,
         and against a flood that takes the parts of the other routers."""
