Divide what the engines work off now, and let nobody over its share have more than that

Cause: 1.6 times the stated capacity was divided, whatever the engines did. Where they did less, requests within shares were more than there were places, and who got one was chance. What was left over was given by switches, on or off for all requests beyond a share (any refusal within shares anywhere, 1.25 times the service of the least served team), which act on sums that are up to 2.5 s old: both switched to and fro. The correction of shares took steps of 8% twice a second on the same old sums and swung between its bounds. The class: switches in a loop with a delay longer than their period, around an estimate without feedback.

Ruled out: one of the parts alone.

Change: the capacity that is divided is lowered while teams that ask for no more than their share are refused more than 6% of it, not below 0.9 of the measured service, and raised by 2% a report otherwise, beyond the usual only while it is used. Requests beyond the share of a team over its share stand back. A share is at most 1.5 times what the least served other team over its share gets, down to 0.7 of a level one. Corrections are a tenth as fast.

test_a_team_that_is_ahead checked the switch that is gone; it checks now that the team that is ahead gets nothing beyond its share, and that its share is below a level one.

--- a/src/camphorvalve/controllers/shares.py
+++ b/src/camphorvalve/controllers/shares.py
@@ -8,6 +8,7 @@
 
 from camphorvalve.controllers.runtime import Outgoing
 from camphorvalve.sharing.allowances import Allowances
+from camphorvalve.sharing.capacity import CapacityEstimate
 from camphorvalve.sharing.patience import Patience
 from camphorvalve.sharing.placement import ranked
 from camphorvalve.sharing.shares import Demand
@@ -32,11 +33,11 @@
 They began 1.5 M tokens/s where the manifest states 0.85 M (scale-1)."""
 LEAST_PART = 0.5
 """Part of an even share that a router may use however little came in there lately."""
-STARVED = "starved"
 STARVED_WINDOW_S = 1.0
 """Two reports, so that refusals of one moment are seen once or twice."""
 STARVED_RATIO = 0.01
-"""Part of the engines' tokens whose refusal counts as congestion; a single prompt does not."""
+"""Part of the engines' tokens whose refusal counts as congestion, of teams within their share; a
+single prompt does not."""
 CONGESTED_S = 1.0
 """How long requests beyond shares stand back; renewed while others are refused."""
 AGGREGATOR_KEY = "demand"
@@ -79,6 +80,7 @@
         self._starved = Demand(STARVED_WINDOW_S)
         self._turned_away = Demand(WINDOW_S)
         self._congested_until_s = float("-inf")
+        self._capacity = CapacityEstimate()
 
     def came_back(self, kind: str, patience_s: float | None, now_s: float) -> bool:
         """
@@ -127,14 +129,15 @@
         """
         self._served.add(team, tokens, now_s)
 
-    def starve(self, tokens: float, now_s: float) -> None:
+    def starve(self, team: str, tokens: float, now_s: float) -> None:
         """
         Count a request that was refused although it was within its team's share.
 
+        :param team: name of the team
         :param tokens: its cost
         :param now_s: monotonic time
         """
-        self._starved.add(STARVED, tokens, now_s)
+        self._starved.add(team, tokens, now_s)
 
     def stands_back(self, team: str, now_s: float) -> bool:
         """
@@ -142,10 +145,10 @@
 
         :param team: name of the team
         :param now_s: monotonic time
-        :return: whether requests within shares are refused anywhere in the fleet, or the team gets
-            more than another one that waits as well
+        :return: whether the team asks for more than its share, or teams that do not are refused
+            anywhere in the fleet
         """
-        return now_s < self._congested_until_s or self._allowances.is_ahead(team)
+        return now_s < self._congested_until_s or self._allowances.is_over_share(team)
 
     def totals_age_s(self, now_s: float) -> float:
         """
@@ -184,8 +187,9 @@
             return
         demands = {entry.team: entry.tokens for entry in message.entries}
         served = {entry.team: entry.served_tokens for entry in message.entries}
+        starved = {entry.team: entry.starved_tokens for entry in message.entries}
+        self._learn_capacity(demands, served, starved, now_s)
         self._set_allowances(demands, self._demand.totals(now_s), served, now_s)
-        self._set_starved(message.starved_tokens, now_s)
         yield from ()
 
     def tick(self, now_s: float) -> Iterator[Outgoing]:
@@ -197,24 +201,42 @@
         """
         own = self._demand.totals(now_s)
         served = self._served.totals(now_s)
-        starved_tokens = self._starved.totals(now_s).get(STARVED, 0.0)
+        starved = self._starved.totals(now_s)
         if not self._source.is_held(now_s):
             # The demand of other routers is not known, and must not be guessed from the own one:
             # all callers of a team may come to this router.
+            self._learn_capacity(own, served, starved, now_s)
             self._set_allowances(own, own, served, now_s)
-            self._set_starved(starved_tokens, now_s)
         entries = tuple(
-            TeamTokens(team, tokens, served.get(team, 0.0)) for team, tokens in own.items()
+            TeamTokens(team, tokens, served.get(team, 0.0), starved.get(team, 0.0))
+            for team, tokens in own.items()
         )
         for aggregator in ranked(AGGREGATOR_KEY, self._controller_ids())[:AGGREGATORS_COUNT]:
-            yield Outgoing(aggregator, Asked(entries, starved_tokens))
+            yield Outgoing(aggregator, Asked(entries))
 
-    def _set_starved(self, tokens: float, now_s: float) -> None:
+    def _learn_capacity(
+        self,
+        demands: dict[str, float],
+        served: dict[str, float],
+        starved: dict[str, float],
+        now_s: float,
+    ) -> None:
         tokens_per_s = self._tokens_per_s()
-        if tokens_per_s is None or tokens <= STARVED_RATIO * tokens_per_s * STARVED_WINDOW_S:
+        if tokens_per_s is None:
+            return
+        within = demands.keys() - {team for team, _, _ in self._allowances.over_share()}
+        starved_per_s = sum(starved.get(team, 0.0) for team in within) / STARVED_WINDOW_S
+        served_per_s = sum(served.values()) / WINDOW_S
+        self._capacity.learn(
+            sum(demands[team] for team in within) / WINDOW_S,
+            starved_per_s,
+            served_per_s / (CAPACITY_RATIO * tokens_per_s),
+            is_wanted=len(within) < len(demands),
+        )
+        if not self._capacity.is_exceeded or starved_per_s <= STARVED_RATIO * tokens_per_s:
             return
         if now_s >= self._congested_until_s:
-            _log.info("shares are enforced strictly", starved_tokens=round(tokens))
+            _log.info("shares are enforced strictly", starved_per_s=round(starved_per_s))
         self._congested_until_s = now_s + CONGESTED_S
 
     def _set_allowances(
@@ -227,8 +249,9 @@
         tokens_per_s = self._tokens_per_s()
         if tokens_per_s is None:
             return
-        capacity = CAPACITY_RATIO * tokens_per_s * WINDOW_S
-        self._allowances.set_shares(demands, own, capacity, served, now_s)
+        usual = CAPACITY_RATIO * tokens_per_s * WINDOW_S
+        capacity = self._capacity.ratio * usual
+        self._allowances.set_shares(demands, own, capacity, served, now_s, usual_capacity=usual)
         least = LEAST_PART / max(1, self._routers_count())
         self._weight = max(least, self._allowances.weight(own, demands) or 2 * least)
         self._log_over_share(demands, own, served, now_s)
@@ -248,6 +271,7 @@
         _log.info(
             "teams over their share",
             asked_per_s=round(sum(demands.values()) / WINDOW_S),
+            capacity_ratio=round(self._capacity.ratio, 3),
             engine_part=round(self._weight, 3),
             totals_age_s=round(min(LONGEST_AGE_S, self.totals_age_s(now_s)), 3),
             reports_count=self._source.reports_count,
@@ -261,7 +285,6 @@
                     "served_per_s": round(served.get(team, 0.0) / WINDOW_S),
                     "share_per_s": round(share_per_s),
                     "allowed_here_per_s": round(here_per_s),
-                    "ahead": self._allowances.is_ahead(team),
                 }
                 for team, share_per_s, here_per_s in sorted(over_share)
             },
--- a/src/camphorvalve/controllers/totals.py
+++ b/src/camphorvalve/controllers/totals.py
@@ -38,6 +38,7 @@
         self._reports: dict[str, _Report] = {}
         self._asked: Counter[str] = Counter()
         self._served: Counter[str] = Counter()
+        self._starved: Counter[str] = Counter()
         self._logged_count = 0
 
     def handle(self, sender: Sender, message: Any, now_s: float) -> Iterator[Outgoing]:
@@ -50,11 +51,11 @@
         :return: the sums
         """
         self._replace(sender.host_id, _Report(message, now_s))
-        starved_tokens = sum(report.asked.starved_tokens for report in self._reports.values())
         entries = tuple(
-            TeamTokens(team, tokens, self._served[team]) for team, tokens in self._asked.items()
+            TeamTokens(team, tokens, self._served[team], self._starved[team])
+            for team, tokens in self._asked.items()
         )
-        yield Outgoing(sender.host_id, AskedTotals(entries, starved_tokens, len(self._reports)))
+        yield Outgoing(sender.host_id, AskedTotals(entries, len(self._reports)))
 
     def tick(self, now_s: float) -> Iterator[Outgoing]:
         """
@@ -78,15 +79,17 @@
         """Keep the sums up to date: adding all reports anew costs the square of the routers."""
         old = self._reports.pop(router_id, None)
         if old is not None:
-            for team, tokens, served_tokens in old.asked.entries:
-                self._asked[team] -= tokens
-                self._served[team] -= served_tokens
+            self._add(old.asked, -1.0)
         if report is not None:
             self._reports[router_id] = report
-            for team, tokens, served_tokens in report.asked.entries:
-                self._asked[team] += tokens
-                self._served[team] += served_tokens
+            self._add(report.asked, 1.0)
         self._asked = +self._asked
 
+    def _add(self, asked: Asked, sign: float) -> None:
+        for team, tokens, served_tokens, starved_tokens in asked.entries:
+            self._asked[team] += sign * tokens
+            self._served[team] += sign * served_tokens
+            self._starved[team] += sign * starved_tokens
+
 
 __all__ = ["TotalsController"]
--- a/src/camphorvalve/filters/share.py
+++ b/src/camphorvalve/filters/share.py
@@ -28,7 +28,7 @@
 
 def share(shares: SharesController) -> Filter:
     """
-    Build the filter; what lies beyond a share is refused only where an engine fills up.
+    Build the filter; what lies beyond a share is refused if others need the place.
 
     :param shares: the shares in force
     :return: the filter
@@ -56,7 +56,7 @@
                     yield part
         except RequestError as error:
             if error.code == "overloaded" and exchange.within_share:
-                shares.starve(tokens, time.monotonic())
+                shares.starve(exchange.team.name, tokens, time.monotonic())
             raise
 
     return filter_
--- a/src/camphorvalve/sharing/allowances.py
+++ b/src/camphorvalve/sharing/allowances.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-from camphorvalve.sharing.shares import ahead, newcomer_share, shares
+from camphorvalve.sharing.shares import level, newcomer_share, shares
 
 if TYPE_CHECKING:
     from collections.abc import Iterator, Mapping
@@ -18,13 +18,15 @@
 them is about one request a second, and requests come unevenly."""
 RETURNED_RATIO = 0.5
 """Part of the depth that is kept for callers who ask for the first time."""
-MOST_STEP = 1.08
-"""Largest change of a team's part with one report, every half second; what was served is counted
-over four of them, and larger steps overshoot: with 1.15, a team of karri-auditions scale-1 swung
-between 0.11 and 0.78 M tokens/s."""
 MOST_CORRECTION = 1.4
 """Two teams that ask for the same then differ by less than the factor of 2 that breaks the
 platform's rule, whatever was measured."""
+CORRECTION_EXPONENT = 0.1
+"""Part of a difference, in its logarithm, that one report corrects: what was served is counted over
+four reports, and faster corrections overshoot."""
+LEAD_RATIO = 1.5
+"""Service of the least served other team over its share, times which a team may get at most; the
+platform's rule is broken at 2."""
 LEAST_SERVED_RATIO = 0.01
 
 
@@ -65,7 +67,6 @@
         self._newcomer_per_s: float | None = None
         self._shares: dict[str, float] = {}
         self._corrections: dict[str, float] = {}
-        self._ahead: set[str] = set()
 
     def set_shares(
         self,
@@ -74,48 +75,56 @@
         capacity: float,
         served: Mapping[str, float],
         now_s: float,
+        *,
+        usual_capacity: float | None = None,
     ) -> None:
         """
         Set the rate of each team.
 
         Teams over their share are owed the same. One that gets less than the others, because its
-        callers come to a busy router or its prompts to busy engines, has its rate raised.
+        callers come to a busy router or its prompts to busy engines, has its rate raised, and the
+        others are held back until they get little more.
 
         :param demands: tokens by team in the window, at all routers
         :param own: the part of these at this router
         :param capacity: tokens of the window to divide
         :param served: tokens by team in the window that were served, at all routers
         :param now_s: monotonic time
+        :param usual_capacity: what there is to divide as a rule, ``capacity`` by default
         """
-        for balance in self._balances.values():
-            balance.fill(now_s)
-        self._balances = {team: one for team, one in self._balances.items() if team in demands}
         found = shares(demands, capacity)
         over = {team for team, demand in demands.items() if demand > found[team]}
         self._correct(over, served)
-        self._ahead = ahead((team, served.get(team, 0.0)) for team in over)
+        bounds = _bounds(over, served, level(demands, usual_capacity or capacity))
         self._shares = {
-            team: tokens * self._corrections.get(team, 1.0) for team, tokens in found.items()
+            team: min(bounds[team], tokens * self._corrections[team]) if team in over else tokens
+            for team, tokens in found.items()
         }
         self._newcomer_per_s = newcomer_share(demands, capacity) / self._window_s
-        self._rates = {
-            team: self._shares[team] * own.get(team, 0.0) / demand / self._window_s
-            for team, demand in demands.items()
-            if demand > 0
-        }
+        self._set_rates(
+            {
+                team: self._shares[team] * own.get(team, 0.0) / demand / self._window_s
+                for team, demand in demands.items()
+                if demand > 0
+            },
+            now_s,
+        )
+
+    def _set_rates(self, rates: dict[str, float], now_s: float) -> None:
+        self._rates = rates
+        self._balances = {team: one for team, one in self._balances.items() if team in rates}
         for team, balance in self._balances.items():
-            balance.rate_per_s = self._rates.get(team, 0.0)
+            balance.fill(now_s)
+            balance.rate_per_s = rates[team]
 
     def _correct(self, over: set[str], served: Mapping[str, float]) -> None:
-        self._corrections = {team: self._corrections.get(team, 1.0) for team in over}
         total = sum(served.get(team, 0.0) for team in over)
-        if total <= 0:
-            return
-        for team in over:
+        corrections = {team: self._corrections.get(team, 1.0) for team in over}
+        for team in over if total > 0 else ():
             got = max(served.get(team, 0.0), LEAST_SERVED_RATIO * total) * len(over)
-            step = min(MOST_STEP, max(1 / MOST_STEP, (total / got) ** 0.5))
-            raised = self._corrections[team] * step
-            self._corrections[team] = min(MOST_CORRECTION, max(1 / MOST_CORRECTION, raised))
+            wanted = corrections[team] * (total / got) ** CORRECTION_EXPONENT
+            corrections[team] = min(MOST_CORRECTION, max(1 / MOST_CORRECTION, wanted))
+        self._corrections = corrections
 
     def takes(self, team: str, tokens: float, now_s: float, *, came_back: bool = False) -> bool:
         """
@@ -163,14 +172,31 @@
         for team in self._corrections:
             yield team, self._shares[team] / self._window_s, self._rates.get(team, 0.0)
 
-    def is_ahead(self, team: str) -> bool:
+    def is_over_share(self, team: str) -> bool:
         """
-        Tell whether a team gets more than another one that waits as well.
+        Tell whether a team asks for more than its share.
 
         :param team: name of the team
-        :return: whether requests beyond its share have to stand back
+        :return: whether it does, by the last demand of all routers
         """
-        return team in self._ahead
-
-
-__all__ = ["DEPTH_COUNT", "DEPTH_S", "RETURNED_RATIO", "Allowances"]
+        return team in self._corrections
+
+
+def _bounds(over: set[str], served: Mapping[str, float], usual: float) -> dict[str, float]:
+    """Bound what each team may get by the least that another one gets which waits as well."""
+    if not any(served.get(team, 0.0) for team in over):
+        return dict.fromkeys(over, float("inf"))
+    least_team = min(over, key=lambda team: served.get(team, 0.0))
+    # Service that is cut off altogether, as by a failed router, does not hold the others back.
+    most = max(usual / MOST_CORRECTION, LEAD_RATIO * served.get(least_team, 0.0))
+    return {**dict.fromkeys(over, most), least_team: float("inf")}
+
+
+__all__ = [
+    "DEPTH_COUNT",
+    "DEPTH_S",
+    "LEAD_RATIO",
+    "MOST_CORRECTION",
+    "RETURNED_RATIO",
+    "Allowances",
+]
--- a/src/camphorvalve/sharing/shares.py
+++ b/src/camphorvalve/sharing/shares.py
@@ -6,13 +6,10 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable, Mapping
+    from collections.abc import Mapping
 
 BUCKETS_COUNT = 8
 """Buckets of the window; a finer window would only cost time."""
-AHEAD_RATIO = 1.25
-"""Service above that of the least served team over its share from which a team gets nothing beyond
-its own share; the platform's rule is broken at 2."""
 ANSWER_WEIGHT = 2.0
 """A generated token takes as much of an engine as two that are read."""
 
@@ -120,16 +117,4 @@
     return level({**demands, "": float("inf")}, capacity)
 
 
-def ahead(served: Iterable[tuple[str, float]]) -> set[str]:
-    """
-    Find teams that get more than others which wait as well.
-
-    :param served: team and tokens, of the teams that ask for more than their share
-    :return: names of those that are ahead
-    """
-    by_team = dict(served)
-    least = min(by_team.values(), default=0.0)
-    return {team for team, tokens in by_team.items() if tokens > AHEAD_RATIO * least}
-
-
-__all__ = ["ANSWER_WEIGHT", "Demand", "ahead", "level", "newcomer_share", "shares"]
+__all__ = ["ANSWER_WEIGHT", "Demand", "level", "newcomer_share", "shares"]
--- a/src/camphorvalve/wire/messages.py
+++ b/src/camphorvalve/wire/messages.py
@@ -153,26 +153,25 @@
 
 
 class TeamTokens(NamedTuple):
-    """What a team asked for in the window, and what of it was served."""
+    """What a team asked for in the window, and what became of it."""
 
     team: str
     tokens: float
     served_tokens: float
+    starved_tokens: float
+    """Refused in the last second although it was within the team's share."""
 
 
 class Asked(NamedTuple):
     """Demand at one router, for the controller that sums it; replaces the report before."""
 
     entries: tuple[TeamTokens, ...]
-    starved_tokens: float
-    """Refused in the last second although it was within its team's share."""
 
 
 class AskedTotals(NamedTuple):
     """Demand at all routers, for a router that reported."""
 
     entries: tuple[TeamTokens, ...]
-    starved_tokens: float
     reports_count: int
     """Routers whose demand is in the sums."""
 
--- a/tests/controllers/sharetrial.py
+++ b/tests/controllers/sharetrial.py
@@ -261,7 +261,7 @@
             return False
         if not self._processor[name].takes(1.0, now_s) or not self._has_room(tokens, within):
             if within:
-                router.starve(tokens, now_s)
+                router.starve(team, tokens, now_s)
             return False
         self._at(now_s + BEGIN_S, self._begin, router, team, tokens)
         return True
--- a/tests/controllers/test_shares.py
+++ b/tests/controllers/test_shares.py
@@ -98,7 +98,9 @@
         """Guards against requests beyond shares that take places while others are refused."""
         first, second, totals = a_router(), a_router(), TotalsController()
         self.assertFalse(first.stands_back("a", 0.0))
-        second.starve(10.0, 0.0)
+        first.within_share("a", 1.0, 0.0)
+        second.within_share("b", 10.0, 0.0)
+        second.starve("b", 10.0, 0.0)
         exchange(second, "r-2", totals, 0.1)
         exchange(first, "r-1", totals, 0.1)
         self.assertTrue(first.stands_back("a", 0.5))
@@ -111,13 +113,18 @@
         for _ in range(20):
             spread.within_share("spread", 10.0, 0.0)
             single.within_share("single", 10.0, 0.0)
+            spread.within_share("small", 0.1, 0.0)
         spread.serve("spread", 90.0, 0.1)
         single.serve("single", 30.0, 0.1)
         for _ in range(2):
             exchange(spread, "r-1", totals, 0.2)
             exchange(single, "r-2", totals, 0.2)
+        # Beyond its share it gets nothing, and its share is below the 25 tokens/s of a level one.
         self.assertTrue(spread.stands_back("spread", 0.3))
-        self.assertFalse(spread.stands_back("single", 0.3))
+        self.assertFalse(spread.stands_back("small", 0.3))
+        tenths = [0.3 + step / 10 for step in range(220)]
+        taken = [now_s for now_s in tenths if spread.within_share("spread", 10.0, now_s)]
+        self.assertLess(sum(10.0 for now_s in taken if now_s >= 2.3) / 20, 23.0)
 
     def test_no_totals(self) -> None:
         """Guards against shares that are not kept while no controller answers."""
--- a/tests/filters/test_share.py
+++ b/tests/filters/test_share.py
@@ -27,7 +27,7 @@
     """Stands in for the shares; every request is beyond its share or none is."""
 
     def __init__(self, *, within: bool, congested: bool) -> None:
-        self.starved: list[float] = []
+        self.starved: list[tuple[str, float]] = []
         self.served: list[tuple[str, float]] = []
         self._within = within
         self._congested = congested
@@ -46,8 +46,8 @@
     def serve(self, team: str, tokens: float, now_s: float) -> None:
         self.served.append((team, tokens))
 
-    def starve(self, tokens: float, now_s: float) -> None:
-        self.starved.append(tokens)
+    def starve(self, team: str, tokens: float, now_s: float) -> None:
+        self.starved.append((team, tokens))
 
 
 class ShareTest(unittest.TestCase):
@@ -103,7 +103,7 @@
         """Guards against refusals within shares that no other router hears of."""
         shares = _Shares(within=True, congested=False)
         self.play(shares, full=True)
-        self.assertEqual(shares.starved, [1200.0])
+        self.assertEqual(shares.starved, [("youth", 1200.0)])
         beyond = _Shares(within=False, congested=False)
         self.play(beyond, full=True)
         self.assertEqual(beyond.starved, [])
--- a/tests/sharing/test_allowances.py
+++ b/tests/sharing/test_allowances.py
@@ -102,14 +102,29 @@
             taken = dict.fromkeys(asked, 0.0)
             for step in range(200):
                 for team, tokens in asked.items():
-                    size = tokens / 200 * WINDOW_S
-                    if allowances.takes(team, size, now_s + step * WINDOW_S / 200):
-                        taken[team] += size / WINDOW_S
+                    if allowances.takes(team, tokens / 200, now_s + step * WINDOW_S / 200):
+                        taken[team] += tokens / 200
             now_s += WINDOW_S
             served = {**taken, "busy": taken["busy"] / 2}
         self.assertLess(abs(served["busy"] - served["free"]), 0.1 * served["free"])
         self.assertAlmostEqual(taken["small"], 10.0, delta=0.1)
 
+    def test_a_team_that_is_held_back_elsewhere(self) -> None:
+        """Guards against a team that gets more than twice what another one gets that waits, which
+        its only router cannot serve more of (FAIR)."""
+        demands = {"single": 900.0, "spread": 900.0}
+        for capacity in (400.0, 600.0):
+            served = {"single": 120.0, "spread": 300.0}
+            allowances, now_s = Allowances(WINDOW_S), 0.0
+            for _ in range(40):
+                now_s += REPORT_S
+                allowances.set_shares(demands, demands, capacity, served, now_s, usual_capacity=400)
+                _, share_per_s, _ = next(
+                    one for one in allowances.over_share() if one[0] == "spread"
+                )
+                served["spread"] = share_per_s * WINDOW_S
+            self.assertLess(served["spread"], 2 * served["single"])
+
     def test_first_requests_go_first(self) -> None:
         """Guards against a share that is spent on answers which come late anyway."""
         rows = [
--- /dev/null
+++ b/tests/sharing/test_capacity.py
@@ -0,0 +1,77 @@
+"""Guards against shares of more than the engines work off, and of less (FAIR)."""
+
+from __future__ import annotations
+
+import unittest
+
+from camphorvalve.sharing.capacity import (
+    DECREASE_RATIO,
+    EASY_RATIO,
+    INCREASE_RATIO,
+    LEAST_RATIO,
+    MOST_RATIO,
+    SERVED_RATIO,
+    STARVED_RATIO,
+    CapacityEstimate,
+)
+
+ASKED_TOKENS = 1000.0
+
+
+class CapacityTest(unittest.TestCase):
+    def learned(self, *, starved_ratio: float, served_ratio: float, count: int = 1) -> float:
+        estimate = CapacityEstimate()
+        for _ in range(count):
+            estimate.learn(ASKED_TOKENS, starved_ratio * ASKED_TOKENS, served_ratio)
+        return estimate.ratio
+
+    def test_rows(self) -> None:
+        rows = [
+            # Part of small demand that is refused, service, reports; the estimate.
+            (0.0, 0.9, 1, INCREASE_RATIO),
+            (0.0, 1.6, 100, MOST_RATIO),
+            (0.0, 0.5, 100, 1.0),
+            (STARVED_RATIO - 0.01, 0.5, 10, 1.0),
+            (STARVED_RATIO + 0.01, 0.5, 1, DECREASE_RATIO),
+            (0.5, 0.8, 100, SERVED_RATIO * 0.8),
+            (0.5, 1.3, 1, 1.0),
+            (0.5, 0.0, 100, LEAST_RATIO),
+        ]
+        for starved_ratio, served_ratio, count, expected in rows:
+            with self.subTest(starved_ratio=starved_ratio, served_ratio=served_ratio):
+                found = self.learned(
+                    starved_ratio=starved_ratio, served_ratio=served_ratio, count=count
+                )
+                self.assertAlmostEqual(found, expected)
+
+    def test_growth(self) -> None:
+        """Guards against engines that stay idle after they were slow for a while."""
+        estimate = CapacityEstimate()
+        estimate.learn(ASKED_TOKENS, ASKED_TOKENS, 0.5)
+        estimate.learn(ASKED_TOKENS, (EASY_RATIO + 0.01) * ASKED_TOKENS, 0.5)
+        self.assertAlmostEqual(estimate.ratio, DECREASE_RATIO)
+        estimate.learn(ASKED_TOKENS, 0.0, 0.5)
+        self.assertAlmostEqual(estimate.ratio, DECREASE_RATIO * INCREASE_RATIO)
+        for _ in range(10):
+            estimate.learn(ASKED_TOKENS, 0.0, 0.5, is_wanted=False)
+        self.assertEqual(estimate.ratio, 1.0)
+
+    def test_quiet_times(self) -> None:
+        """Guards against a burst that meets an estimate which grew while nothing was asked for."""
+        estimate = CapacityEstimate()
+        for is_wanted in (True, False):
+            for _ in range(100):
+                estimate.learn(ASKED_TOKENS, 0.0, 1.4, is_wanted=is_wanted)
+        self.assertEqual(estimate.ratio, 1.0)
+
+    def test_service_does_not_raise_it(self) -> None:
+        """Guards against an estimate that grows while teams within their share are refused."""
+        estimate = CapacityEstimate()
+        for served_ratio in (0.5, 0.5, 0.5, 2.0):
+            before = estimate.ratio
+            estimate.learn(ASKED_TOKENS, ASKED_TOKENS, served_ratio)
+            self.assertLessEqual(estimate.ratio, before)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/sharing/test_shares.py
+++ b/tests/sharing/test_shares.py
@@ -5,7 +5,7 @@
 import random
 import unittest
 
-from camphorvalve.sharing.shares import Demand, ahead, level, newcomer_share, shares
+from camphorvalve.sharing.shares import Demand, level, newcomer_share, shares
 
 
 class LevelTest(unittest.TestCase):
@@ -67,10 +67,6 @@
         self.assertEqual(newcomer_share({}, 10.0), 10.0)
         self.assertEqual(newcomer_share({"a": 2.0, "b": 90.0}, 10.0), 4.0)
 
-    def test_ahead(self) -> None:
-        self.assertEqual(ahead([("a", 10.0), ("b", 12.0), ("c", 13.0)]), {"c"})
-        self.assertEqual(ahead([]), set())
-
 
 if __name__ == "__main__":
     unittest.main()
