Raise the capacity that is divided by 3% a report, and from 0.7 of it in use

Ruled out: shares that do not reach the routers (the allowances of all routers add up to the share).

Change: 3% for 2%, 0.7 for 0.8.

--- a/src/camphorvalve/sharing/capacity.py
+++ b/src/camphorvalve/sharing/capacity.py
@@ -8,10 +8,10 @@
 EASY_RATIO = 0.03
 """Part below which shares may grow. Single homes of prompts are full now and then."""
 DECREASE_RATIO = 0.95
-INCREASE_RATIO = 1.02
+INCREASE_RATIO = 1.03
 """For each report, two a second; service is counted over four of them, larger steps overshoot."""
 MOST_RATIO = 1.5
-USED_RATIO = 0.8
+USED_RATIO = 0.7
 """Part of what is divided that has to be served for the estimate to grow beyond the usual capacity;
 otherwise something else than the shares bounds the service."""
 SERVED_RATIO = 0.9
