Count what is refused for want of room for bodies as demand of its team

Change: the application of the routed port tells of requests that are refused so; the composition root counts them like those of the intake.

Test: http.test_routed (test_demand_turned_away_is_told).

--- a/src/camphorvalve/http/routed.py
+++ b/src/camphorvalve/http/routed.py
@@ -34,6 +34,7 @@
         request_id_name: str,
         connections: Connections,
         is_short: Callable[[], bool] = lambda: False,
+        on_turned_away: Callable[[Request], None] = lambda request: None,
         limits: CallerLimits = CallerLimits(),  # noqa: B008 -- immutable
         clock: Callable[[], float] = time.monotonic,
     ) -> None:
@@ -46,6 +47,7 @@
         :param connections: counts those of the callers
         :param is_short: whether new connections are refused at present; refused requests close
             theirs then, so that callers who come back are decided about at less cost
+        :param on_turned_away: takes each request that is refused before the chain for want of room
         :param limits: bounds on bodies
         :param clock: monotonic time
         """
@@ -54,6 +56,7 @@
         self._request_id_name = request_id_name
         self._connections = connections
         self._is_short = is_short
+        self._on_turned_away = on_turned_away
         self._bodies = BodyStore(limits)
         self._clock = clock
 
@@ -82,6 +85,8 @@
             form = PassedForm(self._request_id_name, closes)
             await answer(self._handler, exchange, form, receive, send)
         except RequestError as error:
+            if request is not None and error.code == "queue_full":
+                self._on_turned_away(request)
             await self._refuse(error, request, receive, send)
         finally:
             if body is not None:
--- a/src/camphorvalve/wiring/joinedrouter.py
+++ b/src/camphorvalve/wiring/joinedrouter.py
@@ -35,6 +35,7 @@
 from camphorvalve.reports.outcomes import OutcomeCounts
 from camphorvalve.reports.refusals import RefusalLog
 from camphorvalve.sharing.budget import RetryBudget
+from camphorvalve.sharing.homes import cost_tokens
 from camphorvalve.sharing.intake import Intake
 from camphorvalve.sharing.parts import engine_part, retry_floor_count
 from camphorvalve.upstreams.client import create_client
@@ -45,6 +46,7 @@
 if TYPE_CHECKING:
     from camphorvalve.filters.chain import Handler
     from camphorvalve.http.refusing import RefusedRequest
+    from camphorvalve.model.requests import Request
     from camphorvalve.settings.schema import JoinedRouterSettings
     from camphorvalve.wiring.edges import RouterEdge
 
@@ -111,6 +113,7 @@
             request_id_name=name,
             connections=self._connections,
             is_short=self._intake.is_short,
+            on_turned_away=self._on_turned_away,
         )
         link.open()
         async with self._client, anyio.create_task_group() as tasks:
@@ -172,8 +175,14 @@
 
     def _on_refused(self, refused: RefusedRequest) -> None:
         self._refusals.note(refused.request_id)
-        if refused.team is not None:
-            self._shares.turn_away(refused.team, refused.cost_tokens, time.monotonic())
+        self._turn_away(refused.team, refused.cost_tokens)
+
+    def _on_turned_away(self, request: Request) -> None:
+        self._turn_away(self._team_of(request.token), cost_tokens(request.call))
+
+    def _turn_away(self, team: str | None, tokens: float) -> None:
+        if team is not None and tokens:
+            self._shares.turn_away(team, tokens, time.monotonic())
 
     def _on_lag(self, lag_s: float) -> None:
         counts = self._outcomes
--- a/tests/http/test_routed.py
+++ b/tests/http/test_routed.py
@@ -7,6 +7,7 @@
 
 import anyio
 
+from camphorvalve.http.bodies import CallerLimits
 from camphorvalve.http.connections import Connections
 from camphorvalve.http.routed import RoutedApp
 from camphorvalve.model.answers import Body, Head
@@ -19,7 +20,7 @@
     from collections.abc import AsyncIterator
 
     from camphorvalve.model.answers import Part
-    from camphorvalve.model.requests import Exchange
+    from camphorvalve.model.requests import Exchange, Request
 
 
 class _Chain:
@@ -55,14 +56,18 @@
         chain: _Chain | None = None,
         *,
         crowded: bool = False,
+        limits: CallerLimits = CallerLimits(),  # noqa: B008 -- immutable
         **options: Any,
     ) -> bytes:
         self.chain = chain or _Chain()
+        self.turned_away: list[Request] = []
         app = RoutedApp(
             self.chain,
             calls.decode,
             request_id_name=calls.NAMES.request_id,
             connections=Connections(0 if crowded else 1000, lambda: 15.0),
+            on_turned_away=self.turned_away.append,
+            limits=limits,
         )
 
         async def run() -> bytes:
@@ -103,6 +108,21 @@
                 received = self.play(b"GET" + request(headers=headers)[4:])
                 self.assertNotIn(b" 101 ", received[:20])
 
+    def test_demand_turned_away_is_told(self) -> None:
+        """Guards against demand that nobody counts as it is refused before the chain (FAIR)."""
+        rows = [
+            # Bodies held, largest body, body; whether the request is told of.
+            (10, 100, "much too long", True),
+            (100, 10, "much too long", False),
+            (100, 100, "short", False),
+        ]
+        for held_bytes, body_bytes, body, expected in rows:
+            with self.subTest(held_bytes=held_bytes, body_bytes=body_bytes):
+                limits = CallerLimits(body_bytes=body_bytes, held_bytes=held_bytes)
+                self.play(request("/a/1", "Token-Count: 1460,80\n", body), limits=limits)
+                found = [one.call.prompt.input_tokens_count for one in self.turned_away]
+                self.assertEqual(found, [1460] * expected)
+
     def test_bodies(self) -> None:
         """Guards against bodies that are cut, joined or taken from the next request."""
         chunks = "3\r\nvio\r\n4\r\nlins\r\n0\r\n\r\n"
