Compare the demand that was reported, not the newest one, with the totals that hold it

Cause: the part of a router is its demand over that of the fleet, and the first was taken when the totals came, up to a second after it had been reported. While demand grows, parts add up to more than one.

Change: the part follows from the demand of the last report, which is the one that the totals hold.

--- a/src/camphorvalve/controllers/shares.py
+++ b/src/camphorvalve/controllers/shares.py
@@ -71,16 +71,18 @@
         self._routers_count = routers_count
         self._tokens_per_s = tokens_per_s
         self._demand = Demand(WINDOW_S)
+        self._turned_away = Demand(WINDOW_S)
+        self._served = Demand(WINDOW_S)
+        self._starved = Demand(STARVED_WINDOW_S)
         self._patience = Patience()
-        self._allowances = Allowances(WINDOW_S)
+        self._reported: dict[str, float] = {}
+        """Demand at this router that the totals hold."""
         self._source = TotalsSource()
-        self._over_share: set[str] = set()
+        self._capacity = CapacityEstimate()
+        self._allowances = Allowances(WINDOW_S)
         self._weight = 1.0
-        self._served = Demand(WINDOW_S)
-        self._starved = Demand(STARVED_WINDOW_S)
-        self._turned_away = Demand(WINDOW_S)
         self._congested_until_s = float("-inf")
-        self._capacity = CapacityEstimate()
+        self._over_share: set[str] = set()
 
     def came_back(self, kind: str, patience_s: float | None, now_s: float) -> bool:
         """
@@ -189,7 +191,7 @@
         served = {entry.team: entry.served_tokens for entry in message.entries}
         starved = {entry.team: entry.starved_tokens for entry in message.entries}
         self._learn_capacity(demands, served, starved, now_s)
-        self._set_allowances(demands, self._demand.totals(now_s), served, now_s)
+        self._set_allowances(demands, self._reported, served, now_s)
         yield from ()
 
     def tick(self, now_s: float) -> Iterator[Outgoing]:
@@ -199,7 +201,7 @@
         :param now_s: monotonic time
         :return: the report
         """
-        own = self._demand.totals(now_s)
+        own = self._reported = self._demand.totals(now_s)
         served = self._served.totals(now_s)
         starved = self._starved.totals(now_s)
         if not self._source.is_held(now_s):
--- a/tests/controllers/test_shares.py
+++ b/tests/controllers/test_shares.py
@@ -79,6 +79,23 @@
         self.assertAlmostEqual(sum(10.0 for now_s in taken if now_s >= 2.1) / 20, 25.0, delta=0.5)
         self.assertAlmostEqual(flooded.weight(), 0.5)
 
+    def test_part_of_a_growing_demand(self) -> None:
+        """Guards against a router that compares its newest demand with totals that hold an older
+        one, and lets more than the whole share pass."""
+        router, totals = a_router(), TotalsController()
+        for _ in range(20):
+            router.within_share("large", 10.0, 0.0)
+        (report, _) = router.tick(0.1)
+        for _ in range(80):
+            router.within_share("large", 10.0, 0.2)
+        answer = next(totals.handle(Sender("r-1", 1), report.message, 0.2)).message
+        list(router.handle(Sender(report.peer_id, 1), answer, 0.3))
+        self.assertEqual(router.weight(), 1.0)
+        tenths = [0.3 + step / 10 for step in range(220)]
+        taken = [now_s for now_s in tenths if router.within_share("large", 10.0, now_s)]
+        # All of the 100 tokens in 2 s, and no more.
+        self.assertAlmostEqual(sum(10.0 for now_s in taken if now_s >= 2.3) / 20, 50.0, delta=0.5)
+
     def test_weight(self) -> None:
         """Guards against a router that gets an even part though a whole team's callers are there,
         and against a flood that takes the parts of the other routers."""
