Drop what a team saved when it comes to be over its share

Cause: each of 63 routers let two requests pass that were saved while the team was within its share: 2.2 million tokens, more than two seconds of the share.

Ruled out: missing totals (63 reports, age 0), the estimate of the capacity (1.0 to 1.1).

Change: when a team comes to be over its share, its balance is what such a team starts with, a random part of one request.

--- a/src/camphorvalve/sharing/allowances.py
+++ b/src/camphorvalve/sharing/allowances.py
@@ -122,7 +122,10 @@
         for team, balance in self._balances.items():
             balance.fill(now_s)
             balance.rate_per_s = rates[team]
-            balance.depth_count = self._depth_count(team)
+            depth_count = self._depth_count(team)
+            if depth_count < balance.depth_count:
+                balance.tokens = min(balance.tokens, self._start_tokens(team, balance))
+            balance.depth_count = depth_count
 
     def _correct(self, over: set[str], served: Mapping[str, float]) -> None:
         total = sum(served.get(team, 0.0) for team in over)
@@ -159,12 +162,17 @@
         # A team that the totals do not hold yet may have all its callers here.
         rate_per_s = self._rates.get(team, self._newcomer_per_s)
         balance = _Balance(0.0, rate_per_s, now_s, tokens, self._depth_count(team))
-        # Routers that start a team over its share full would all let its next request pass.
-        part = self._rng.random() if self.is_over_share(team) else 1.0
-        balance.tokens = part * balance.most()
+        balance.tokens = self._start_tokens(team, balance)
         self._balances[team] = balance
         return balance
 
+    def _start_tokens(self, team: str, balance: _Balance) -> float:
+        if not self.is_over_share(team):
+            return balance.most()
+        # Many routers with a full balance each would all let the team's next request pass, which
+        # is the share of several seconds.
+        return self._rng.random() * OVER_DEPTH_COUNT * balance.largest_tokens
+
     def _depth_count(self, team: str) -> int:
         return OVER_DEPTH_COUNT if self.is_over_share(team) else DEPTH_COUNT
 
--- a/tests/sharing/test_allowances.py
+++ b/tests/sharing/test_allowances.py
@@ -105,6 +105,20 @@
         self.assertLess(sum(taken[:3]), 3 * 60.0 + 0.6 * 60 * 17.0)
         self.assertGreater(sum(taken[3:]), 0.5 * 7 * 60.0)
 
+    def test_a_team_that_comes_to_be_over_its_share(self) -> None:
+        """Guards against a spread team that gets twice its share for seconds, as every router still
+        lets pass what it saved while the team asked for less (FAIR)."""
+        before, after = {"spread": 200.0, "other": 600.0}, {"spread": 6000.0, "other": 600.0}
+        routers = [some_allowances(before, 600.0, {"spread": 3.0}, seed=seed) for seed in range(60)]
+        for router in routers:
+            router.takes("spread", 1.0, 0.0)
+        taken = 0.0
+        for router in routers:
+            router.takes("spread", 17.0, 9.0)
+            router.set_shares(after, {"spread": 100.0}, 600.0, {}, 10.0)
+            taken += sum(17.0 * router.takes("spread", 17.0, 10.0) for _ in range(10))
+        self.assertLess(taken, 0.6 * 60 * 17.0)
+
     def test_a_team_within_its_share_beside_one_that_waits(self) -> None:
         """Guards against a team that gets all it asks for, more than twice of what another one gets
         which its only router cannot serve more of (FAIR)."""
