Estimate a demand that has just begun by the time since it began

Cause: demand is what two seconds hold.

Change: a router that had no demand for a whole window extrapolates from the time since its demand began, half a second at least. The unused sum for one team is removed.

--- a/src/camphorvalve/controllers/shares.py
+++ b/src/camphorvalve/controllers/shares.py
@@ -204,7 +204,7 @@
         :param now_s: monotonic time
         :return: the report
         """
-        own = self._reported = self._demand.totals(now_s)
+        own = self._reported = self._demand.estimate(now_s)
         served = self._served.totals(now_s)
         starved = self._starved.totals(now_s)
         if not self._source.is_held(now_s):
--- a/src/camphorvalve/sharing/allowances.py
+++ b/src/camphorvalve/sharing/allowances.py
@@ -152,7 +152,7 @@
         balance.largest_tokens = max(balance.largest_tokens, tokens)
         balance.fill(now_s)
         # Half of a request more or less than the rate, whatever its size.
-        least = tokens / 2 + (RETURNED_RATIO * balance.most() if came_back else 0.0)
+        least = max(tokens, RETURNED_RATIO * balance.most()) if came_back else tokens / 2
         if balance.tokens < least:
             return False
         balance.tokens -= tokens
--- a/src/camphorvalve/sharing/shares.py
+++ b/src/camphorvalve/sharing/shares.py
@@ -8,6 +8,8 @@
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
+LEAST_COVERED_S = 0.5
+"""Time that a demand which has just begun is taken to have lasted at least."""
 BUCKETS_COUNT = 8
 """Buckets of the window; a finer window would only cost time."""
 ANSWER_WEIGHT = 2.0
@@ -23,7 +25,10 @@
 
         :param window_s: length of the window
         """
+        self._window_s = window_s
         self._bucket_s = window_s / BUCKETS_COUNT
+        self._began_s = 0.0
+        """First request after a whole window without any."""
         self._buckets: deque[tuple[int, dict[str, float]]] = deque()
 
     def add(self, team: str, tokens: float, now_s: float) -> None:
@@ -35,9 +40,11 @@
         :param now_s: monotonic time
         """
         number = int(now_s // self._bucket_s)
+        self._expire(number)
+        if not self._buckets:
+            self._began_s = now_s
         if not self._buckets or self._buckets[-1][0] != number:
             self._buckets.append((number, {}))
-            self._expire(number)
         bucket = self._buckets[-1][1]
         bucket[team] = bucket.get(team, 0.0) + tokens
 
@@ -55,16 +62,16 @@
                 found[team] = found.get(team, 0.0) + tokens
         return found
 
-    def total(self, team: str, now_s: float) -> float:
+    def estimate(self, now_s: float) -> dict[str, float]:
         """
-        Sum the window for one team.
+        Estimate what the window would hold had the demand gone on for all of it.
 
-        :param team: name of the team
         :param now_s: monotonic time
-        :return: tokens
+        :return: tokens by team; those of the window, or more if demand began later than that
         """
-        self._expire(int(now_s // self._bucket_s))
-        return sum(bucket.get(team, 0.0) for _, bucket in self._buckets)
+        covered_s = max(LEAST_COVERED_S, now_s - self._began_s)
+        factor = max(1.0, self._window_s / covered_s)
+        return {team: factor * tokens for team, tokens in self.totals(now_s).items()}
 
     def _expire(self, number: int) -> None:
         while self._buckets and self._buckets[0][0] <= number - BUCKETS_COUNT:
--- a/tests/sharing/test_shares.py
+++ b/tests/sharing/test_shares.py
@@ -45,6 +45,16 @@
         self.assertEqual(demand.totals(5.0), {"a": 5.0, "b": 1.0})
         self.assertEqual(demand.totals(7.0), {})
 
+    def test_estimate(self) -> None:
+        """Guards against a demand that has just begun and counts as a part of itself (FAIR)."""
+        demand = Demand(4.0)
+        for step in range(100):
+            demand.add("a", 1.0, 10.0 + step / 10)
+            if step in (10, 20, 60, 99):
+                self.assertAlmostEqual(demand.estimate(10.0 + step / 10)["a"], 40.0, delta=5.0)
+        demand.add("a", 1.0, 100.0)
+        self.assertEqual(demand.estimate(100.1), {"a": 8.0})
+
 
 class SharesTest(unittest.TestCase):
     def test_rows(self) -> None:
