--- a/src/camphorvalve/sharing/allowances.py
+++ b/src/camphorvalve/sharing/allowances.py
@@ -31,6 +31,7 @@
 """Service of the least served other team over its share, times which a team may get at most; the
 platform's rule is broken at 2."""
 LEAST_SERVED_RATIO = 0.01
+"""Part of all service that a team counts as getting at least, so that its correction is finite."""
 
 
 @dataclass(slots=True)
--- a/src/camphorvalve/sharing/capacity.py
+++ b/src/camphorvalve/sharing/capacity.py
@@ -11,6 +11,7 @@
 INCREASE_RATIO = 1.03
 """For each report, two a second; service is counted over four of them, larger steps overshoot."""
 MOST_RATIO = 1.5
+"""Bounds the estimate with the least one: the usual capacity is wrong by less than that."""
 USED_RATIO = 0.7
 """Part of what is divided that has to be served for the estimate to grow beyond the usual capacity;
 otherwise something else than the shares bounds the service."""
