Accept settings whose numbers are written in any form

Cause: retryBudgetMin was decoded as an integer, so a file with 8.4 ended every process of the small twin of the large site with code 1. Change: a number may be an integer or a fraction. One that can't be used is logged once with its field and replaced by a default; fields without which a process can't run are still refused by name.

--- a/src/camphorvalve/settings/schema.py
+++ b/src/camphorvalve/settings/schema.py
@@ -98,7 +98,7 @@
     """Number of caller connections above which a refused request closes its connection."""
     retry_ratio: float
     """Retries of this router per first attempt at a pool."""
-    retry_fleet_count: int
+    retry_fleet_count: float
     """Retries in 10 s, of all routers together, that are allowed however few first attempts there
     are."""
     upstream_idle_s: float = 4.0
--- a/src/camphorvalve/sharing/parts.py
+++ b/src/camphorvalve/sharing/parts.py
@@ -28,7 +28,7 @@
     return min(demand_part, MAX_PART_FACTOR / max(min_count, routers_count), 1.0)
 
 
-def retry_floor_count(fleet_count: int, routers_count: int) -> int:
+def retry_floor_count(fleet_count: float, routers_count: int) -> int:
     """
     Divide the retries that are allowed regardless of the number of first attempts.
 
@@ -36,7 +36,7 @@
     :param routers_count: number of known routers, including this one
     :return: retries of this router
     """
-    return fleet_count // max(MIN_ROUTERS_COUNT, routers_count)
+    return int(fleet_count // max(MIN_ROUTERS_COUNT, routers_count))
 
 
 __all__ = [
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -2,15 +2,35 @@
 
 from __future__ import annotations
 
+import contextlib
+import itertools
 import tempfile
 import unittest
 from pathlib import Path
+from typing import Any
 
 import anyio
+from hypothesis import given, seed, strategies
+from hypothesis import settings as hypothesis_settings
+from structlog.testing import capture_logs
 
 from camphorvalve_platform import settings
 from tests.platform.builders import a_settings_file
 
+BOUNDS = {"contactMs": 3000, "graceS": 8, "retryBudgetRatio": 0.2, "retryBudgetMin": 56}
+FIELDS = ("node", "zone", "internalPorts", "seeds", "bootstrap", "listen", "bounds", "limits")
+toml_values = strategies.recursive(
+    strategies.booleans()
+    | strategies.integers()
+    | strategies.floats(allow_nan=False, allow_infinity=False)
+    | strategies.text(strategies.characters(codec="ascii"), max_size=8),
+    lambda inner: (
+        strategies.lists(inner, max_size=3)
+        | strategies.dictionaries(strategies.sampled_from(list(BOUNDS)), inner, max_size=3)
+    ),
+    max_leaves=6,
+)
+
 
 class SettingsTest(unittest.TestCase):
     def setUp(self) -> None:
@@ -43,7 +63,8 @@
             ("bootstrap", "yes"),
             ("internalPorts", [7400]),
             ("listen", ["10.1.0.35:8783"]),
-            ("bounds", {"contactMs": 3000}),
+            ("bounds", 7),
+            ("internalPorts", ["a", "b"]),
             ("cloud", {"address": 7}),
         ]
         for name, value in rows:
@@ -52,6 +73,53 @@
                     self.load(**{name: value})
                 self.assertIn(name, str(caught.exception))
 
+    def test_number_forms(self) -> None:
+        """Guards against a process that does not start because a number is written as a fraction
+        or as an integer."""
+        rows = [
+            ({"retryBudgetMin": 8.4}, "retry_budget_count", 8.4),
+            ({"retryBudgetRatio": 1}, "retry_budget_ratio", 1.0),
+            ({"contactMs": 2500.5}, "contact_s", 2.5005),
+            ({"graceS": 7.5}, "grace_s", 7.5),
+        ]
+        for bounds, name, expected in rows:
+            with self.subTest(bounds=bounds):
+                loaded = self.load(bounds={**BOUNDS, **bounds})
+                self.assertAlmostEqual(getattr(loaded, name), expected)
+                self.assertGreaterEqual(settings.router_settings(loaded).retry_fleet_count, 0)
+        ports = self.load(internalPorts=[7400.0, 7415.0], limits={"maxFds": 4100.5})
+        self.assertEqual((ports.host_id, ports.descriptors_count), ("10.1.0.35:7400", 4100))
+
+    def test_unusable_numbers(self) -> None:
+        """Guards against a process that does not start because of a bound that it can do
+        without, and against replacing a value without naming its field."""
+        values = ["many", -1, True, [1], {"x": 1}, 10**30, None]
+        for name, value in itertools.product(BOUNDS, values):
+            bounds = {**BOUNDS, name: value}
+            if value is None:
+                del bounds[name]
+            with self.subTest(name=name, value=value), capture_logs() as lines:
+                self.load(bounds=bounds)
+                self.assertEqual([line["field"] for line in lines], [f"bounds.{name}"])
+        for text in ("nan", "inf", "-inf"):
+            with self.subTest(text=text), capture_logs() as lines:
+                content = a_settings_file().replace('"maxFds" = 4100', f'"maxFds" = {text}')
+                self.path.write_text(content.replace("maxFds = 4100", f"maxFds = {text}"))
+                self.assertGreater(settings.load(self.path).descriptors_count, 0)
+                self.assertEqual([line["field"] for line in lines], ["limits.maxFds"])
+
+    def test_random_files(self) -> None:
+        """Guards against an exception other than ``SettingsError`` for a file of any content."""
+
+        @seed(1)
+        @hypothesis_settings(max_examples=200, database=None, deadline=None)
+        @given(strategies.dictionaries(strategies.sampled_from(FIELDS), toml_values, max_size=4))
+        def check(fields: dict[str, Any]) -> None:
+            with capture_logs(), contextlib.suppress(settings.SettingsError):
+                settings.router_settings(self.load(**fields))
+
+        check()
+
     def test_unreadable(self) -> None:
         """Guards against a traceback instead of an error message for an invalid file."""
         self.path.write_text("zone = ")
