Refuse odd numbers and nesting in manifests, headers and messages by name

Cause: a manifest with a fraction such as 2.0 for maxAttempts was refused, one with 400 digits was accepted and could not be replicated (OverflowError), and deep nesting raised RecursionError. Deadlines of nan and inf ended in an internal error. The codec of messages counts RecursionError as an error of its input.

--- a/src/camphorvalve/wire/codec.py
+++ b/src/camphorvalve/wire/codec.py
@@ -11,6 +11,9 @@
 
 T = TypeVar("T")
 
+DECODING_ERRORS = (msgspec.MsgspecError, UnicodeDecodeError, RecursionError)
+"""Errors that msgspec raises for invalid input."""
+
 
 class DecodeError(Exception):
     """Bytes do not encode a value of the expected types; the message names the field."""
@@ -51,7 +54,7 @@
             return self._decoders[tag].decode(payload)
         except KeyError as error:
             raise DecodeError(f"unknown type {error.args[0]!r}") from None
-        except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        except DECODING_ERRORS as error:
             raise DecodeError(str(error)) from error
 
 
@@ -97,7 +100,7 @@
         """
         try:
             sender_id, incarnation, payload = self._frame_decoder.decode(frame)
-        except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        except DECODING_ERRORS as error:
             raise DecodeError(str(error)) from error
         return Envelope(sender_id, incarnation, self._messages.decode(payload))
 
--- a/tests/platform/test_calls.py
+++ b/tests/platform/test_calls.py
@@ -4,6 +4,7 @@
 
 import unittest
 
+from camphorvalve.model.errors import RequestError
 from camphorvalve.model.requests import RoutedCall
 from camphorvalve.sharing import homes
 from camphorvalve_platform import calls
@@ -33,6 +34,12 @@
         self.assertIsInstance(call, RoutedCall)
         self.assertEqual(calls.cost_tokens(head), homes.cost_tokens(call))
 
+    def test_bad_numbers(self) -> None:
+        """Guards against an internal error for a number that cannot be a time."""
+        for value in (b"nan", b"inf", b"1e999", b"soon"):
+            with self.subTest(value), self.assertRaisesRegex(RequestError, "deadline-ms"):
+                calls.decode({**SCOPE, "headers": [(b"deadline-ms", value)]})
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/platform/test_manifests.py
+++ b/tests/platform/test_manifests.py
@@ -2,15 +2,20 @@
 
 from __future__ import annotations
 
+import contextlib
 import json
 import unittest
 
+from hypothesis import given, seed, settings, strategies
+
 from camphorvalve.model.errors import RequestError
 from camphorvalve.model.routes import Destination, Engine, Tenant
+from camphorvalve.registry.commands import COMMAND_CODEC, PutManifest
 from camphorvalve.registry.manifests import validation_errors
 from camphorvalve_platform import manifests
 from tests.routebuilders import a_manifest_document
 
+ODD_TEXTS = (b"1e400", b"[" * 3000, b"{" * 3000, b"9" * 500, b"-1", b"null", b'"', b"7.5", b"NaN")
 ROUTE = json.loads(a_manifest_document())["routes"][0]
 
 
@@ -70,6 +75,63 @@
             with self.subTest(name):
                 self.assertIn(expected, self.error_text(content))
 
+    def test_number_forms(self) -> None:
+        """Guards against refusing a valid manifest because a number has a fraction."""
+        route = {**ROUTE, "priority": 1.0, "maxAttempts": 2.0, "timeoutMs": 8000.5}
+        manifest = manifests.decode(
+            a_manifest_document(
+                version=7.0,
+                routes=[route],
+                services=[{"name": "engines", "engine": {"slots": 96.0}}],
+                tenants=[{"name": "a", "apiKeys": ["k"], "priority": 1.0}],
+                limits={"maxBodyBytes": 1000.5, "idleTimeoutMs": 15000.5, "tokensPerS": 850000.5},
+            )
+        )
+        self.assertEqual(manifest.version, 7)
+        self.assertEqual(manifest.routes[0].attempts_count, 2)
+        self.assertEqual(manifest.pools[0].engine, Engine(96))
+        self.assertEqual(manifest.bounds.body_bytes, 1000)
+        for value in (manifest.version, manifest.routes[0].priority, manifest.tenants[0].priority):
+            self.assertIsInstance(value, int)
+
+    def test_odd_documents(self) -> None:
+        """Guards against an internal error, or a command that cannot be replicated, instead of an
+        error response that names the cause."""
+        document = a_manifest_document().decode()
+        deep = "[" * 5000 + "]" * 5000
+        rows = [
+            ("deep nesting", document.replace("{", f'{{"x":{deep},', 1), "manifest"),
+            ("version with a fraction", document.replace(": 7,", ": 7.5,"), "version"),
+            ("version of 400 digits", document.replace(": 7,", f": {'7' * 400},"), "version"),
+            ("version of 65 bits", document.replace(": 7,", f": {2**64},"), "version"),
+            ("number out of range", document.replace(": 7,", ": 1e400,"), "version"),
+            ("slots of 400 digits", document.replace("96", "9" * 400), "slots"),
+        ]
+        for name, content, expected in rows:
+            with self.subTest(name):
+                self.assertIn(expected, self.error_text(content.encode()))
+
+    def test_random_documents(self) -> None:
+        """Guards against an exception other than ``RequestError`` for a document of any content,
+        and against an accepted manifest that cannot be replicated."""
+        valid = a_manifest_document()
+
+        @seed(1)
+        @settings(max_examples=300, database=None, deadline=None)
+        @given(
+            strategies.integers(0, len(valid) - 1),
+            strategies.integers(0, 20),
+            strategies.binary(max_size=8) | strategies.sampled_from(ODD_TEXTS),
+        )
+        def check(start: int, length: int, replacement: bytes) -> None:
+            content = valid[:start] + replacement + valid[start + length :]
+            with contextlib.suppress(RequestError):
+                manifest = manifests.decode(content)
+                if not list(validation_errors(manifest)):
+                    COMMAND_CODEC.encode(PutManifest(manifest))
+
+        check()
+
     def error_text(self, content: bytes) -> str:
         try:
             return " ".join(validation_errors(manifests.decode(content)))
--- a/tests/wire/test_codec.py
+++ b/tests/wire/test_codec.py
@@ -27,6 +27,8 @@
             "empty": b"",
             "not MessagePack": b"\xc1",
             "unknown type": valid.replace(b"Ping", b"Pin2"),
+            "deep nesting": b"\x91" * 5000 + b"\x01",
+            "deep nesting in the message": valid.replace(b"\x93\x01", b"\x93" + b"\x91" * 5000),
             "wrong field type": valid.replace(b"\x93\x01", b"\x93\xc0"),
         }
         for name, frame in cases.items():
