Leave out odd entries of the list of workers one by one

Cause: one entry nested 5,000 levels deep raised RecursionError, which ended the process; a number out of range made its whole page unreadable, so that the list was no longer followed; ports of 99999, negative slots and slots of 400 digits named usable workers, and the latter could not be sent to the routers (OverflowError in the controller). Change: entries are decoded one by one. A page that the JSON decoder rejects is split into its entries by a scan without recursion. Addresses, ids and slots are checked. One log line when the skipped entries change, and the metric skipped_entries_count. born is kept, since a worker may start again under its id.

--- a/src/camphorvalve/controllers/listing.py
+++ b/src/camphorvalve/controllers/listing.py
@@ -19,6 +19,7 @@
     from collections.abc import Callable, Iterable, Iterator
 
     from camphorvalve.controllers.runtime import Sender
+    from camphorvalve.model.upstreams import UpstreamList
 
 LIST_KEY = "list of upstreams"
 """Key by which rendezvous hashing selects the controllers that read the list."""
@@ -91,14 +92,14 @@
         """
         return now_s - self._read_s > self._self_read_age_s
 
-    def accept_list(self, upstreams: Iterable[Upstream], now_s: float) -> None:
+    def accept_list(self, upstream_list: UpstreamList, now_s: float) -> None:
         """
         Apply a list that this router has read itself.
 
-        :param upstreams: all upstreams
+        :param upstream_list: the list
         :param now_s: monotonic time
         """
-        listed = tuple(map(_encode, upstreams))
+        listed = tuple(map(_encode, upstream_list.upstreams))
         _log.info("list of upstreams read here", age_s=round(now_s - self._read_s, 3))
         self._self_read_age_s = SELF_READ_AGE_S + SELF_READ_JITTER_S * self._rng.random()
         self._use_list(_content_version(listed), listed, now_s)
@@ -152,6 +153,8 @@
         self._listed: tuple[ListedUpstream, ...] = ()
         self._version = 0
         self._read_s = 0.0
+        self.skipped_count = 0
+        """Entries of the list read last that could not be used."""
 
     def is_needed(self, now_s: float) -> bool:
         """
@@ -162,15 +165,16 @@
         """
         return any(now_s - polled_s <= POLL_LIFETIME_S for polled_s in self._polled_s.values())
 
-    def accept_list(self, upstreams: Iterable[Upstream], now_s: float) -> Iterator[Outgoing]:
+    def accept_list(self, upstream_list: UpstreamList, now_s: float) -> Iterator[Outgoing]:
         """
         Store a list that was read, and send it to the routers that poll.
 
-        :param upstreams: all upstreams
+        :param upstream_list: the list
         :param now_s: monotonic time
         :return: the list for routers that have another version, only its age for the others
         """
-        self._listed = tuple(map(_encode, upstreams))
+        self.skipped_count = upstream_list.skipped_count
+        self._listed = tuple(map(_encode, upstream_list.upstreams))
         self._version = _content_version(self._listed)
         self._read_s = now_s
         for router_id in self._polled_s:
@@ -237,6 +241,7 @@
         upstream.slots_count,
         is_engine,
         upstream.state is HostState.LEAVING,
+        upstream.started_ms,
     )
 
 
@@ -249,6 +254,7 @@
         listed.slots_count,
         ModelEngine(IgnoresFencing()) if listed.is_engine else PlainService(),
         HostState.LEAVING if listed.leaving else HostState.LIVE,
+        listed.started_ms,
     )
 
 
--- a/src/camphorvalve/model/upstreams.py
+++ b/src/camphorvalve/model/upstreams.py
@@ -47,6 +47,16 @@
     slots_count: int
     interface: UpstreamInterface
     state: HostState
+    started_ms: int | None = None
+    """Unix time of its start, ``None`` if unknown; it may start again under the same id."""
+
+
+class UpstreamList(NamedTuple):
+    """All upstreams that the platform lists, leaving ones included."""
+
+    upstreams: tuple[Upstream, ...]
+    skipped_count: int
+    """Entries of the list that could not be used."""
 
 
 __all__ = [
@@ -57,4 +67,5 @@
     "PlainService",
     "Upstream",
     "UpstreamInterface",
+    "UpstreamList",
 ]
--- a/src/camphorvalve/wire/messages.py
+++ b/src/camphorvalve/wire/messages.py
@@ -204,6 +204,8 @@
     slots_count: int
     is_engine: bool
     leaving: bool
+    started_ms: int | None = None
+    """Unix time of its start, ``None`` if unknown."""
 
 
 class ListUpdate(NamedTuple):
--- a/src/camphorvalve/wiring/joinedcontroller.py
+++ b/src/camphorvalve/wiring/joinedcontroller.py
@@ -58,6 +58,11 @@
         _log.info("controller started", identity=replication.status()["identity"])
         async with anyio.create_task_group() as servers:
             metrics = _create_exposition(replication)
+            metrics.add_gauge(
+                "skipped_entries_count",
+                "entries of the list of upstreams that could not be used",
+                lambda: listing.skipped_count,
+            )
             for port in platform.ports(ManifestStore(replication), metrics.app()):
                 serve_port = partial(serve, graceful_timeout_s=settings.stop_timeout_s)
                 servers.start_soon(serve_port, port.app, port.bind, shutdown)
@@ -78,8 +83,8 @@
         upstream_lists = platform.follow_upstreams(
             client, lambda: listing.is_needed(time.monotonic())
         )
-        async for upstreams in upstream_lists:
-            runtime.send(listing.accept_list(upstreams, time.monotonic()))
+        async for upstream_list in upstream_lists:
+            runtime.send(listing.accept_list(upstream_list, time.monotonic()))
 
 
 def _create_exposition(replication: ReplicationController) -> Exposition:
--- a/src/camphorvalve/wiring/joinedrouter.py
+++ b/src/camphorvalve/wiring/joinedrouter.py
@@ -266,8 +266,8 @@
         def is_needed() -> bool:
             return self._list_follower.must_read(time.monotonic())
 
-        async for upstreams in self._platform.follow_upstreams(self._client, is_needed):
-            self._list_follower.accept_list(upstreams, time.monotonic())
+        async for upstream_list in self._platform.follow_upstreams(self._client, is_needed):
+            self._list_follower.accept_list(upstream_list, time.monotonic())
 
 
 async def run_joined_router(settings: JoinedRouterSettings, platform: RouterPlatform) -> None:
--- a/src/camphorvalve/wiring/platforms.py
+++ b/src/camphorvalve/wiring/platforms.py
@@ -15,13 +15,11 @@
     from camphorvalve.controllers.manifests import ManifestStore
     from camphorvalve.http.asgi import App
     from camphorvalve.http.routed import DecodeRequest
-    from camphorvalve.model.upstreams import Upstream
+    from camphorvalve.model.upstreams import UpstreamList
     from camphorvalve.upstreams.routed import HeaderNames
     from camphorvalve.wire.link import Link
 
-    FollowUpstreams = Callable[
-        [httpx.AsyncClient, Callable[[], bool]], AsyncIterator[tuple[Upstream, ...]]
-    ]
+    FollowUpstreams = Callable[[httpx.AsyncClient, Callable[[], bool]], AsyncIterator[UpstreamList]]
     """Polls the upstreams while the callable returns true, and yields the whole list each time."""
 
     WatchSeeds = Callable[[], AsyncIterator[tuple[str, ...]]]
--- a/tests/controllers/test_listing.py
+++ b/tests/controllers/test_listing.py
@@ -16,6 +16,7 @@
 )
 from camphorvalve.controllers.runtime import Sender
 from camphorvalve.model.hosts import HostState
+from camphorvalve.model.upstreams import UpstreamList
 from tests.routebuilders import a_listed_upstream
 
 if TYPE_CHECKING:
@@ -58,7 +59,7 @@
         self.now_s = now_s
         for name, publisher in self.publishers.items():
             if publisher.is_needed(now_s):
-                self.deliver(name, publisher.accept_list(upstreams, now_s))
+                self.deliver(name, publisher.accept_list(UpstreamList(upstreams, 0), now_s))
 
     def test_one_reader(self) -> None:
         """Guards against a number of reads that grows with the number of routers: in a large fleet
@@ -93,7 +94,7 @@
         publisher = next(
             candidate for candidate in self.publishers.values() if candidate.is_needed(0.1)
         )
-        list(publisher.accept_list(ENGINES, 0.1))
+        list(publisher.accept_list(UpstreamList(ENGINES, 0), 0.1))
         self.now_s = 0.2
         self.poll(0.2)
         self.assertEqual([upstreams for upstreams, _ in self.applied], [ENGINES])
@@ -108,7 +109,7 @@
         self.assertFalse(self.follower.must_read(silent_s))
         late_s = 0.2 + SELF_READ_AGE_S + SELF_READ_JITTER_S
         self.assertTrue(self.follower.must_read(late_s))
-        self.follower.accept_list(LEAVING, late_s)
+        self.follower.accept_list(UpstreamList(LEAVING, 0), late_s)
         self.assertEqual(self.applied[-1][0], LEAVING)
         self.assertFalse(self.follower.must_read(late_s + 1.0))
 
@@ -118,8 +119,8 @@
         publisher = next(
             candidate for candidate in self.publishers.values() if candidate.is_needed(0.1)
         )
-        (late,) = publisher.accept_list(ENGINES, 0.1)
-        self.follower.accept_list(LEAVING, 3.0)
+        (late,) = publisher.accept_list(UpstreamList(ENGINES, 0), 0.1)
+        self.follower.accept_list(UpstreamList(LEAVING, 0), 3.0)
         self.now_s = 3.1
         outdated = late._replace(message=late.message._replace(age_s=3.0))
         self.deliver("c-1", [outdated])
--- a/tests/platform/test_instances.py
+++ b/tests/platform/test_instances.py
@@ -2,17 +2,37 @@
 
 from __future__ import annotations
 
+import contextlib
 import json
 import unittest
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 import anyio
 import httpx
+import msgspec
+from hypothesis import given, seed, settings, strategies
+from structlog.testing import capture_logs
 
 from camphorvalve.model.hosts import HostState
 from camphorvalve_platform import instances
 from tests.platform.builders import an_entry
 
+if TYPE_CHECKING:
+    from camphorvalve.model.upstreams import UpstreamList
+
+ODD_TEXTS = (
+    b"1e400",
+    b"[" * 3000,
+    b"{" * 3000,
+    b"9" * 500,
+    b"-1",
+    b"null",
+    b'"',
+    b"\\",
+    b"NaN",
+    b":",
+)
+
 
 def read(*pages: Any) -> Any:
     """
@@ -37,7 +57,31 @@
         async with httpx.AsyncClient(transport=httpx.MockTransport(answer)) as client:
             return await instances.read(client, "cloud:1")
 
-    return anyio.run(run)
+    pages = anyio.run(run)
+    return [upstream for page in pages for upstream in page.upstreams]
+
+
+def a_page_with(entry: str, page_fields: str = "") -> bytes:
+    """
+    Build a page with a text as its second entry, between two valid ones.
+
+    :param entry: text of the entry
+    :param page_fields: text of more fields of the page, before the list
+    :return: the page
+    """
+    first, last = (json.dumps(an_entry(id=entry_id)) for entry_id in ("i-1", "i-3"))
+    return f'{{{page_fields}"instances":[{first},{entry},{last}],"nextToken":null}}'.encode()
+
+
+def an_entry_text(**fields: str) -> str:
+    """
+    Build an entry from JSON texts of its fields.
+
+    :param fields: JSON text by name of the field
+    :return: the entry
+    """
+    values = {name: json.dumps(value) for name, value in an_entry(id="i-2").items()}
+    return "{" + ",".join(f'"{key}":{value}' for key, value in {**values, **fields}.items()) + "}"
 
 
 class InstancesTest(unittest.TestCase):
@@ -68,6 +112,94 @@
         upstreams = read([an_entry(id="i-1"), *bad, an_entry(id="i-2")])
         self.assertEqual([upstream.upstream_id for upstream in upstreams], ["i-1", "i-2"])
 
+    def test_odd_entries(self) -> None:
+        """Guards against an entry of another writer that makes the whole list unreadable, ends the
+        process, or is used although no worker can be reached at it."""
+        deep = "[" * 5000 + "]" * 5000
+        huge = "1" + "0" * 400
+        rows = [
+            ("deep nesting in an unknown field", an_entry_text(x=deep)),
+            ("deep nesting in a known field", an_entry_text(models=deep)),
+            ("deep nesting instead of an entry", deep),
+            ("float out of range", an_entry_text(slots="1e400")),
+            ("not a number", an_entry_text(slots="NaN")),
+            ("negative slots", an_entry_text(slots="-5")),
+            ("no slots", an_entry_text(slots="0")),
+            ("integer out of range", an_entry_text(slots=huge)),
+            ("start out of range", an_entry_text(born=huge)),
+            ("port out of range", an_entry_text(address='"10.128.0.9:99999"')),
+            ("port 0", an_entry_text(address='"10.128.0.9:0"')),
+            ("negative port", an_entry_text(address='"10.128.0.9:-1"')),
+            ("no port", an_entry_text(address='"10.128.0.9"')),
+            ("IP address out of range", an_entry_text(address='"10.128.0.900:80"')),
+            ("address with a path", an_entry_text(address='"10.128.0.9:80/a"')),
+            ("address that ends with a newline", an_entry_text(address='"10.128.0.9:80\\n"')),
+            ("id with a newline", an_entry_text(id='"i-2\\r\\nhost: x"')),
+            ("id that no header can carry", an_entry_text(id='"i-\\u20ac"')),
+            ("empty id", an_entry_text(id='""')),
+        ]
+        for name, entry in rows:
+            with self.subTest(name):
+                page = instances.decode_page(a_page_with(entry))
+                self.assertEqual([up.upstream_id for up in page.upstreams], ["i-1", "i-3"])
+                self.assertEqual(len(page.skipped_reasons), 1)
+
+    def test_odd_unknown_fields(self) -> None:
+        """Guards against losing valid entries because of fields that are not read."""
+        deep = "[" * 5000 + "]" * 5000
+        for value in (deep, "1e400", '"a:b,]}"', '{"instances":[1]}'):
+            with self.subTest(value[:20]):
+                page = instances.decode_page(a_page_with(an_entry_text(), f'"x":{value},'))
+                self.assertEqual([up.upstream_id for up in page.upstreams], ["i-1", "i-2", "i-3"])
+        page = instances.decode_page(a_page_with(an_entry_text(slots="96.0", x="1e400")))
+        self.assertEqual([up.slots_count for up in page.upstreams], [96, 96, 96])
+
+    def test_next_page_after_odd_entry(self) -> None:
+        """Guards against losing the following pages because of an odd entry."""
+        content = a_page_with("[" * 5000 + "]" * 5000).replace(b"null", b'"p-50"')
+        self.assertEqual(instances.decode_page(content).next_token, "p-50")
+
+    def test_log_of_odd_entries(self) -> None:
+        """Guards against a log line for each poll while an odd entry stays in the list."""
+        page = a_page_with(an_entry_text(slots="-5"))
+        lists: list[UpstreamList] = []
+
+        async def run() -> None:
+            transport = httpx.MockTransport(lambda request: httpx.Response(200, content=page))
+            async with httpx.AsyncClient(transport=transport) as client:
+                async for upstream_list in instances.poll_upstreams(client, lambda: True, "c:1"):
+                    lists.append(upstream_list)
+                    if len(lists) == 3:
+                        return
+
+        interval_s, instances.POLL_INTERVAL_S = instances.POLL_INTERVAL_S, 0.001
+        self.addCleanup(setattr, instances, "POLL_INTERVAL_S", interval_s)
+        with capture_logs() as lines:
+            anyio.run(run)
+        self.assertEqual([upstream_list.skipped_count for upstream_list in lists], [1, 1, 1])
+        self.assertEqual([line["skipped_count"] for line in lines], [1])
+
+    def test_random_pages(self) -> None:
+        """Guards against an exception other than ``ListError`` for a page of any content, and
+        against upstreams that messages and headers cannot carry."""
+        valid = a_page_with(an_entry_text())
+
+        @seed(1)
+        @settings(max_examples=300, database=None, deadline=None)
+        @given(
+            strategies.integers(0, len(valid) - 1),
+            strategies.integers(0, 40),
+            strategies.binary(max_size=12) | strategies.sampled_from(ODD_TEXTS),
+        )
+        def check(start: int, length: int, replacement: bytes) -> None:
+            content = valid[:start] + replacement + valid[start + length :]
+            with contextlib.suppress(instances.ListError):
+                for upstream in instances.decode_page(content).upstreams:
+                    upstream.upstream_id.encode("ascii")
+                    msgspec.msgpack.encode(upstream)
+
+        check()
+
     def test_invalid_utf8(self) -> None:
         """Guards against losing the whole list because of invalid UTF-8 in one entry."""
         page = json.dumps({"instances": [an_entry(), an_entry(id="i-2")], "nextToken": None})
