Heed what upstreams say of themselves, and tie refusals to their request

Cause: Server-Leaving and Retry-After of workers were not read at all (no word of either in the sources). A refusal was believed before its id was checked, so that an earlier one, sent once more on a kept connection, said 'not run' of a request that the worker runs. Change: sharing/notices decides; the adapter names the headers. A leaving upstream is used no more by the router that heard it, which tells the publisher of the list with its polls (16 ids at most); the list then has it as leaving for every router. An answer to another request closes its connection, since the answer to this one follows on it.

--- a/src/camphorvalve/controllers/listing.py
+++ b/src/camphorvalve/controllers/listing.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from itertools import islice
 from typing import TYPE_CHECKING, Any
 
 import msgspec
@@ -11,6 +12,7 @@
 from camphorvalve.controllers.runtime import Outgoing
 from camphorvalve.model.hosts import HostState
 from camphorvalve.model.upstreams import IgnoresFencing, ModelEngine, PlainService, Upstream
+from camphorvalve.sharing.notices import LeavingMarks
 from camphorvalve.sharing.placement import ranked
 from camphorvalve.wire.messages import ListedUpstream, ListPoll, ListUnchanged, ListUpdate
 
@@ -39,6 +41,11 @@
 POLL_LIFETIME_S = 3.0
 """How long a controller keeps reading the list after a router's last poll: six poll intervals."""
 
+TRANSIT_DIFFERENCE_S = 0.25
+"""Longest difference between the times that two messages with the same list are under way."""
+MAX_LEAVING_COUNT = 16
+"""Most leaving upstreams that one poll reports; the others follow with the next polls."""
+
 _log = structlog.get_logger(__name__)
 
 
@@ -55,6 +62,7 @@
         confirm: Callable[[float], None],
         rng: random.Random,
         now_s: float,
+        leaving_ids: Callable[[], Iterable[str]] = tuple,
     ) -> None:
         """
         Start without a list.
@@ -64,8 +72,11 @@
         :param confirm: called with the time of a newer read if the list has not changed
         :param rng: source of the jitter of this router's own reads
         :param now_s: monotonic time
+        :param leaving_ids: returns upstreams that told this router that they are leaving, and that
+            its list has as live
         """
         self._controller_ids = controller_ids
+        self._leaving_ids = leaving_ids
         self._on_list = apply
         self._on_confirmation = confirm
         self._rng = rng
@@ -114,8 +125,8 @@
         :return: nothing
         """
         match message:
-            case ListUpdate(version, age_s, upstreams) if now_s - age_s >= self._read_s:
-                self._use_list(version, upstreams, now_s - age_s)
+            case ListUpdate(version, age_s, upstreams) if self._is_current(now_s - age_s):
+                self._use_list(version, upstreams, max(self._read_s, now_s - age_s))
             case ListUnchanged(version, age_s) if version == self._version:
                 self._read_s = max(self._read_s, now_s - age_s)
                 self._on_confirmation(self._read_s)
@@ -129,8 +140,13 @@
         :return: polls
         """
         count = 2 if now_s - self._read_s > SECOND_CONTROLLER_AGE_S else 1
+        leaving = tuple(islice(self._leaving_ids(), MAX_LEAVING_COUNT))
         for controller_id in ranked(LIST_KEY, self._controller_ids())[:count]:
-            yield Outgoing(controller_id, ListPoll(self._version))
+            yield Outgoing(controller_id, ListPoll(self._version, leaving))
+
+    def _is_current(self, read_s: float) -> bool:
+        # The same list is sent again when an upstream is found to be leaving.
+        return read_s >= self._read_s - TRANSIT_DIFFERENCE_S
 
     def _use_list(self, version: int, listed: tuple[ListedUpstream, ...], read_s: float) -> None:
         self._version = version
@@ -150,7 +166,12 @@
         self._polled_s: dict[str, float] = {}
         self._router_versions: dict[str, int] = {}
         """Version of the list that each router reported in its last poll."""
+        self._read: tuple[ListedUpstream, ...] = ()
+        """The list as it was read."""
+        self._leaving = LeavingMarks()
+        """Upstreams that told a router that they are leaving."""
         self._listed: tuple[ListedUpstream, ...] = ()
+        """The list as it is sent, with these upstreams as leaving."""
         self._version = 0
         self._read_s = 0.0
         self.skipped_count = 0
@@ -174,9 +195,10 @@
         :return: the list for routers that have another version, only its age for the others
         """
         self.skipped_count = upstream_list.skipped_count
-        self._listed = tuple(map(_encode, upstream_list.upstreams))
-        self._version = _content_version(self._listed)
+        self._read = tuple(map(_encode, upstream_list.upstreams))
         self._read_s = now_s
+        self._leaving.apply_list(self._read, now_s)
+        self._mark_leaving()
         for router_id in self._polled_s:
             yield self._answer(router_id, now_s)
 
@@ -192,6 +214,8 @@
         is_new = sender.host_id not in self._polled_s
         self._polled_s[sender.host_id] = now_s
         self._router_versions[sender.host_id] = message.version
+        if message.leaving:
+            self._record_leaving(sender.host_id, message.leaving, now_s)
         is_outdated = message.version != self._version
         if self._version and now_s - self._read_s <= SELF_READ_AGE_S and (is_new or is_outdated):
             yield self._answer(sender.host_id, now_s)
@@ -215,6 +239,25 @@
         }
         yield from ()
 
+    def _record_leaving(self, router_id: str, leaving: tuple[str, ...], now_s: float) -> None:
+        started_ms = {listed.upstream_id: listed.started_ms for listed in self._read}
+        new_ids = [
+            upstream_id
+            for upstream_id in leaving
+            if upstream_id in started_ms
+            and self._leaving.add(upstream_id, started_ms[upstream_id], now_s)
+        ]
+        if new_ids:
+            _log.info("upstreams told a router that they leave", router_id=router_id, ids=new_ids)
+            self._mark_leaving()
+
+    def _mark_leaving(self) -> None:
+        self._listed = tuple(
+            listed._replace(leaving=listed.leaving or listed.upstream_id in self._leaving)
+            for listed in self._read
+        )
+        self._version = _content_version(self._listed)
+
     def _answer(self, router_id: str, now_s: float) -> Outgoing:
         age_s = now_s - self._read_s
         if self._router_versions.get(router_id) == self._version:
--- a/src/camphorvalve/controllers/pools.py
+++ b/src/camphorvalve/controllers/pools.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import asdict, dataclass
 from typing import TYPE_CHECKING, NamedTuple
 
 import anyio
@@ -22,6 +22,7 @@
     prefix_key,
 )
 from camphorvalve.sharing.limits import AdaptiveLimits
+from camphorvalve.sharing.notices import Notices
 from camphorvalve.sharing.placement import ranked
 
 if TYPE_CHECKING:
@@ -30,6 +31,7 @@
 
     from camphorvalve.model.requests import Exchange
     from camphorvalve.model.upstreams import Upstream
+    from camphorvalve.sharing.notices import Notice
     from camphorvalve.sharing.routing import RouteTable
 
 INITIAL_FILL_RATIO = 0.6
@@ -125,6 +127,7 @@
         self._ranked_upstreams: dict[tuple[str, str], list[str]] = {}
         self._loads: dict[str, Load] = {}
         self._ejections = Ejections()
+        self._notices = Notices()
         self._limits = AdaptiveLimits()
         self._list_read_s = float("-inf")
         self._capacity_freed = anyio.Event()
@@ -145,6 +148,7 @@
         for upstream in self._upstreams.values():
             if upstream.state is HostState.LIVE:
                 self._by_pool.setdefault(upstream.pool, []).append(upstream.upstream_id)
+        self._notices.apply_list(previous, self._upstreams, now_s)
         self._ejections.keep_only(set(self._upstreams))
         self._limits.keep_only(set(self._upstreams))
         for upstream in self._upstreams.values():
@@ -204,13 +208,15 @@
         """
         pool = exchange.parameters.pool
         listed = self._by_pool.get(pool, [])
-        usable = self._ejections.usable(listed, now_s)
+        open_ids = self._notices.usable(listed, now_s)
+        usable = self._ejections.usable(open_ids, now_s)
         usable = [
             upstream_id for upstream_id in usable if upstream_id not in exchange.failed_upstreams
         ]
         if not usable:
             message = f"pool {pool!r}: {len(listed)} upstreams are listed and none may be used"
-            raise RequestError("no_upstream", message, retry_after_s=RETRY_AFTER_S)
+            left_s = None if open_ids else self._notices.hold_off_left_s(listed, now_s)
+            raise RequestError("no_upstream", message, retry_after_s=left_s or RETRY_AFTER_S)
         chosen = self._choose(exchange, pool, usable)
         if chosen is None:
             message = f"pool {pool!r}: the upstreams for this request are full"
@@ -275,6 +281,42 @@
         if self._ejections.record_failure(upstream_id, now_s, unreachable=unreachable):
             _log.warning("upstream left out", upstream_id=upstream_id, unreachable=unreachable)
 
+    def record_notice(self, upstream_id: str, notice: Notice, now_s: float) -> None:
+        """
+        Record what an upstream said of itself in an answer.
+
+        :param upstream_id: the upstream
+        :param notice: the notice
+        :param now_s: monotonic time
+        """
+        upstream = self._upstreams.get(upstream_id)
+        if upstream is not None and self._notices.record(upstream, notice, now_s):
+            _log.info(
+                "upstream not used by its own notice",
+                upstream_id=upstream_id,
+                notice=type(notice).__name__,
+                list_age_s=round(now_s - self._list_read_s, 3),
+                **asdict(notice),
+            )
+
+    def is_held_off(self, upstream_id: str, now_s: float) -> bool:
+        """
+        Tell whether an upstream wants no requests from this router now.
+
+        :param upstream_id: the upstream
+        :param now_s: monotonic time
+        :return: whether it has said so and the time has not ended
+        """
+        return self._notices.is_held_off(upstream_id, now_s)
+
+    def noticed_leaving_ids(self) -> list[str]:
+        """:return: upstreams that said that they are leaving, and that the list has as live"""
+        return [
+            upstream.upstream_id
+            for upstream in self._upstreams.values()
+            if upstream.state is HostState.LIVE and self._notices.is_leaving(upstream.upstream_id)
+        ]
+
     def _notify_waiters(self) -> None:
         if self._waiters_count:
             self._capacity_freed.set()
--- a/src/camphorvalve/filters/place.py
+++ b/src/camphorvalve/filters/place.py
@@ -80,8 +80,10 @@
             # An upstream that is full has not failed.
             raise
         except UpstreamError as error:
-            unreachable = isinstance(error, NotSent)
-            self._pools.record_failure(upstream_id, time.monotonic(), unreachable=unreachable)
+            now_s = time.monotonic()
+            if not self._pools.is_held_off(upstream_id, now_s):
+                unreachable = isinstance(error, NotSent)
+                self._pools.record_failure(upstream_id, now_s, unreachable=unreachable)
             raise
         finally:
             self._pools.end(placement)
--- a/src/camphorvalve/upstreams/routed.py
+++ b/src/camphorvalve/upstreams/routed.py
@@ -12,6 +12,7 @@
 from camphorvalve.model.answers import Body, Head
 from camphorvalve.model.errors import RequestError
 from camphorvalve.model.headers import end_to_end
+from camphorvalve.sharing.notices import Leaving, parse_hold_off
 from camphorvalve.upstreams.client import FRESH_CONNECTION
 from camphorvalve.upstreams.errors import (
     Broken,
@@ -26,11 +27,12 @@
 from camphorvalve.upstreams.pump import coalesced
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncGenerator
+    from collections.abc import AsyncGenerator, Callable, Iterator
 
     from camphorvalve.model.answers import Part
     from camphorvalve.model.requests import Exchange, RoutedCall
     from camphorvalve.model.upstreams import Upstream
+    from camphorvalve.sharing.notices import Notice
 
 CONNECT_TIMEOUT_S = 0.3
 """Connecting takes one round trip and 1 ms at the upstream. A lost first packet is only sent again
@@ -63,20 +65,31 @@
     """In a response: the upstream did not run the request."""
     proof: str
     """In a response: shows that the upstream itself produced it for this request."""
+    leaving: str
+    """In a response, with the value 1: the upstream is leaving."""
+    hold_off_s: str
+    """In a refusal: time for which the upstream wants no requests from this router."""
 
 
 class RoutedAttempts:
     """Starts attempts of routed calls."""
 
-    def __init__(self, client: httpx.AsyncClient, names: HeaderNames) -> None:
+    def __init__(
+        self,
+        client: httpx.AsyncClient,
+        names: HeaderNames,
+        on_notice: Callable[[str, Notice], None] = lambda upstream_id, notice: None,
+    ) -> None:
         """
         Set the HTTP client and the header names for all attempts.
 
         :param client: client from ``create_client``
         :param names: names of the headers exchanged with upstreams
+        :param on_notice: called with the id of an upstream and what it said of itself
         """
         self._client = client
         self._names = names
+        self._on_notice = on_notice
 
     async def open(self, upstream: Upstream, exchange: Exchange) -> AsyncGenerator[Part, None]:
         """
@@ -154,7 +167,7 @@
     async def _response_parts(
         self, upstream: Upstream, exchange: Exchange, response: httpx.Response
     ) -> AsyncGenerator[Part, None]:
-        self._check_response(upstream, exchange, response)
+        await self._check_response(upstream, exchange, response)
         head = Head(response.status_code, tuple(end_to_end(response.headers.multi_items())))
         if response.status_code >= 500 and exchange.parameters.idempotent:
             raise FailedAnswer(upstream.upstream_id, head, await read_body(upstream, response))
@@ -170,18 +183,35 @@
         yield head
         yield Body(await read_body(upstream, response))
 
-    def _check_response(
+    async def _check_response(
         self, upstream: Upstream, exchange: Exchange, response: httpx.Response
     ) -> None:
         names, headers = self._names, response.headers
-        if names.not_run in headers or response.status_code == 421:
-            raise Declined(upstream.upstream_id, f"status {response.status_code}, not run")
         response_id = headers.get(names.request_id)
-        if response_id != exchange.request.request_id:
+        is_refusal = names.not_run in headers or response.status_code == 421
+        # A connection that carries one request only has no answers of earlier ones.
+        may_lack_id = is_refusal and not exchange.parameters.idempotent
+        if response_id != exchange.request.request_id and (response_id or not may_lack_id):
+            # The answer to this request follows and must not meet another one.
+            await response.extensions["network_stream"].aclose()
             raise WrongAnswer(upstream.upstream_id, f"response to request {response_id!r}")
+        if response.status_code != 421:
+            # Status 421 comes from another upstream that now listens on the same address.
+            for notice in self._notices(response):
+                self._on_notice(upstream.upstream_id, notice)
+        if is_refusal:
+            raise Declined(upstream.upstream_id, f"status {response.status_code}, not run")
         if names.proof not in headers or "content-encoding" in headers:
             raise WrongAnswer(upstream.upstream_id, "the response was not produced by the upstream")
 
+    def _notices(self, response: httpx.Response) -> Iterator[Notice]:
+        if response.headers.get(self._names.leaving) == "1":
+            yield Leaving()
+        if response.status_code == 503:
+            values = response.headers.get_list(self._names.hold_off_s)
+            if hold_off := parse_hold_off(values):
+                yield hold_off
+
     async def _stream_parts(
         self, upstream: Upstream, exchange: Exchange, response: httpx.Response
     ) -> AsyncGenerator[Body, None]:
@@ -206,7 +236,7 @@
             return exchange.broken.events_count
         call: RoutedCall = exchange.request.call  # type: ignore[assignment]
         number_sent = dict(call.headers).get(self._names.last_event_id, "")
-        return int(number_sent) if number_sent.isdigit() else None
+        return int(number_sent) if number_sent.isdecimal() else None
 
 
 def _timeout(exchange: Exchange) -> httpx.Timeout:
--- a/src/camphorvalve/wire/messages.py
+++ b/src/camphorvalve/wire/messages.py
@@ -192,6 +192,9 @@
 
     version: int
     """Version of the list that the router has; 0 if there is none."""
+    leaving: tuple[str, ...] = ()
+    """Ids of upstreams that told the router that they are leaving, and that its list has as
+    live."""
 
 
 class ListedUpstream(NamedTuple):
--- a/src/camphorvalve/wiring/joinedrouter.py
+++ b/src/camphorvalve/wiring/joinedrouter.py
@@ -48,6 +48,7 @@
     from camphorvalve.http.refusing import RefusedRequest
     from camphorvalve.model.requests import Request
     from camphorvalve.settings.schema import JoinedRouterSettings
+    from camphorvalve.sharing.notices import Notice
     from camphorvalve.wiring.platforms import RouterPlatform
 
 _log = structlog.get_logger(__name__)
@@ -90,6 +91,7 @@
             self._pools.confirm,
             self._rng,
             self._started_s,
+            self._pools.noticed_leaving_ids,
         )
         link = create_joined_link(settings, self.incarnation)
         controllers = (self._roster, self._config_follower, self._shares, self._list_follower)
@@ -159,9 +161,15 @@
                 RetryFilter(retry_budget),
                 PlaceFilter(self._pools),
             ),
-            forward(self._pools, RoutedAttempts(self._client, self._platform.header_names)),
+            forward(
+                self._pools,
+                RoutedAttempts(self._client, self._platform.header_names, self._on_notice),
+            ),
         )
 
+    def _on_notice(self, upstream_id: str, notice: Notice) -> None:
+        self._pools.record_notice(upstream_id, notice, time.monotonic())
+
     def _connection_guard(self) -> ConnectionGuard:
         platform = self._platform
         return ConnectionGuard(
--- a/tests/controllers/test_listing.py
+++ b/tests/controllers/test_listing.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING, Any
 
 from camphorvalve.controllers.listing import (
+    MAX_LEAVING_COUNT,
     POLL_LIFETIME_S,
     SECOND_CONTROLLER_AGE_S,
     SELF_READ_AGE_S,
@@ -33,8 +34,14 @@
         self.applied: list[tuple[list[Upstream], float]] = []
         self.publishers = {name: ListPublisher() for name in ("c-1", "c-2", "c-3")}
         self.confirmed_s: list[float] = []
+        self.leaving_ids: list[str] = []
         self.follower = ListFollower(
-            lambda: self.publishers, self.apply, self.confirmed_s.append, random.Random(1), 0.0
+            lambda: self.publishers,
+            self.apply,
+            self.confirmed_s.append,
+            random.Random(1),
+            0.0,
+            lambda: self.leaving_ids,
         )
 
     def apply(self, upstreams: Iterable[Upstream], read_s: float) -> None:
@@ -87,6 +94,28 @@
         self.read(LEAVING, 1.1)
         self.assertEqual(self.applied[-1], (LEAVING, 1.1))
 
+    def test_noticed_leaving(self) -> None:
+        """Guards against other routers that use an upstream after it told one router that it
+        leaves, and against a list that names it as live again."""
+        self.poll(0.0)
+        self.read(ENGINES, 0.1)
+        self.leaving_ids = ["up-2", "up-9"]
+        self.now_s = 0.5
+        self.poll(0.5)
+        self.assertEqual(self.applied[-1], (LEAVING, 0.1))
+        self.leaving_ids = []
+        self.read(ENGINES, 1.1)
+        self.assertEqual(self.applied[-1][0], LEAVING)
+        restarted = [ENGINES[0], ENGINES[1]._replace(started_ms=5)]
+        self.read(restarted, 2.1)
+        self.assertEqual(self.applied[-1], (restarted, 2.1))
+
+    def test_bounded_notices(self) -> None:
+        """Guards against polls that grow with the number of leaving upstreams."""
+        self.leaving_ids = [f"up-{number}" for number in range(1000)]
+        (poll,) = self.follower.tick(0.0)
+        self.assertEqual(len(poll.message.leaving), MAX_LEAVING_COUNT)
+
     def test_lost_answer(self) -> None:
         """Guards against a list that is dropped, as the controller has not connected back yet, and
         that is never sent again."""
--- a/tests/controllers/test_pools.py
+++ b/tests/controllers/test_pools.py
@@ -11,6 +11,7 @@
 from camphorvalve.model.hosts import HostState
 from camphorvalve.model.routes import Destination
 from camphorvalve.sharing.homes import HOMES_COUNT
+from camphorvalve.sharing.notices import HoldOff, Leaving
 from camphorvalve.sharing.routing import RouteTable
 from tests.routebuilders import a_listed_upstream, a_manifest, a_prompt, a_route, a_routed_exchange
 
@@ -60,6 +61,29 @@
             self.begin_request()
         self.assertEqual(caught.exception.code, "no_upstream")
 
+    def test_notices(self) -> None:
+        """Guards against a request to an upstream that said that it leaves or wants no more, and
+        against letting a caller wait when no other upstream is left."""
+        for upstream in UPSTREAMS[1:]:
+            self.pools.record_notice(upstream.upstream_id, Leaving(), 0.0)
+        self.assertEqual({self.begin_request() for _ in range(4)}, {"up-0"})
+        self.pools.apply([*UPSTREAMS, *SERVICES], 1.0)
+        self.assertEqual(self.begin_request(), "up-0")
+        self.assertEqual(self.pools.noticed_leaving_ids(), [f"up-{n}" for n in range(1, 8)])
+        self.pools.record_notice("up-0", HoldOff(7.5), 0.0)
+        with self.assertRaises(RequestError) as caught:
+            self.begin_request()
+        error = caught.exception
+        self.assertEqual((error.code, error.run), ("no_upstream", Run.NO))
+        self.assertAlmostEqual(error.retry_after_s, 7.5)
+
+    def test_hold_off_moves_requests(self) -> None:
+        """Guards against refusing requests that another upstream can take."""
+        prompt = a_prompt("a", "own", tokens_count=13_000)
+        home = self.begin_request(prompt=prompt)
+        self.pools.record_notice(home, HoldOff(2.0), 0.0)
+        self.assertNotEqual(self.begin_request(prompt=prompt), home)
+
     def test_large_prompt_uses_one_upstream(self) -> None:
         """Guards against a long prefix that is processed and cached in every data centre."""
         prompt = a_prompt("a", "own", tokens_count=13_000)
--- a/tests/routebuilders.py
+++ b/tests/routebuilders.py
@@ -28,6 +28,8 @@
     last_event_id="last-event-id",
     not_run="x-not-run",
     proof="x-proof",
+    leaving="x-leaving",
+    hold_off_s="retry-after",
 )
 
 
--- a/tests/upstreams/test_routed.py
+++ b/tests/upstreams/test_routed.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import time
 import unittest
 from contextlib import aclosing
@@ -14,6 +15,7 @@
 from camphorvalve.model.answers import Body, Head
 from camphorvalve.model.errors import RequestError
 from camphorvalve.model.requests import BrokenStream
+from camphorvalve.sharing.notices import HoldOff, Leaving
 from camphorvalve.upstreams.client import create_client
 from camphorvalve.upstreams.errors import (
     Broken,
@@ -33,7 +35,9 @@
     import httpx
 
     from camphorvalve.model.requests import Exchange
+    from camphorvalve.sharing.notices import Notice
 
+LEAVING = Leaving()
 UPSTREAM_HEADERS = b"x-id: id-1\r\nx-proof: p\r\n"
 EVENTS = b"id: 1\ndata: a\n\nid: 2\ndata: b\n\n"
 
@@ -294,6 +298,84 @@
         self.assertEqual(first, AttemptResult(200, b"first", None))
         self.assertEqual(other, AttemptResult(200, b"second", None))
 
+    def test_repeated_refusal(self) -> None:
+        """Guards against taking an earlier refusal, sent once more on a kept connection, for the
+        refusal of a request that the upstream runs, and against reusing that connection."""
+        refusal = response(b"", b"503 Full", b"x-id: id-1\r\nx-not-run: 1\r\n")
+        for name, stale in (
+            ("of an earlier request", refusal),
+            ("without an id", response(b"", b"503 Full", b"x-not-run: 1\r\n")),
+        ):
+            with self.subTest(name):
+
+                async def run(stale: bytes = stale) -> list[AttemptResult]:
+                    idempotent = a_route(idempotent=True)
+                    answers = [
+                        Script(response(b"%d" % n, headers=b"x-id: id-%d\r\nx-proof: p\r\n" % n))
+                        for n in (2, 3)
+                    ]
+                    scripts = [Script(refusal), Script(stale + answers[0].content), answers[1]]
+                    async with upstream(*scripts) as (url, _), create_client() as client:
+                        return [
+                            await attempt(
+                                url, a_routed_exchange(idempotent, request_id=f"id-{n}"), client
+                            )
+                            for n in (1, 2, 3)
+                        ]
+
+                first, second, third = anyio.run(run)
+                self.assertIsInstance(first.error, Declined)
+                self.assertIsInstance(second.error, WrongAnswer)
+                self.assertEqual(third, AttemptResult(200, b"3", None))
+
+    def test_notices(self) -> None:
+        """Guards against a notice that is overlooked, or taken from an answer of another
+        upstream or to another request."""
+        stream_head = b"HTTP/1.1 200 OK\r\nx-leaving: 1\r\n" + UPSTREAM_HEADERS
+        rows: list[tuple[str, bytes, list[Notice]]] = [
+            ("answer", response(b"yes", headers=UPSTREAM_HEADERS + b"x-leaving: 1\r\n"), [LEAVING]),
+            ("stream", stream_head + b"content-type: text/event-stream\r\n\r\n", [LEAVING]),
+            (
+                "refusal",
+                response(
+                    b"",
+                    b"503 Full",
+                    b"x-id: id-1\r\nx-not-run: 1\r\nx-leaving: 1\r\nretry-after: 0.5\r\n"
+                    b"retry-after: 2.5\r\n",
+                ),
+                [LEAVING, HoldOff(2.5)],
+            ),
+            (
+                "failure",
+                response(b"", b"500 Oops", UPSTREAM_HEADERS + b"retry-after: 3\r\n"),
+                [],
+            ),
+            (
+                "another upstream",
+                response(b"", b"421 No", b"x-leaving: 1\r\nretry-after: 3\r\n"),
+                [],
+            ),
+            (
+                "another request",
+                response(b"", b"503 Full", b"x-id: id-0\r\nx-leaving: 1\r\nretry-after: 3\r\n"),
+                [],
+            ),
+        ]
+        for name, content, expected in rows:
+            with self.subTest(name):
+                self.assertEqual(anyio.run(self.notices_in, content), expected)
+
+    async def notices_in(self, content: bytes) -> list[Notice]:
+        """Return the notices of an attempt that gets these bytes."""
+        noticed: list[tuple[str, Notice]] = []
+        async with upstream(Script(content, "close")) as (url, _), create_client() as client:
+            attempts = RoutedAttempts(client, HEADER_NAMES, lambda *notice: noticed.append(notice))
+            with contextlib.suppress(UpstreamError):
+                async for _ in attempts.open(a_listed_upstream(url=url), a_routed_exchange()):
+                    pass
+        self.assertLessEqual({upstream_id for upstream_id, _ in noticed}, {"up-1"})
+        return [notice for _, notice in noticed]
+
     def test_refused_connection(self) -> None:
         """Guards against counting a refused connection as a request that may have run."""
         result = anyio.run(attempt, "http://127.0.0.1:1", a_routed_exchange())
