Let slow responses end in their own time, and stalled ones at their deadline

Cause: a pause of one second ended every response, also one that no other upstream may continue or repeat; the caller lost a stream that would have gone on. After it, only the arrival of bytes met the deadline. Change: only responses that another upstream may continue or repeat are given up after a silent second. Every response is broken off at its deadline by one timer per attempt; an aborted connection is never taken for the end of a response without a length. Result: test_slow_responses fails on the code before (Broken after one event) and passes now; stalled streams and bodies end as timed out at their deadline.

--- a/src/camphorvalve/filters/deadline.py
+++ b/src/camphorvalve/filters/deadline.py
@@ -33,8 +33,8 @@
         while True:
             try:
                 if body_started:
-                    # Silent upstreams are abandoned after a second. A timeout scope around each
-                    # event took 15% of the time of a streamed response.
+                    # The connection to the upstream is aborted at the deadline. A timeout scope
+                    # around each event took 15% of the time of a streamed response.
                     part = await anext(parts)
                 else:
                     # The scope covers one part only: it must not stay open across a yield.
--- a/src/camphorvalve/upstreams/network.py
+++ b/src/camphorvalve/upstreams/network.py
@@ -73,7 +73,7 @@
         :param exc: why it failed, ``None`` after an orderly close
         """
         self._eof = True
-        self._error = exc
+        self._error = self._error or exc
         _wake(self._read_waiter)
         _wake(self._write_waiter)
 
@@ -137,6 +137,11 @@
             if self._error is not None:
                 raise httpcore.WriteError(str(self._error)) from self._error
 
+    def abort(self) -> None:
+        """Close at once; a waiting reader gets an error, never the regular end of a response."""
+        self._error = self._error or ConnectionAbortedError("the connection was aborted here")
+        self._transport.abort()
+
     async def aclose(self) -> None:
         """Close at once and discard unsent data, which belongs to an abandoned request."""
         self._transport.abort()
--- a/src/camphorvalve/upstreams/routed.py
+++ b/src/camphorvalve/upstreams/routed.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import time
 from contextlib import aclosing
 from typing import TYPE_CHECKING, Any, NamedTuple
@@ -38,13 +39,15 @@
 """Connecting takes one round trip and 1 ms at the upstream. A lost first packet is only sent again
 after a second, so trying another upstream is faster."""
 STREAM_READ_TIMEOUT_S = 1.0
-"""Longest wait for more bytes of a stream, after which another upstream continues it; callers give
-up after 2 s."""
+"""Longest wait for more bytes of a response that another upstream may continue or repeat; callers
+give up after 2 s."""
 FIRST_BYTE_TIMEOUT_S = 1.0
 FIRST_BYTE_OBJECTIVE_RATIO = 2.0
 """An attempt that may be repeated waits for the head of the response for this multiple of the
 latency objective, or for ``FIRST_BYTE_TIMEOUT_S`` if that is longer, but at most for half of the
 time left until the deadline. Callers give up after 2 s or four times the objective."""
+TIMER_RESOLUTION_S = 0.002
+"""Time by which a timer of the event loop may fire early."""
 EVENT_STREAM_TYPE = "text/event-stream"
 
 
@@ -103,14 +106,23 @@
         :raises FailedAnswer: the upstream failed, and the request may be repeated
         :raises NoAnswer: no usable response started
         :raises Broken: the response ended before it was complete
-        :raises RequestError: ``timed_out`` if bytes after the deadline complete no event
+        :raises RequestError: ``timed_out`` if the response is not complete at the deadline
         """
         response = await self._send(upstream, exchange)
+        # Each read has a timeout of its own, which starts anew with every byte.
+        left_s = exchange.deadline_s - time.monotonic()
+        connection = response.extensions["network_stream"]
+        timer = asyncio.get_running_loop().call_later(left_s, connection.abort)
         try:
             async with aclosing(self._response_parts(upstream, exchange, response)) as parts:
                 async for part in parts:
                     yield part
+        except Broken as error:
+            if time.monotonic() < exchange.deadline_s - TIMER_RESOLUTION_S:
+                raise
+            raise RequestError("timed_out", "the response was not complete in time") from error
         finally:
+            timer.cancel()
             with anyio.CancelScope(shield=True):
                 await response.aclose()
 
@@ -142,7 +154,7 @@
             cause = f"{type(error).__name__}: {error}"
             raise (NoAnswer if started else NotSent)(upstream.upstream_id, cause) from error
         # httpcore reads this entry when it starts to read the body.
-        request.extensions["timeout"]["read"] = STREAM_READ_TIMEOUT_S
+        request.extensions["timeout"]["read"] = _body_read_timeout_s(exchange)
         return response
 
     def _headers(
@@ -193,7 +205,7 @@
         may_lack_id = is_refusal and not exchange.parameters.idempotent
         if response_id != exchange.request.request_id and (response_id or not may_lack_id):
             # The answer to this request follows and must not meet another one.
-            await response.extensions["network_stream"].aclose()
+            response.extensions["network_stream"].abort()
             raise WrongAnswer(upstream.upstream_id, f"response to request {response_id!r}")
         if response.status_code != 421:
             # Status 421 comes from another upstream that now listens on the same address.
@@ -239,6 +251,13 @@
         return int(number_sent) if number_sent.isdecimal() else None
 
 
+def _body_read_timeout_s(exchange: Exchange) -> float:
+    if exchange.parameters.idempotent:
+        return STREAM_READ_TIMEOUT_S
+    # Nobody else may continue the response, so a pause is no reason to break it off.
+    return max(STREAM_READ_TIMEOUT_S, exchange.deadline_s - time.monotonic())
+
+
 def _timeout(exchange: Exchange) -> httpx.Timeout:
     left_s = max(0.001, exchange.deadline_s - time.monotonic())
     read_s = left_s
--- a/tests/rawpeers.py
+++ b/tests/rawpeers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import socket
 import struct
 from contextlib import asynccontextmanager
@@ -22,8 +23,8 @@
     content: bytes
     ending: str = "keep"
     """``close`` or ``reset`` the connection, ``keep`` it open, ``extra`` to send ``content`` again
-    without a request, or ``endless`` to send ``repeated`` until the caller closes the connection.
-    """
+    without a request, ``later`` to send ``repeated`` once, or ``endless`` to send it until the
+    caller closes the connection."""
     pause_s: float = 0.0
     """Delay before the ending, so that the content arrives first."""
     early: bool = False
@@ -61,6 +62,9 @@
                         return
                     case "extra":
                         await stream.send(script.content)
+                    case "later":
+                        with contextlib.suppress(anyio.BrokenResourceError):
+                            await stream.send(script.repeated)
                     case "endless":
                         await self._repeat(stream, script)
                         return
--- a/tests/upstreams/test_routed.py
+++ b/tests/upstreams/test_routed.py
@@ -16,6 +16,7 @@
 from camphorvalve.model.errors import RequestError
 from camphorvalve.model.requests import BrokenStream
 from camphorvalve.sharing.notices import HoldOff, Leaving
+from camphorvalve.upstreams import routed
 from camphorvalve.upstreams.client import create_client
 from camphorvalve.upstreams.errors import (
     Broken,
@@ -213,6 +214,37 @@
                 exchange = a_routed_exchange(route, deadline_s=time.monotonic() + 0.3)
                 self.assertEqual(anyio.run(self.error_code, script, exchange), "timed_out")
 
+    def test_silence_until_the_deadline(self) -> None:
+        """Guards against a stalled response that outlasts its deadline, and against one without a
+        length that looks complete when it is broken off there."""
+        head = b"HTTP/1.1 200 OK\r\n" + UPSTREAM_HEADERS
+        rows = [
+            ("stream", a_route(streamed=True), chunked_response(EVENTS, end=b""), EVENTS),
+            ("no length", a_route(), head + b"\r\nye", b""),
+        ]
+        for name, route, content, expected in rows:
+            with self.subTest(name):
+                exchange = a_routed_exchange(route, deadline_s=time.monotonic() + 0.3)
+                contents: list[bytes] = []
+                with self.assertRaises(RequestError) as caught:
+                    anyio.run(self.run_to_the_end, Script(content), exchange, contents)
+                self.assertEqual(caught.exception.code, "timed_out")
+                self.assertEqual(b"".join(contents), expected)
+
+    async def run_to_the_end(
+        self, script: Script, exchange: Exchange, contents: list[bytes]
+    ) -> None:
+        """Run an attempt, and add the parts of the body to a list."""
+        async with upstream(script) as (url, _), create_client() as client:
+            attempts = RoutedAttempts(client, HEADER_NAMES)
+            try:
+                async for part in attempts.open(a_listed_upstream(url=url), exchange):
+                    if isinstance(part, Body):
+                        contents.append(part.content)
+            except RequestError as error:
+                failure = error
+        raise failure
+
     async def error_code(self, script: Script, exchange: Exchange) -> str | None:
         """Run a request behind the deadline filter, until the upstream's connection is closed."""
         code = None
@@ -249,6 +281,31 @@
                 if error is None:
                     self.assertEqual(result.content, content)
 
+    def test_slow_responses(self) -> None:
+        """Guards against breaking off a slow response that no other upstream may continue."""
+        routed.STREAM_READ_TIMEOUT_S, original_s = 0.1, routed.STREAM_READ_TIMEOUT_S
+        self.addCleanup(setattr, routed, "STREAM_READ_TIMEOUT_S", original_s)
+        half = EVENTS.index(b"id: 2")
+        stream = chunked_response(EVENTS[:half], end=b"")
+        rest = b"%x\r\n%s\r\n0\r\n\r\n" % (len(EVENTS) - half, EVENTS[half:])
+        rows = [
+            (a_route(streamed=True), stream, rest, None, EVENTS),
+            (a_route(), response(b"yes")[:-1], b"s", None, b"yes"),
+            (
+                a_route(streamed=True, resumable=True),
+                stream,
+                rest,
+                Broken,
+                EVENTS[:half],
+            ),
+        ]
+        for route, first, later, error, content in rows:
+            with self.subTest(streamed=route.streamed, resumable=route.resumable):
+                script = Script(first, "later", 0.3, repeated=later)
+                result = self.run_script(script, route=route)
+                self.assertEqual(type(result.error), error or type(None), result.error)
+                self.assertEqual(result.content, content)
+
     def test_request(self) -> None:
         """Guards against a request that is changed when forwarded, and against forged headers."""
         self.run_script(
