Name near routers first to callers, and send them away from pressed ones

Cause: every directory sorted all addresses as text and cut the answer at 64, so that callers of four of six zones crossed zones and 127 of 191 routers were hidden. Nothing told other routers that one has too much to do. Each look-up is logged with its inputs and their age.

--- a/src/camphorvalve/controllers/roster.py
+++ b/src/camphorvalve/controllers/roster.py
@@ -80,6 +80,16 @@
                     by_id[router.router_id] = router
         return [router for router in by_id.values() if not router.leaving]
 
+    def age_s(self, now_s: float) -> float:
+        """
+        Return the age of the roster heard last.
+
+        :param now_s: monotonic time
+        :return: time since any controller confirmed its roster, 0 without a roster
+        """
+        heard_s = (received.heard_s for received in self._rosters.values())
+        return now_s - max(heard_s, default=now_s)
+
     def routers_count(self) -> int:
         """:return: number of routers that accept callers"""
         return len(self.routers())
--- a/src/camphorvalve/controllers/shares.py
+++ b/src/camphorvalve/controllers/shares.py
@@ -44,6 +44,8 @@
 """How long requests over their share are refused; extended while the congestion lasts."""
 AGGREGATOR_KEY = "demand"
 """Key by which rendezvous hashing selects the controllers that sum the demand."""
+PRESSED_LIFETIME_S = 2.0
+"""How long routers count as pressed without a report: four report intervals."""
 MAX_LOGGED_AGE_S = 1e6
 """Age that is logged when no totals have been received; JSON has no infinity."""
 
@@ -63,6 +65,7 @@
         routers_count: Callable[[], int],
         tokens_per_s: Callable[[], float | None],
         rng: random.Random,
+        is_pressed: Callable[[], bool] = lambda: False,
     ) -> None:
         """
         Start without demand.
@@ -71,7 +74,10 @@
         :param routers_count: number of live routers; totals that cover too few of them are rejected
         :param tokens_per_s: stated throughput of all engines together, ``None`` if unknown
         :param rng: source of random choices
+        :param is_pressed: tells whether this router has too much to do to take more callers
         """
+        self._is_pressed = is_pressed
+        self._pressed_ids: frozenset[str] = frozenset()
         self._controller_ids = controller_ids
         self._routers_count = routers_count
         self._tokens_per_s = tokens_per_s
@@ -170,6 +176,16 @@
         """:return: number of routers whose demand is in the latest totals"""
         return self._totals_source.reports_count
 
+    def pressed_ids(self, now_s: float) -> frozenset[str]:
+        """
+        Return the routers that have too much to do to take more callers.
+
+        :param now_s: monotonic time
+        :return: ids of routers, none once the totals are older than ``PRESSED_LIFETIME_S``
+        """
+        is_recent = self.totals_age_s(now_s) <= PRESSED_LIFETIME_S
+        return self._pressed_ids if is_recent else frozenset()
+
     def engine_part(self) -> float:
         """
         Return the part of each engine that this router may use.
@@ -193,6 +209,7 @@
         reports_count, routers_count = message.reports_count, self._routers_count()
         if not self._totals_source.accepts(sender.host_id, reports_count, routers_count, now_s):
             return
+        self._pressed_ids = frozenset(message.pressed_ids)
         demands = {entry.team: entry.tokens for entry in message.entries}
         served = {entry.team: entry.served_tokens for entry in message.entries}
         starved = {entry.team: entry.starved_tokens for entry in message.entries}
@@ -220,7 +237,7 @@
             for team, tokens in local_demands.items()
         )
         for aggregator in ranked(AGGREGATOR_KEY, self._controller_ids())[:AGGREGATORS_COUNT]:
-            yield Outgoing(aggregator, Asked(entries))
+            yield Outgoing(aggregator, Asked(entries, self._is_pressed()))
 
     def _update_capacity(
         self,
@@ -305,4 +322,4 @@
         )
 
 
-__all__ = ["WINDOW_S", "SharesController"]
+__all__ = ["MAX_LOGGED_AGE_S", "WINDOW_S", "SharesController"]
--- a/src/camphorvalve/controllers/totals.py
+++ b/src/camphorvalve/controllers/totals.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections import Counter
+from itertools import islice
 from typing import TYPE_CHECKING, Any, NamedTuple
 
 import structlog
@@ -18,6 +19,8 @@
 REPORT_LIFETIME_S = 2.0
 """Four report intervals. By then, the callers of a failed router use other routers, which report
 their demand."""
+MAX_PRESSED_COUNT = 64
+"""Most pressed routers that the sums name, so that they stay small."""
 
 _log = structlog.get_logger(__name__)
 
@@ -40,6 +43,8 @@
         self._asked: Counter[str] = Counter()
         self._served: Counter[str] = Counter()
         self._starved: Counter[str] = Counter()
+        self._pressed_ids: dict[str, None] = {}
+        """Ids of routers that report to be pressed, the longest pressed first."""
         self._logged_reports_count = 0
 
     def handle(self, sender: Sender, message: Any, now_s: float) -> Iterator[Outgoing]:
@@ -56,7 +61,8 @@
             TeamTokens(team, tokens, self._served[team], self._starved[team])
             for team, tokens in self._asked.items()
         )
-        yield Outgoing(sender.host_id, AskedTotals(entries, len(self._reports)))
+        pressed_ids = tuple(islice(self._pressed_ids, MAX_PRESSED_COUNT))
+        yield Outgoing(sender.host_id, AskedTotals(entries, len(self._reports), pressed_ids))
 
     def tick(self, now_s: float) -> Iterator[Outgoing]:
         """
@@ -85,6 +91,10 @@
         previous = self._reports.pop(router_id, None)
         if previous is not None:
             self._add_to_sums(previous.asked, -1.0)
+        if report is None or not report.asked.is_pressed:
+            self._pressed_ids.pop(router_id, None)
+        else:
+            self._pressed_ids.setdefault(router_id)
         if report is not None:
             self._reports[router_id] = report
             self._add_to_sums(report.asked, 1.0)
--- a/src/camphorvalve/wire/messages.py
+++ b/src/camphorvalve/wire/messages.py
@@ -177,6 +177,8 @@
     """Demand at a router, for the controller that sums it; replaces the previous report."""
 
     entries: tuple[TeamTokens, ...]
+    is_pressed: bool = False
+    """Whether the router has too much to do to take more callers."""
 
 
 class AskedTotals(NamedTuple):
@@ -185,6 +187,8 @@
     entries: tuple[TeamTokens, ...]
     reports_count: int
     """Routers whose demand is included."""
+    pressed_ids: tuple[str, ...] = ()
+    """Ids of routers that have too much to do to take more callers."""
 
 
 class ListPoll(NamedTuple):
--- a/src/camphorvalve/wiring/joinedrouter.py
+++ b/src/camphorvalve/wiring/joinedrouter.py
@@ -15,7 +15,7 @@
 from camphorvalve.controllers.pools import Pools
 from camphorvalve.controllers.roster import RosterController
 from camphorvalve.controllers.runtime import Runtime
-from camphorvalve.controllers.shares import SharesController
+from camphorvalve.controllers.shares import MAX_LOGGED_AGE_S, SharesController
 from camphorvalve.controllers.stopping import GracefulStop
 from camphorvalve.filters.account import account
 from camphorvalve.filters.chain import compose
@@ -35,9 +35,11 @@
 from camphorvalve.reports.outcomes import OutcomeCounts
 from camphorvalve.reports.refusals import RefusalLog
 from camphorvalve.sharing.budget import RetryBudget
+from camphorvalve.sharing.directory import NamedRouter, choose_routers
 from camphorvalve.sharing.homes import cost_tokens
 from camphorvalve.sharing.intake import Intake
 from camphorvalve.sharing.parts import limit_engine_part, retry_floor_count
+from camphorvalve.sharing.pressure import Pressure
 from camphorvalve.upstreams.client import create_client
 from camphorvalve.upstreams.routed import RoutedAttempts
 from camphorvalve.wiring.common import create_joined_link, new_incarnation, tune_garbage_collector
@@ -48,6 +50,7 @@
     from camphorvalve.http.refusing import RefusedRequest
     from camphorvalve.model.requests import Request
     from camphorvalve.settings.schema import JoinedRouterSettings
+    from camphorvalve.sharing.directory import CallerPlace
     from camphorvalve.sharing.notices import Notice
     from camphorvalve.wiring.platforms import RouterPlatform
 
@@ -81,6 +84,7 @@
             self._roster.routers_count,
             lambda: self._manifest.bounds().tokens_per_s,
             self._rng,
+            lambda: self._pressure.is_pressed(time.monotonic()),
         )
         self._pools = Pools(
             self._manifest.table, self._engine_part, settings.data_centre, self._rng
@@ -103,6 +107,7 @@
         self._exposition = Exposition()
         self._outcomes = OutcomeCounts()
         self._intake = Intake()
+        self._pressure = Pressure()
         self._level_reporter = LevelReporter(on_lag=self._on_lag)
         self._refusals = RefusalLog(self._intake_status)
         self._register_metrics()
@@ -202,6 +207,7 @@
         self._intake.measure(
             lag_s, outcomes.answered_count + outcomes.failed_count, outcomes.refused_count
         )
+        self._pressure.measure(time.monotonic(), is_overloaded=self._intake.is_overloaded())
         self._refusals.flush_due()
 
     def _intake_status(self) -> dict[str, float]:
@@ -220,6 +226,9 @@
     def _totals_age_s(self) -> float:
         return self._shares.totals_age_s(time.monotonic())
 
+    def _is_pressed_level(self) -> float:
+        return float(self._pressure.is_pressed(time.monotonic()))
+
     def _register_metrics(self) -> None:
         add_gauge = self._exposition.add_gauge
         add_gauge("running_count", "requests that have not ended", self._observe_filter.open_count)
@@ -240,6 +249,7 @@
             "new connections of a team that are served in 50 ms",
             lambda: self._intake.level_count,
         )
+        add_gauge("pressed", "whether callers are sent elsewhere (0 or 1)", self._is_pressed_level)
         reporter = self._level_reporter
         reporter.add_counter("connections_count", lambda: self._connections.opened_count)
         reporter.add_counter("answered_count", lambda: self._outcomes.answered_count)
@@ -250,6 +260,7 @@
         reporter.add_gauge("intake_level_count", lambda: round(self._intake.level_count, 2))
         reporter.add_gauge("running_count", self._observe_filter.open_count)
         reporter.add_gauge("routers_count", self._roster.routers_count)
+        reporter.add_gauge("pressed", self._is_pressed_level)
 
     def _idle_timeout_s(self) -> float:
         return self._manifest.bounds().idle_timeout_s
@@ -261,10 +272,29 @@
         can_route = self._manifest.table() is not None and self._list_follower.has_list
         return can_route and not self._leaving.is_set()
 
-    def _caller_addresses(self) -> list[str]:
-        own = self._settings.caller_bind
-        others = {router.caller_address for router in self._roster.routers()} - {own}
-        return sorted({*others, own} if self._is_ready() else others)
+    def _caller_addresses(self, place: CallerPlace, max_count: int) -> list[str]:
+        now_s = time.monotonic()
+        settings, pressed_ids = self._settings, self._shares.pressed_ids(now_s)
+        routers = [
+            NamedRouter(router.caller_address, router.data_centre, router.router_id in pressed_ids)
+            for router in self._roster.routers()
+            if router.router_id != settings.host_id
+        ]
+        if self._is_ready():
+            is_pressed = self._pressure.is_pressed(now_s)
+            routers.append(NamedRouter(settings.caller_bind, settings.data_centre, is_pressed))
+        addresses = choose_routers(routers, place, max_count)
+        _log.info(
+            "routers named to a caller",
+            caller=place.caller_id,
+            near=[sorted(data_centres) for data_centres in place.near],
+            named_count=len(addresses),
+            routers_count=len(routers),
+            pressed_count=sum(router.is_pressed for router in routers),
+            roster_age_s=round(self._roster.age_s(now_s), 3),
+            totals_age_s=round(min(MAX_LOGGED_AGE_S, self._totals_age_s()), 3),
+        )
+        return addresses
 
     def _start_leaving(self) -> None:
         self._leaving.set()
--- a/src/camphorvalve/wiring/platforms.py
+++ b/src/camphorvalve/wiring/platforms.py
@@ -16,6 +16,7 @@
     from camphorvalve.http.asgi import App
     from camphorvalve.http.routed import DecodeRequest
     from camphorvalve.model.upstreams import UpstreamList
+    from camphorvalve.sharing.directory import CallerPlace
     from camphorvalve.upstreams.routed import HeaderNames
     from camphorvalve.wire.link import Link
 
@@ -41,8 +42,9 @@
 class RouterView(NamedTuple):
     """State of a router that the platform's applications show."""
 
-    caller_addresses: Callable[[], list[str]]
-    """Addresses of the routers that accept callers, as IP address and port."""
+    caller_addresses: Callable[[CallerPlace, int], list[str]]
+    """Addresses of the routers that a caller should use, as IP address and port, at most as many
+    as given."""
     is_ready: Callable[[], bool]
     """Whether this router can route requests and is not stopping."""
     metrics: App
--- a/tests/controllers/test_totals.py
+++ b/tests/controllers/test_totals.py
@@ -7,7 +7,11 @@
 from collections import Counter
 
 from camphorvalve.controllers.runtime import Sender
-from camphorvalve.controllers.totals import REPORT_LIFETIME_S, TotalsController
+from camphorvalve.controllers.totals import (
+    MAX_PRESSED_COUNT,
+    REPORT_LIFETIME_S,
+    TotalsController,
+)
 from camphorvalve.wire.messages import Asked, AskedTotals, TeamTokens
 
 
@@ -46,6 +50,20 @@
             }
         self.assertEqual(set(latest), {"r-0", "r-1", "r-2", "r-3"})
 
+    def test_pressed_routers(self) -> None:
+        """Guards against routers that are named to callers while they have too much to do, and
+        against sums that grow with the number of such routers."""
+        totals, pressed = TotalsController(), Asked((), is_pressed=True)
+        send_report(totals, "r-1", pressed, 0.0)
+        self.assertEqual(send_report(totals, "r-2", Asked(()), 0.1).pressed_ids, ("r-1",))
+        self.assertEqual(send_report(totals, "r-1", Asked(()), 0.5).pressed_ids, ())
+        send_report(totals, "r-3", pressed, 0.6)
+        list(totals.tick(0.7 + REPORT_LIFETIME_S))
+        self.assertEqual(send_report(totals, "r-2", Asked(()), 2.8).pressed_ids, ())
+        for number in range(200):
+            answer = send_report(totals, f"r-{number}", pressed, 3.0)
+        self.assertEqual(len(answer.pressed_ids), MAX_PRESSED_COUNT)
+
 
 if __name__ == "__main__":
     unittest.main()
