Refuse requests of public routes without an internal error

Cause: a request without a team that found its upstreams full ended in an AttributeError of the share filter, so the caller got status 500 instead of 503 and 'not run'.

--- a/src/camphorvalve/filters/share.py
+++ b/src/camphorvalve/filters/share.py
@@ -57,7 +57,8 @@
                         shares.record_served(exchange.team.name, tokens, time.monotonic())
                     yield part
         except RequestError as error:
-            if error.code == "overloaded" and exchange.within_share:
+            is_starved = error.code == "overloaded" and exchange.within_share
+            if is_starved and exchange.team is not None:
                 shares.record_starved(exchange.team.name, tokens, time.monotonic())
             raise
 
--- a/tests/filters/test_share.py
+++ b/tests/filters/test_share.py
@@ -51,7 +51,14 @@
 
 
 class ShareTest(unittest.TestCase):
-    def run_share_filter(self, shares: _Shares, *, full: bool = False, prompt: bool = True) -> int:
+    def run_share_filter(
+        self,
+        shares: _Shares,
+        *,
+        full: bool = False,
+        prompt: bool = True,
+        team: TeamParameters | None = TEAM,
+    ) -> int:
         """Run the filter; return the status."""
 
         async def inner(exchange: Exchange) -> AsyncIterator[Part]:
@@ -63,7 +70,7 @@
 
         async def run() -> int:
             fields = {"prompt": a_prompt("a", "own")} if prompt else {}
-            exchange = a_routed_exchange(team=TEAM, **fields)
+            exchange = a_routed_exchange(team=team, **fields)
             async with aclosing(share(shares)(exchange, inner)) as parts:
                 received = [part async for part in parts]
             return received[0].status
@@ -74,6 +81,16 @@
             self.assertEqual(error.run, Run.NO)
             return error.status
 
+    def test_public_route(self) -> None:
+        """Guards against an internal error, status 500, for a request without a team that is
+        refused because the upstreams are full: it was not run."""
+        for prompt in (True, False):
+            with self.subTest(prompt=prompt):
+                shares = _Shares(within=True, congested=True)
+                self.assertEqual(
+                    self.run_share_filter(shares, full=True, prompt=prompt, team=None), 503
+                )
+
     def test_rejected_only_beyond_share_and_congested(self) -> None:
         """Guards against rejections while there is room, and overload while there is none."""
         cases = [
