Keep shares while no controller sums the demand

Cause: when the sums were 10 s old, every router divided the whole capacity among its own callers at the same moment. In the closed loop with 191 routers, 20 small teams, one large team at one router and one at all, the small teams got 35,070 of 109,800 tokens in 6 s from 2 s before that on. Change: sums are used for 120 s. While none arrive, a router takes the demand of the others as it was and follows its own, shares stay as they were, and neither the estimate of the capacity nor the corrections are fed with old figures. Without any sums a router uses an even part of the engines.

--- a/src/camphorvalve/controllers/shares.py
+++ b/src/camphorvalve/controllers/shares.py
@@ -12,7 +12,7 @@
 from camphorvalve.sharing.placement import ranked
 from camphorvalve.sharing.retrydetection import RetryDetector
 from camphorvalve.sharing.shares import DemandWindow
-from camphorvalve.sharing.sources import TotalsSource
+from camphorvalve.sharing.sources import FAILOVER_S, TotalsSource
 from camphorvalve.wire.messages import Asked, AskedTotals, TeamTokens
 
 if TYPE_CHECKING:
@@ -88,6 +88,8 @@
         self._retry_detector = RetryDetector()
         self._reported_demands: dict[str, float] = {}
         """Demand by team in this router's last report, which the totals include."""
+        self._total_demands: dict[str, float] = {}
+        """Demand by team in the totals in use."""
         self._totals_source = TotalsSource()
         self._capacity = CapacityEstimate()
         self._allowances = Allowances(WINDOW_S, rng)
@@ -210,7 +212,7 @@
         if not self._totals_source.accepts(sender.host_id, reports_count, routers_count, now_s):
             return
         self._pressed_ids = frozenset(message.pressed_ids)
-        demands = {entry.team: entry.tokens for entry in message.entries}
+        demands = self._total_demands = {entry.team: entry.tokens for entry in message.entries}
         served = {entry.team: entry.served_tokens for entry in message.entries}
         starved = {entry.team: entry.starved_tokens for entry in message.entries}
         self._update_capacity(demands, served, starved, now_s)
@@ -224,7 +226,9 @@
         :param now_s: monotonic time
         :return: the report to each controller that sums the demand
         """
-        local_demands = self._reported_demands = self._demand.estimate(now_s)
+        local_demands = self._demand.estimate(now_s)
+        if self.totals_age_s(now_s) <= FAILOVER_S or not self._totals_source.is_current(now_s):
+            self._reported_demands = local_demands
         served = self._served.totals(now_s)
         starved = self._starved.totals(now_s)
         if not self._totals_source.is_current(now_s):
@@ -232,6 +236,9 @@
             # demand: all callers of a team may use this router.
             self._update_capacity(local_demands, served, starved, now_s)
             self._set_allowances(local_demands, local_demands, served, now_s)
+            self._engine_part = 1.0 / max(1, self._routers_count())
+        elif self.totals_age_s(now_s) > FAILOVER_S:
+            self._follow_local_demand(local_demands, now_s)
         entries = tuple(
             TeamTokens(team, tokens, served.get(team, 0.0), starved.get(team, 0.0))
             for team, tokens in local_demands.items()
@@ -239,6 +246,24 @@
         for aggregator in ranked(AGGREGATOR_KEY, self._controller_ids())[:AGGREGATORS_COUNT]:
             yield Outgoing(aggregator, Asked(entries, self._is_pressed()))
 
+    def _follow_local_demand(self, local_demands: dict[str, float], now_s: float) -> None:
+        """
+        Follow the demand at this router while no totals arrive.
+
+        The other routers are taken to have the demand that they had, and shares stay as they were:
+        with the demand at this router alone, all of them would change at the same moment.
+        """
+        known = self._reported_demands
+        demands = {
+            team: max(
+                local_demands.get(team, 0.0),
+                tokens - known.get(team, 0.0) + local_demands.get(team, 0.0),
+            )
+            for team, tokens in self._total_demands.items()
+        }
+        self._allowances.set_own_demands(demands, local_demands, now_s)
+        self._set_engine_part(demands, local_demands)
+
     def _update_capacity(
         self,
         demands: dict[str, float],
@@ -281,11 +306,14 @@
         self._allowances.set_shares(
             demands, local_demands, capacity, served, now_s, usual_capacity=nominal_tokens
         )
+        self._set_engine_part(demands, local_demands)
+        self._log_over_share(demands, local_demands, served, now_s)
+
+    def _set_engine_part(self, demands: dict[str, float], local_demands: dict[str, float]) -> None:
         min_part = MIN_ENGINE_PART / max(1, self._routers_count())
         self._engine_part = max(
             min_part, self._allowances.demand_part(local_demands, demands) or 2 * min_part
         )
-        self._log_over_share(demands, local_demands, served, now_s)
 
     def _log_over_share(
         self,
--- a/src/camphorvalve/sharing/allowances.py
+++ b/src/camphorvalve/sharing/allowances.py
@@ -113,11 +113,23 @@
             for team, tokens in fair_shares.items()
         }
         self._new_team_per_s = new_team_share(demands, capacity) / self._window_s
+        self.set_own_demands(demands, own_demands, now_s)
+
+    def set_own_demands(
+        self, demands: Mapping[str, float], own_demands: Mapping[str, float], now_s: float
+    ) -> None:
+        """
+        Divide the shares anew among the routers; the shares stay as they are.
+
+        :param demands: tokens by team in the window, at all routers
+        :param own_demands: the part of these tokens at this router
+        :param now_s: monotonic time
+        """
         self._set_rates(
             {
                 team: self._shares[team] * own_demands.get(team, 0.0) / demand / self._window_s
                 for team, demand in demands.items()
-                if demand > 0
+                if demand > 0 and team in self._shares
             },
             now_s,
         )
--- a/src/camphorvalve/sharing/sources.py
+++ b/src/camphorvalve/sharing/sources.py
@@ -5,7 +5,7 @@
 FAILOVER_S = 1.2
 """Time without totals from the current controller after which those of another one are used: two
 reports and their delivery."""
-MAX_AGE_S = 10.0
+MAX_AGE_S = 120.0
 """Maximum age of totals. It is long because shares, and the distribution of demand over routers,
 change more slowly than controllers recover, and without totals a router knows only its own
 demand."""
--- a/tests/controllers/test_fairness.py
+++ b/tests/controllers/test_fairness.py
@@ -57,6 +57,22 @@
         histories = self.check(SINGLE, SPREAD, outages=[outage])
         self.check_steady(histories, "single", SETTLED_S, 20)
 
+    def test_long_controller_outage(self) -> None:
+        """Guards against shares that change at all routers at once when the sums expire: each
+        router then divided the whole capacity among its own callers."""
+        names = tuple(f"c-{number}" for number in range(9))
+        for duration_s in (10, 20, 60):
+            with self.subTest(duration_s=duration_s):
+                histories = self.check(
+                    SINGLE,
+                    SPREAD,
+                    duration_s=duration_s + 14,
+                    outages=[Outage(8.0, 8.0 + duration_s, names)],
+                    routers_count=191,
+                )
+                self.check_steady(histories, "single", SETTLED_S, duration_s + 14)
+                self.check_steady(histories, "spread", 7, duration_s + 14)
+
     def test_aggregating_controller_lost(self) -> None:
         """Guards against shares that depend on one particular controller of nine."""
         histories = self.check(SINGLE, SPREAD, outages=[Outage(8.0, 30.0, (AGGREGATOR_ID,))])
