Keep a process running when a controller of soft state fails

Cause: any error in handling one message or in one tick, and any value that a message cannot carry, ended the whole process, so that one odd message could end every process that got it. Change: the runtime logs the error with its controller and goes on. Controllers of replicated state still end the process, since their state may be half changed and is restored from disk.

--- a/src/camphorvalve/controllers/runtime.py
+++ b/src/camphorvalve/controllers/runtime.py
@@ -9,7 +9,7 @@
 import structlog
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable, Iterator, Sequence
+    from collections.abc import Callable, Iterable, Iterator, Sequence
 
     from camphorvalve.wire.link import Link
 
@@ -59,15 +59,23 @@
 class Runtime:
     """Passes messages from the link to the state controllers and sends the messages they yield."""
 
-    def __init__(self, link: Link, controllers: Sequence[StateController]) -> None:
+    def __init__(
+        self,
+        link: Link,
+        controllers: Sequence[StateController],
+        durable: Sequence[StateController] = (),
+    ) -> None:
         """
         Prepare the runtime.
 
         :param link: connection of this process to its peers
         :param controllers: state controllers; each message type is accepted by one of them
+        :param durable: those whose errors end the process: their state may be half changed, and is
+            restored from disk at the restart
         """
         self.link = link
         self._controllers = controllers
+        self._durable = durable
         self._by_type = {
             message_type: controller
             for controller in controllers
@@ -94,14 +102,34 @@
                 sender = Sender(self.link.host_id, self.link.incarnation)
                 pending.extend(self._deliver(sender, message))
             else:
-                self.link.send(peer_id, message)
+                self._send_to_peer(peer_id, message)
 
-    def _deliver(self, sender: Sender, message: Any) -> Iterator[Outgoing]:
+    def _send_to_peer(self, peer_id: str, message: Any) -> None:
+        try:
+            self.link.send(peer_id, message)
+        except (TypeError, ValueError, OverflowError):
+            _log.exception(
+                "message cannot be encoded", peer_id=peer_id, message_type=type(message).__name__
+            )
+
+    def _deliver(self, sender: Sender, message: Any) -> list[Outgoing]:
         controller = self._by_type.get(type(message))
         if controller is None:
             _log.warning("no controller accepts this message", message_type=type(message).__name__)
-            return
-        yield from controller.handle(sender, message, time.monotonic())
+            return []
+        return self._collect(controller, lambda: controller.handle(sender, message, _now_s()))
+
+    def _collect(
+        self, controller: StateController, run: Callable[[], Iterator[Outgoing]]
+    ) -> list[Outgoing]:
+        """Run a controller; an error costs its messages, not the process."""
+        try:
+            return list(run())
+        except Exception:
+            if controller in self._durable:
+                raise
+            _log.exception("controller failed", controller=controller.name)
+            return []
 
     async def _receive(self) -> None:
         async for envelope in self.link.receive():
@@ -110,8 +138,12 @@
 
     async def _tick(self, controller: StateController) -> None:
         while True:
-            self.send(controller.tick(time.monotonic()))
+            self.send(self._collect(controller, lambda: controller.tick(_now_s())))
             await anyio.sleep(controller.tick_s)
 
 
+def _now_s() -> float:
+    return time.monotonic()
+
+
 __all__ = ["Outgoing", "Runtime", "Sender", "StateController"]
--- a/src/camphorvalve/wiring/controller.py
+++ b/src/camphorvalve/wiring/controller.py
@@ -45,7 +45,7 @@
     storage = open_storage(settings.data_folder, settings.host_id)
     replication = ReplicationController(settings, storage, random.Random(incarnation))
     link = create_link(settings, incarnation)
-    runtime = Runtime(link, (replication,))
+    runtime = Runtime(link, (replication,), durable=(replication,))
     client = create_client()
     timing = OrderTiming()
     order_client = create_client(timing.delivery_s)
--- a/src/camphorvalve/wiring/joinedcontroller.py
+++ b/src/camphorvalve/wiring/joinedcontroller.py
@@ -45,7 +45,8 @@
     replication = ReplicationController(settings, storage, random.Random(incarnation))
     link = create_joined_link(settings, incarnation)
     listing = ListPublisher()
-    runtime = Runtime(link, (replication, TotalsController(), listing))
+    controllers = (replication, TotalsController(), listing)
+    runtime = Runtime(link, controllers, durable=(replication,))
     link.open()
     shutdown = anyio.Event()
     async with anyio.create_task_group() as tasks:
