Do not charge upstreams for a router that is short of processor time

Cause: connecting takes some turns of the event loop. Change: the time to connect grows by four times the lag, and an upstream that was not reached in time is not charged while the router sheds load. Refused connections count as before. Result: test_overloaded_router fails before (one ejection instead of none).

--- a/src/camphorvalve/filters/place.py
+++ b/src/camphorvalve/filters/place.py
@@ -12,10 +12,10 @@
 from camphorvalve.model.answers import Body
 from camphorvalve.model.errors import RequestError
 from camphorvalve.model.requests import Stage
-from camphorvalve.upstreams.errors import Declined, NotSent, UpstreamError
+from camphorvalve.upstreams.errors import Declined, NotReached, NotSent, UpstreamError
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator
+    from collections.abc import AsyncIterator, Callable
 
     from camphorvalve.controllers.pools import Placement, Pools
     from camphorvalve.filters.chain import Handler
@@ -32,13 +32,16 @@
 class PlaceFilter:
     """Places each attempt at an upstream that has room, according to the state of the pools."""
 
-    def __init__(self, pools: Pools) -> None:
+    def __init__(self, pools: Pools, is_overloaded: Callable[[], bool] = lambda: False) -> None:
         """
         Prepare the filter.
 
         :param pools: the upstreams, their load and their failures
+        :param is_overloaded: tells whether this router is short of processor time, so that an
+            upstream that it did not reach in time may be sound
         """
         self._pools = pools
+        self._is_overloaded = is_overloaded
 
     async def __call__(self, exchange: Exchange, inner: Handler) -> AsyncIterator[Part]:
         """
@@ -81,7 +84,8 @@
             raise
         except UpstreamError as error:
             now_s = time.monotonic()
-            if not self._pools.is_held_off(upstream_id, now_s):
+            is_at_fault = not (isinstance(error, NotReached) and self._is_overloaded())
+            if is_at_fault and not self._pools.is_held_off(upstream_id, now_s):
                 unreachable = isinstance(error, NotSent)
                 self._pools.record_failure(upstream_id, now_s, unreachable=unreachable)
             raise
--- a/src/camphorvalve/upstreams/errors.py
+++ b/src/camphorvalve/upstreams/errors.py
@@ -26,6 +26,10 @@
     """No byte of the request was sent; the upstream did not run it."""
 
 
+class NotReached(NotSent):
+    """No connection was established in time."""
+
+
 class Declined(UpstreamError):  # noqa: N818 -- see NotSent
     """The upstream reports that it did not and will not run the request."""
 
@@ -76,6 +80,7 @@
     "Declined",
     "FailedAnswer",
     "NoAnswer",
+    "NotReached",
     "NotSent",
     "UpstreamError",
     "WrongAnswer",
--- a/src/camphorvalve/upstreams/routed.py
+++ b/src/camphorvalve/upstreams/routed.py
@@ -20,6 +20,7 @@
     Declined,
     FailedAnswer,
     NoAnswer,
+    NotReached,
     NotSent,
     WrongAnswer,
 )
@@ -38,6 +39,8 @@
 CONNECT_TIMEOUT_S = 0.3
 """Connecting takes one round trip and 1 ms at the upstream. A lost first packet is only sent again
 after a second, so trying another upstream is faster."""
+CONNECT_TURNS_COUNT = 4
+"""Turns of the event loop that connecting takes; their lag is not the upstream's."""
 STREAM_READ_TIMEOUT_S = 1.0
 """Longest wait for more bytes of a response that another upstream may continue or repeat; callers
 give up after 2 s."""
@@ -82,6 +85,7 @@
         client: httpx.AsyncClient,
         names: HeaderNames,
         on_notice: Callable[[str, Notice], None] = lambda upstream_id, notice: None,
+        lag_s: Callable[[], float] = lambda: 0.0,
     ) -> None:
         """
         Set the HTTP client and the header names for all attempts.
@@ -89,7 +93,9 @@
         :param client: client from ``create_client``
         :param names: names of the headers exchanged with upstreams
         :param on_notice: called with the id of an upstream and what it said of itself
+        :param lag_s: returns the time by which the event loop is late
         """
+        self._lag_s = lag_s
         self._client = client
         self._names = names
         self._on_notice = on_notice
@@ -145,14 +151,17 @@
                 headers=self._headers(upstream, exchange, call),
                 extensions={
                     "trace": trace,
-                    "timeout": _timeout(exchange).as_dict(),
+                    "timeout": _timeout(exchange, self._lag_s()).as_dict(),
                     FRESH_CONNECTION: not exchange.parameters.idempotent,
                 },
             )
             response = await self._client.send(request, stream=True)
         except (httpx.HTTPError, httpx.InvalidURL) as error:
             cause = f"{type(error).__name__}: {error}"
-            raise (NoAnswer if started else NotSent)(upstream.upstream_id, cause) from error
+            if started:
+                raise NoAnswer(upstream.upstream_id, cause) from error
+            is_timeout = isinstance(error, httpx.ConnectTimeout)
+            raise (NotReached if is_timeout else NotSent)(upstream.upstream_id, cause) from error
         # httpcore reads this entry when it starts to read the body.
         request.extensions["timeout"]["read"] = _body_read_timeout_s(exchange)
         return response
@@ -258,7 +267,7 @@
     return max(STREAM_READ_TIMEOUT_S, exchange.deadline_s - time.monotonic())
 
 
-def _timeout(exchange: Exchange) -> httpx.Timeout:
+def _timeout(exchange: Exchange, lag_s: float) -> httpx.Timeout:
     left_s = max(0.001, exchange.deadline_s - time.monotonic())
     read_s = left_s
     if exchange.parameters.idempotent and exchange.attempt < exchange.route.attempts_count:
@@ -266,7 +275,7 @@
             FIRST_BYTE_TIMEOUT_S, FIRST_BYTE_OBJECTIVE_RATIO * exchange.parameters.objective_s
         )
         read_s = min(left_s / 2, first_byte_timeout_s)
-    connect_s = min(CONNECT_TIMEOUT_S, left_s)
+    connect_s = min(CONNECT_TIMEOUT_S + CONNECT_TURNS_COUNT * lag_s, left_s)
     return httpx.Timeout(read_s, connect=connect_s, pool=connect_s)
 
 
--- a/src/camphorvalve/wiring/joinedrouter.py
+++ b/src/camphorvalve/wiring/joinedrouter.py
@@ -164,11 +164,16 @@
                 deadline,
                 share(self._shares),
                 RetryFilter(retry_budget),
-                PlaceFilter(self._pools),
+                PlaceFilter(self._pools, self._intake.is_overloaded),
             ),
             forward(
                 self._pools,
-                RoutedAttempts(self._client, self._platform.header_names, self._on_notice),
+                RoutedAttempts(
+                    self._client,
+                    self._platform.header_names,
+                    self._on_notice,
+                    lambda: self._level_reporter.lag_s,
+                ),
             ),
         )
 
--- a/tests/filters/test_place.py
+++ b/tests/filters/test_place.py
@@ -9,13 +9,14 @@
 from typing import TYPE_CHECKING
 
 import anyio
+from structlog.testing import capture_logs
 
 from camphorvalve.controllers.pools import Pools
 from camphorvalve.filters.place import WAIT_RATIO, PlaceFilter
 from camphorvalve.model.answers import Body, Head
 from camphorvalve.model.errors import RequestError
 from camphorvalve.sharing.routing import RouteTable
-from camphorvalve.upstreams.errors import NoAnswer
+from camphorvalve.upstreams.errors import NoAnswer, NotReached, NotSent
 from tests.routebuilders import a_listed_upstream, a_manifest, a_prompt, a_route, a_routed_exchange
 
 if TYPE_CHECKING:
@@ -92,6 +93,30 @@
                 anyio.run(self.run_request, fail)
         self.assertEqual(anyio.run(self.run_request)[-1], Body(b"yes"))
 
+    def test_overloaded_router(self) -> None:
+        """Guards against ejecting sound upstreams, one after the other, because this router has no
+        processor time to connect to them; one that refuses connections is ejected all the same."""
+        rows = [
+            (NotReached("up-1", "timeout"), True, 0),
+            (NotReached("up-1", "timeout"), False, 1),
+            (NotSent("up-1", "connection refused"), True, 1),
+        ]
+        for error, is_overloaded, expected_count in rows:
+            with self.subTest(error=error, is_overloaded=is_overloaded):
+                self.setUp()
+                self.filter = PlaceFilter(self.pools, lambda overloaded=is_overloaded: overloaded)
+
+                async def fail_to_connect(
+                    exchange: Exchange, error: NotSent = error
+                ) -> AsyncIterator[Part]:
+                    raise error
+                    yield
+
+                with capture_logs() as lines, self.assertRaises(NotSent):
+                    anyio.run(self.run_request, fail_to_connect)
+                ejected = [line for line in lines if line["event"] == "upstream left out"]
+                self.assertEqual(len(ejected), expected_count)
+
 
 if __name__ == "__main__":
     unittest.main()
