Discard a refused body while it arrives, up to a number of bytes

Change: the body is discarded until it is complete, one second passes without a byte, 8 MB have been discarded or 10 s have passed.

--- a/src/camphorvalve/http/sending.py
+++ b/src/camphorvalve/http/sending.py
@@ -27,9 +27,13 @@
 _log = structlog.get_logger(__name__)
 
 LINGERING_CLOSE_S = 1.0
-"""How long the unread part of a request body is received and discarded before the connection is
-closed. An immediate close would reset the connection, and the caller may lose the error response.
-"""
+"""Silence after which the connection is closed while a part of the request body is unread. Until
+then the body is received and discarded: an immediate close would reset the connection, and the
+caller may lose the error response."""
+MAX_LINGERING_S = 10.0
+"""Longest time for which a body is discarded."""
+MAX_DISCARDED_BYTES = 8 << 20
+"""Most bytes that are discarded: twice the largest body that is accepted."""
 
 _DROPPED_HEADERS = HOP_HEADERS | {"date"}
 
@@ -224,25 +228,30 @@
     """
     content = msgspec.json.encode(body)
     headers_with_close = (*headers, ("connection", "close"))
-    received = anyio.Event()
+    discarded = anyio.Event()
     async with anyio.create_task_group() as tasks:
         # Discards until the disconnect: the server's queue of body parts is bounded, and if it
         # stayed full, the last send would block forever.
-        tasks.start_soon(_discard_body, receive, received)
+        tasks.start_soon(_discard_body, receive, discarded)
         await send(_start_message(status, _json_headers(content, headers_with_close)))
         await send({"type": "http.response.body", "body": content, "more_body": True})
-        with anyio.move_on_after(LINGERING_CLOSE_S):
-            await received.wait()
+        with anyio.move_on_after(MAX_LINGERING_S):
+            await discarded.wait()
         await send({"type": "http.response.body", "body": b"", "more_body": False})
         tasks.cancel_scope.cancel()
 
 
-async def _discard_body(receive: Receive, received: anyio.Event) -> None:
+async def _discard_body(receive: Receive, discarded: anyio.Event) -> None:
+    """Receive until the disconnect; the event is set when the connection should be closed."""
+    size_bytes = 0
     while True:
-        message = await receive()
-        if not message.get("more_body", False):
-            received.set()
-        if message["type"] == "http.disconnect":
+        message: dict[str, Any] = {}
+        with anyio.move_on_after(None if discarded.is_set() else LINGERING_CLOSE_S):
+            message = await receive()
+        size_bytes += len(message.get("body", b""))
+        if size_bytes > MAX_DISCARDED_BYTES or not message.get("more_body", False):
+            discarded.set()
+        if message.get("type") == "http.disconnect":
             return
 
 
--- a/tests/http/test_callers.py
+++ b/tests/http/test_callers.py
@@ -126,6 +126,20 @@
             except httpx.TransportError:
                 self.assertLess(sent_count, 1000)
 
+    async def test_slow_body_beyond_the_limit(self) -> None:
+        """Guards against a caller that loses the error response, as its connection is reset while
+        it still sends the body."""
+
+        async def chunks() -> AsyncIterator[bytes]:
+            for _ in range(8):
+                yield b"x" * 65536
+                await anyio.sleep(0.2)
+
+        app = caller_app(_Chain(), limits=CallerLimits(body_bytes=100_000, held_bytes=1 << 30))
+        async with serving(app) as served, httpx.AsyncClient() as client:
+            response = await client.post(f"{served.url}/v1/completions", content=chunks())
+            self.assertEqual(response.json()["error"]["code"], "too_large")
+
     async def test_total_size_of_bodies_is_limited(self) -> None:
         app = caller_app(_Chain(*an_answer(b"{}")), limits=CallerLimits(held_bytes=100))
         async with serving(app) as served, httpx.AsyncClient() as client:
