--- a/src/camphorvalve/controllers/presence.py
+++ b/src/camphorvalve/controllers/presence.py
@@ -46,6 +46,8 @@
     """Start of this controller or of its newest leadership; silence is measured from then at the
 earliest."""
     routers: dict[str, Router] = field(default_factory=dict)
+    version: int = 0
+    """Increases when a router is new or its entry in the roster changes."""
 
     def record_message(self, sender: Sender, poll: ConfigPoll | None, now_s: float) -> None:
         """
@@ -66,9 +68,12 @@
         ):
             known = Router(sender.host_id, sender.incarnation, now_s)
             self.routers[sender.host_id] = known
+            self.version += 1
         if sender.incarnation == known.incarnation:
             known.heard_s = now_s
-            known.poll = poll or known.poll
+            if poll is not None:
+                self.version += _listed_fields(poll) != _listed_fields(known.poll)
+                known.poll = poll
 
     def roster(self, controllers: Iterable[str], now_s: float) -> Roster:
         """
@@ -131,4 +136,8 @@
                 del self.routers[router_id]
 
 
+def _listed_fields(poll: ConfigPoll | None) -> tuple[str, str, bool] | None:
+    return None if poll is None else (poll.data_centre, poll.caller_address, poll.leaving)
+
+
 __all__ = ["Presence", "Router"]
--- a/src/camphorvalve/controllers/roster.py
+++ b/src/camphorvalve/controllers/roster.py
@@ -6,7 +6,7 @@
 
 import structlog
 
-from camphorvalve.wire.messages import Roster, RosterUnchanged
+from camphorvalve.wire.messages import Roster, RosterChange, RosterUnchanged
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Iterator
@@ -30,7 +30,7 @@
 
     name = "roster"
     tick_s = 1.0
-    accepts = (Roster, RosterUnchanged)
+    accepts = (Roster, RosterChange, RosterUnchanged)
 
     def __init__(self, seeds: Iterable[str]) -> None:
         """
@@ -96,28 +96,33 @@
 
     def handle(self, sender: Sender, message: Any, now_s: float) -> Iterator[Outgoing]:
         """
-        Store a roster, or record that the stored one is still valid.
+        Store or change a roster, or record that the stored one is still valid.
 
         :param sender: the controller
-        :param message: ``Roster`` or ``RosterUnchanged``
+        :param message: ``Roster``, ``RosterChange`` or ``RosterUnchanged``
         :param now_s: monotonic time
         :return: no messages
         """
         known = self._rosters.get(sender.host_id)
         match message:
             case Roster():
-                self._rosters[sender.host_id] = _ReceivedRoster(message, now_s)
-                _log.info(
-                    "roster received",
-                    controller_id=sender.host_id,
-                    version=message.version,
-                    controllers=list(message.controllers),
-                    routers_count=len(message.routers),
-                )
+                self._store(sender.host_id, message, now_s)
+            case RosterChange(from_version) if known and known.roster.version == from_version:
+                self._store(sender.host_id, _apply(known.roster, message), now_s)
             case RosterUnchanged(version) if known and known.roster.version == version:
                 self._rosters[sender.host_id] = known._replace(heard_s=now_s)
         yield from ()
 
+    def _store(self, controller_id: str, roster: Roster, now_s: float) -> None:
+        self._rosters[controller_id] = _ReceivedRoster(roster, now_s)
+        _log.info(
+            "roster received",
+            controller_id=controller_id,
+            version=roster.version,
+            controllers=list(roster.controllers),
+            routers_count=len(roster.routers),
+        )
+
     def tick(self, now_s: float) -> Iterator[Outgoing]:
         """
         Drop the rosters of silent controllers, unless all controllers are silent.
@@ -135,4 +140,12 @@
         yield from ()
 
 
+def _apply(roster: Roster, change: RosterChange) -> Roster:
+    routers = {router.router_id: router for router in roster.routers}
+    for removed_id in change.removed_ids:
+        routers.pop(removed_id, None)
+    routers.update((router.router_id, router) for router in change.changed)
+    return Roster(change.version, change.controllers, tuple(routers.values()))
+
+
 __all__ = ["RosterController"]
--- a/src/camphorvalve/wire/messages.py
+++ b/src/camphorvalve/wire/messages.py
@@ -156,6 +156,17 @@
     routers: tuple[RosterRouter, ...]
 
 
+class RosterChange(NamedTuple):
+    """Difference between two rosters of a controller, for a router that has the first one."""
+
+    from_version: int
+    version: int
+    controllers: tuple[str, ...]
+    changed: tuple[RosterRouter, ...]
+    """Routers that are new or whose entry is another one."""
+    removed_ids: tuple[str, ...]
+
+
 class RosterUnchanged(NamedTuple):
     """Confirms that the router has the newest roster of this controller."""
 
@@ -304,6 +315,7 @@
     ConfigPoll,
     ConfigUpdate,
     Roster,
+    RosterChange,
     RosterUnchanged,
     Asked,
     AskedTotals,
@@ -341,6 +353,7 @@
     "ReadReply",
     "ReadRequest",
     "Roster",
+    "RosterChange",
     "RosterRouter",
     "RosterUnchanged",
     "ServiceEntry",
