Freeze shares without following own demand while no sums arrive

Change: rates stay as they were; those of teams within their shares are raised to an even part, since a small team asks at other routers than in the last two seconds before.

--- a/src/camphorvalve/controllers/shares.py
+++ b/src/camphorvalve/controllers/shares.py
@@ -88,8 +88,6 @@
         self._retry_detector = RetryDetector()
         self._reported_demands: dict[str, float] = {}
         """Demand by team in this router's last report, which the totals include."""
-        self._total_demands: dict[str, float] = {}
-        """Demand by team in the totals in use."""
         self._totals_source = TotalsSource()
         self._capacity = CapacityEstimate()
         self._allowances = Allowances(WINDOW_S, rng)
@@ -212,7 +210,7 @@
         if not self._totals_source.accepts(sender.host_id, reports_count, routers_count, now_s):
             return
         self._pressed_ids = frozenset(message.pressed_ids)
-        demands = self._total_demands = {entry.team: entry.tokens for entry in message.entries}
+        demands = {entry.team: entry.tokens for entry in message.entries}
         served = {entry.team: entry.served_tokens for entry in message.entries}
         starved = {entry.team: entry.starved_tokens for entry in message.entries}
         self._update_capacity(demands, served, starved, now_s)
@@ -226,9 +224,7 @@
         :param now_s: monotonic time
         :return: the report to each controller that sums the demand
         """
-        local_demands = self._demand.estimate(now_s)
-        if self.totals_age_s(now_s) <= FAILOVER_S or not self._totals_source.is_current(now_s):
-            self._reported_demands = local_demands
+        local_demands = self._reported_demands = self._demand.estimate(now_s)
         served = self._served.totals(now_s)
         starved = self._starved.totals(now_s)
         if not self._totals_source.is_current(now_s):
@@ -238,7 +234,7 @@
             self._set_allowances(local_demands, local_demands, served, now_s)
             self._engine_part = 1.0 / max(1, self._routers_count())
         elif self.totals_age_s(now_s) > FAILOVER_S:
-            self._follow_local_demand(local_demands, now_s)
+            self._allowances.raise_to_even_rates(self._routers_count(), now_s)
         entries = tuple(
             whole_tokens(team, tokens, served.get(team, 0.0), starved.get(team, 0.0))
             for team, tokens in local_demands.items()
@@ -246,24 +242,6 @@
         for aggregator in ranked(AGGREGATOR_KEY, self._controller_ids())[:AGGREGATORS_COUNT]:
             yield Outgoing(aggregator, Asked(entries, self._is_pressed()))
 
-    def _follow_local_demand(self, local_demands: dict[str, float], now_s: float) -> None:
-        """
-        Follow the demand at this router while no totals arrive.
-
-        The other routers are taken to have the demand that they had, and shares stay as they were:
-        with the demand at this router alone, all of them would change at the same moment.
-        """
-        known = self._reported_demands
-        demands = {
-            team: max(
-                local_demands.get(team, 0.0),
-                tokens - known.get(team, 0.0) + local_demands.get(team, 0.0),
-            )
-            for team, tokens in self._total_demands.items()
-        }
-        self._allowances.set_own_demands(demands, local_demands, now_s)
-        self._set_engine_part(demands, local_demands)
-
     def _update_capacity(
         self,
         demands: dict[str, float],
@@ -306,14 +284,11 @@
         self._allowances.set_shares(
             demands, local_demands, capacity, served, now_s, usual_capacity=nominal_tokens
         )
-        self._set_engine_part(demands, local_demands)
-        self._log_over_share(demands, local_demands, served, now_s)
-
-    def _set_engine_part(self, demands: dict[str, float], local_demands: dict[str, float]) -> None:
         min_part = MIN_ENGINE_PART / max(1, self._routers_count())
         self._engine_part = max(
             min_part, self._allowances.demand_part(local_demands, demands) or 2 * min_part
         )
+        self._log_over_share(demands, local_demands, served, now_s)
 
     def _log_over_share(
         self,
--- a/src/camphorvalve/sharing/allowances.py
+++ b/src/camphorvalve/sharing/allowances.py
@@ -113,27 +113,33 @@
             for team, tokens in fair_shares.items()
         }
         self._new_team_per_s = new_team_share(demands, capacity) / self._window_s
-        self.set_own_demands(demands, own_demands, now_s)
-
-    def set_own_demands(
-        self, demands: Mapping[str, float], own_demands: Mapping[str, float], now_s: float
-    ) -> None:
-        """
-        Divide the shares anew among the routers; the shares stay as they are.
-
-        :param demands: tokens by team in the window, at all routers
-        :param own_demands: the part of these tokens at this router
-        :param now_s: monotonic time
-        """
         self._set_rates(
             {
                 team: self._shares[team] * own_demands.get(team, 0.0) / demand / self._window_s
                 for team, demand in demands.items()
-                if demand > 0 and team in self._shares
+                if demand > 0
             },
             now_s,
         )
 
+    def raise_to_even_rates(self, routers_count: int, now_s: float) -> None:
+        """
+        Raise the rates of teams within their shares to an even part, while it is unknown where
+        teams ask.
+
+        Those of teams over their shares stay as they are: together they would exceed the shares.
+
+        :param routers_count: number of routers
+        :param now_s: monotonic time
+        """
+        even_rates = {
+            team: share / self._window_s / max(1, routers_count)
+            for team, share in self._shares.items()
+            if not self.is_over_share(team)
+        }
+        raised = {team: max(self._rates.get(team, 0.0), rate) for team, rate in even_rates.items()}
+        self._set_rates({**self._rates, **raised}, now_s)
+
     def _set_rates(self, rates: dict[str, float], now_s: float) -> None:
         self._rates = rates
         self._buckets = {team: bucket for team, bucket in self._buckets.items() if team in rates}
--- a/src/camphorvalve/sharing/sources.py
+++ b/src/camphorvalve/sharing/sources.py
@@ -6,9 +6,9 @@
 """Time without totals from the current controller after which those of another one are used: two
 reports and their delivery."""
 MAX_AGE_S = 120.0
-"""Maximum age of totals. It is long because shares, and the distribution of demand over routers,
-change more slowly than controllers recover, and without totals a router knows only its own
-demand."""
+"""Maximum age of totals, until which shares stay as they were. It is long because shares, and the
+distribution of demand over routers, change more slowly than controllers recover, and without totals
+a router knows only its own demand."""
 MIN_COVERED_RATIO = 0.5
 """Part of the known routers that new totals must cover to replace ones that cover more: a
 controller that has just started, or is partitioned off with a few routers, knows little of the
