Let routers with spare processor time use more of the engines

Cause: callers now use the routers of their data centre, which get more than an even part of the demand; 1.25 even parts of the engines refuse them while engines have room. The bound while it starts is as before.

--- a/src/camphorvalve/reports/levels.py
+++ b/src/camphorvalve/reports/levels.py
@@ -15,6 +15,8 @@
 LAG_INTERVAL_S = 0.05
 """Interval between measurements of the event loop's lag; under any load the loop wakes up more
 often anyway."""
+MEAN_LAG_WEIGHT = LAG_INTERVAL_S
+"""Weight of the newest measurement in the mean, which then covers about a second."""
 REPORT_INTERVAL_S = 1.0
 
 _log = structlog.get_logger(__name__)
@@ -54,6 +56,8 @@
         self._reported_s = clock()
         self.lag_s = 0.0
         """Lag of the event loop at the last measurement; routers also export it as a metric."""
+        self.mean_lag_s = 0.0
+        """Mean lag of about the last second."""
 
     def add_counter(self, name: str, read: Callable[[], int]) -> None:
         """
@@ -81,6 +85,7 @@
         :param lag_s: time by which the event loop was late; a negative value counts as zero
         """
         self.lag_s = max(0.0, lag_s)
+        self.mean_lag_s += MEAN_LAG_WEIGHT * (self.lag_s - self.mean_lag_s)
         self._longest_lag_s = max(self._longest_lag_s, self.lag_s)
         self._on_lag(self.lag_s)
 
--- a/src/camphorvalve/wiring/joinedrouter.py
+++ b/src/camphorvalve/wiring/joinedrouter.py
@@ -226,7 +226,12 @@
 
     def _engine_part(self) -> float:
         age_s = time.monotonic() - self._started_s
-        return limit_engine_part(self._shares.engine_part(), self._roster.routers_count(), age_s)
+        return limit_engine_part(
+            self._shares.engine_part(),
+            self._roster.routers_count(),
+            age_s,
+            self._level_reporter.mean_lag_s,
+        )
 
     def _totals_age_s(self) -> float:
         return self._shares.totals_age_s(time.monotonic())
