--- a/tests/platform/test_instances.py
+++ b/tests/platform/test_instances.py
@@ -15,24 +15,11 @@
 
 from camphorvalve.model.hosts import HostState
 from camphorvalve_platform import instances
-from tests.platform.builders import an_entry
+from tests.platform.builders import ODD_TEXTS, a_page_with, an_entry, an_entry_text
 
 if TYPE_CHECKING:
     from camphorvalve.model.upstreams import UpstreamList
 
-ODD_TEXTS = (
-    b"1e400",
-    b"[" * 3000,
-    b"{" * 3000,
-    b"9" * 500,
-    b"-1",
-    b"null",
-    b'"',
-    b"\\",
-    b"NaN",
-    b":",
-)
-
 
 def read(*pages: Any) -> Any:
     """
@@ -61,29 +48,6 @@
     return [upstream for page in pages for upstream in page.upstreams]
 
 
-def a_page_with(entry: str, page_fields: str = "") -> bytes:
-    """
-    Build a page with a text as its second entry, between two valid ones.
-
-    :param entry: text of the entry
-    :param page_fields: text of more fields of the page, before the list
-    :return: the page
-    """
-    first, last = (json.dumps(an_entry(id=entry_id)) for entry_id in ("i-1", "i-3"))
-    return f'{{{page_fields}"instances":[{first},{entry},{last}],"nextToken":null}}'.encode()
-
-
-def an_entry_text(**fields: str) -> str:
-    """
-    Build an entry from JSON texts of its fields.
-
-    :param fields: JSON text by name of the field
-    :return: the entry
-    """
-    values = {name: json.dumps(value) for name, value in an_entry(id="i-2").items()}
-    return "{" + ",".join(f'"{key}":{value}' for key, value in {**values, **fields}.items()) + "}"
-
-
 class InstancesTest(unittest.TestCase):
     def test_translation(self) -> None:
         """Guards against skipped pages and misread states."""
--- a/tests/platform/test_manifests.py
+++ b/tests/platform/test_manifests.py
@@ -13,9 +13,9 @@
 from camphorvalve.registry.commands import COMMAND_CODEC, PutManifest
 from camphorvalve.registry.manifests import validation_errors
 from camphorvalve_platform import manifests
+from tests.platform.builders import ODD_TEXTS
 from tests.routebuilders import a_manifest_document
 
-ODD_TEXTS = (b"1e400", b"[" * 3000, b"{" * 3000, b"9" * 500, b"-1", b"null", b'"', b"7.5", b"NaN")
 ROUTE = json.loads(a_manifest_document())["routes"][0]
 
 
--- a/tests/routebuilders.py
+++ b/tests/routebuilders.py
@@ -18,6 +18,7 @@
     Tenant,
 )
 from camphorvalve.model.upstreams import PlainService, Upstream
+from camphorvalve.sharing.directory import CallerPlace, NamedRouter
 from camphorvalve.upstreams.routed import HeaderNames
 
 HEADER_NAMES = HeaderNames(
@@ -138,3 +139,19 @@
         "state": HostState.LIVE,
     }
     return Upstream(**{**values, **fields})
+
+
+ZONES = tuple(f"perth-{letter}" for letter in "abcdef")
+
+
+def some_named_routers(
+    count: int, *zones: str, pressed: frozenset[int] = frozenset()
+) -> list[NamedRouter]:
+    return [
+        NamedRouter(f"10.0.0.{number}:8783", zones[number % len(zones)], number in pressed)
+        for number in range(count)
+    ]
+
+
+def a_caller_place(zone: str, caller_id: str = "caller") -> CallerPlace:
+    return CallerPlace(caller_id, (frozenset({zone}), frozenset(ZONES)))
