Test notices of workers with real processes

A worker that leaves by its own answers gets no more requests from either router, and one that asked for a pause gets none although it would serve.

--- a/tests/processes/test_joined.py
+++ b/tests/processes/test_joined.py
@@ -40,6 +40,35 @@
     async def listed(self, expected: set[str]) -> bool:
         return set(await self.addresses("router-1")) == expected
 
+    async def run_by(self, router: str, count: int = 8) -> set[str]:
+        """Send requests to a router; returns the workers that ran them."""
+        first = len(self.workers.runs)
+        for _ in range(count):
+            self.assertEqual((await self.call("/once/1", router)).status_code, 200)
+        return {run.worker_id for run in self.workers.runs[first:]}
+
+    async def test_notices_of_workers(self) -> None:
+        """Guards against requests to a worker that answered that it leaves, also from the router
+        that did not hear it, and to one that asked for a pause."""
+        (leaving,) = await self.run_by("router-1", 1)
+        self.assertEqual(await self.run_by("router-2", 1), {leaving})
+        (other,) = {"i-1", "i-2"} - {leaving}
+        self.workers.leaving_ids = {leaving}
+        self.assertEqual(await self.run_by("router-1", 1), {leaving})
+        self.assertEqual(await self.run_by("router-1"), {other})
+        await self.fleet.wait_until(lambda: self.avoids(leaving, "router-2"))
+        self.assertEqual(await self.run_by("router-2"), {other})
+        self.workers.hold_off_s = {other: "30.5"}
+        refusal = await self.call("/once/1", "router-2")
+        self.assertEqual(refusal.status_code, 503)
+        self.workers.hold_off_s = {}
+        refusal = await self.call("/once/1", "router-2")
+        self.assertEqual(refusal.status_code, 503)
+        self.assertLessEqual(float(refusal.headers["retry-after"]), 30.5)
+
+    async def avoids(self, worker_id: str, router: str) -> bool:
+        return worker_id not in await self.run_by(router, 1)
+
     async def test_graceful_stop(self) -> None:
         """Guards against a stop that cuts a stream, or that directory and readiness don't show."""
         self.workers.events_count, self.workers.event_pause_s = 20, 0.1
--- a/tools/standins/karrilane.py
+++ b/tools/standins/karrilane.py
@@ -34,6 +34,10 @@
         self.event_pause_s = 0.01
         self.cut_after: int | None = None
         """Number of the event after which the next stream is cut; later streams are complete."""
+        self.leaving_ids: set[str] = set()
+        """Workers that say in their answers that they are leaving."""
+        self.hold_off_s: dict[str, str] = {}
+        """Workers that refuse requests, and the ``Retry-After`` of their refusals."""
         self._service = service
         self._entries: dict[str, dict[str, Any]] = {}
 
@@ -90,9 +94,19 @@
         if headers.get("target-instance", worker_id) != worker_id:
             await _send_response(send, 421, {"instance-id": worker_id}, b"")
             return
+        if worker_id in self.hold_off_s:
+            refusal = {
+                "attempt-id": request_id,
+                "not-executed": "1",
+                "retry-after": self.hold_off_s[worker_id],
+            }
+            await _send_response(send, 503, refusal, b"")
+            return
         target = scope["raw_path"].decode()
         self.runs.append(Run(worker_id, request_id, headers, target, body))
         own_headers = {"attempt-id": request_id, "server-stamp": f"stamp of {worker_id}"}
+        if worker_id in self.leaving_ids:
+            own_headers["server-leaving"] = "1"
         if not target.startswith("/stream/"):
             await _send_response(send, 200, own_headers, f"run by {worker_id}".encode())
             return
