Do not abort a connection that carries the next request already

Cause: the timer that breaks off a response at its deadline ran on while a slow caller read a complete one, and the connection could be in use again by then. Change: the timer leaves complete responses alone. Result: test_deadline_after_a_complete_response fails before (the second response is broken) and passes now.

--- a/src/camphorvalve/upstreams/routed.py
+++ b/src/camphorvalve/upstreams/routed.py
@@ -117,8 +117,7 @@
         response = await self._send(upstream, exchange)
         # Each read has a timeout of its own, which starts anew with every byte.
         left_s = exchange.deadline_s - time.monotonic()
-        connection = response.extensions["network_stream"]
-        timer = asyncio.get_running_loop().call_later(left_s, connection.abort)
+        timer = asyncio.get_running_loop().call_later(left_s, _abort, response)
         try:
             async with aclosing(self._response_parts(upstream, exchange, response)) as parts:
                 async for part in parts:
@@ -260,6 +259,12 @@
         return int(number_sent) if number_sent.isdecimal() else None
 
 
+def _abort(response: httpx.Response) -> None:
+    # The connection of a complete response may carry another request already.
+    if not response.is_closed:
+        response.extensions["network_stream"].abort()
+
+
 def _body_read_timeout_s(exchange: Exchange) -> float:
     if exchange.parameters.idempotent:
         return STREAM_READ_TIMEOUT_S
--- a/tests/upstreams/test_routed.py
+++ b/tests/upstreams/test_routed.py
@@ -231,6 +231,29 @@
                 self.assertEqual(caught.exception.code, "timed_out")
                 self.assertEqual(b"".join(contents), expected)
 
+    def test_deadline_after_a_complete_response(self) -> None:
+        """Guards against breaking off the next request on a connection at the deadline of the one
+        before, whose caller still reads its response."""
+
+        async def run() -> AttemptResult:
+            idempotent = a_route(idempotent=True)
+            late = response(b"second", headers=b"x-id: id-2\r\nx-proof: p\r\n")
+            scripts = [Script(response(b"first")), Script(late[:-1], "later", 0.4, repeated=b"d")]
+            async with upstream(*scripts) as (url, peer), create_client() as client:
+                exchange = a_routed_exchange(idempotent, deadline_s=time.monotonic() + 0.2)
+                parts = RoutedAttempts(client, HEADER_NAMES).open(
+                    a_listed_upstream(url=url), exchange
+                )
+                async with aclosing(parts):
+                    await anext(parts)
+                    await anext(parts)
+                    other = a_routed_exchange(idempotent, request_id="id-2")
+                    result = await attempt(url, other, client)
+                self.assertEqual(peer.connections_count, 1)
+                return result
+
+        self.assertEqual(anyio.run(run), AttemptResult(200, b"second", None))
+
     async def run_to_the_end(
         self, script: Script, exchange: Exchange, contents: list[bytes]
     ) -> None:
