--- a/src/camphorvalve/upstreams/routed.py
+++ b/src/camphorvalve/upstreams/routed.py
@@ -187,7 +187,7 @@
     async def _response_parts(
         self, upstream: Upstream, exchange: Exchange, response: httpx.Response
     ) -> AsyncGenerator[Part, None]:
-        await self._check_response(upstream, exchange, response)
+        self._check_response(upstream, exchange, response)
         head = Head(response.status_code, tuple(end_to_end(response.headers.multi_items())))
         if response.status_code >= 500 and exchange.parameters.idempotent:
             raise FailedAnswer(upstream.upstream_id, head, await read_body(upstream, response))
@@ -203,7 +203,7 @@
         yield head
         yield Body(await read_body(upstream, response))
 
-    async def _check_response(
+    def _check_response(
         self, upstream: Upstream, exchange: Exchange, response: httpx.Response
     ) -> None:
         names, headers = self._names, response.headers
