Compute the version of a list with an id listed twice

Cause: entries were sorted by all fields; two of one id, one with and one without the time of its start, raised TypeError in the controller that reads the list and ended it. Change: entries are sorted by id; the order and the version of other lists stay. Result: test_upstream_listed_twice fails before and passes now.

--- a/src/camphorvalve/controllers/listing.py
+++ b/src/camphorvalve/controllers/listing.py
@@ -267,7 +267,8 @@
 
 def _content_version(listed: tuple[ListedUpstream, ...]) -> int:
     """Compute a version from the content, so that all controllers assign the same version."""
-    return 1 + xxhash.xxh32_intdigest(msgspec.msgpack.encode(sorted(listed)))
+    in_order = sorted(listed, key=lambda upstream: upstream.upstream_id)
+    return 1 + xxhash.xxh32_intdigest(msgspec.msgpack.encode(in_order))
 
 
 def _encode(upstream: Upstream) -> ListedUpstream:
--- a/tests/controllers/test_listing.py
+++ b/tests/controllers/test_listing.py
@@ -94,6 +94,13 @@
         self.read(LEAVING, 1.1)
         self.assertEqual(self.applied[-1], (LEAVING, 1.1))
 
+    def test_upstream_listed_twice(self) -> None:
+        """Guards against an error that ends the process, as entries of one id are compared by
+        fields of different types."""
+        self.poll(0.0)
+        self.read([*ENGINES, ENGINES[0]._replace(started_ms=5)], 0.1)
+        self.assertEqual(len(self.applied[-1][0]), 3)
+
     def test_noticed_leaving(self) -> None:
         """Guards against other routers that use an upstream after it told one router that it
         leaves, and against a list that names it as live again."""
