Log the requests that a graceful stop cuts off

Cause: the log of a stopping router had no line at the moment of a cut. The outcome of the request was caller_left, so a request that was taken too late could not be told from one that lasts long, or from a caller that left. Change: when the time for running requests is over, the server calls back before it cuts them, and the stop logs the open requests, at most 20 of them, with their arrival after the signal, their age and their upstream.

--- a/src/camphorvalve/controllers/stopping.py
+++ b/src/camphorvalve/controllers/stopping.py
@@ -3,17 +3,22 @@
 from __future__ import annotations
 
 import signal
+import time
 from typing import TYPE_CHECKING
 
 import anyio
 import structlog
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Iterable
+
+    from camphorvalve.model.requests import Exchange
 
 ANNOUNCEMENT_S = 1.5
 """Time in which peers learn of the stop from the next ping and remove this router from their
 discovery answers."""
+MAX_LOGGED_COUNT = 20
+"""Most requests that are logged one by one when a stop cuts them off."""
 
 _log = structlog.get_logger(__name__)
 
@@ -31,15 +36,46 @@
         self._announce = announce
         self._lifetime_s = lifetime_s
         self.shutdown = anyio.Event()
+        self.signalled_s: float | None = None
+        """Monotonic time of the signal, ``None`` before it."""
 
     async def run(self) -> None:
         """Set ``shutdown`` once no caller can have a cached discovery answer with this router."""
         await _receive_stop_signal()
+        self.signalled_s = time.monotonic()
         _log.info("leaving", address_lifetime_s=self._lifetime_s)
         self._announce()
         await anyio.sleep(ANNOUNCEMENT_S + self._lifetime_s)
         self.shutdown.set()
 
+    def log_unfinished(self, exchanges: Iterable[Exchange]) -> None:
+        """
+        Log the requests that are open when the time for running requests is over.
+
+        :param exchanges: the open requests
+        """
+        unfinished = list(exchanges)
+        if not unfinished or self.signalled_s is None:
+            return
+        now_s = time.monotonic()
+        _log.warning(
+            "requests cut off by the stop",
+            unfinished_count=len(unfinished),
+            stopping_s=round(now_s - self.signalled_s, 3),
+        )
+        for exchange in unfinished[:MAX_LOGGED_COUNT]:
+            _log.warning(
+                "request cut off by the stop",
+                request_id=exchange.request.request_id,
+                kind=exchange.kind,
+                upstream_id=exchange.upstream_id,
+                attempt=exchange.attempt,
+                output_started=exchange.output_started,
+                # Negative for a request that arrived before the signal.
+                arrived_after_signal_s=round(exchange.received_s - self.signalled_s, 3),
+                age_s=round(now_s - exchange.received_s, 3),
+            )
+
 
 async def wait_for_signal(shutdown: anyio.Event) -> None:
     """
--- a/src/camphorvalve/filters/observe.py
+++ b/src/camphorvalve/filters/observe.py
@@ -24,6 +24,10 @@
         """:return: number of open requests"""
         return len(self._open)
 
+    def open_exchanges(self) -> list[Exchange]:
+        """:return: the open requests in order of arrival"""
+        return list(self._open.values())
+
     def find(self, request_id: str) -> Exchange | None:
         """
         Look up an open request.
--- a/src/camphorvalve/http/server.py
+++ b/src/camphorvalve/http/server.py
@@ -77,6 +77,7 @@
     leaving: Callable[[], bool] = lambda: False,
     keep_alive_s: Callable[[], float] = lambda: KEEP_ALIVE_S,
     guard: Guard | None = None,
+    on_timeout: Callable[[], None] = lambda: None,
 ) -> None:
     """
     Serve until the shutdown signal, then complete the running requests.
@@ -91,6 +92,8 @@
     :param keep_alive_s: returns the time after which an idle connection is closed
     :param guard: decides which new connections are served; used only on the event loop of
         ``camphorvalve.loop``
+    :param on_timeout: called when ``graceful_timeout_s`` is over, before running requests are cut
+        off
     """
     listener = listen(bind) if isinstance(bind, str) else bind
     loop = asyncio.get_running_loop()
@@ -100,12 +103,15 @@
     listener_fd = listener.detach()
     config = _hypercorn_config(listener_fd, graceful_timeout_s, keep_alive_s)
     tracker = _RequestTracker(app, lambda: shutdown.is_set() or leaving())
+    timers: list[asyncio.TimerHandle] = []
 
     async def stop() -> None:
         await shutdown.wait()
         await anyio.sleep(drain_s / 2)
         _refuse_connections(listener_fd, duplicate)
         await anyio.sleep(drain_s / 2)
+        # Hypercorn starts its own timer when this function returns.
+        timers.append(loop.call_later(graceful_timeout_s, on_timeout))
 
     async def run() -> None:
         try:
@@ -125,6 +131,8 @@
     # one that was accepted at the same moment.
     with anyio.move_on_after(graceful_timeout_s):
         await tracker.wait_idle()
+    for timer in timers:
+        timer.cancel()
 
 
 def _refuse_connections(listener_fd: int, duplicate: socket.socket) -> None:
--- a/src/camphorvalve/wiring/joinedrouter.py
+++ b/src/camphorvalve/wiring/joinedrouter.py
@@ -147,6 +147,9 @@
                 leaving=self._leaving.is_set,
                 keep_alive_s=self._idle_timeout_s,
                 guard=self._connection_guard(),
+                on_timeout=lambda: graceful_stop.log_unfinished(
+                    self._observe_filter.open_exchanges()
+                ),
             )
             tasks.cancel_scope.cancel()
         link.close()
