--- a/tools/standins/karrilane.py
+++ b/tools/standins/karrilane.py
@@ -36,6 +36,8 @@
         """Number of the event after which the next stream is cut; later streams are complete."""
         self.leaving_ids: set[str] = set()
         """Workers that say in their answers that they are leaving."""
+        self.answer_pauses_s: dict[str, float] = {}
+        """Time before the answer, by target."""
         self.hold_off_s: dict[str, str] = {}
         """Workers that refuse requests, and the ``Retry-After`` of their refusals."""
         self._service = service
@@ -107,6 +109,7 @@
         own_headers = {"attempt-id": request_id, "server-stamp": f"stamp of {worker_id}"}
         if worker_id in self.leaving_ids:
             own_headers["server-leaving"] = "1"
+        await asyncio.sleep(self.answer_pauses_s.get(target, 0.0))
         if not target.startswith("/stream/"):
             await _send_response(send, 200, own_headers, f"run by {worker_id}".encode())
             return
