Refuse requests that a stopping router cannot finish

Callers saw: a request that a stopping router had taken ended without an answer, at 7.3 s after SIGTERM (the users' record, LOST); behind a silent upstream they got an empty 500. Cause: a router took requests until 4.0 s after the signal with their whole time budget, though it cuts every response off at 7.3 s. Nothing compared the time that is left of the stop with the time that a request may need. The class of fault: work is accepted under a promise that is longer than the life of the process that makes it. Change: a request is taken only if the longest response of its kind in the last 10 to 20 s, or its deadline, fits into what is left, and never later than 2.5 s after the signal; the others are refused with 'leaving' (503, not run, retry after 50 ms). Deadlines are brought forward to the end of the stop, so that requests without a response get a 504 before the server cuts them off. Why it works: what is refused did not run, so its caller may send it elsewhere; a response that lasts longer than all recent ones of its kind can still be cut off.

--- a/src/camphorvalve/filters/deadline.py
+++ b/src/camphorvalve/filters/deadline.py
@@ -1,4 +1,4 @@
-"""Filter that ends a request at its deadline."""
+"""Filter that ends a request at its deadline, and at the end of the router's graceful stop."""
 
 from __future__ import annotations
 
@@ -17,37 +17,76 @@
     from camphorvalve.filters.chain import Handler
     from camphorvalve.model.answers import Part
     from camphorvalve.model.requests import Exchange
+    from camphorvalve.sharing.departure import Departure
 
+LEAVING_RETRY_S = 0.05
+"""Delay after which the caller of a stopping router may retry: another router takes it at once."""
 
-async def deadline(exchange: Exchange, inner: Handler) -> AsyncIterator[Part]:
-    """
-    Cancel the rest of the chain when the response is not complete by the deadline.
 
-    :param exchange: the request with its deadline
-    :param inner: the rest of the chain
-    :return: parts of the response
-    :raises RequestError: ``timed_out``, or ``overloaded`` when nothing was sent to an upstream
-    """
-    async with aclosing(inner(exchange)) as parts:
-        body_started = False
-        while True:
-            try:
-                if body_started:
-                    # The connection to the upstream is aborted at the deadline. A timeout scope
-                    # around each event took 15% of the time of a streamed response.
-                    part = await anext(parts)
-                else:
-                    # The scope covers one part only: it must not stay open across a yield.
-                    with anyio.fail_after(exchange.deadline_s - time.monotonic()):
+class DeadlineFilter:
+    """Bounds the time of a request by its deadline and by the router's graceful stop."""
+
+    def __init__(self, departure: Departure) -> None:
+        """
+        Prepare the filter.
+
+        :param departure: the router's graceful stop
+        """
+        self._departure = departure
+        self._waiting: set[anyio.CancelScope] = set()
+        """Scopes of the requests whose responses have not begun."""
+
+    def begin_departure(self) -> None:
+        """Bring the deadlines of requests without a response forward to the end of the stop."""
+        left_s = self._departure.ends_s - time.monotonic()
+        latest_s = anyio.current_time() + left_s
+        for scope in self._waiting:
+            scope.deadline = min(scope.deadline, latest_s)
+
+    async def __call__(self, exchange: Exchange, inner: Handler) -> AsyncIterator[Part]:
+        """
+        Cancel the rest of the chain when the response is not complete by the deadline.
+
+        :param exchange: the request with its deadline
+        :param inner: the rest of the chain
+        :return: parts of the response
+        :raises RequestError: ``leaving`` when the response may not be complete before the router
+            ends, ``timed_out``, or ``overloaded`` when nothing was sent to an upstream
+        """
+        departure = self._departure
+        if not departure.takes(exchange.kind, exchange.deadline_s, time.monotonic()):
+            message = "this router is stopping, and others are available"
+            raise RequestError("leaving", message, retry_after_s=LEAVING_RETRY_S)
+        exchange.deadline_s = min(exchange.deadline_s, departure.ends_s)
+        async with aclosing(inner(exchange)) as parts:
+            body_started = False
+            while True:
+                try:
+                    if body_started:
+                        # The connection to the upstream is aborted at the deadline. A timeout scope
+                        # around each event took 15% of the time of a streamed response.
                         part = await anext(parts)
-            except StopAsyncIteration:
-                return
-            except TimeoutError:
-                raise _deadline_error(exchange) from None
-            if body_started and time.monotonic() > exchange.deadline_s:
-                raise _deadline_error(exchange)
-            body_started = body_started or isinstance(part, Body)
-            yield part
+                    else:
+                        part = await self._first_part(parts, exchange)
+                except StopAsyncIteration:
+                    break
+                except TimeoutError:
+                    raise _deadline_error(exchange) from None
+                if body_started and time.monotonic() > exchange.deadline_s:
+                    raise _deadline_error(exchange)
+                body_started = body_started or isinstance(part, Body)
+                yield part
+        now_s = time.monotonic()
+        departure.record_response(exchange.kind, now_s - exchange.received_s, now_s)
+
+    async def _first_part(self, parts: AsyncIterator[Part], exchange: Exchange) -> Part:
+        # The scope covers one part only: it must not stay open across a yield.
+        with anyio.fail_after(exchange.deadline_s - time.monotonic()) as scope:
+            self._waiting.add(scope)
+            try:
+                return await anext(parts)
+            finally:
+                self._waiting.discard(scope)
 
 
 def _deadline_error(exchange: Exchange) -> RequestError:
@@ -56,4 +95,4 @@
     return RequestError("overloaded", "no upstream took the request in time")
 
 
-__all__ = ["deadline"]
+__all__ = ["DeadlineFilter"]
--- a/src/camphorvalve/settings/schema.py
+++ b/src/camphorvalve/settings/schema.py
@@ -92,6 +92,8 @@
     """Peer addresses of some controllers, from which the router learns the others."""
     address_lifetime_s: float
     """How long callers may cache a discovery answer."""
+    stop_intake_s: float
+    """Time after a stop signal in which requests are still taken."""
     stop_timeout_s: float
     """Longest time that a graceful stop waits for the last open request."""
     caller_connections_count: int
--- a/src/camphorvalve/wiring/joinedrouter.py
+++ b/src/camphorvalve/wiring/joinedrouter.py
@@ -16,10 +16,10 @@
 from camphorvalve.controllers.roster import RosterController
 from camphorvalve.controllers.runtime import Runtime
 from camphorvalve.controllers.shares import MAX_LOGGED_AGE_S, SharesController
-from camphorvalve.controllers.stopping import GracefulStop
+from camphorvalve.controllers.stopping import ANNOUNCEMENT_S, GracefulStop
 from camphorvalve.filters.account import account
 from camphorvalve.filters.chain import compose
-from camphorvalve.filters.deadline import deadline
+from camphorvalve.filters.deadline import DeadlineFilter
 from camphorvalve.filters.forward import forward
 from camphorvalve.filters.observe import ObserveFilter
 from camphorvalve.filters.place import PlaceFilter
@@ -29,12 +29,13 @@
 from camphorvalve.http.connections import ConnectionTracker
 from camphorvalve.http.refusing import ConnectionGuard
 from camphorvalve.http.routed import RoutedApp
-from camphorvalve.http.server import serve
+from camphorvalve.http.server import DRAIN_S, serve
 from camphorvalve.reports.exposition import Exposition
 from camphorvalve.reports.levels import LevelReporter
 from camphorvalve.reports.outcomes import OutcomeCounts
 from camphorvalve.reports.refusals import RefusalLog
 from camphorvalve.sharing.budget import RetryBudget
+from camphorvalve.sharing.departure import Departure
 from camphorvalve.sharing.directory import NamedRouter, choose_routers
 from camphorvalve.sharing.homes import cost_tokens
 from camphorvalve.sharing.intake import Intake
@@ -54,6 +55,9 @@
     from camphorvalve.sharing.notices import Notice
     from camphorvalve.wiring.platforms import RouterPlatform
 
+FINAL_ANSWER_S = 0.1
+"""Time before the server cuts running requests off in which those without a response get one."""
+
 _log = structlog.get_logger(__name__)
 
 
@@ -74,6 +78,8 @@
         self._leaving = anyio.Event()
         self._started_s = time.monotonic()
         self._observe_filter = ObserveFilter()
+        self._departure = Departure(settings.stop_intake_s, _stop_duration_s(settings))
+        self._deadline_filter = DeadlineFilter(self._departure)
         self._manifest = ManifestInForce()
         self._roster = RosterController(settings.seeds)
         contact = Contact("", settings.data_centre, settings.caller_bind)
@@ -164,7 +170,7 @@
                 account([self._exposition.record, self._outcomes.record]),
                 self._observe_filter,
                 route(self._manifest.table, self._rng),
-                deadline,
+                self._deadline_filter,
                 share(self._shares),
                 RetryFilter(retry_budget),
                 PlaceFilter(self._pools, self._intake.is_overloaded),
@@ -311,6 +317,8 @@
 
     def _start_leaving(self) -> None:
         self._leaving.set()
+        self._departure.begin(time.monotonic())
+        self._deadline_filter.begin_departure()
         self._runtime.send(self._config_follower.poll())
 
     async def _follow_upstreams(self) -> None:
@@ -321,6 +329,11 @@
             self._list_follower.accept_list(upstream_list, time.monotonic())
 
 
+def _stop_duration_s(settings: JoinedRouterSettings) -> float:
+    shutdown_s = ANNOUNCEMENT_S + settings.address_lifetime_s
+    return shutdown_s + DRAIN_S + settings.stop_timeout_s - FINAL_ANSWER_S
+
+
 async def run_joined_router(settings: JoinedRouterSettings, platform: RouterPlatform) -> None:
     """
     Run a router until it has stopped gracefully.
--- a/tests/routebuilders.py
+++ b/tests/routebuilders.py
@@ -18,6 +18,7 @@
     Tenant,
 )
 from camphorvalve.model.upstreams import PlainService, Upstream
+from camphorvalve.sharing.departure import Departure
 from camphorvalve.sharing.directory import CallerPlace, NamedRouter
 from camphorvalve.upstreams.routed import HeaderNames
 
@@ -141,6 +142,10 @@
     return Upstream(**{**values, **fields})
 
 
+def a_departure(**fields: float) -> Departure:
+    return Departure(**{"intake_s": 2.5, "duration_s": 7.0, **fields})
+
+
 ZONES = tuple(f"perth-{letter}" for letter in "abcdef")
 
 
--- a/tests/upstreams/test_routed.py
+++ b/tests/upstreams/test_routed.py
@@ -11,7 +11,7 @@
 import anyio
 
 from camphorvalve.filters.chain import compose
-from camphorvalve.filters.deadline import deadline
+from camphorvalve.filters.deadline import DeadlineFilter
 from camphorvalve.model.answers import Body, Head
 from camphorvalve.model.errors import RequestError
 from camphorvalve.model.requests import BrokenStream
@@ -30,7 +30,13 @@
 from camphorvalve.upstreams.opening import MAX_RESPONSE_BYTES
 from camphorvalve.upstreams.routed import RoutedAttempts
 from tests.rawpeers import Script, upstream
-from tests.routebuilders import HEADER_NAMES, a_listed_upstream, a_route, a_routed_exchange
+from tests.routebuilders import (
+    HEADER_NAMES,
+    a_departure,
+    a_listed_upstream,
+    a_route,
+    a_routed_exchange,
+)
 
 if TYPE_CHECKING:
     import httpx
@@ -274,7 +280,8 @@
         async with upstream(script) as (url, peer), create_client() as client:
             attempts = RoutedAttempts(client, HEADER_NAMES)
             handler = compose(
-                (deadline,), lambda routed: attempts.open(a_listed_upstream(url=url), routed)
+                (DeadlineFilter(a_departure()),),
+                lambda routed: attempts.open(a_listed_upstream(url=url), routed),
             )
             with anyio.fail_after(5):
                 try:
