Report a silent upstream at the deadline as timed out

Callers saw: a request whose upstream was silent until its deadline got 502 (upstream_failed) in place of 504 (timed_out) by chance, and the upstream counted as failed. Cause: the read timeout of the last attempt ends at the deadline, as the scope of the deadline filter does; on a busy loop both fire in one iteration, and the read timeout may win. Change: an attempt that fails at the deadline after the request was sent raises timed_out, as a broken response does.

--- a/src/camphorvalve/upstreams/routed.py
+++ b/src/camphorvalve/upstreams/routed.py
@@ -123,9 +123,9 @@
                 async for part in parts:
                     yield part
         except Broken as error:
-            if time.monotonic() < exchange.deadline_s - TIMER_RESOLUTION_S:
+            if not _is_past_deadline(exchange):
                 raise
-            raise RequestError("timed_out", "the response was not complete in time") from error
+            raise _timed_out() from error
         finally:
             timer.cancel()
             with anyio.CancelScope(shield=True):
@@ -157,6 +157,9 @@
             response = await self._client.send(request, stream=True)
         except (httpx.HTTPError, httpx.InvalidURL) as error:
             cause = f"{type(error).__name__}: {error}"
+            if started and _is_past_deadline(exchange):
+                # The read timeout may fire just before the deadline filter.
+                raise _timed_out() from error
             if started:
                 raise NoAnswer(upstream.upstream_id, cause) from error
             is_timeout = isinstance(error, httpx.ConnectTimeout)
@@ -244,7 +247,7 @@
                         yield Body(events)
                     elif time.monotonic() > exchange.deadline_s:
                         # The deadline filter only sees parts, and this stream yields none.
-                        raise RequestError("timed_out", "the response was not complete in time")
+                        raise _timed_out()
             if not sequencer.inside_event:
                 return
         except (httpx.HTTPError, EventError) as error:
@@ -259,6 +262,14 @@
         return int(number_sent) if number_sent.isdecimal() else None
 
 
+def _is_past_deadline(exchange: Exchange) -> bool:
+    return time.monotonic() >= exchange.deadline_s - TIMER_RESOLUTION_S
+
+
+def _timed_out() -> RequestError:
+    return RequestError("timed_out", "the response was not complete in time")
+
+
 def _abort(response: httpx.Response) -> None:
     # The connection of a complete response may carry another request already.
     if not response.is_closed:
--- a/tests/upstreams/test_routed.py
+++ b/tests/upstreams/test_routed.py
@@ -221,12 +221,14 @@
                 self.assertEqual(anyio.run(self.error_code, script, exchange), "timed_out")
 
     def test_silence_until_the_deadline(self) -> None:
-        """Guards against a stalled response that outlasts its deadline, and against one without a
-        length that looks complete when it is broken off there."""
+        """Guards against a stalled response that outlasts its deadline, against one without a
+        length that looks complete when it is broken off there, and against a silent upstream that
+        counts as failed because the time of the request is over."""
         head = b"HTTP/1.1 200 OK\r\n" + UPSTREAM_HEADERS
         rows = [
             ("stream", a_route(streamed=True), chunked_response(EVENTS, end=b""), EVENTS),
             ("no length", a_route(), head + b"\r\nye", b""),
+            ("no response", a_route(), b"", b""),
         ]
         for name, route, content, expected in rows:
             with self.subTest(name):
