Open the connections of the stopping test before the signal

The test sent its requests on open connections a second after it began to open them. On a busy machine (load average 15) some were opened after SIGTERM: the router refused them, learned no response time, and refused each later request too, so that the test found too few that were taken (seen in a trial: 18 of 18 refused). The signal now follows the last of these responses. The checks are unchanged.

--- a/tests/processes/test_stopping.py
+++ b/tests/processes/test_stopping.py
@@ -52,6 +52,8 @@
         self.workers.answer_pauses_s = {SLOW: 1.5, HANGING: 60.0}
         self.signalled_s = float("inf")
         self.number = 0
+        self.prepared_count = 0
+        """Number of callers that wait for their moment, on an open connection if they need one."""
         await self.fleet.wait_until(lambda: self.accepts_long_requests())
 
     def document(self, version: int) -> bytes:
@@ -89,6 +91,7 @@
         async with httpx.AsyncClient(timeout=12.0, trust_env=False) as client:
             if opened:
                 await self.send(QUICK, client, "open")
+            self.prepared_count += 1
             while time.monotonic() < self.signalled_s + at_s:  # noqa: ASYNC110 -- set by the test
                 await asyncio.sleep(0.01)
             return await self.send(target, client, "open" if opened else "new")
@@ -102,7 +105,8 @@
                 for at_s in SENT_S
                 for opened in (True, False)
             ]
-            await asyncio.sleep(1.0)
+            while self.prepared_count < len(sending):  # noqa: ASYNC110 -- set by the callers
+                await asyncio.sleep(0.01)
             self.signalled_s = time.monotonic()
             self.assertEqual(await self.fleet.stop("router-1", signal.SIGTERM), 0)
             self.assertLess(time.monotonic() - self.signalled_s, 8.0)
