Ignore further signals during a graceful stop

Callers saw: a second SIGTERM or SIGINT during a graceful stop ended the process at once; every request that it had taken was cut off. The class of fault is that of the late request: work is accepted under a promise that is longer than the life of the process. Cause: the signal handlers were removed after the first signal, which restores the default action. Change: the handlers stay until the process has stopped, for routers and controllers. The tests of graceful stops (test_graceful_stop, test_stopped_router_cuts_nothing, test_operations, test_controllers_lost) pass. Not covered: a signal in the last milliseconds, when the handlers are removed and the interpreter ends, changes the exit code (SIGHUP at a controller in one run: -1).

--- a/src/camphorvalve/controllers/stopping.py
+++ b/src/camphorvalve/controllers/stopping.py
@@ -10,7 +10,8 @@
 import structlog
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Iterable
+    from collections.abc import AsyncIterator, Callable, Iterable
+    from contextlib import AbstractContextManager
 
     from camphorvalve.model.requests import Exchange
 
@@ -40,13 +41,19 @@
         """Monotonic time of the signal, ``None`` before it."""
 
     async def run(self) -> None:
-        """Set ``shutdown`` once no caller can have a cached discovery answer with this router."""
-        await _receive_stop_signal()
-        self.signalled_s = time.monotonic()
-        _log.info("leaving", address_lifetime_s=self._lifetime_s)
-        self._announce()
-        await anyio.sleep(ANNOUNCEMENT_S + self._lifetime_s)
-        self.shutdown.set()
+        """
+        Set ``shutdown`` once no caller can have a cached discovery answer with this router.
+
+        Runs until it is cancelled, as without a handler a second signal would end the process.
+        """
+        with _stop_signals() as signals:
+            await _receive(signals)
+            self.signalled_s = time.monotonic()
+            _log.info("leaving", address_lifetime_s=self._lifetime_s)
+            self._announce()
+            await anyio.sleep(ANNOUNCEMENT_S + self._lifetime_s)
+            self.shutdown.set()
+            await anyio.sleep_forever()
 
     def log_unfinished(self, exchanges: Iterable[Exchange]) -> None:
         """
@@ -81,17 +88,23 @@
     """
     Set an event when the process receives SIGTERM or SIGINT.
 
+    Runs until it is cancelled, as without a handler a second signal would end the process.
+
     :param shutdown: the event
     """
-    await _receive_stop_signal()
-    shutdown.set()
+    with _stop_signals() as signals:
+        await _receive(signals)
+        shutdown.set()
+        await anyio.sleep_forever()
 
 
-async def _receive_stop_signal() -> None:
-    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
-        async for number in signals:
-            _log.info("stopping", signal=number.name)
-            return
+def _stop_signals() -> AbstractContextManager[AsyncIterator[signal.Signals]]:
+    return anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT)
+
+
+async def _receive(signals: AsyncIterator[signal.Signals]) -> None:
+    number = await anext(signals)
+    _log.info("stopping", signal=number.name)
 
 
 async def wait_until(is_done: Callable[[], bool], timeout_s: float) -> bool:
--- a/src/camphorvalve/wiring/joinedcontroller.py
+++ b/src/camphorvalve/wiring/joinedcontroller.py
@@ -56,6 +56,7 @@
         tasks.start_soon(close_stale_connections, link, replication.peer_ids)
         tasks.start_soon(_follow_upstreams, platform, listing, runtime)
         tasks.start_soon(_create_level_reporter(link).run)
+        tasks.start_soon(wait_for_signal, shutdown)
         _log.info("controller started", identity=replication.status()["identity"])
         async with anyio.create_task_group() as servers:
             metrics = _create_exposition(replication)
@@ -67,7 +68,6 @@
             for port in platform.ports(ManifestStore(replication), metrics.app()):
                 serve_port = partial(serve, graceful_timeout_s=settings.stop_timeout_s)
                 servers.start_soon(serve_port, port.app, port.bind, shutdown)
-            await wait_for_signal(shutdown)
         tasks.cancel_scope.cancel()
     storage.close()
     link.close()
--- a/tests/processes/test_stopping.py
+++ b/tests/processes/test_stopping.py
@@ -164,6 +164,22 @@
         self.assertIn(b'"leaving"', received)
         self.assertNotIn("late-body", self.run_ids())
 
+    async def test_repeated_signals(self) -> None:
+        """Guards against a second signal that ends a stopping process at once, and with it the
+        requests that it has taken."""
+        processes = [self.fleet.process(name) for name in ("router-1", "controller-5")]
+        stream = asyncio.create_task(self.call(STREAM, deadline_ms="9000"))
+        await self.fleet.wait_until(lambda: self.has_run(STREAM))
+        for number in (signal.SIGTERM, signal.SIGHUP, signal.SIGTERM, signal.SIGINT):
+            for process in processes:
+                process.send_signal(number)
+            await asyncio.sleep(0.1)
+        self.assertEqual(_ending(STREAM, await stream), "answered")
+        self.assertEqual([await process.wait() for process in processes], [0, 0])
+
+    async def has_run(self, target: str) -> bool:
+        return any(run.target == target for run in self.workers.runs)
+
 
 def _ending(target: str, response: httpx.Response) -> str:
     match response.status_code:
