End a graceful stop in time although a caller does not read

Users saw: a router whose caller doesn't read its response stays until that caller leaves, or until it is killed, whatever stop_timeout_s and graceS say. Cause: when its time is over, hypercorn cancels the connections, closes each one and waits until the caller has read what is buffered for it, without a limit. Change: connections that are open 0.4 s after the cut are aborted. Evidence: test_stalled_caller_does_not_delay_the_end failed before (the server had not stopped 3 s after a shutdown with 0.3 s for running requests) and passes; tests.http (46), test_loop, test_stopped_router_cuts_nothing, test_graceful_stop and test_repeated_signals pass.

--- a/src/camphorvalve/http/server.py
+++ b/src/camphorvalve/http/server.py
@@ -39,6 +39,10 @@
 accepted for the first half of it. Hypercorn then closes all connections without a running request,
 even if a request is already in transit."""
 
+ABORT_DELAY_S = 0.4
+"""Time between cutting off running requests and aborting the connections that are still open:
+hypercorn waits until each caller has read what is buffered for it."""
+
 
 def listen(bind: str) -> socket.socket:
     """
@@ -99,6 +103,7 @@
     loop = asyncio.get_running_loop()
     if guard is not None and isinstance(loop, ServingLoop):
         loop.guard(listener.getsockname(), guard)
+    address = listener.getsockname()
     duplicate = listener.dup()
     listener_fd = listener.detach()
     config = _hypercorn_config(listener_fd, graceful_timeout_s, keep_alive_s)
@@ -112,6 +117,9 @@
         await anyio.sleep(drain_s / 2)
         # Hypercorn starts its own timer when this function returns.
         timers.append(loop.call_later(graceful_timeout_s, on_timeout))
+        if isinstance(loop, ServingLoop):
+            abort_after_s = graceful_timeout_s + ABORT_DELAY_S
+            timers.append(loop.call_later(abort_after_s, loop.abort_connections, address))
 
     async def run() -> None:
         try:
--- a/src/camphorvalve/loop.py
+++ b/src/camphorvalve/loop.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import weakref
 from typing import TYPE_CHECKING, Any, Protocol, TypeVar
 
 import anyio
@@ -69,6 +70,7 @@
         self._protocol_factory = protocol_factory
         self._guard = guard
         self._connecting: set[asyncio.Task[None]] = set()
+        self._transports: weakref.WeakSet[asyncio.Transport] = weakref.WeakSet()
         self._retry: asyncio.TimerHandle | None = None
         listener.setblocking(False)
         self.address = listener.getsockname()
@@ -99,6 +101,11 @@
             self._loop.remove_reader(listener.fileno())
         listener.close()
 
+    def abort_connections(self) -> None:
+        """Close the open connections at once, without sending what is buffered."""
+        for transport in list(self._transports):
+            transport.abort()
+
     async def wait_closed(self) -> None:
         """Wait until every accepted connection is attached to its protocol."""
         if self._connecting:
@@ -143,7 +150,8 @@
     async def _connect_transport(self, accepted: socket.socket, protocol: asyncio.Protocol) -> None:
         # A caller that has disconnected already is not an error of this process.
         with contextlib.suppress(OSError):
-            await self._loop.connect_accepted_socket(lambda: protocol, accepted)
+            transport, _ = await self._loop.connect_accepted_socket(lambda: protocol, accepted)
+            self._transports.add(transport)
 
 
 class ServingLoop(uvloop.Loop):
@@ -201,6 +209,16 @@
             if acceptor.address == address:
                 acceptor.close()
 
+    def abort_connections(self, address: Any) -> None:
+        """
+        Close the open connections of an address at once, without sending what is buffered.
+
+        :param address: IP address and port, as returned by ``getsockname``
+        """
+        for acceptor in self._acceptors:
+            if acceptor.address == address:
+                acceptor.abort_connections()
+
 
 def run(main: Callable[..., Awaitable[T]], *arguments: Any) -> T:
     """
--- a/tests/http/test_server.py
+++ b/tests/http/test_server.py
@@ -157,6 +157,35 @@
                 caller.close()
         return iterations_count
 
+    def test_stalled_caller_does_not_delay_the_end(self) -> None:
+        """Guards against a process that outlives its graceful stop because a caller doesn't read
+        its response, or doesn't complete its request."""
+        for request in (
+            b"GET /v1/services/p/x HTTP/1.1\r\nHost: x\r\n\r\n",
+            b"POST /v1/services/p/x HTTP/1.1\r\nHost: x\r\nContent-Length: 9\r\n\r\nx",
+        ):
+            with self.subTest(request):
+                loop.run(self.stop_with_stalled_caller, request)
+
+    async def stop_with_stalled_caller(self, request: bytes) -> None:
+        """Shut a server down while a caller neither reads nor sends."""
+
+        async def chain(exchange: Exchange) -> AsyncIterator[Part]:
+            yield a_head(content_type="text/event-stream")
+            while True:
+                await anyio.lowlevel.checkpoint()
+                yield Body(b"data: %s\n\n" % (b"x" * 65536))
+
+        async with (
+            serving(caller_app(chain), graceful_timeout_s=0.3) as served,
+            await anyio.connect_tcp("127.0.0.1", served.port) as caller,
+        ):
+            await caller.send(request)
+            await anyio.sleep(0.3)
+            served.shutdown.set()
+            with anyio.fail_after(3):
+                await served.stopped.wait()
+
     def test_listen_accepts_only_an_ip_address_with_a_port(self) -> None:
         for bind in ("127.0.0.1", "127.0.0.1:", "127.0.0.1:http"):
             with self.subTest(bind), self.assertRaises(ValueError):
