End a graceful stop within a short graceS

Callers saw: with a graceS below 6 s a stopping router was killed before its stop had ended; requests that it had taken got no answer. All deployments so far have 8 s. Cause: the time in which connections are accepted (3.5 s) and the least time for running requests (1 s) were fixed, whatever graceS says. The class of fault is that of the late request.

--- a/src/camphorvalve/controllers/stopping.py
+++ b/src/camphorvalve/controllers/stopping.py
@@ -25,24 +25,29 @@
 
 
 class GracefulStop:
-    """Waits for a stop signal and then until discovery answers with this router have expired."""
+    """Waits for a stop signal, and then until callers should have gone elsewhere."""
 
-    def __init__(self, announce: Callable[[], None], lifetime_s: float) -> None:
+    def __init__(
+        self, announce: Callable[[], None], lifetime_s: float, open_s: float | None = None
+    ) -> None:
         """
         Create the stop sequence.
 
         :param announce: announces the stop to peers
         :param lifetime_s: how long callers may cache a discovery answer
+        :param open_s: time from the signal to ``shutdown``; by default until the cached discovery
+            answers have expired
         """
         self._announce = announce
         self._lifetime_s = lifetime_s
+        self._open_s = ANNOUNCEMENT_S + lifetime_s if open_s is None else open_s
         self.shutdown = anyio.Event()
         self.signalled_s: float | None = None
         """Monotonic time of the signal, ``None`` before it."""
 
     async def run(self) -> None:
         """
-        Set ``shutdown`` once no caller can have a cached discovery answer with this router.
+        Set ``shutdown`` some time after the signal.
 
         Runs until it is cancelled, as without a handler a second signal would end the process.
         """
@@ -51,7 +56,7 @@
             self.signalled_s = time.monotonic()
             _log.info("leaving", address_lifetime_s=self._lifetime_s)
             self._announce()
-            await anyio.sleep(ANNOUNCEMENT_S + self._lifetime_s)
+            await anyio.sleep(self._open_s)
             self.shutdown.set()
             await anyio.sleep_forever()
 
--- a/src/camphorvalve/settings/schema.py
+++ b/src/camphorvalve/settings/schema.py
@@ -94,6 +94,8 @@
     """How long callers may cache a discovery answer."""
     stop_intake_s: float
     """Time after a stop signal in which requests are still taken."""
+    stop_open_s: float
+    """Time after a stop signal in which connections are still accepted."""
     stop_timeout_s: float
     """Longest time that a graceful stop waits for the last open request."""
     caller_connections_count: int
--- a/src/camphorvalve/wiring/joinedrouter.py
+++ b/src/camphorvalve/wiring/joinedrouter.py
@@ -16,7 +16,7 @@
 from camphorvalve.controllers.roster import RosterController
 from camphorvalve.controllers.runtime import Runtime
 from camphorvalve.controllers.shares import MAX_LOGGED_AGE_S, SharesController
-from camphorvalve.controllers.stopping import ANNOUNCEMENT_S, GracefulStop
+from camphorvalve.controllers.stopping import GracefulStop
 from camphorvalve.filters.account import account
 from camphorvalve.filters.chain import compose
 from camphorvalve.filters.deadline import DeadlineFilter
@@ -121,7 +121,9 @@
     async def run(self) -> None:
         """Run until the router has stopped gracefully."""
         settings, platform, link = self._settings, self._platform, self._runtime.link
-        graceful_stop = GracefulStop(self._start_leaving, settings.address_lifetime_s)
+        graceful_stop = GracefulStop(
+            self._start_leaving, settings.address_lifetime_s, settings.stop_open_s
+        )
         request_id_header = platform.header_names.request_id
         caller_app = RoutedApp(
             self._filter_chain(),
@@ -330,8 +332,7 @@
 
 
 def _stop_duration_s(settings: JoinedRouterSettings) -> float:
-    shutdown_s = ANNOUNCEMENT_S + settings.address_lifetime_s
-    return shutdown_s + DRAIN_S + settings.stop_timeout_s - FINAL_ANSWER_S
+    return settings.stop_open_s + DRAIN_S + settings.stop_timeout_s - FINAL_ANSWER_S
 
 
 async def run_joined_router(settings: JoinedRouterSettings, platform: RouterPlatform) -> None:
--- a/tests/processes/test_stopping.py
+++ b/tests/processes/test_stopping.py
@@ -177,6 +177,21 @@
         self.assertEqual(_ending(STREAM, await stream), "answered")
         self.assertEqual([await process.wait() for process in processes], [0, 0])
 
+    async def test_short_grace(self) -> None:
+        """Guards against a router that is killed with its requests, because its graceful stop lasts
+        longer than the platform allows."""
+        self.fleet.grace_s = 4
+        await self.fleet.stop("router-1")
+        await self.fleet.start("router-1")
+        await self.fleet.wait_until(lambda: self.fleet.is_ready("router-1"))
+        async with httpx.AsyncClient(timeout=12.0, trust_env=False) as client:
+            request = asyncio.create_task(self.send(HANGING, client, "new"))
+            await self.fleet.wait_until(lambda: self.has_run(HANGING))
+            self.signalled_s = time.monotonic()
+            self.assertEqual(await self.fleet.stop("router-1", signal.SIGTERM), 0)
+            self.assertLess(time.monotonic() - self.signalled_s, self.fleet.grace_s)
+            self.assertEqual((await request).ending, "failed")
+
     async def has_run(self, target: str) -> bool:
         return any(run.target == target for run in self.workers.runs)
 
--- a/tools/joinedfleet.py
+++ b/tools/joinedfleet.py
@@ -49,6 +49,8 @@
         self._ips: dict[str, str] = {}
         self.seeds: list[str] = []
         """Controllers named as seeds in the settings of processes started from now on."""
+        self.grace_s = 8
+        """Time of a graceful stop in the settings of processes started from now on."""
 
     def ip(self, name: str) -> str:
         """
@@ -213,7 +215,7 @@
 directory = "{ip}:{ports.directory}"
 [bounds]
 contactMs = 1000
-graceS = 8
+graceS = {self.grace_s}
 retryBudgetRatio = 0.2
 retryBudgetMin = 56
 [limits]
