--- a/tests/processes/test_stopping.py
+++ b/tests/processes/test_stopping.py
@@ -52,6 +52,8 @@
         self.workers.answer_pauses_s = {SLOW: 1.5, HANGING: 60.0}
         self.signalled_s = float("inf")
         self.number = 0
+        self.prepared_count = 0
+        """Number of callers that wait for their moment, on an open connection if they need one."""
         await self.fleet.wait_until(lambda: self.accepts_long_requests())
 
     def document(self, version: int) -> bytes:
@@ -89,6 +91,7 @@
         async with httpx.AsyncClient(timeout=12.0, trust_env=False) as client:
             if opened:
                 await self.send(QUICK, client, "open")
+            self.prepared_count += 1
             while time.monotonic() < self.signalled_s + at_s:  # noqa: ASYNC110 -- set by the test
                 await asyncio.sleep(0.01)
             return await self.send(target, client, "open" if opened else "new")
@@ -102,7 +105,8 @@
                 for at_s in SENT_S
                 for opened in (True, False)
             ]
-            await asyncio.sleep(1.0)
+            while self.prepared_count < len(sending):  # noqa: ASYNC110 -- set by the callers
+                await asyncio.sleep(0.01)
             self.signalled_s = time.monotonic()
             self.assertEqual(await self.fleet.stop("router-1", signal.SIGTERM), 0)
             self.assertLess(time.monotonic() - self.signalled_s, 8.0)
@@ -160,6 +164,37 @@
         self.assertIn(b'"leaving"', received)
         self.assertNotIn("late-body", self.run_ids())
 
+    async def test_repeated_signals(self) -> None:
+        """Guards against a second signal that ends a stopping process at once, and with it the
+        requests that it has taken."""
+        processes = [self.fleet.process(name) for name in ("router-1", "controller-5")]
+        stream = asyncio.create_task(self.call(STREAM, deadline_ms="9000"))
+        await self.fleet.wait_until(lambda: self.has_run(STREAM))
+        for number in (signal.SIGTERM, signal.SIGHUP, signal.SIGTERM, signal.SIGINT):
+            for process in processes:
+                process.send_signal(number)
+            await asyncio.sleep(0.1)
+        self.assertEqual(_ending(STREAM, await stream), "answered")
+        self.assertEqual([await process.wait() for process in processes], [0, 0])
+
+    async def test_short_grace(self) -> None:
+        """Guards against a router that is killed with its requests, because its graceful stop lasts
+        longer than the platform allows."""
+        self.fleet.grace_s = 4
+        await self.fleet.stop("router-1")
+        await self.fleet.start("router-1")
+        await self.fleet.wait_until(lambda: self.fleet.is_ready("router-1"))
+        async with httpx.AsyncClient(timeout=12.0, trust_env=False) as client:
+            request = asyncio.create_task(self.send(HANGING, client, "new"))
+            await self.fleet.wait_until(lambda: self.has_run(HANGING))
+            self.signalled_s = time.monotonic()
+            self.assertEqual(await self.fleet.stop("router-1", signal.SIGTERM), 0)
+            self.assertLess(time.monotonic() - self.signalled_s, self.fleet.grace_s)
+            self.assertEqual((await request).ending, "failed")
+
+    async def has_run(self, target: str) -> bool:
+        return any(run.target == target for run in self.workers.runs)
+
 
 def _ending(target: str, response: httpx.Response) -> str:
     match response.status_code:
