Test what callers receive of responses that upstreams break off

Two reports of other operators: the text or the head of an error in the middle of a stream that had begun, and a success with an empty or short body when an upstream closed in the middle of the head of its response. The tests run the caller port, the retry filter and routed attempts on the event loop of the product against scripted upstreams, and compare the bytes of the caller.

A status of 500 or more, a refusal, a response without proof and a plain one after a stream has begun leave it incomplete. Responses that end with their connection are passed on; a reset or an end inside an event is not taken for their end. An HTTP/1.0 caller is refused before anything is run, and the connection of a response that was broken off is closed.

--- /dev/null
+++ b/tests/http/relaying.py
@@ -0,0 +1,151 @@
+"""Serves routed calls by the real caller port, retries and attempts, with scripted upstreams."""
+
+from __future__ import annotations
+
+import math
+from contextlib import AsyncExitStack, asynccontextmanager
+from typing import TYPE_CHECKING, NamedTuple
+
+import anyio
+from h11 import CLIENT, Connection, Data, EndOfMessage, RemoteProtocolError, Request, Response
+
+from camphorvalve.filters.chain import compose
+from camphorvalve.filters.deadline import deadline
+from camphorvalve.filters.retry import RetryFilter
+from camphorvalve.http.connections import ConnectionTracker
+from camphorvalve.http.routed import RoutedApp
+from camphorvalve.sharing.budget import RetryBudget
+from camphorvalve.upstreams.client import create_client
+from camphorvalve.upstreams.errors import NotSent
+from camphorvalve.upstreams.routed import RoutedAttempts
+from tests.http.serving import serving
+from tests.rawpeers import exchange_bytes, upstream
+from tests.routebuilders import HEADER_NAMES, a_listed_upstream, a_routed_exchange
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+    import httpx
+
+    from camphorvalve.filters.chain import Handler
+    from camphorvalve.model.answers import Part
+    from camphorvalve.model.requests import Exchange
+    from camphorvalve.model.routes import Route
+    from tests.rawpeers import Script, ScriptedUpstream
+
+CALL = (
+    b"POST /drafts/1 HTTP/1.1\r\nhost: desk.example\r\n"
+    b"connection: close\r\ncontent-length: 7\r\n\r\nviolins"
+)
+CLOSE_TIMEOUT_S = 5.0
+
+
+class Received(NamedTuple):
+    """What a caller makes of the bytes of its connection."""
+
+    status: int
+    headers: dict[str, str]
+    content: bytes
+    complete: bool
+    """Whether the response ended as its framing says."""
+
+
+def parse(received: bytes, method: str = "POST") -> Received:
+    """
+    Parse the bytes that a caller received after one request.
+
+    :param received: all bytes until the connection closed
+    :param method: method of the request
+    :return: the response
+    :raises AssertionError: bytes follow the response
+    """
+    connection = Connection(CLIENT)
+    connection.send(Request(method=method, target="/", headers=[("host", "desk.example")]))
+    connection.send(EndOfMessage())
+    connection.receive_data(received)
+    connection.receive_data(b"")
+    head, content = connection.next_event(), b""
+    assert isinstance(head, Response), head
+    status, headers = head.status_code, {k.decode(): v.decode() for k, v in head.headers}
+    while True:
+        try:
+            event = connection.next_event()
+        except RemoteProtocolError:
+            return Received(status, headers, content, complete=False)
+        if isinstance(event, Data):
+            content += bytes(event.data)
+        else:
+            assert isinstance(event, EndOfMessage), event
+            assert not connection.trailing_data[0], connection.trailing_data
+            # A caller can't tell whether a response is whole that ends with its connection.
+            is_framed = bool({"content-length", "transfer-encoding"} & headers.keys())
+            has_no_body = method == "HEAD" or status in {204, 304}
+            return Received(status, headers, content, complete=is_framed or has_no_body)
+
+
+class Relay:
+    """A running caller port whose attempts go to one scripted upstream after the other."""
+
+    def __init__(self, port: int, peers: list[ScriptedUpstream]) -> None:
+        self.port = port
+        self.peers = peers
+
+    @property
+    def attempts_count(self) -> int:
+        """:return: number of requests that reached an upstream"""
+        return sum(len(peer.received) for peer in self.peers)
+
+    async def send(self, content: bytes) -> bytes:
+        """Send bytes on a new connection, and return what comes until the router closes it."""
+        with anyio.fail_after(CLOSE_TIMEOUT_S):
+            return await exchange_bytes(self.port, content, wait_s=math.inf)
+
+    async def call(self, content: bytes = CALL) -> Received:
+        """Send a request that asks for the end of its connection, and parse the response."""
+        return parse(await self.send(content), content.split()[0].decode())
+
+
+@asynccontextmanager
+async def relaying(route: Route, *scripts: Script) -> AsyncIterator[Relay]:
+    """
+    Serve calls of one route; the n-th attempt of a call goes to the n-th upstream.
+
+    :param route: the route of all calls
+    :param scripts: the response of each upstream
+    :return: the running caller port
+    """
+    async with AsyncExitStack() as stack:
+        peers = [await stack.enter_async_context(upstream(script)) for script in scripts]
+        client = await stack.enter_async_context(create_client())
+        app = RoutedApp(
+            _handler(route, client, [url for url, _ in peers]),
+            lambda scope: a_routed_exchange(route, method=scope["method"]).request,
+            request_id_header=HEADER_NAMES.request_id,
+            connections=ConnectionTracker(1000, lambda: 15.0),
+        )
+        served = await stack.enter_async_context(serving(app))
+        yield Relay(served.port, [peer for _, peer in peers])
+
+
+def _handler(route: Route, client: httpx.AsyncClient, urls: list[str]) -> Handler:
+    # The lag lengthens the time for connecting: a busy machine is no fault of an upstream.
+    attempts = RoutedAttempts(client, HEADER_NAMES, lag_s=lambda: 1.0)
+
+    async def prepare(exchange: Exchange, inner: Handler) -> AsyncIterator[Part]:
+        prepared = a_routed_exchange(route)
+        exchange.route, exchange.parameters = prepared.route, prepared.parameters
+        exchange.deadline_s = prepared.deadline_s
+        async for part in inner(exchange):
+            yield part
+
+    def forward(exchange: Exchange) -> AsyncIterator[Part]:
+        exchange.upstream_id = f"up-{exchange.attempt}"
+        if exchange.attempt > len(urls):
+            raise NotSent(exchange.upstream_id, "there are no more upstreams")
+        url = urls[exchange.attempt - 1]
+        return attempts.open(a_listed_upstream(exchange.upstream_id, url=url), exchange)
+
+    return compose((prepare, deadline, RetryFilter(RetryBudget())), forward)
+
+
+__all__ = ["CALL", "Received", "Relay", "parse", "relaying"]
--- /dev/null
+++ b/tests/http/test_relayed.py
@@ -0,0 +1,221 @@
+"""What callers of routed calls receive when upstreams break off their responses."""
+
+from __future__ import annotations
+
+import unittest
+from typing import TYPE_CHECKING
+
+from camphorvalve import loop
+from tests.http.relaying import CALL, Received, relaying
+from tests.rawpeers import Script
+from tests.routebuilders import a_route
+
+if TYPE_CHECKING:
+    from camphorvalve.model.routes import Route
+
+IDS = b"x-id: id-1\r\nx-proof: p\r\n"
+STREAM = IDS + b"content-type: text/event-stream\r\n"
+FIRST, SECOND, THIRD = (b"id: %d\ndata: %d\n\n" % (n, n) for n in (1, 2, 3))
+RESUMABLE = a_route(streamed=True, resumable=True)
+STREAMED = a_route(streamed=True)
+
+
+def response(body: bytes, status: bytes = b"200 OK", headers: bytes = IDS) -> bytes:
+    """Build a response that ends with its length."""
+    return b"HTTP/1.1 %s\r\n%scontent-length: %d\r\n\r\n%s" % (status, headers, len(body), body)
+
+
+def chunked(body: bytes, end: bytes = b"0\r\n\r\n", headers: bytes = STREAM) -> bytes:
+    """Build a response in one chunk, a stream by default."""
+    head = b"HTTP/1.1 200 OK\r\n%stransfer-encoding: chunked\r\n\r\n" % headers
+    return head + b"%x\r\n%s\r\n" % (len(body), body) + end
+
+
+def unframed(body: bytes, headers: bytes = STREAM, status: bytes = b"200 OK") -> bytes:
+    """Build a response with neither a length nor chunks."""
+    return b"HTTP/1.1 %s\r\n%s\r\n%s" % (status, headers, body)
+
+
+BROKEN = Script(chunked(FIRST + SECOND[:7], end=b""), "close")
+
+
+class RelayedResponsesTest(unittest.TestCase):
+    def relay(self, route: Route, *scripts: Script, content: bytes = CALL) -> Received:
+        """Serve one call on the event loop of the product."""
+
+        async def run() -> Received:
+            async with relaying(route, *scripts) as relay:
+                received = await relay.call(content)
+                self.attempts_count = relay.attempts_count
+                return received
+
+        return loop.run(run)
+
+    def assert_complete(self, received: Received, content: bytes) -> None:
+        self.assertEqual(received.status, 200)
+        self.assertEqual(received.content, content)
+        self.assertTrue(received.complete, received)
+
+    def assert_broken_off(self, received: Received, content: bytes) -> None:
+        self.assertEqual(received.status, 200)
+        self.assertEqual(received.content, content)
+        self.assertFalse(received.complete, received)
+
+    def assert_failed(self, received: Received) -> None:
+        self.assertEqual((received.status, received.complete), (502, True))
+        self.assertNotIn("x-proof", received.headers)
+
+    def test_error_after_a_stream_has_begun(self) -> None:
+        """Guards against the text or the head of an error in the middle of a stream, and against
+        a stream that ends there as if it were complete."""
+        error = b"data: overloaded\n\n"
+        rows: list[tuple[str, bytes]] = [
+            ("failure", response(b"overloaded", b"500 Oops")),
+            ("failure that is a stream", response(error, b"500 Oops", STREAM)),
+            ("failure that ends with the connection", unframed(error, STREAM, b"503 Full")),
+            ("error", response(b"overloaded", b"404 No")),
+            ("success that is no stream", response(b"all of it")),
+            ("refusal", response(b"full", b"503 Full", b"x-id: id-1\r\nx-not-run: 1\r\n")),
+            ("no proof", response(error, headers=b"x-id: id-1\r\n")),
+            ("head of an error, cut", response(b"overloaded", b"500 Oops")[:40]),
+            ("failure, cut", response(b"overloaded", b"500 Oops")[:-3]),
+            ("gap", chunked(THIRD)),
+        ]
+        for name, second in rows:
+            with self.subTest(name):
+                received = self.relay(RESUMABLE, BROKEN, Script(second, "close"))
+                self.assert_broken_off(received, FIRST)
+                self.assertEqual(self.attempts_count, 2)
+
+    def test_third_upstream_completes_a_stream(self) -> None:
+        """Guards against giving up a stream, or repeating its head, after one failed
+        continuation."""
+        route = RESUMABLE._replace(attempts_count=3)
+        rows: list[tuple[str, Script]] = [
+            ("failure", Script(response(b"overloaded", b"500 Oops"))),
+            ("refusal", Script(response(b"", b"421 No", b""))),
+            ("closed", Script(b"", "close")),
+            ("reset", Script(b"", "reset")),
+        ]
+        for name, second in rows:
+            with self.subTest(name):
+                third = Script(chunked(FIRST + SECOND + THIRD))
+                received = self.relay(route, BROKEN, second, third)
+                self.assert_complete(received, FIRST + SECOND + THIRD)
+                self.assertEqual(self.attempts_count, 3)
+
+    def test_stream_that_may_not_be_repeated(self) -> None:
+        """Guards against a second run of a broken stream that no other upstream may continue."""
+        received = self.relay(STREAMED, BROKEN, Script(chunked(SECOND)))
+        self.assert_broken_off(received, FIRST)
+        self.assertEqual(self.attempts_count, 1)
+
+    def test_cut_head(self) -> None:
+        """Guards against a success with an empty or short body, framed as whole, when an upstream
+        closes in the middle of the head of its response."""
+        whole = response(b"yes")
+        head_bytes = len(whole) - 3
+        for ending in ("close", "reset"):
+            for cut in (0, 15, 45, head_bytes - 4, head_bytes - 1):
+                with self.subTest(ending=ending, cut=cut):
+                    first = Script(whole[:cut], ending, 0.02)
+                    self.assert_failed(self.relay(a_route(), first))
+                    self.assert_failed(self.relay(STREAMED, first))
+                    received = self.relay(a_route(idempotent=True), first, Script(whole))
+                    self.assert_complete(received, b"yes")
+
+    def test_responses_that_end_with_the_connection(self) -> None:
+        """Guards against losing a response that has neither a length nor chunks."""
+        keep_alive = b"connection: keep-alive\r\nkeep-alive: timeout=5\r\n"
+        rows: list[tuple[str, Route, bytes, bytes]] = [
+            ("plain", a_route(), unframed(b"yes", IDS), b"yes"),
+            ("no body", a_route(), unframed(b"", IDS), b""),
+            ("keep-alive", a_route(), unframed(b"yes", IDS + keep_alive), b"yes"),
+            ("HTTP/1.0", a_route(), unframed(b"yes", IDS).replace(b"/1.1", b"/1.0"), b"yes"),
+            ("stream", STREAMED, unframed(FIRST + SECOND), FIRST + SECOND),
+            ("stream, keep-alive", STREAMED, unframed(FIRST, STREAM + keep_alive), FIRST),
+            ("stream, resumable", RESUMABLE, unframed(FIRST + SECOND), FIRST + SECOND),
+        ]
+        for name, route, content, body in rows:
+            with self.subTest(name):
+                self.assert_complete(self.relay(route, Script(content, "close")), body)
+
+    def test_streams_that_are_broken_off(self) -> None:
+        """Guards against a stream with neither a length nor chunks that looks complete although
+        it was reset or ended inside an event."""
+        rows: list[tuple[str, bytes, str, bytes]] = [
+            ("inside an event", FIRST + SECOND[:-1], "close", FIRST),
+            ("inside the first event", FIRST[:-1], "close", b""),
+            ("reset between events", FIRST, "reset", FIRST),
+            ("reset inside an event", FIRST + SECOND[:-1], "reset", FIRST),
+            ("reset before the first event", b"", "reset", b""),
+        ]
+        for name, body, ending, content in rows:
+            with self.subTest(name):
+                first = Script(unframed(body), ending, 0.02)
+                self.assert_broken_off(self.relay(STREAMED, first), content)
+                if content:
+                    received = self.relay(RESUMABLE, first, Script(unframed(SECOND), "close"))
+                    self.assert_complete(received, FIRST + SECOND)
+                    second = Script(unframed(SECOND + THIRD[:-1]), "close")
+                    received = self.relay(RESUMABLE, first, second)
+                    self.assert_broken_off(received, FIRST + SECOND)
+
+    def test_silent_stream(self) -> None:
+        """Guards against a silent stream that looks complete when it is given up."""
+        silent = Script(unframed(FIRST, STREAM + b"connection: keep-alive\r\n"))
+        received = self.relay(RESUMABLE, silent, Script(unframed(SECOND), "close"))
+        self.assert_complete(received, FIRST + SECOND)
+        received = self.relay(RESUMABLE._replace(attempts_count=1), silent)
+        self.assert_broken_off(received, FIRST)
+
+    def test_responses_without_a_body(self) -> None:
+        """Guards against taking a response that has no body for one that was broken off."""
+        rows: list[tuple[str, bytes]] = [
+            ("HEAD", unframed(b"")),
+            ("HEAD", response(b"yes", headers=STREAM)[:-3]),
+            ("HEAD", response(b"yes")[:-3]),
+            ("POST", unframed(b"", status=b"204 No")),
+            ("POST", response(b"yes", b"304 No")[:-3]),
+            ("POST", response(b"", headers=STREAM)),
+            ("POST", chunked(b"", end=b"")),
+        ]
+        for method, content in rows:
+            with self.subTest(method=method, content=content):
+                call = CALL.replace(b"POST", method.encode())
+                received = self.relay(STREAMED, Script(content, "close"), content=call)
+                self.assertEqual(received.status, int(content[9:12]))
+                self.assertEqual((received.content, received.complete), (b"", True))
+
+    def test_connection_of_a_broken_response(self) -> None:
+        """Guards against keeping the connection of a response that was broken off, and against an
+        error on it after that response."""
+        kept = CALL.replace(b"connection: close\r\n", b"")
+        rows: list[tuple[Route, Script]] = [
+            (STREAMED, BROKEN),
+            (RESUMABLE, BROKEN),
+            (RESUMABLE, Script(response(FIRST + SECOND, headers=STREAM)[:-3], "close")),
+        ]
+        for route, first in rows:
+            with self.subTest(route=route, first=first):
+
+                async def run(route: Route = route, first: Script = first) -> bytes:
+                    failure = Script(response(b"overloaded", b"500 Oops"))
+                    async with relaying(route, first, failure) as relay:
+                        return await relay.send(kept)
+
+                received = loop.run(run)
+                self.assertEqual(received.count(b"HTTP/1.1"), 1)
+                self.assertNotIn(b"overloaded", received)
+                self.assertNotIn(b"\r\n0\r\n", received)
+
+    def test_caller_without_chunks(self) -> None:
+        """Guards against a broken response that looks complete to a caller that knows no chunks,
+        for which a response ends with its connection."""
+        old = CALL.replace(b"HTTP/1.1", b"HTTP/1.0")
+        received = self.relay(RESUMABLE, BROKEN, content=old)
+        self.assertEqual((received.status, self.attempts_count), (400, 0))
+
+
+if __name__ == "__main__":
+    unittest.main()
