Keep error responses out of streams that have begun

Callers: none got the error's bytes, but only because the HTTP server rejects a second head: the request ended with "request failed" and a traceback in the log, and the connection was closed.

Cause: when the upstream that was to continue a stream responds with status 500 or more and no attempt is left, the retry filter yielded the head and the body of that response after the events of the first upstream. Nothing in our code decided against it; another front end, or a filter that looks at the parts, would have passed the error on.

Change: the decision forwards an error response only while the caller has no part of another one; after that the request ends as a broken stream, which the front end leaves incomplete.

--- a/src/camphorvalve/filters/retry.py
+++ b/src/camphorvalve/filters/retry.py
@@ -53,7 +53,7 @@
 
 @dataclass(frozen=True, slots=True)
 class ForwardResponse:
-    """Forward the upstream's error response to the caller."""
+    """Forward the upstream's error response to the caller, who has no part of another one."""
 
     answer: FailedAnswer
 
@@ -89,7 +89,7 @@
             return Fail(RequestError("no_upstream", message, retry_after_s=1.0))
         case Declined():
             return Fail(RequestError("overloaded", str(error), retry_after_s=DECLINED_RETRY_S))
-        case FailedAnswer():
+        case FailedAnswer() if not exchange.output_started:
             return ForwardResponse(error)
         case NoAnswer():
             return Fail(RequestError("upstream_failed", f"the upstream did not respond: {error}"))
--- a/tests/filters/test_retry.py
+++ b/tests/filters/test_retry.py
@@ -10,7 +10,7 @@
 from camphorvalve.model.errors import RequestError
 from camphorvalve.model.requests import Completion, ServiceCall
 from camphorvalve.sharing.budget import RetryBudget
-from camphorvalve.upstreams.errors import Broken, NoAnswer, NotSent, WrongAnswer
+from camphorvalve.upstreams.errors import Broken, FailedAnswer, NoAnswer, NotSent, WrongAnswer
 from tests.builders import a_classified_exchange, a_kind, team_parameters
 from tests.filters.harness import run_filter
 
@@ -104,6 +104,21 @@
         assert exchange.broken is not None
         self.assertEqual(exchange.broken, (2, "onetwo"))
 
+    async def test_an_error_response_is_not_part_of_a_broken_stream(self) -> None:
+        """Guards against a second head and the text of an error in the middle of a stream."""
+        failed = FailedAnswer("engine-1", Head(500, ()), b"overloaded")
+        exchange = _exchange(idempotent=True, streamed=True)
+        filter_ = RetryFilter(RetryBudget(floor_count=lambda: 1))
+        parts: list[Part] = []
+        with self.assertRaises(RequestError) as caught:
+            async for part in filter_(exchange, Script((2, BROKEN), (0, failed)).handler()):
+                parts.append(part)
+        self.assertEqual(caught.exception.code, "stream_broken")
+        self.assertEqual(parts, list(PARTS[:2]))
+        exchange = _exchange(idempotent=True, streamed=True)
+        parts = await run_filter(filter_, exchange, Script((0, failed)).handler())
+        self.assertEqual(parts, [failed.head, Body(b"overloaded")])
+
     async def test_a_failing_upstream_cannot_multiply_the_load(self) -> None:
         budget, runs_count = RetryBudget(), 0
         for _ in range(200):
