Take only responses with status 200 for streams of events

Callers: when a resumable stream broke off and the next worker responded 404 with the content type of event streams, the text of that error came in the middle of the stream, which then ended as if it were complete; with 204, 206 or 302, or an empty 404, the stream ended as complete with events missing. An error response of that type at the first attempt was broken off after its head when its text did not end like an event.

Cause: a response counted as a stream by its content type alone, so that an error passed for the continuation. The completions of model engines decided the same way: such an error was taken for a broken stream, and could be continued by another engine under the head of the error.

Change: one function decides for both: status 200 and the type. Anything else after output has started is no continuation, whose body is not read any more; the attempt counts as failed and the next upstream may continue. Before that it is passed on whole like any plain response.

--- a/src/camphorvalve/upstreams/engine.py
+++ b/src/camphorvalve/upstreams/engine.py
@@ -16,6 +16,7 @@
 from camphorvalve.upstreams.opening import (
     SendProgress,
     UpstreamCall,
+    is_event_stream,
     open_response,
     read_body,
     response_headers,
@@ -37,7 +38,6 @@
 BYTES_PER_TOKEN = 4
 """Approximate size of a token, used to estimate usage that the engine does not report."""
 CANCEL_TIMEOUT_S = 1.0
-_EVENT_STREAM_TYPE = "text/event-stream"
 
 _log = structlog.get_logger(__name__)
 
@@ -133,19 +133,15 @@
     """Reject a response that cannot continue the events that the caller already has."""
     if isinstance(options.start_point, FromStart):
         return
-    if response.status_code != 200 or not _is_stream(response):
+    if not is_event_stream(response):
         raise NoAnswer(upstream.upstream_id, f"status {response.status_code} for a continuation")
 
 
-def _is_stream(response: httpx.Response) -> bool:
-    return response.headers.get("content-type", "").startswith(_EVENT_STREAM_TYPE)
-
-
 async def _response_parts(
     upstream: Upstream, exchange: Exchange, options: AttemptOptions, response: httpx.Response
 ) -> AsyncGenerator[Part, None]:
     head = Head(response.status_code, response_headers(response))
-    if not _is_stream(response):
+    if not is_event_stream(response):
         content = await read_body(upstream, response)
         if response.status_code == 200:
             exchange.served_units += _response_units(exchange.request.body, content)
--- a/src/camphorvalve/upstreams/routed.py
+++ b/src/camphorvalve/upstreams/routed.py
@@ -25,7 +25,7 @@
     WrongAnswer,
 )
 from camphorvalve.upstreams.events import EventError, EventSequencer
-from camphorvalve.upstreams.opening import SEND_STARTED_EVENT, read_body
+from camphorvalve.upstreams.opening import SEND_STARTED_EVENT, is_event_stream, read_body
 from camphorvalve.upstreams.pump import coalesced
 
 if TYPE_CHECKING:
@@ -51,7 +51,6 @@
 time left until the deadline. Callers give up after 2 s or four times the objective."""
 TIMER_RESOLUTION_S = 0.002
 """Time by which a timer of the event loop may fire early."""
-EVENT_STREAM_TYPE = "text/event-stream"
 
 
 class HeaderNames(NamedTuple):
@@ -189,17 +188,19 @@
     ) -> AsyncGenerator[Part, None]:
         self._check_response(upstream, exchange, response)
         head = Head(response.status_code, tuple(end_to_end(response.headers.multi_items())))
+        is_stream = is_event_stream(response)
+        if exchange.output_started and not is_stream:
+            cause = f"the continuation of a stream is not a stream, status {response.status_code}"
+            raise NoAnswer(upstream.upstream_id, cause)
         if response.status_code >= 500 and exchange.parameters.idempotent:
             raise FailedAnswer(upstream.upstream_id, head, await read_body(upstream, response))
-        if response.headers.get("content-type", "").startswith(EVENT_STREAM_TYPE):
+        if is_stream:
             yield head
             stream_parts = self._stream_parts(upstream, exchange, response)
             async with aclosing(stream_parts) as parts:
                 async for part in parts:
                     yield part
             return
-        if exchange.output_started:
-            raise NoAnswer(upstream.upstream_id, "the continuation of a stream is not a stream")
         yield head
         yield Body(await read_body(upstream, response))
 
@@ -284,4 +285,4 @@
     return httpx.Timeout(read_s, connect=connect_s, pool=connect_s)
 
 
-__all__ = ["EVENT_STREAM_TYPE", "HeaderNames", "RoutedAttempts"]
+__all__ = ["HeaderNames", "RoutedAttempts"]
--- a/tests/http/test_relayed.py
+++ b/tests/http/test_relayed.py
@@ -87,6 +87,27 @@
                 self.assert_broken_off(received, FIRST)
                 self.assertEqual(self.attempts_count, 2)
 
+    def test_continuation_with_another_status(self) -> None:
+        """Guards against the text of an error in the middle of a stream, and against a stream that
+        ends there as if it were complete, when the error is said to be a stream."""
+        error = b"data: overloaded\n\n"
+        rows: list[tuple[str, bytes]] = [
+            ("error", response(error, b"404 No", STREAM)),
+            ("error that ends with the connection", unframed(error, STREAM, b"404 No")),
+            ("error without any text", unframed(b"", STREAM, b"404 No")),
+            ("redirection", response(b"", b"302 Found", STREAM + b"location: /\r\n")),
+            ("no content", b"HTTP/1.1 204 No\r\n" + STREAM + b"\r\n"),
+            ("part of the content", response(SECOND, b"206 Part", STREAM)),
+        ]
+        for name, second in rows:
+            with self.subTest(name):
+                received = self.relay(RESUMABLE, BROKEN, Script(second, "close"))
+                self.assert_broken_off(received, FIRST)
+                third = Script(chunked(FIRST + SECOND + THIRD))
+                three_attempts = RESUMABLE._replace(attempts_count=3)
+                received = self.relay(three_attempts, BROKEN, Script(second, "close"), third)
+                self.assert_complete(received, FIRST + SECOND + THIRD)
+
     def test_third_upstream_completes_a_stream(self) -> None:
         """Guards against giving up a stream, or repeating its head, after one failed
         continuation."""
@@ -169,6 +190,19 @@
         received = self.relay(RESUMABLE._replace(attempts_count=1), silent)
         self.assert_broken_off(received, FIRST)
 
+    def test_error_of_an_upstream_that_is_said_to_be_a_stream(self) -> None:
+        """Guards against breaking off the whole error response of an upstream."""
+        for status in (b"404 No", b"500 Oops"):
+            for content in (
+                response(b"no such draft", status, STREAM),
+                unframed(b"no such draft", STREAM, status),
+            ):
+                with self.subTest(content):
+                    received = self.relay(STREAMED, Script(content, "close"))
+                    self.assertEqual(received.status, int(status[:3]))
+                    self.assertEqual(received.content, b"no such draft")
+                    self.assertTrue(received.complete, received)
+
     def test_responses_without_a_body(self) -> None:
         """Guards against taking a response that has no body for one that was broken off."""
         rows: list[tuple[str, bytes]] = [
--- a/tests/upstreams/test_attempt.py
+++ b/tests/upstreams/test_attempt.py
@@ -21,6 +21,8 @@
 from camphorvalve.upstreams.errors import Broken, NoAnswer, NotSent, UpstreamError, WrongAnswer
 from camphorvalve.upstreams.options import AttemptOptions, ContinueText, ResumeStream
 from tests.builders import a_service, a_service_exchange, a_stream_exchange, an_upstream
+from tests.rawpeers import Script
+from tests.rawpeers import upstream as raw_upstream
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -111,6 +113,16 @@
                 self.assertIs(type(result.error), error or type(None))
                 self.assertTrue(exchange.sent_upstream)
 
+    async def test_an_error_that_is_said_to_be_a_stream(self) -> None:
+        """Guards against breaking off, or continuing, the error response of an engine."""
+        headers = b"x-request-id: id-1\r\ncontent-type: text/event-stream\r\n"
+        body = b"id: 1\ndata: overloaded\n\n"
+        content = b"HTTP/1.1 503 Full\r\n" + headers + b"\r\n" + body
+        async with raw_upstream(Script(content, "close")) as (url, _):
+            exchange = a_stream_exchange(request_id="id-1")
+            result = await self.run_attempt(an_upstream(url=url), exchange)
+        self.assertEqual(result, AttemptResult(503, body, None))
+
     async def test_service_faults_are_distinguished(self) -> None:
         cases = {
             "no fault": (None, 200, None),
