Reject events without a number at the start of a continuation

Callers: when the worker that was to continue a broken stream responded 200 with events that have no number, such as the text of an error, they came in the middle of the stream, which then ended as complete; a repeat without numbers came twice.

Cause: the check of the order passes on events without a number, since comments have none. At the start of a continuation nothing says then that they follow what the caller has.

Change: until an event has the next number, a continuation may only have comments; otherwise it breaks off, and another upstream may continue. First responses are read as before.

Evidence: test_continuation_without_numbers of http.test_relayed failed on the code before (bytes of the caller) and passes now, as do tests.upstreams (72 tests with http.test_relayed).

--- a/src/camphorvalve/upstreams/events.py
+++ b/src/camphorvalve/upstreams/events.py
@@ -13,7 +13,7 @@
 
 
 class OutOfOrderError(EventError):
-    """An event is missing before this one."""
+    """An event is missing before this one, or the place of an event is unknown."""
 
 
 class EndlessEventError(EventError):
@@ -56,13 +56,16 @@
 class EventSequencer:
     """Passes on complete events in order, drops repeated ones and detects gaps."""
 
-    def __init__(self, last_number: int | None) -> None:
+    def __init__(self, last_number: int | None, *, continues: bool = False) -> None:
         """
         Start before the first event, or after the last event that the caller has.
 
         :param last_number: number of the last event that the caller has, ``None`` if it has none
+        :param continues: whether the events continue a stream of another upstream; until one has
+            the next number, the place of events without a number is unknown
         """
         self.last_number = last_number
+        self._is_placed = not continues
         self._buffer = EventBuffer()
 
     @property
@@ -76,7 +79,7 @@
 
         :param content: the next bytes of the stream
         :return: the events that are now complete, without those that the caller already has
-        :raises OutOfOrderError: an event is missing
+        :raises OutOfOrderError: an event is missing, or its place is unknown
         :raises EndlessEventError: an event is too long
         """
         events = self._buffer.add(content).split(END_OF_EVENT)[:-1]
@@ -85,6 +88,8 @@
     def _is_new(self, event: bytes) -> bool:
         number = _event_number(event)
         if number is None:
+            if not self._is_placed and not _is_comment(event):
+                raise OutOfOrderError(f"an event without a number follows event {self.last_number}")
             return True
         if self.last_number is not None:
             if number <= self.last_number:
@@ -92,9 +97,14 @@
             if number > self.last_number + 1:
                 raise OutOfOrderError(f"event {number} follows event {self.last_number}")
         self.last_number = number
+        self._is_placed = True
         return True
 
 
+def _is_comment(event: bytes) -> bool:
+    return all(line.startswith(b":") for line in event.split(b"\n") if line)
+
+
 def _event_number(event: bytes) -> int | None:
     for line in event.split(b"\n"):
         if line.startswith(_ID_FIELD):
--- a/src/camphorvalve/upstreams/routed.py
+++ b/src/camphorvalve/upstreams/routed.py
@@ -236,7 +236,9 @@
     async def _stream_parts(
         self, upstream: Upstream, exchange: Exchange, response: httpx.Response
     ) -> AsyncGenerator[Body, None]:
-        sequencer = EventSequencer(self._last_event_number(exchange))
+        sequencer = EventSequencer(
+            self._last_event_number(exchange), continues=exchange.broken is not None
+        )
         cause = "the stream ended inside an event"
         try:
             async with coalesced(response.aiter_raw()) as chunks:
--- a/tests/http/test_relayed.py
+++ b/tests/http/test_relayed.py
@@ -108,6 +108,15 @@
                 received = self.relay(three_attempts, BROKEN, Script(second, "close"), third)
                 self.assert_complete(received, FIRST + SECOND + THIRD)
 
+    def test_continuation_without_numbers(self) -> None:
+        """Guards against events that can't be told to continue a stream: the text of an error, or
+        events that the caller has."""
+        for second in (b"data: overloaded\n\n", b"data: 1\n\n" + SECOND):
+            received = self.relay(RESUMABLE, BROKEN, Script(chunked(second)))
+            self.assert_broken_off(received, FIRST)
+        second = b": wait\n\n" + SECOND + b"data: end\n\n"
+        self.assert_complete(self.relay(RESUMABLE, BROKEN, Script(chunked(second))), FIRST + second)
+
     def test_third_upstream_completes_a_stream(self) -> None:
         """Guards against giving up a stream, or repeating its head, after one failed
         continuation."""
--- a/tests/upstreams/test_events.py
+++ b/tests/upstreams/test_events.py
@@ -36,6 +36,14 @@
         with self.assertRaises(OutOfOrderError):
             sequencer.add(event(7))
 
+    def test_continuation_without_numbers(self) -> None:
+        """Guards against events at an unknown place of a stream, which the caller may have."""
+        for unplaced in (b"data: 5\n\n", event(4) + b"data: 5\n\n", b": x\ndata: 5\n\n"):
+            with self.subTest(unplaced), self.assertRaises(OutOfOrderError):
+                EventSequencer(4, continues=True).add(unplaced)
+        content = b": wait\n\n" + event(5) + b"data: 5\n\n"
+        self.assertEqual(EventSequencer(4, continues=True).add(content), content)
+
     def test_events_without_number(self) -> None:
         """Guards against dropping comments and events without a number."""
         sequencer = EventSequencer(None)
