Repeat a response that is not streamed from its start

Callers: on a route that is safe to repeat but not streaming, a worker responded with a stream of events that broke off; the caller got a 200 with the later events only, framed as whole.

Cause: the retry filter kept the number of the last event of each broken response, and the next attempt sent it as Last-Event-Id. Responses that are not streamed are buffered and discarded when their attempt fails, so that the caller had none of the events before it.

Change: the position is kept only for responses that are streamed to the caller.

--- a/src/camphorvalve/filters/retry.py
+++ b/src/camphorvalve/filters/retry.py
@@ -173,8 +173,9 @@
         match error:
             case NotSent() | Declined():
                 return
-            case Broken(events_count=events_count, text=text) if events_count > 0:
-                exchange.broken = BrokenStream(events_count, text)
+            case Broken(events_count=count, text=text) if count > 0 and exchange.streams:
+                # A response that is not streamed to the caller is repeated from the start.
+                exchange.broken = BrokenStream(count, text)
             case _:
                 pass
         exchange.may_have_run = True
--- a/tests/filters/test_retry.py
+++ b/tests/filters/test_retry.py
@@ -119,6 +119,12 @@
         parts = await run_filter(filter_, exchange, Script((0, failed)).handler())
         self.assertEqual(parts, [failed.head, Body(b"overloaded")])
 
+    async def test_a_response_that_is_not_streamed_is_repeated_from_the_start(self) -> None:
+        """Guards against a continuation whose first events the caller never gets."""
+        exchange = _exchange(idempotent=True, streamed=False)
+        await run_filter(RetryFilter(RetryBudget()), exchange, Script((2, BROKEN), WHOLE).handler())
+        self.assertIsNone(exchange.broken)
+
     async def test_a_failing_upstream_cannot_multiply_the_load(self) -> None:
         budget, runs_count = RetryBudget(), 0
         for _ in range(200):
--- a/tests/http/test_relayed.py
+++ b/tests/http/test_relayed.py
@@ -140,6 +140,19 @@
         self.assert_broken_off(received, FIRST)
         self.assertEqual(self.attempts_count, 1)
 
+    def test_stream_that_is_repeated_from_the_start(self) -> None:
+        """Guards against a stream without its first events when it is repeated on a route whose
+        responses are not continued."""
+
+        async def run() -> tuple[Received, bytes]:
+            route = a_route(idempotent=True)
+            async with relaying(route, BROKEN, Script(chunked(FIRST + SECOND))) as relay:
+                return await relay.call(), relay.peers[1].received[0]
+
+        received, second_request = loop.run(run)
+        self.assert_complete(received, FIRST + SECOND)
+        self.assertNotIn(b"last-event-id", second_request.lower())
+
     def test_cut_head(self) -> None:
         """Guards against a success with an empty or short body, framed as whole, when an upstream
         closes in the middle of the head of its response."""
