Leave the length out of the head of a stream

Callers: when a worker sent a stream with a Content-Length and broke off, and the continuation was longer or shorter than the rest, the caller's response was cut at the continuation or never ended as whole, although every event was there. It was an exception of the HTTP server ("Too much data", "Too little data for declared Content-Length") that ended it.

Cause: the head of the first upstream was passed on with its length, which holds for its own bytes only; the continuation, and events that are left out because the caller has them, change it.

Change: streams of events, of routed calls and of completions, have no length in their head and go to the caller in chunks, whose end the router sends only after a complete stream.

Evidence: test_stream_with_a_length (2 of 4 rows, bytes of the caller) and test_a_stream_with_a_length of upstreams.test_attempt failed on the code before and pass now; tests.upstreams and http.test_relayed pass (75 tests).

--- a/src/camphorvalve/upstreams/engine.py
+++ b/src/camphorvalve/upstreams/engine.py
@@ -20,6 +20,7 @@
     open_response,
     read_body,
     response_headers,
+    stream_head,
 )
 from camphorvalve.upstreams.options import ContinueText, FromStart, ResumeStream
 from camphorvalve.upstreams.pump import coalesced
@@ -140,18 +141,18 @@
 async def _response_parts(
     upstream: Upstream, exchange: Exchange, options: AttemptOptions, response: httpx.Response
 ) -> AsyncGenerator[Part, None]:
-    head = Head(response.status_code, response_headers(response))
+    headers = response_headers(response)
     if not is_event_stream(response):
         content = await read_body(upstream, response)
         if response.status_code == 200:
             exchange.served_units += _response_units(exchange.request.body, content)
-        yield head
+        yield Head(response.status_code, headers)
         yield Body(content)
         return
     if not isinstance(options.start_point, ResumeStream):
         prompt_tokens = len(exchange.request.body) / BYTES_PER_TOKEN
         exchange.served_units += PROMPT_UNITS_PER_TOKEN * prompt_tokens
-    yield head
+    yield stream_head(headers)
     stream_parts = _stream_parts(upstream, exchange, Transcript(options.start_point), response)
     async with aclosing(stream_parts) as parts:
         async for part in parts:
--- a/src/camphorvalve/upstreams/opening.py
+++ b/src/camphorvalve/upstreams/opening.py
@@ -7,11 +7,14 @@
 
 import httpx
 
+from camphorvalve.model.answers import Head
 from camphorvalve.model.headers import HOP_HEADERS
 from camphorvalve.upstreams.client import FRESH_CONNECTION
 from camphorvalve.upstreams.errors import Broken, NoAnswer, NotSent, WrongAnswer
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
+
     from camphorvalve.model.requests import Exchange
     from camphorvalve.model.upstreams import Upstream
     from camphorvalve.upstreams.options import AttemptOptions
@@ -118,6 +121,16 @@
     return response.status_code == 200 and content_type.startswith(_EVENT_STREAM_TYPE)
 
 
+def stream_head(headers: Iterable[tuple[str, str]]) -> Head:
+    """
+    Build the head of a stream of events.
+
+    :param headers: headers of the response, names in lower case
+    :return: the head without a length, which another upstream that continues it may not keep to
+    """
+    return Head(200, tuple(header for header in headers if header[0] != "content-length"))
+
+
 MAX_RESPONSE_BYTES = 4 << 20
 """Longest body that is buffered; a faulty upstream may send endless data."""
 
@@ -191,4 +204,5 @@
     "open_response",
     "read_body",
     "response_headers",
+    "stream_head",
 ]
--- a/src/camphorvalve/upstreams/routed.py
+++ b/src/camphorvalve/upstreams/routed.py
@@ -25,7 +25,12 @@
     WrongAnswer,
 )
 from camphorvalve.upstreams.events import EventError, EventSequencer
-from camphorvalve.upstreams.opening import SEND_STARTED_EVENT, is_event_stream, read_body
+from camphorvalve.upstreams.opening import (
+    SEND_STARTED_EVENT,
+    is_event_stream,
+    read_body,
+    stream_head,
+)
 from camphorvalve.upstreams.pump import coalesced
 
 if TYPE_CHECKING:
@@ -187,7 +192,8 @@
         self, upstream: Upstream, exchange: Exchange, response: httpx.Response
     ) -> AsyncGenerator[Part, None]:
         self._check_response(upstream, exchange, response)
-        head = Head(response.status_code, tuple(end_to_end(response.headers.multi_items())))
+        headers = tuple(end_to_end(response.headers.multi_items()))
+        head = Head(response.status_code, headers)
         is_stream = is_event_stream(response)
         if exchange.output_started and not is_stream:
             cause = f"the continuation of a stream is not a stream, status {response.status_code}"
@@ -195,7 +201,7 @@
         if response.status_code >= 500 and exchange.parameters.idempotent:
             raise FailedAnswer(upstream.upstream_id, head, await read_body(upstream, response))
         if is_stream:
-            yield head
+            yield stream_head(headers)
             stream_parts = self._stream_parts(upstream, exchange, response)
             async with aclosing(stream_parts) as parts:
                 async for part in parts:
--- a/tests/http/test_relayed.py
+++ b/tests/http/test_relayed.py
@@ -153,6 +153,19 @@
         self.assert_complete(received, FIRST + SECOND)
         self.assertNotIn(b"last-event-id", second_request.lower())
 
+    def test_stream_with_a_length(self) -> None:
+        """Guards against breaking off a stream, or ending it early, because its continuation is
+        longer or shorter than the length of the first response says."""
+        whole = FIRST + SECOND + THIRD
+        first = Script(response(whole, headers=STREAM)[: -len(SECOND + THIRD)], "close")
+        longer = b"id: 2\ndata: two\n\nid: 3\ndata: three\n\n"
+        for name, rest in (("equal", SECOND + THIRD), ("longer", longer), ("shorter", SECOND)):
+            with self.subTest(name):
+                received = self.relay(RESUMABLE, first, Script(chunked(rest)))
+                self.assert_complete(received, FIRST + rest)
+        received = self.relay(RESUMABLE, first, Script(chunked(SECOND, end=b""), "close"))
+        self.assert_broken_off(received, FIRST + SECOND)
+
     def test_cut_head(self) -> None:
         """Guards against a success with an empty or short body, framed as whole, when an upstream
         closes in the middle of the head of its response."""
--- a/tests/upstreams/test_attempt.py
+++ b/tests/upstreams/test_attempt.py
@@ -20,6 +20,7 @@
 from camphorvalve.upstreams.client import create_client
 from camphorvalve.upstreams.errors import Broken, NoAnswer, NotSent, UpstreamError, WrongAnswer
 from camphorvalve.upstreams.options import AttemptOptions, ContinueText, ResumeStream
+from camphorvalve.upstreams.transcript import DONE
 from tests.builders import a_service, a_service_exchange, a_stream_exchange, an_upstream
 from tests.rawpeers import Script
 from tests.rawpeers import upstream as raw_upstream
@@ -123,6 +124,16 @@
             result = await self.run_attempt(an_upstream(url=url), exchange)
         self.assertEqual(result, AttemptResult(503, body, None))
 
+    async def test_a_stream_with_a_length(self) -> None:
+        """Guards against a length in the head that a continued stream doesn't keep to."""
+        headers = b"x-request-id: id-1\r\ncontent-type: text/event-stream\r\n"
+        content = b"HTTP/1.1 200 OK\r\n" + headers + b"content-length: 14\r\n\r\n" + DONE
+        async with raw_upstream(Script(content)) as (url, _):
+            exchange = a_stream_exchange(request_id="id-1")
+            attempt = open_attempt(self.client, an_upstream(url=url), exchange, 1)
+            parts = [part async for part in attempt]
+        self.assertEqual(parts, [Head(200, (("content-type", "text/event-stream"),)), Body(DONE)])
+
     async def test_service_faults_are_distinguished(self) -> None:
         cases = {
             "no fault": (None, 200, None),
