Take a stream without any event for broken off when its connection ends it

Callers: when a worker closed the connection right after the head of a stream that has neither a length nor chunks, the caller got a 200 with an empty stream, framed as whole; and a broken stream that the next worker continued that way ended as complete with events missing.

Cause: such a body ends with its connection, and nothing but an end inside an event was taken for a break. No event at all says the same: a stream has at least one.

Change: a stream without length and chunks that ends before an event other than comments is broken off. One that is framed as empty, and the response to HEAD, are passed on as before. An end between two events is the end of the stream, which is all that such a response can say. A continuation that ends so before its first event may have had nothing left to send; it counts as broken off too, since its caller can go on at the last event itself.

--- a/src/camphorvalve/upstreams/events.py
+++ b/src/camphorvalve/upstreams/events.py
@@ -65,6 +65,8 @@
             the next number, the place of events without a number is unknown
         """
         self.last_number = last_number
+        self.has_events = False
+        """Whether an event other than a comment was received, a repeated one included."""
         self._is_placed = not continues
         self._buffer = EventBuffer()
 
@@ -86,9 +88,12 @@
         return b"".join(event + END_OF_EVENT for event in events if self._is_new(event))
 
     def _is_new(self, event: bytes) -> bool:
+        if _is_comment(event):
+            return True
+        self.has_events = True
         number = _event_number(event)
         if number is None:
-            if not self._is_placed and not _is_comment(event):
+            if not self._is_placed:
                 raise OutOfOrderError(f"an event without a number follows event {self.last_number}")
             return True
         if self.last_number is not None:
@@ -102,7 +107,8 @@
 
 
 def _is_comment(event: bytes) -> bool:
-    return all(line.startswith(b":") for line in event.split(b"\n") if line)
+    # The first byte rules out nearly all events.
+    return event[:1] in b":\n" and all(line.startswith(b":") for line in event.split(b"\n") if line)
 
 
 def _event_number(event: bytes) -> int | None:
--- a/src/camphorvalve/upstreams/opening.py
+++ b/src/camphorvalve/upstreams/opening.py
@@ -121,6 +121,17 @@
     return response.status_code == 200 and content_type.startswith(_EVENT_STREAM_TYPE)
 
 
+def ends_with_connection(response: httpx.Response) -> bool:
+    """
+    Tell whether the body has neither a length nor chunks, so that closing the connection ends it.
+
+    :param response: the upstream's response
+    :return: whether nothing else says that the body is complete
+    """
+    has_body = response.request.method != "HEAD"
+    return has_body and not {"content-length", "transfer-encoding"} & response.headers.keys()
+
+
 def stream_head(headers: Iterable[tuple[str, str]]) -> Head:
     """
     Build the head of a stream of events.
@@ -200,6 +211,7 @@
     "SEND_STARTED_EVENT",
     "SendProgress",
     "UpstreamCall",
+    "ends_with_connection",
     "is_event_stream",
     "open_response",
     "read_body",
--- a/src/camphorvalve/upstreams/routed.py
+++ b/src/camphorvalve/upstreams/routed.py
@@ -27,6 +27,7 @@
 from camphorvalve.upstreams.events import EventError, EventSequencer
 from camphorvalve.upstreams.opening import (
     SEND_STARTED_EVENT,
+    ends_with_connection,
     is_event_stream,
     read_body,
     stream_head,
@@ -245,7 +246,6 @@
         sequencer = EventSequencer(
             self._last_event_number(exchange), continues=exchange.broken is not None
         )
-        cause = "the stream ended inside an event"
         try:
             async with coalesced(response.aiter_raw()) as chunks:
                 async for chunk in chunks:
@@ -254,7 +254,8 @@
                     elif time.monotonic() > exchange.deadline_s:
                         # The deadline filter only sees parts, and this stream yields none.
                         raise RequestError("timed_out", "the response was not complete in time")
-            if not sequencer.inside_event:
+            cause = _find_truncation(response, sequencer)
+            if cause is None:
                 return
         except (httpx.HTTPError, EventError) as error:
             cause = f"{type(error).__name__}: {error}"
@@ -268,6 +269,14 @@
         return int(number_sent) if number_sent.isdecimal() else None
 
 
+def _find_truncation(response: httpx.Response, sequencer: EventSequencer) -> str | None:
+    if sequencer.inside_event:
+        return "the stream ended inside an event"
+    if not sequencer.has_events and ends_with_connection(response):
+        return "the connection was closed before the first event"
+    return None
+
+
 def _abort(response: httpx.Response) -> None:
     # The connection of a complete response may carry another request already.
     if not response.is_closed:
--- a/tests/http/test_relayed.py
+++ b/tests/http/test_relayed.py
@@ -217,6 +217,15 @@
                     received = self.relay(RESUMABLE, first, second)
                     self.assert_broken_off(received, FIRST + SECOND)
 
+    def test_stream_that_ends_before_its_first_event(self) -> None:
+        """Guards against an empty stream that looks complete when an upstream closes right after
+        the head of a response with neither a length nor chunks."""
+        empty = Script(unframed(b""), "close")
+        self.assert_broken_off(self.relay(STREAMED, empty), b"")
+        self.assert_broken_off(self.relay(RESUMABLE, BROKEN, empty), FIRST)
+        comment = Script(unframed(b": wait\n\n"), "close")
+        self.assert_broken_off(self.relay(RESUMABLE, BROKEN, comment), FIRST + b": wait\n\n")
+
     def test_silent_stream(self) -> None:
         """Guards against a silent stream that looks complete when it is given up."""
         silent = Script(unframed(FIRST, STREAM + b"connection: keep-alive\r\n"))
