Read a plain response whole before its head goes to the caller of a stream

Callers: when a worker answered a request of a streaming route with a plain response, such as an error, that broke off in its body, the caller got the worker's head, with its proof, and a connection that was closed; no other worker was asked although the route was resumable.

Cause: the attempt yielded the head before it read the body. On other routes the retry filter buffers the head; on streaming routes it sends it at once, since a stream may pause after it.

Change: the body is read first. A broken one ends in 502, or is repeated where that is allowed.

--- a/src/camphorvalve/upstreams/routed.py
+++ b/src/camphorvalve/upstreams/routed.py
@@ -208,8 +208,10 @@
                 async for part in parts:
                     yield part
             return
+        # The head of a broken response must not reach the caller of a stream.
+        content = await read_body(upstream, response)
         yield head
-        yield Body(await read_body(upstream, response))
+        yield Body(content)
 
     def _check_response(
         self, upstream: Upstream, exchange: Exchange, response: httpx.Response
--- a/tests/http/test_relayed.py
+++ b/tests/http/test_relayed.py
@@ -180,6 +180,31 @@
                     received = self.relay(a_route(idempotent=True), first, Script(whole))
                     self.assert_complete(received, b"yes")
 
+    def test_broken_body(self) -> None:
+        """Guards against a plain response that looks whole although its body was broken off, and
+        against not repeating it where that is allowed."""
+        for streamed in (False, True):
+            for name, first in self.broken_bodies():
+                with self.subTest(name, streamed=streamed):
+                    self.assert_failed(self.relay(a_route(streamed=streamed), first))
+                    route = RESUMABLE if streamed else a_route(idempotent=True)
+                    received = self.relay(route, first, Script(response(b"yes")))
+                    self.assert_complete(received, b"yes")
+
+    def broken_bodies(self) -> list[tuple[str, Script]]:
+        """Return plain responses that break off in their body."""
+        whole, keep_alive = response(b"yes"), IDS + b"connection: keep-alive\r\n"
+        rows: list[tuple[str, bytes, str]] = [
+            ("length, close", whole[:-1], "close"),
+            ("length, reset", whole[:-1], "reset"),
+            ("length, no body", whole[:-3], "close"),
+            ("chunks, close", chunked(b"yes", b"", IDS), "close"),
+            ("chunks, reset", chunked(b"yes", b"", IDS), "reset"),
+            ("no length, reset", unframed(b"ye", IDS), "reset"),
+            ("no length, no body, reset", unframed(b"", keep_alive), "reset"),
+        ]
+        return [(name, Script(content, ending, 0.02)) for name, content, ending in rows]
+
     def test_responses_that_end_with_the_connection(self) -> None:
         """Guards against losing a response that has neither a length nor chunks."""
         keep_alive = b"connection: keep-alive\r\nkeep-alive: timeout=5\r\n"
