Pass on the events before a gap

Callers: a worker of a resumable stream left an event out; the events that arrived in one piece with the one after the gap never reached the caller, the next worker went on after them, and the stream ended as complete with these events missing.

Cause: the check of the order raised an error for the whole piece, but had counted the events before the gap. The number of the last event, from which the stream was continued, was that of an event that had not been passed on.

Change: the error carries the events before the gap, and the attempt passes them on before it ends.

Evidence: test_gap_within_one_chunk (bytes of the caller: events 2 and 3 without event 1) and upstreams.test_events test_gap failed on the code before and pass now; tests.upstreams and http.test_relayed pass (85 tests).

--- a/src/camphorvalve/upstreams/events.py
+++ b/src/camphorvalve/upstreams/events.py
@@ -19,6 +19,16 @@
 class OutOfOrderError(EventError):
     """An event is missing before this one, or the place of an event is unknown."""
 
+    def __init__(self, cause: str, events: bytes = b"") -> None:
+        """
+        Create the error.
+
+        :param cause: what happened
+        :param events: the events that were added with this one and precede it
+        """
+        super().__init__(cause)
+        self.events = events
+
 
 class EndlessEventError(EventError):
     """An event is longer than ``MAX_EVENT_BYTES``."""
@@ -88,8 +98,14 @@
         :raises OutOfOrderError: an event is missing, or its place is unknown
         :raises EndlessEventError: an event is too long
         """
-        events = self._buffer.add(content).split(END_OF_EVENT)[:-1]
-        return b"".join(event + END_OF_EVENT for event in events if self._is_new(event))
+        new_events: list[bytes] = []
+        try:
+            for event in self._buffer.add(content).split(END_OF_EVENT)[:-1]:
+                if self._is_new(event):
+                    new_events.append(event + END_OF_EVENT)
+        except OutOfOrderError as error:
+            raise OutOfOrderError(str(error), b"".join(new_events)) from error
+        return b"".join(new_events)
 
     def _is_new(self, event: bytes) -> bool:
         if _is_comment(event):
--- a/src/camphorvalve/upstreams/routed.py
+++ b/src/camphorvalve/upstreams/routed.py
@@ -24,7 +24,7 @@
     NotSent,
     WrongAnswer,
 )
-from camphorvalve.upstreams.events import EventError, EventSequencer
+from camphorvalve.upstreams.events import EventError, EventSequencer, OutOfOrderError
 from camphorvalve.upstreams.opening import (
     SEND_STARTED_EVENT,
     ends_with_connection,
@@ -261,6 +261,8 @@
                 return
         except (httpx.HTTPError, EventError) as error:
             cause = f"{type(error).__name__}: {error}"
+            if isinstance(error, OutOfOrderError) and error.events:
+                yield Body(error.events)
         raise Broken(upstream.upstream_id, cause, sequencer.last_number or 0)
 
     def _last_event_number(self, exchange: Exchange) -> int | None:
--- a/tests/http/test_relayed.py
+++ b/tests/http/test_relayed.py
@@ -117,6 +117,15 @@
         second = b": wait\n\n" + SECOND + b"data: end\n\n"
         self.assert_complete(self.relay(RESUMABLE, BROKEN, Script(chunked(second))), FIRST + second)
 
+    def test_gap_within_one_chunk(self) -> None:
+        """Guards against losing the events before a gap: they arrive together with the event after
+        it and are not passed on."""
+        gap = Script(chunked(FIRST + THIRD))
+        received = self.relay(RESUMABLE, gap, Script(chunked(FIRST + SECOND + THIRD)))
+        self.assert_complete(received, FIRST + SECOND + THIRD)
+        received = self.relay(RESUMABLE, gap, Script(chunked(SECOND + THIRD)))
+        self.assert_complete(received, FIRST + SECOND + THIRD)
+
     def test_third_upstream_completes_a_stream(self) -> None:
         """Guards against giving up a stream, or repeating its head, after one failed
         continuation."""
--- a/tests/upstreams/test_events.py
+++ b/tests/upstreams/test_events.py
@@ -36,6 +36,15 @@
         with self.assertRaises(OutOfOrderError):
             sequencer.add(event(7))
 
+    def test_gap(self) -> None:
+        """Guards against losing the events before a gap, which count as passed on."""
+        sequencer = EventSequencer(None)
+        sequencer.add(event(1))
+        with self.assertRaises(OutOfOrderError) as caught:
+            sequencer.add(event(2) + event(3) + event(5) + event(6))
+        self.assertEqual(caught.exception.events, event(2) + event(3))
+        self.assertEqual(sequencer.last_number, 3)
+
     def test_continuation_without_numbers(self) -> None:
         """Guards against events at an unknown place of a stream, which the caller may have."""
         for unplaced in (b"data: 5\n\n", event(4) + b"data: 5\n\n", b": x\ndata: 5\n\n"):
