Tell a connection that is closed here from the end of a response

Callers: none has been seen; a response that ends with its connection would have looked complete had the router closed that connection while it was read, as when the client of a process that stops is closed before its last requests have ended.

Cause: closing a connection regularly gave its reader an empty read, which is how the upstream ends a response that has neither a length nor chunks.

Change: closing records an error like aborting does, so that a waiting reader gets that.

Evidence: test_a_connection_that_is_closed_here_ends_no_response failed on the code before (the response ended) and passes now.

--- a/src/camphorvalve/upstreams/network.py
+++ b/src/camphorvalve/upstreams/network.py
@@ -144,7 +144,7 @@
 
     async def aclose(self) -> None:
         """Close at once and discard unsent data, which belongs to an abandoned request."""
-        self._transport.abort()
+        self.abort()
 
     def get_extra_info(self, info: str) -> Any:
         """
--- a/tests/upstreams/test_network.py
+++ b/tests/upstreams/test_network.py
@@ -20,6 +20,7 @@
     Serve = Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]]
 
 RESPONSE = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok"
+UNFRAMED_RESPONSE = b"HTTP/1.1 200 OK\r\n\r\nok"
 SHORT_DELAY_S = 0.05
 
 
@@ -29,13 +30,13 @@
         self.client = await self.stack.enter_async_context(create_client())
         self.opened_count = 0
 
-    async def serve(self, after_response: Serve) -> str:
+    async def serve(self, after_response: Serve, response: bytes = RESPONSE) -> str:
         """Respond to the first request of each connection, then call ``after_response``."""
 
         async def run(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
             self.opened_count += 1
             await reader.readuntil(b"\r\n\r\n")
-            writer.write(RESPONSE)
+            writer.write(response)
             await after_response(reader, writer)
 
         server = await asyncio.start_server(run, "127.0.0.1", 0)
@@ -77,6 +78,19 @@
         self.assertEqual(await self.get_twice(await self.serve(respond_again)), ["ok", "ok"])
         self.assertEqual(self.opened_count, 1)
 
+    async def test_a_connection_that_is_closed_here_ends_no_response(self) -> None:
+        """Guards against taking the end of the client for the end of an unframed response."""
+        url = await self.serve(lambda reader, writer: reader.read(), UNFRAMED_RESPONSE)
+        client = create_client()
+        async with client.stream("GET", url) as response:
+            chunks = response.aiter_raw()
+            self.assertEqual(await anext(chunks), b"ok")
+            reading = asyncio.ensure_future(anext(chunks))
+            await asyncio.sleep(0)
+            await client.aclose()
+            with self.assertRaises(httpx.ReadError):
+                await reading
+
     async def test_timeouts_are_kept(self) -> None:
         async def hang(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
             await reader.read()
