Report the shutdown of the simulated engine after its tasks have ended

Seen once: tests.upstreams.test_orders.SendOrderTest.test_replies_are_distinguished failed in its cleanup with CancelledError from the task group of the simulated engine, in a run of tests.upstreams on a busy machine (load 14); 50 further runs of that module did not show it.

Cause: the engine reported lifespan.shutdown.complete while the task group was still ending. The server then cancels the lifespan task and awaits it, and the cancellation came out of the group when it had not ended yet.

Change: the message is sent once the group has ended; nothing is awaited after it.

Evidence: the new test, in which the cancellation comes right after the message, failed on the code before with the same error and passes now.

--- a/tools/standins/engine.py
+++ b/tools/standins/engine.py
@@ -87,14 +87,13 @@
 
     async def _run_lifespan(self, receive: Receive, send: Send) -> None:
         async with anyio.create_task_group() as tasks:
-            while True:
-                message = await receive()
-                await send({"type": f"{message['type']}.complete"})
-                if message["type"] == "lifespan.shutdown":
-                    tasks.cancel_scope.cancel()
-                    return
+            while (await receive())["type"] != "lifespan.shutdown":
+                await send({"type": "lifespan.startup.complete"})
                 tasks.start_soon(self._run_batch)
                 tasks.start_soon(self._record_load)
+            tasks.cancel_scope.cancel()
+        # The server cancels this task after the shutdown.
+        await send({"type": "lifespan.shutdown.complete"})
 
     async def _run_batch(self) -> None:
         while True:
