Add no error event to the broken stream of a service

Callers of the caller port: when a stream of a plain service broke off after the part that is buffered for a retry, the text of the router's error followed as an event, an event that had been cut looked complete, and the response was framed as whole.

Cause: the error event was meant for completions, whose callers know it and the end marker, but was sent for every response with the type of event streams.

Change: only completions get it. The body of a service, which the router doesn't read, is left incomplete like any other that breaks off.

Evidence: test_broken_stream_of_a_service failed on the code before (both rows) and passes now, as do the tests of completions (tests.http, 64 tests).

--- a/src/camphorvalve/http/sending.py
+++ b/src/camphorvalve/http/sending.py
@@ -15,6 +15,7 @@
 from camphorvalve.model.answers import Body, Head
 from camphorvalve.model.errors import RequestError, Run
 from camphorvalve.model.headers import HOP_HEADERS
+from camphorvalve.model.requests import Completion
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -43,8 +44,9 @@
     """
     Response format of the caller port.
 
-    The router adds its own headers to all responses. An error after the start of an event stream
-    is sent as an ``error`` event.
+    The router adds its own headers to all responses. An error after the start of a completion that
+    is streamed is sent as an ``error`` event; that of a service, whose events the router doesn't
+    know, breaks the response off.
     """
 
     host_id: str
@@ -194,12 +196,16 @@
             )
             self._ended = True
             await self._send({"type": "http.response.body", "body": content})
-        elif isinstance(self._format, CallerPortFormat) and _is_event_stream(self._head):
+        elif self._may_have_error_events() and _is_event_stream(self._head):
             separator = b"\n\n" if self._event_incomplete else b""
             await self._send_body(separator + b"event: error\ndata: " + content + b"\n\n")
         else:
             self._aborted = True
 
+    def _may_have_error_events(self) -> bool:
+        is_completion = isinstance(self._exchange.request.call, Completion)
+        return is_completion and isinstance(self._format, CallerPortFormat)
+
     def _error_headers(self, error: RequestError) -> tuple[tuple[str, str], ...]:
         match self._format:
             case CallerPortFormat():
--- a/tests/http/test_callers.py
+++ b/tests/http/test_callers.py
@@ -196,6 +196,20 @@
             self.assertEqual(first, "data: 1")
             self.assertTrue(last.startswith('event: error\ndata: {"error":{"code":"stream_broken"'))
 
+    async def test_broken_stream_of_a_service(self) -> None:
+        """Guards against an error of the router among the events of a service, and against a
+        response that ends there as if it were complete."""
+        error = RequestError("stream_broken", "service-1 closed the connection")
+        call = "POST /v1/services/desk/ HTTP/1.1\nHost: x\nConnection: close\nContent-Length: 0\n\n"
+        for content in (b"data: 1\n\n", b"data: 1"):
+            with self.subTest(content):
+                chain = _Chain(a_head(content_type="text/event-stream"), Body(content), error)
+                async with serving(caller_app(chain)) as served:
+                    received = await _send_raw(served.port, call)
+                self.assertIn(content, received)
+                self.assertNotIn(b"error", received)
+                self.assertFalse(received.endswith(b"0\r\n\r\n"), "the response looks complete")
+
     async def test_http_1_0_is_refused(self) -> None:
         """Guards against truncated responses: with HTTP/1.0 they end when the connection closes."""
         async with serving(caller_app(_Chain(*an_answer(b"x")))) as served:
