Add a failing test of a stop after a pipelined request

Found while testing responses that are broken off: a caller that sends its next request before the response to the first one has ended, and whose response is broken off, leaves a task behind. The connection is closed and no second response is sent, but the task of hypercorn waits for ever: after the close it is told that it may read on, finds the same waiting request and pauses again. A stop of the router then lasts until its timeout, and the task stays until then.

Not cured here: the cause is within hypercorn, and an application can't reach the connection. Responses that end with `connection: close` don't show it (tried: the same test with a complete response and a leaving router passes).

--- a/tests/http/test_server.py
+++ b/tests/http/test_server.py
@@ -20,8 +20,11 @@
 from camphorvalve.http.asgi import send_json
 from camphorvalve.http.server import listen, serve
 from camphorvalve.model.answers import Body
+from camphorvalve.model.errors import RequestError
 from tests.builders import a_head
+from tests.filters.harness import response_handler
 from tests.http.serving import caller_app, serving
+from tests.rawpeers import exchange_bytes
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
@@ -115,6 +118,15 @@
                     response = await client.get(served.url + path)
                     self.assertEqual(response.headers.get("connection") == "close", leaving)
 
+    async def test_stop_after_a_pipelined_request(self) -> None:
+        """Guards against a stop that is held up by a connection whose response was broken off while
+        another request on it had been received."""
+        call = b"POST /v1/completions HTTP/1.1\r\nhost: x\r\ncontent-length: 0\r\n\r\n"
+        error = RequestError("stream_broken", "engine-1 closed the connection")
+        async with serving(caller_app(response_handler(b"one", error=error))) as served:
+            received = await exchange_bytes(served.port, call + call)
+        self.assertEqual(received.count(b"HTTP/1.1 200"), 1)
+
     async def test_cancel_scope_of_the_calling_task_works_after_serving(self) -> None:
         # Guards against a process that ends with a CancelledError instead of exit code 0 after a
         # shutdown.
