Log which parts were waiting when an upstream's connection ended

NoAnswer and Broken say whether the upstream's side closed or reset the connection; 'attempt failed' has it as connection_ended, and the shared parts of a prompt whose answer had not begun as parts. Evidence: upstreams.test_routed (test_connection_ends), filters.test_retry pass.

--- a/src/camphorvalve/filters/retry.py
+++ b/src/camphorvalve/filters/retry.py
@@ -11,7 +11,7 @@
 
 from camphorvalve.model.answers import Body, Head
 from camphorvalve.model.errors import RequestError, Run
-from camphorvalve.model.requests import BrokenStream
+from camphorvalve.model.requests import BrokenStream, shared_part_ids
 from camphorvalve.upstreams.errors import (
     Broken,
     Declined,
@@ -19,6 +19,7 @@
     NoAnswer,
     NotSent,
     UpstreamError,
+    ended_connection,
 )
 
 if TYPE_CHECKING:
@@ -166,6 +167,8 @@
             error=type(error).__name__,
             repeatable=exchange.parameters.idempotent,
             output_started=exchange.output_started,
+            connection_ended=ended_connection(error),
+            parts=[] if exchange.output_started else shared_part_ids(exchange.request.call),
         )
         exchange.note(time.monotonic(), f"attempt {exchange.attempt} failed: {error}")
         if exchange.upstream_id is not None:
--- a/src/camphorvalve/model/requests.py
+++ b/src/camphorvalve/model/requests.py
@@ -61,6 +61,24 @@
 
 Call = Completion | ServiceCall | RoutedCall
 
+MAX_SHARED_PARTS_COUNT = 64
+"""Most parts of one prompt that are looked at."""
+
+
+def shared_part_ids(call: Call) -> tuple[str, ...]:
+    """
+    List the parts of a call's prompt that other requests may have as well.
+
+    :param call: the call
+    :return: ids of all parts but the last, without repetition; empty for a call without a prompt
+    """
+    match call:
+        case RoutedCall(prompt=Prompt(parts=parts)):
+            part_ids = dict.fromkeys(part.part_id for part in parts[:-1][:MAX_SHARED_PARTS_COUNT])
+            return tuple(part_ids)
+        case _:
+            return ()
+
 
 class Request(NamedTuple):
     """A decoded request."""
@@ -174,10 +192,12 @@
     "Call",
     "Completion",
     "Exchange",
+    "MAX_SHARED_PARTS_COUNT",
     "Prompt",
     "PromptPart",
     "Request",
     "RoutedCall",
     "ServiceCall",
     "Stage",
+    "shared_part_ids",
 ]
--- a/src/camphorvalve/upstreams/errors.py
+++ b/src/camphorvalve/upstreams/errors.py
@@ -37,6 +37,17 @@
 class NoAnswer(UpstreamError):  # noqa: N818 -- see NotSent
     """The request may have arrived, but no usable response started."""
 
+    def __init__(self, upstream_id: str, cause: str, *, connection_ended: bool = False) -> None:
+        """
+        Create the error.
+
+        :param upstream_id: id of the upstream
+        :param cause: what happened
+        :param connection_ended: whether the upstream's side closed or reset the connection
+        """
+        super().__init__(upstream_id, cause)
+        self.connection_ended = connection_ended
+
 
 class WrongAnswer(NoAnswer):
     """The response does not belong to this request and attempt, and was discarded."""
@@ -61,7 +72,15 @@
 class Broken(UpstreamError):  # noqa: N818 -- see NotSent
     """The response started but ended before it was complete."""
 
-    def __init__(self, upstream_id: str, cause: str, events_count: int = 0, text: str = "") -> None:
+    def __init__(
+        self,
+        upstream_id: str,
+        cause: str,
+        events_count: int = 0,
+        text: str = "",
+        *,
+        connection_ended: bool = False,
+    ) -> None:
         """
         Create the error.
 
@@ -69,10 +88,26 @@
         :param cause: what happened
         :param events_count: number of the last complete event of the stream, over all attempts
         :param text: text of all events received so far
+        :param connection_ended: whether the upstream's side closed or reset the connection
         """
         super().__init__(upstream_id, f"{cause} after {events_count} events")
         self.events_count = events_count
         self.text = text
+        self.connection_ended = connection_ended
+
+
+def ended_connection(error: UpstreamError) -> bool:
+    """
+    Tell whether an attempt failed because the upstream's side closed or reset the connection.
+
+    :param error: how the attempt failed
+    :return: false as well for timeouts, refused connections and unusable responses
+    """
+    match error:
+        case NoAnswer(connection_ended=ended) | Broken(connection_ended=ended):
+            return ended
+        case _:
+            return False
 
 
 __all__ = [
@@ -84,4 +119,5 @@
     "NotSent",
     "UpstreamError",
     "WrongAnswer",
+    "ended_connection",
 ]
--- a/src/camphorvalve/upstreams/network.py
+++ b/src/camphorvalve/upstreams/network.py
@@ -16,6 +16,8 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
+ABORTED_HERE = "the connection was aborted here"
+"""Text of the error that a waiting reader gets from ``Stream.abort``."""
 READ_AHEAD_BYTES = 64 << 10
 """Bytes buffered for the reader before the connection pauses reading."""
 
@@ -139,7 +141,7 @@
 
     def abort(self) -> None:
         """Close at once; a waiting reader gets an error, never the regular end of a response."""
-        self._error = self._error or ConnectionAbortedError("the connection was aborted here")
+        self._error = self._error or ConnectionAbortedError(ABORTED_HERE)
         self._transport.abort()
 
     async def aclose(self) -> None:
@@ -222,4 +224,4 @@
         waiter.set_exception(error_type())
 
 
-__all__ = ["Backend", "Stream"]
+__all__ = ["ABORTED_HERE", "Backend", "Stream"]
--- a/src/camphorvalve/upstreams/opening.py
+++ b/src/camphorvalve/upstreams/opening.py
@@ -10,12 +10,15 @@
 from camphorvalve.model.headers import HOP_HEADERS
 from camphorvalve.upstreams.client import FRESH_CONNECTION
 from camphorvalve.upstreams.errors import Broken, NoAnswer, NotSent, WrongAnswer
+from camphorvalve.upstreams.network import ABORTED_HERE
 
 if TYPE_CHECKING:
     from camphorvalve.model.requests import Exchange
     from camphorvalve.model.upstreams import Upstream
     from camphorvalve.upstreams.options import AttemptOptions
 
+_END_TEXTS = ("Server disconnected", "peer closed connection")
+"""First words of the texts of httpcore and h11 for a connection that ends inside a response."""
 SEND_STARTED_EVENT = "http11.send_request_headers.started"
 # Apart from the hop-by-hop headers, the router sets these itself.
 _DROPPED_HEADERS = HOP_HEADERS | {"date", "server", "x-attempt", "x-request-id"}
@@ -126,7 +129,26 @@
                 raise Broken(upstream.upstream_id, cause)
         return b"".join(chunks)
     except httpx.HTTPError as error:
-        raise Broken(upstream.upstream_id, f"{type(error).__name__}: {error}") from error
+        cause = f"{type(error).__name__}: {error}"
+        ended = is_connection_end(error)
+        raise Broken(upstream.upstream_id, cause, connection_ended=ended) from error
+
+
+def is_connection_end(error: Exception) -> bool:
+    """
+    Tell whether an error of the HTTP client means that the peer closed or reset the connection.
+
+    :param error: error of a request that was sent
+    :return: false for timeouts, invalid responses and connections that were aborted here
+    """
+    match error:
+        case httpx.ReadError() | httpx.WriteError():
+            return str(error) != ABORTED_HERE
+        case httpx.RemoteProtocolError():
+            # Invalid responses raise the same error with other texts.
+            return str(error).startswith(_END_TEXTS)
+        case _:
+            return False
 
 
 def _request_headers(
@@ -171,6 +193,7 @@
     "SEND_STARTED_EVENT",
     "SendProgress",
     "UpstreamCall",
+    "is_connection_end",
     "open_response",
     "read_body",
     "response_headers",
--- a/src/camphorvalve/upstreams/routed.py
+++ b/src/camphorvalve/upstreams/routed.py
@@ -25,7 +25,7 @@
     WrongAnswer,
 )
 from camphorvalve.upstreams.events import EventError, EventSequencer
-from camphorvalve.upstreams.opening import SEND_STARTED_EVENT, read_body
+from camphorvalve.upstreams.opening import SEND_STARTED_EVENT, is_connection_end, read_body
 from camphorvalve.upstreams.pump import coalesced
 
 if TYPE_CHECKING:
@@ -158,7 +158,8 @@
         except (httpx.HTTPError, httpx.InvalidURL) as error:
             cause = f"{type(error).__name__}: {error}"
             if started:
-                raise NoAnswer(upstream.upstream_id, cause) from error
+                ended = is_connection_end(error)
+                raise NoAnswer(upstream.upstream_id, cause, connection_ended=ended) from error
             is_timeout = isinstance(error, httpx.ConnectTimeout)
             raise (NotReached if is_timeout else NotSent)(upstream.upstream_id, cause) from error
         # httpcore reads this entry when it starts to read the body.
@@ -237,6 +238,8 @@
     ) -> AsyncGenerator[Body, None]:
         sequencer = EventSequencer(self._last_event_number(exchange))
         cause = "the stream ended inside an event"
+        # Without a length or chunks, the end of the connection is that of the body.
+        ended = not {"content-length", "transfer-encoding"} & response.headers.keys()
         try:
             async with coalesced(response.aiter_raw()) as chunks:
                 async for chunk in chunks:
@@ -248,8 +251,9 @@
             if not sequencer.inside_event:
                 return
         except (httpx.HTTPError, EventError) as error:
-            cause = f"{type(error).__name__}: {error}"
-        raise Broken(upstream.upstream_id, cause, sequencer.last_number or 0)
+            cause, ended = f"{type(error).__name__}: {error}", is_connection_end(error)
+        count = sequencer.last_number or 0
+        raise Broken(upstream.upstream_id, cause, count, connection_ended=ended)
 
     def _last_event_number(self, exchange: Exchange) -> int | None:
         if exchange.broken is not None:
--- a/tests/upstreams/test_routed.py
+++ b/tests/upstreams/test_routed.py
@@ -7,6 +7,7 @@
 import unittest
 from contextlib import aclosing
 from typing import TYPE_CHECKING, Any, NamedTuple
+from unittest import mock
 
 import anyio
 
@@ -26,6 +27,7 @@
     NotSent,
     UpstreamError,
     WrongAnswer,
+    ended_connection,
 )
 from camphorvalve.upstreams.opening import MAX_RESPONSE_BYTES
 from camphorvalve.upstreams.routed import RoutedAttempts
@@ -182,6 +184,33 @@
                 self.assertEqual(type(result.error), error or type(None), result.error)
                 self.assertEqual(result.content, content)
 
+    def test_connection_ends(self) -> None:
+        """Guards against failures that cannot be told from the end of an upstream."""
+        unframed = b"HTTP/1.1 200 OK\r\n" + UPSTREAM_HEADERS + b"content-type: text/event-stream"
+        cases = [
+            ("closed before a response", Script(b"", "close"), True),
+            ("closed in the head", Script(b"HTTP/1.1 200 O", "close"), True),
+            ("reset before a response", Script(b"", "reset"), True),
+            ("closed in the body", Script(response(b"yes")[:-1], "close"), True),
+            ("reset in the body", Script(response(b"yes")[:-1], "reset", 0.05), True),
+            ("closed before an event", Script(chunked_response(end=b""), "close"), True),
+            ("reset before an event", Script(chunked_response(end=b""), "reset", 0.05), True),
+            ("closed in an event", Script(unframed + b"\r\n\r\nid: 1\nda", "close"), True),
+            ("incomplete event", Script(chunked_response(EVENTS[:-4])), False),
+            ("gap", Script(chunked_response(EVENTS, b"id: 9\ndata: z\n\n")), False),
+            ("not HTTP", Script(b"garbage\r\n\r\n", "close"), False),
+            ("no proof", Script(response(b"yes", headers=b"x-id: id-1\r\n"), "close"), False),
+            ("not run", Script(response(b"", b"503 Full", b"x-not-run: 1\r\n"), "close"), False),
+            ("silent", Script(b"", pause_s=1.0), False),
+        ]
+        route = a_route(streamed=True, resumable=True, idempotent=True, objective_s=0.01)
+        with mock.patch.object(routed, "FIRST_BYTE_TIMEOUT_S", 0.1):
+            for name, script, ended in cases:
+                with self.subTest(name):
+                    result = self.run_script(script, route=route)
+                    self.assertIsInstance(result.error, UpstreamError)
+                    self.assertEqual(ended_connection(result.error), ended, result.error)
+
     def test_endless_responses(self) -> None:
         """Guards against a faulty upstream that sends data until the process is out of memory."""
         head = b"HTTP/1.1 200 OK\r\n"
