Reproduce the crashes that one part of a prompt causes

Routers with the real retry filter before engines that crash when they begin to answer a prompt with the part, in simulated time. Restarts of routers and controllers and lost messages change nothing here, since routers exchange nothing about crashes; they are for the fix.

--- /dev/null
+++ b/tests/controllers/enginefleet.py
@@ -0,0 +1,237 @@
+"""Test fixture: routers before engines that may crash, in simulated time."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import selectors
+from contextlib import aclosing
+from typing import TYPE_CHECKING, Any, NamedTuple
+from unittest import mock
+
+from camphorvalve.filters.chain import compose
+from camphorvalve.filters.retry import RetryFilter
+from camphorvalve.model.answers import Body, Head
+from camphorvalve.model.errors import RequestError
+from camphorvalve.sharing.budget import RetryBudget
+from camphorvalve.upstreams.errors import Broken, NoAnswer, NotSent
+from tests.routebuilders import a_prompt, a_route, a_routed_exchange
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator, Awaitable, Callable
+
+    from camphorvalve.filters.chain import Handler
+    from camphorvalve.model.answers import Part
+    from camphorvalve.model.requests import Exchange
+
+DEADLY = "deadly"
+FIRST = "system"
+"""First part of all prompts."""
+DOWN_S = 3.0
+UNKNOWN_DOWN_RATIO = 0.1
+"""Part of the choices in which an engine that is down is taken for usable."""
+
+
+class _SkippingSelector(selectors.DefaultSelector):
+    """Advances the simulated time instead of waiting."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.now_s = 100.0
+
+    def select(self, timeout: float | None = None) -> list[Any]:
+        self.now_s += timeout or 0.0
+        return super().select(0)
+
+
+class _SimulatedLoop(asyncio.SelectorEventLoop):
+    def __init__(self) -> None:
+        self.selector = _SkippingSelector()
+        super().__init__(self.selector)
+
+    def time(self) -> float:
+        return self.selector.now_s
+
+
+def run_simulated(main: Callable[[], Awaitable[None]]) -> None:
+    """Run a coroutine on an event loop with simulated time, which ``time.monotonic`` returns."""
+    loop = _SimulatedLoop()
+    with mock.patch("time.monotonic", loop.time):
+        try:
+            loop.run_until_complete(main())
+        finally:
+            loop.close()
+
+
+class Outcome(NamedTuple):
+    """How a request ended."""
+
+    at_s: float
+    """When it was sent."""
+    parts: tuple[str, ...]
+    code: str | None
+    """Error code, ``None`` for a whole answer."""
+    attempts_count: int
+    retry_after_s: float | None = None
+
+
+class Run(NamedTuple):
+    """A request that reached an engine."""
+
+    at_s: float
+    parts: tuple[str, ...]
+
+
+class Engine:
+    """Answers requests with streams; a crash breaks all of them."""
+
+    def __init__(self, fleet: EngineFleet, number: int) -> None:
+        self.fleet = fleet
+        self.number = number
+        self.starts_count = 0
+        self.open: dict[asyncio.Future[None], None] = {}
+        self.is_up = False
+        self.start()
+
+    @property
+    def upstream_id(self) -> str:
+        """:return: id of this start of the engine"""
+        return f"engine-{self.number}-{self.starts_count}"
+
+    def start(self) -> None:
+        """Start under a new id."""
+        self.starts_count += 1
+        self.is_up = True
+
+    def crash(self) -> None:
+        """End all connections, and start again later."""
+        if not self.is_up:
+            return
+        self.is_up = False
+        self.break_connections()
+        asyncio.get_running_loop().call_later(DOWN_S, self.start)
+
+    def break_connections(self) -> None:
+        """Close all connections, as a faulty engine does."""
+        for waiter in self.open:
+            if not waiter.done():
+                waiter.set_result(None)
+
+    async def answer(self, exchange: Exchange) -> AsyncIterator[Part]:
+        """Run a request."""
+        fleet, upstream_id = self.fleet, self.upstream_id
+        parts = _part_ids(exchange)
+        fleet.runs.append(Run(fleet.now_s(), parts))
+        if not await self._stays_open(fleet.rng.uniform(0.02, 0.4)):
+            raise NoAnswer(upstream_id, "Server disconnected", connection_ended=True)
+        if fleet.is_deadly(parts):
+            fleet.crashes_s.append(fleet.now_s())
+            self.crash()
+        yield Head(200, ())
+        for number in range(1, fleet.rng.randint(2, 20)):
+            if not await self._stays_open(0.1 * (number > 1)):
+                raise Broken(upstream_id, "closed", number - 1, connection_ended=True)
+            yield Body(b"id: %d\ndata: a\n\n" % number)
+
+    async def _stays_open(self, duration_s: float) -> bool:
+        if not self.is_up:
+            return False
+        waiter = asyncio.get_running_loop().create_future()
+        self.open[waiter] = None
+        try:
+            await asyncio.wait((waiter,), timeout=duration_s)
+        finally:
+            del self.open[waiter]
+        return not waiter.done()
+
+
+class EngineFleet:
+    """Callers send requests to random routers, which send them to engines."""
+
+    def __init__(self, seed: int, *, routers_count: int = 8, engines_count: int = 9) -> None:
+        self.rng = random.Random(seed)
+        self.start_s = self.now_s()
+        self.deadly_from_s = float("inf")
+        self.deadly_until_s = float("inf")
+        self.deadly_ratio = 0.05
+        self.requests_per_s = 40.0
+        self.middle_parts = tuple(f"middle-{number}" for number in range(30))
+        self.loss_ratio = 0.0
+        self.delay_factor = 2.0
+        self.messages_count = 0
+        self.runs: list[Run] = []
+        self.crashes_s: list[float] = []
+        self.outcomes: list[Outcome] = []
+        self.engines = [Engine(self, number) for number in range(engines_count)]
+        self.handlers: dict[str, Handler] = {}
+        self.controller_ids = ("controller-1", "controller-2", "controller-3")
+        self.router_ids = tuple(f"router-{number}" for number in range(routers_count))
+        for host_id in (*self.controller_ids, *self.router_ids):
+            self.start(host_id)
+
+    def now_s(self) -> float:
+        """:return: simulated time"""
+        return asyncio.get_running_loop().time()
+
+    def start(self, host_id: str) -> None:
+        """Start or restart a process with empty state."""
+        if host_id in self.router_ids:
+            budget = RetryBudget(ratio=0.2, floor_count=lambda: 5)
+            self.handlers[host_id] = compose((RetryFilter(budget),), self._attempt)
+
+    def is_deadly(self, parts: tuple[str, ...]) -> bool:
+        """:return: whether a prompt with these parts crashes its engine now"""
+        return DEADLY in parts and self.deadly_from_s <= self.now_s() < self.deadly_until_s
+
+    async def run(self, duration_s: float) -> None:
+        """Let callers send requests for some time, and wait until all have ended."""
+        end_s = self.now_s() + duration_s
+        async with asyncio.TaskGroup() as callers:
+            while self.now_s() < end_s:
+                await asyncio.sleep(self.rng.expovariate(self.requests_per_s))
+                callers.create_task(self._call(self._random_parts()))
+
+    def at(self, after_s: float, action: Callable[[], Any]) -> None:
+        """Run an action some time after the start."""
+        asyncio.get_running_loop().call_at(self.start_s + after_s, action)
+
+    def _random_parts(self) -> tuple[str, ...]:
+        is_deadly = self.now_s() >= self.deadly_from_s and self.rng.random() < self.deadly_ratio
+        middle = DEADLY if is_deadly else self.rng.choice(self.middle_parts)
+        return FIRST, middle, f"last-{self.rng.random()}"
+
+    async def _call(self, parts: tuple[str, ...]) -> None:
+        sent_s, code, retry_after_s = self.now_s(), None, None
+        route = a_route(idempotent=True, streamed=True, resumable=True, attempts_count=3)
+        exchange = a_routed_exchange(route, prompt=a_prompt(*parts))
+        exchange.attempt = 0
+        handler = self.handlers[self.rng.choice(self.router_ids)]
+        try:
+            async with aclosing(handler(exchange)) as answer:
+                async for _ in answer:
+                    pass
+        except RequestError as error:
+            code, retry_after_s = error.code, error.retry_after_s
+        self.outcomes.append(Outcome(sent_s, parts, code, exchange.attempt, retry_after_s))
+
+    async def _attempt(self, exchange: Exchange) -> AsyncIterator[Part]:
+        usable = [
+            engine
+            for engine in self.engines
+            if engine.upstream_id not in exchange.failed_upstreams
+            and (engine.is_up or self.rng.random() < UNKNOWN_DOWN_RATIO)
+        ]
+        engine = self.rng.choice(usable or self.engines)
+        exchange.upstream_id = engine.upstream_id
+        if not engine.is_up:
+            raise NotSent(engine.upstream_id, "refused")
+        async with aclosing(engine.answer(exchange)) as parts:
+            async for part in parts:
+                yield part
+
+
+def _part_ids(exchange: Exchange) -> tuple[str, ...]:
+    return tuple(part.part_id for part in exchange.request.call.prompt.parts)
+
+
+__all__ = ["DEADLY", "FIRST", "EngineFleet", "Outcome", "Run", "run_simulated"]
