Refuse prompts with a part that crashes upstreams

Cause: nothing related the end of an upstream to what it ran. Each end was a failure of the upstream alone, and the request was placed, and repeated, at the next one.

Change: an end of the connection before an answer is under way is recorded for the shared parts of the prompt (QuarantineFilter, SuspectParts) and merged by two controllers, which tell all routers. Parts with two such ends run one at a time and aren't repeated; with three, requests with the part are refused: 'quarantined', 503, not run, unless an earlier attempt may have run. Only ends after the newest answer that began count; ends within 0.25 s count once; an upstream that answers or closes connections again hasn't ended; a part that missed a quarter of the ends meanwhile needs five; ends that a condemned part explains don't count for others. An end is forgotten after 300 s.

Merging is a union, so lost, repeated and reordered messages do no harm (hypothesis).

Why it works: the part itself is what the crashes have in common, no matter which router, caller or upstream; a sound part is cleared by the next answer on it, at whichever router.

--- /dev/null
+++ b/src/camphorvalve/filters/quarantine.py
@@ -0,0 +1,178 @@
+"""Filter that keeps prompts away from upstreams if a part of them crashes upstreams."""
+
+from __future__ import annotations
+
+import time
+from contextlib import aclosing
+from typing import TYPE_CHECKING
+
+import structlog
+
+from camphorvalve.model.answers import Body, Head
+from camphorvalve.model.errors import RequestError
+from camphorvalve.model.requests import shared_part_ids
+from camphorvalve.sharing.suspects import Condemned, Suspected
+from camphorvalve.upstreams.errors import UpstreamError, ended_connection
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator, Callable, Iterable
+
+    from camphorvalve.controllers.runtime import Outgoing
+    from camphorvalve.controllers.suspects import SuspectsFollower
+    from camphorvalve.filters.chain import Handler
+    from camphorvalve.model.answers import Part
+    from camphorvalve.model.requests import Exchange
+    from camphorvalve.model.upstreams import Upstream
+
+UNDER_WAY_S = 0.5
+"""Time after the beginning of an answer for which its upstream has to live on: it crashes when the
+answer begins."""
+CONDEMNED_RETRY_S = 60.0
+SUSPECTED_RETRY_S = 0.5
+"""Delay after which a caller may retry while another request with the part runs."""
+
+_log = structlog.get_logger(__name__)
+
+
+class QuarantineFilter:
+    """Refuses condemned parts, runs suspected ones one at a time, and records how attempts end."""
+
+    def __init__(
+        self,
+        suspects: SuspectsFollower,
+        upstream_of: Callable[[str], Upstream | None],
+        send: Callable[[Iterable[Outgoing]], None],
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
+        """
+        Prepare the filter.
+
+        :param suspects: the parts that crash upstreams
+        :param upstream_of: looks up an upstream by its id
+        :param send: sends messages to the controllers
+        :param clock: monotonic time
+        """
+        self._suspects = suspects
+        self._upstream_of = upstream_of
+        self._send = send
+        self._clock = clock
+        self._running_alone: set[str] = set()
+        """Suspected parts with a request in flight."""
+
+    async def __call__(self, exchange: Exchange, inner: Handler) -> AsyncIterator[Part]:
+        """
+        Run one attempt, unless a part of the prompt forbids it.
+
+        :param exchange: the request
+        :param inner: the rest of the chain
+        :return: parts of the response
+        :raises RequestError: ``quarantined``, if the attempt must not be made
+        """
+        part_ids = shared_part_ids(exchange.request.call)
+        alone_ids = self._admit(exchange, part_ids) if part_ids else ()
+        attempt = _Attempt(exchange.streams)
+        self._running_alone.update(alone_ids)
+        try:
+            async with aclosing(inner(exchange)) as parts:
+                async for part in parts:
+                    if part_ids and not attempt.recorded:
+                        attempt.add(part, self._clock())
+                        self._record_answer(exchange, attempt, part_ids, UNDER_WAY_S)
+                    yield part
+            self._record_answer(exchange, attempt, part_ids, 0.0)
+        except UpstreamError as error:
+            if part_ids and ended_connection(error):
+                self._record_end(exchange, error.upstream_id, attempt, part_ids)
+            raise
+        finally:
+            self._running_alone.difference_update(alone_ids)
+
+    def _admit(self, exchange: Exchange, part_ids: tuple[str, ...]) -> tuple[str, ...]:
+        """Return the parts with which this request has to run alone."""
+        match self._suspects.judge(part_ids):
+            case Condemned(part_id):
+                raise self._refusal(
+                    exchange, f"part {part_id!r} of the prompt crashes upstreams", CONDEMNED_RETRY_S
+                )
+            case Suspected(alone_ids):
+                if exchange.attempt > 1:
+                    raise self._refusal(
+                        exchange, f"part {alone_ids[0]!r} may crash upstreams", SUSPECTED_RETRY_S
+                    )
+                if not self._running_alone.isdisjoint(alone_ids):
+                    raise self._refusal(
+                        exchange,
+                        f"part {alone_ids[0]!r} may crash upstreams and runs one at a time",
+                        SUSPECTED_RETRY_S,
+                    )
+                return alone_ids
+            case _:
+                return ()
+
+    def _refusal(self, exchange: Exchange, reason: str, retry_after_s: float) -> RequestError:
+        exchange.note(self._clock(), f"not attempted: {reason}")
+        _log.info(
+            "request quarantined",
+            request_id=exchange.request.request_id,
+            attempt=exchange.attempt,
+            reason=reason,
+            retry_after_s=retry_after_s,
+        )
+        return RequestError("quarantined", reason, retry_after_s=retry_after_s)
+
+    def _record_answer(
+        self, exchange: Exchange, attempt: _Attempt, part_ids: tuple[str, ...], min_age_s: float
+    ) -> None:
+        now_s = self._clock()
+        if attempt.recorded or attempt.begun_s is None or now_s - attempt.begun_s < min_age_s:
+            return
+        attempt.recorded = True
+        start = self._start_of(exchange.upstream_id or "")
+        self._send(self._suspects.record_answer(part_ids, start, attempt.begun_s, now_s))
+
+    def _record_end(
+        self, exchange: Exchange, upstream_id: str, attempt: _Attempt, part_ids: tuple[str, ...]
+    ) -> None:
+        now_s = self._clock()
+        start = self._start_of(upstream_id)
+        if attempt.begun_s is not None and now_s - attempt.begun_s >= UNDER_WAY_S:
+            self._send(self._suspects.record_end((), start, now_s))
+            return
+        _log.info(
+            "upstream ended before an answer was under way",
+            request_id=exchange.request.request_id,
+            upstream_id=start,
+            parts=part_ids,
+        )
+        self._send(self._suspects.record_end(part_ids, start, now_s))
+
+    def _start_of(self, upstream_id: str) -> str:
+        """Identify the start of an upstream, which may start again under the same id."""
+        upstream = self._upstream_of(upstream_id)
+        if upstream is None or upstream.started_ms is None:
+            return upstream_id
+        return f"{upstream_id}/{upstream.started_ms}"
+
+
+class _Attempt:
+    """When the answer of an attempt began, and whether that has been recorded."""
+
+    def __init__(self, streams: bool) -> None:
+        self._streams = streams
+        self._is_success = False
+        self.begun_s: float | None = None
+        self.recorded = False
+
+    def add(self, part: Part, now_s: float) -> None:
+        """Note the beginning: the first event of a stream, the head of another answer."""
+        match part:
+            case Head(status=status):
+                self._is_success = 200 <= status < 300
+                is_begin = not self._streams
+            case Body(content=content):
+                is_begin = bool(content)
+        if is_begin and self._is_success and self.begun_s is None:
+            self.begun_s = now_s
+
+
+__all__ = ["UNDER_WAY_S", "QuarantineFilter"]
--- a/src/camphorvalve/filters/retry.py
+++ b/src/camphorvalve/filters/retry.py
@@ -158,6 +158,8 @@
                 raise
 
     def _record_failure(self, exchange: Exchange, error: UpstreamError) -> None:
+        ended = ended_connection(error)
+        is_waiting = ended and not exchange.output_started
         _log.info(
             "attempt failed",
             request_id=exchange.request.request_id,
@@ -167,8 +169,8 @@
             error=type(error).__name__,
             repeatable=exchange.parameters.idempotent,
             output_started=exchange.output_started,
-            connection_ended=ended_connection(error),
-            parts=[] if exchange.output_started else shared_part_ids(exchange.request.call),
+            connection_ended=ended,
+            parts=shared_part_ids(exchange.request.call) if is_waiting else [],
         )
         exchange.note(time.monotonic(), f"attempt {exchange.attempt} failed: {error}")
         if exchange.upstream_id is not None:
--- a/src/camphorvalve/model/requests.py
+++ b/src/camphorvalve/model/requests.py
@@ -6,6 +6,8 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, NamedTuple
 
+import xxhash
+
 if TYPE_CHECKING:
     from camphorvalve.model.answers import Head
     from camphorvalve.model.routes import Route
@@ -63,6 +65,9 @@
 
 MAX_SHARED_PARTS_COUNT = 64
 """Most parts of one prompt that are looked at."""
+MAX_PART_ID_LENGTH = 64
+"""Callers choose the ids; of a longer one, the first characters and a hash are used."""
+PART_ID_HEAD_LENGTH = 40
 
 
 def shared_part_ids(call: Call) -> tuple[str, ...]:
@@ -70,16 +75,23 @@
     List the parts of a call's prompt that other requests may have as well.
 
     :param call: the call
-    :return: ids of all parts but the last, without repetition; empty for a call without a prompt
+    :return: ids of all parts but the last, shortened and without repetition; empty for a call
+        without a prompt
     """
     match call:
         case RoutedCall(prompt=Prompt(parts=parts)):
-            part_ids = dict.fromkeys(part.part_id for part in parts[:-1][:MAX_SHARED_PARTS_COUNT])
-            return tuple(part_ids)
+            shared = parts[:-1][:MAX_SHARED_PARTS_COUNT]
+            return tuple(dict.fromkeys(_shortened(part.part_id) for part in shared))
         case _:
             return ()
 
 
+def _shortened(part_id: str) -> str:
+    if len(part_id) <= MAX_PART_ID_LENGTH:
+        return part_id
+    return part_id[:PART_ID_HEAD_LENGTH] + xxhash.xxh64_hexdigest(part_id.encode())
+
+
 class Request(NamedTuple):
     """A decoded request."""
 
--- /dev/null
+++ b/src/camphorvalve/sharing/suspects.py
@@ -0,0 +1,416 @@
+"""Parts of prompts that may crash upstreams: the ends of upstreams while requests waited there."""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, NamedTuple
+
+import msgspec
+import xxhash
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable, Sequence
+
+SUSPECTED_COUNT = 2
+"""Ends after which requests with a part run one at a time."""
+CONDEMNED_COUNT = 3
+"""Ends after which requests with a part are refused, if it waited at most of the upstreams that
+ended meanwhile."""
+CERTAIN_COUNT = 5
+"""Ends after which they are refused in any case."""
+MIN_EXPLAINED_RATIO = 0.75
+"""Part of the ends meanwhile at which a part has to have waited."""
+SAME_CAUSE_S = 0.25
+"""Time between ends that count once: a power failure ends many upstreams at a time."""
+SAME_END_S = 0.5
+"""Longest time between reports of one end. An upstream that closes connections again later, without
+a restart, has not crashed before."""
+RESTART_S = 1.0
+"""Least time until an upstream that has crashed may answer again, possibly under the same id; one
+that answers earlier has not crashed."""
+LIFETIME_S = 300.0
+"""How long an end is remembered; the part may be sound by then."""
+MAX_PARTS_COUNT = 4096
+TRIM_COUNT = 256
+"""Parts that are added beyond the bound before the least important ones are dropped."""
+MAX_ENDS_COUNT = 8
+"""Most ends that are remembered of one part."""
+MAX_ENDED_COUNT = 256
+"""Most upstreams whose ends are remembered."""
+MAX_ANSWERED_COUNT = 4096
+"""Parts whose newest answer is remembered, about 0.6 MB."""
+MAX_LISTED_COUNT = 128
+"""Most suspected parts that processes exchange."""
+MAX_LISTED_ENDED_COUNT = 32
+"""Most upstreams that have ended that processes exchange, the newest."""
+
+
+class End(NamedTuple):
+    """The end of an upstream at which a request with the part waited for its answer."""
+
+    at_s: float
+    """Monotonic time, the earliest that was heard."""
+    cleared: bool
+    """Whether an answer to a request with the part began later."""
+
+
+class Ended(NamedTuple):
+    """The end of an upstream, whatever waited there."""
+
+    at_s: float
+    """Monotonic time, the earliest that was heard."""
+    survived: bool
+    """Whether it answered soon after it had closed connections."""
+
+
+Ends = dict[str, End]
+"""Ends by the start of the upstream."""
+
+
+@dataclass(frozen=True, slots=True)
+class Sound:
+    """No part is suspected."""
+
+
+@dataclass(frozen=True, slots=True)
+class Suspected:
+    """Several upstreams ended while the parts waited, which may be chance."""
+
+    part_ids: tuple[str, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Condemned:
+    """Upstreams end when they begin to answer a request with the part."""
+
+    part_id: str
+
+
+Verdict = Sound | Suspected | Condemned
+
+
+class SuspectParts:
+    """
+    Ends by part, merged from all processes.
+
+    Merging two records takes the union of the ends, the earlier time and either's ``cleared``, so
+    that lost, repeated and reordered messages do no harm. Only ends that are not cleared count.
+    """
+
+    def __init__(self) -> None:
+        """Start without ends."""
+        self._parts: dict[str, Ends] = {}
+        self._ended: dict[str, Ended] = {}
+        """Ends of upstreams with and without waiting requests."""
+        self._candidates: set[str] = set()
+        """Parts with enough ends to be condemned; the other ends meanwhile decide."""
+        self._condemned: dict[str, frozenset[str]] = {}
+        """The upstreams that each condemned part has ended."""
+        self._answered_s: OrderedDict[str, float] = OrderedDict()
+        """When the newest answer on each part began, from the requests of this process."""
+
+    def judge(self, part_ids: Iterable[str]) -> Verdict:
+        """
+        Judge the parts of a prompt.
+
+        :param part_ids: its shared parts
+        :return: the gravest verdict
+        """
+        suspected_ids = []
+        for part_id in part_ids:
+            if part_id not in self._parts:
+                continue
+            count = self._unexplained_count(part_id)
+            if part_id in self._condemned and count >= CONDEMNED_COUNT:
+                return Condemned(part_id)
+            if count >= SUSPECTED_COUNT:
+                suspected_ids.append(part_id)
+        return Suspected(tuple(suspected_ids)) if suspected_ids else Sound()
+
+    def count(self, part_id: str) -> int:
+        """
+        Count the ends of a part that are not cleared.
+
+        :param part_id: the part
+        :return: number of ends at distinct upstreams, those at about the same time counted once
+        """
+        return _count_causes(end.at_s for end in self.ends(part_id).values() if not end.cleared)
+
+    def ends(self, part_id: str) -> Ends:
+        """
+        Return the ends of a part.
+
+        :param part_id: the part
+        :return: its ends, empty for an unknown part
+        """
+        return self._parts.get(part_id, {})
+
+    def record_end(self, part_ids: Iterable[str], upstream: str, now_s: float) -> list[str]:
+        """
+        Record that an upstream ended before it had begun to answer a request.
+
+        :param part_ids: shared parts of the request
+        :param upstream: identifies the start of the upstream
+        :param now_s: monotonic time
+        :return: parts whose ends have changed
+        """
+        return [
+            part_id
+            for part_id in part_ids
+            if self.merge(part_id, {upstream: End(now_s, cleared=False)}, now_s)
+        ]
+
+    def record_answer(self, part_ids: Iterable[str], begun_s: float) -> list[str]:
+        """
+        Record that an upstream has outlived the beginning of an answer.
+
+        :param part_ids: shared parts of the request
+        :param begun_s: monotonic time at which the answer began
+        :return: parts whose ends have changed
+        """
+        changed = []
+        for part_id in part_ids:
+            self._answered_s[part_id] = max(begun_s, self._answered_s.get(part_id, begun_s))
+            self._answered_s.move_to_end(part_id)
+            if part_id in self._parts and self.merge(part_id, {}, begun_s):
+                changed.append(part_id)
+        while len(self._answered_s) > MAX_ANSWERED_COUNT:
+            self._answered_s.popitem(last=False)
+        return changed
+
+    def record_survival(self, upstream: str, begun_s: float) -> bool:
+        """
+        Record that an upstream has begun an answer, perhaps after it had closed connections.
+
+        :param upstream: identifies the start of the upstream
+        :param begun_s: monotonic time at which the answer began
+        :return: whether this shows that it has not crashed
+        """
+        ended = self._ended.get(upstream)
+        if ended is None or not SAME_CAUSE_S < begun_s - ended.at_s < RESTART_S:
+            return False
+        return self.merge_ended(upstream, ended._replace(survived=True), begun_s)
+
+    def merge(self, part_id: str, ends: Ends, now_s: float) -> bool:
+        """
+        Merge ends that another process has reported.
+
+        :param part_id: the part
+        :param ends: its ends
+        :param now_s: monotonic time
+        :return: whether the ends of the part have changed
+        """
+        known = self._parts.get(part_id, {})
+        merged = dict(known)
+        for upstream, end in ends.items():
+            if now_s - end.at_s < LIFETIME_S:
+                merged[upstream] = _merge_end(known.get(upstream, end), end)
+                self.merge_ended(upstream, Ended(end.at_s, survived=False), now_s)
+        answered_s = self._answered_s.get(part_id, float("-inf"))
+        merged = {
+            upstream: End(end.at_s, cleared=end.cleared or end.at_s < answered_s)
+            for upstream, end in merged.items()
+        }
+        if len(merged) > MAX_ENDS_COUNT:
+            by_weight = sorted(merged.items(), key=lambda item: (item[1].cleared, -item[1].at_s))
+            merged = dict(by_weight[:MAX_ENDS_COUNT])
+        if merged == known:
+            return False
+        self._parts[part_id] = merged
+        self._refresh(part_id)
+        if len(self._parts) > MAX_PARTS_COUNT + TRIM_COUNT:
+            self._trim()
+        return _state(merged) != _state(known)
+
+    def merge_ended(self, upstream: str, ended: Ended, now_s: float) -> bool:
+        """
+        Merge the end of an upstream, whatever waited there.
+
+        :param upstream: identifies the start of the upstream
+        :param ended: its end
+        :param now_s: monotonic time
+        :return: whether the end is new, or the upstream is found to have survived it
+        """
+        known = self._ended.get(upstream)
+        if now_s - ended.at_s >= LIFETIME_S:
+            return False
+        merged = ended
+        if known is not None:
+            merged = Ended(min(known.at_s, ended.at_s), known.survived or ended.survived)
+        if merged == known:
+            return False
+        self._ended[upstream] = merged
+        if len(self._ended) > MAX_ENDED_COUNT:
+            del self._ended[min(self._ended, key=lambda key: self._ended[key].at_s)]
+        for part_id in list(self._candidates):
+            self._refresh(part_id)
+        return known is None or merged.survived != known.survived
+
+    def ended(self, upstreams: Iterable[str]) -> list[tuple[str, Ended]]:
+        """
+        Look up ends of upstreams.
+
+        :param upstreams: identify starts of upstreams that have ended
+        :return: those that are known
+        """
+        return [
+            (upstream, self._ended[upstream]) for upstream in upstreams if upstream in self._ended
+        ]
+
+    def newest_ended(self) -> list[tuple[str, Ended]]:
+        """:return: the upstreams that ended last, within a bound"""
+        newest = sorted(self._ended.items(), key=lambda item: -item[1].at_s)
+        return newest[:MAX_LISTED_ENDED_COUNT]
+
+    def expire(self, now_s: float) -> list[str]:
+        """
+        Forget ends that are too old.
+
+        :param now_s: monotonic time
+        :return: parts whose ends have changed
+        """
+        changed = []
+        for part_id, ends in list(self._parts.items()):
+            kept = {
+                upstream: end for upstream, end in ends.items() if now_s - end.at_s < LIFETIME_S
+            }
+            if len(kept) == len(ends):
+                continue
+            changed.append(part_id)
+            if kept:
+                self._parts[part_id] = kept
+            else:
+                del self._parts[part_id]
+            self._refresh(part_id)
+        self._ended = {
+            upstream: ended
+            for upstream, ended in self._ended.items()
+            if now_s - ended.at_s < LIFETIME_S
+        }
+        return changed
+
+    def suspected_ids(self) -> list[str]:
+        """:return: the parts with enough ends to be suspected, most first, within a bound"""
+        return self._most_important(SUSPECTED_COUNT)
+
+    def unsuspected_ids(self) -> list[str]:
+        """:return: the parts with ends that count but are too few to suspect, within a bound"""
+        return self._most_important(1, SUSPECTED_COUNT)
+
+    def condemned_count(self) -> int:
+        """:return: number of condemned parts"""
+        return sum(isinstance(self.judge((part_id,)), Condemned) for part_id in self._condemned)
+
+    def version(self, part_ids: Sequence[str]) -> int:
+        """
+        Compute a version from the ends that count, without their times.
+
+        :param part_ids: the parts to include
+        :return: the version, 0 without parts
+        """
+        if not part_ids:
+            return 0
+        content = [(part_id, _state(self._parts[part_id])[0]) for part_id in sorted(part_ids)]
+        return 1 + xxhash.xxh32_intdigest(msgspec.msgpack.encode(content))
+
+    def _refresh(self, part_id: str) -> None:
+        """Decide whether the ends of a part condemn it, unless another part explains them."""
+        if self.count(part_id) < CONDEMNED_COUNT:
+            self._candidates.discard(part_id)
+            self._condemned.pop(part_id, None)
+            return
+        self._candidates.add(part_id)
+        counting = self._counting(part_id)
+        count = _count_causes(counting.values())
+        is_condemned = count >= CERTAIN_COUNT
+        if CONDEMNED_COUNT <= count < CERTAIN_COUNT:
+            first_s = min(counting.values()) - SAME_CAUSE_S
+            last_s = max(counting.values()) + SAME_CAUSE_S
+            ended_count = _count_causes(
+                ended.at_s
+                for ended in self._ended.values()
+                if not ended.survived and first_s <= ended.at_s <= last_s
+            )
+            is_condemned = count >= MIN_EXPLAINED_RATIO * ended_count
+        if is_condemned:
+            self._condemned[part_id] = frozenset(counting)
+        else:
+            self._condemned.pop(part_id, None)
+
+    def _counting(self, part_id: str) -> dict[str, float]:
+        """Return the times of the ends that count, by upstream."""
+        return {
+            upstream: end.at_s
+            for upstream, end in self.ends(part_id).items()
+            if not end.cleared and not self._has_survived(upstream, end.at_s)
+        }
+
+    def _has_survived(self, upstream: str, at_s: float) -> bool:
+        """Tell whether an upstream answered after an end, or had closed connections long before."""
+        ended = self._ended.get(upstream)
+        return ended is not None and (ended.survived or at_s > ended.at_s + SAME_END_S)
+
+    def _unexplained_count(self, part_id: str) -> int:
+        """Count the ends of a part without those that a condemned part with more ends explains."""
+        counting = self._counting(part_id)
+        explained = [ended for ended in self._condemned.values() if len(ended) > len(counting)]
+        return _count_causes(
+            at_s
+            for upstream, at_s in counting.items()
+            if not any(upstream in ended for ended in explained)
+        )
+
+    def _most_important(self, min_count: int, below_count: int = MAX_ENDS_COUNT + 1) -> list[str]:
+        counts = {part_id: self.count(part_id) for part_id in self._parts}
+        part_ids = [
+            part_id for part_id, count in counts.items() if min_count <= count < below_count
+        ]
+        if len(part_ids) > MAX_LISTED_COUNT:
+            part_ids.sort(key=lambda part_id: (-counts[part_id], part_id))
+        return part_ids[:MAX_LISTED_COUNT]
+
+    def _trim(self) -> None:
+        def weight(part_id: str) -> tuple[int, float]:
+            return self.count(part_id), max(end.at_s for end in self._parts[part_id].values())
+
+        kept_ids = sorted(self._parts, key=weight, reverse=True)[:MAX_PARTS_COUNT]
+        self._parts = {part_id: self._parts[part_id] for part_id in kept_ids}
+        self._candidates.intersection_update(kept_ids)
+        self._condemned = {
+            part_id: upstreams
+            for part_id, upstreams in self._condemned.items()
+            if part_id in self._parts
+        }
+
+
+def _count_causes(times_s: Iterable[float]) -> int:
+    """Count ends; those within a short time of the first of them count once."""
+    count, cause_s = 0, float("-inf")
+    for at_s in sorted(times_s):
+        if at_s - cause_s > SAME_CAUSE_S:
+            count, cause_s = count + 1, at_s
+    return count
+
+
+def _merge_end(one: End, other: End) -> End:
+    return End(min(one.at_s, other.at_s), cleared=one.cleared or other.cleared)
+
+
+def _state(ends: Ends) -> tuple[list[str], list[str]]:
+    """Return the upstreams whose ends count, and those whose ends are cleared."""
+    counting = sorted(upstream for upstream, end in ends.items() if not end.cleared)
+    return counting, sorted(ends.keys() - set(counting))
+
+
+__all__ = [
+    "SUSPECTED_COUNT",
+    "Condemned",
+    "End",
+    "Ended",
+    "Ends",
+    "Sound",
+    "SuspectParts",
+    "Suspected",
+    "Verdict",
+]
--- a/src/camphorvalve/wire/messages.py
+++ b/src/camphorvalve/wire/messages.py
@@ -259,6 +259,63 @@
     """Time since the list was read."""
 
 
+class SuspectEnd(NamedTuple):
+    """The end of an upstream at which a request waited for its answer."""
+
+    upstream: str
+    """Identifies the start of the upstream."""
+    age_ms: int
+    cleared: bool
+    """Whether an answer to a request with the same part of a prompt began later."""
+
+
+class SuspectPart(NamedTuple):
+    """A part of a prompt, and the ends of upstreams that it may have caused."""
+
+    part_id: str
+    ends: tuple[SuspectEnd, ...]
+
+
+class EndedUpstream(NamedTuple):
+    """The end of an upstream, whatever waited there."""
+
+    upstream: str
+    """Identifies the start of the upstream."""
+    age_ms: int
+    survived: bool
+    """Whether it answered soon after it had closed connections."""
+
+
+class SuspectReport(NamedTuple):
+    """Ends that a router has seen or cleared, for the controllers that merge them."""
+
+    parts: tuple[SuspectPart, ...]
+    ended: tuple[EndedUpstream, ...]
+    unsuspected_version: int = 0
+    """Checksum of the ends of parts that are not suspected, if the report has all of them."""
+
+
+class SuspectPoll(NamedTuple):
+    """Subscribes a router to the suspected parts of a controller for the next seconds."""
+
+    version: int
+    """Checksum of the suspected parts that the router knows; 0 if there are none."""
+    unsuspected_version: int
+    """Checksum of the ends that it holds of other parts; 0 if there are none."""
+
+
+class SuspectRecall(NamedTuple):
+    """Asks a router to report all ends that it holds."""
+
+
+class SuspectUpdate(NamedTuple):
+    """Suspected parts that are new, have changed, or differ from those of the router."""
+
+    parts: tuple[SuspectPart, ...]
+    ended: tuple[EndedUpstream, ...]
+    """The upstreams that ended last; a part is suspected less if it did not wait at them."""
+
+
 class ReadRequest(NamedTuple):
     """Query to the leader for the log index that a linearizable read has to reflect."""
 
@@ -337,6 +394,10 @@
     ListPoll,
     ListUpdate,
     ListUnchanged,
+    SuspectReport,
+    SuspectPoll,
+    SuspectRecall,
+    SuspectUpdate,
     ReadRequest,
     ReadReply,
     Submit,
@@ -353,6 +414,7 @@
     "ConfigPoll",
     "ConfigUpdate",
     "Demand",
+    "EndedUpstream",
     "FreeSlots",
     "Grant",
     "GrantProgress",
@@ -376,6 +438,12 @@
     "ServiceTotal",
     "Submit",
     "SubmitReply",
+    "SuspectEnd",
+    "SuspectPart",
+    "SuspectPoll",
+    "SuspectRecall",
+    "SuspectReport",
+    "SuspectUpdate",
     "TeamTokens",
     "whole_tokens",
     "TotalEntry",
--- a/src/camphorvalve/wiring/joinedcontroller.py
+++ b/src/camphorvalve/wiring/joinedcontroller.py
@@ -16,6 +16,7 @@
 from camphorvalve.controllers.replication import ReplicationController
 from camphorvalve.controllers.runtime import Runtime
 from camphorvalve.controllers.stopping import wait_for_signal
+from camphorvalve.controllers.suspects import SuspectsPublisher
 from camphorvalve.controllers.totals import TotalsController
 from camphorvalve.http.server import serve
 from camphorvalve.reports.exposition import Exposition
@@ -44,8 +45,8 @@
     storage = open_storage(settings.data_folder, settings.host_id)
     replication = ReplicationController(settings, storage, random.Random(incarnation))
     link = create_joined_link(settings, incarnation)
-    listing = ListPublisher()
-    controllers = (replication, TotalsController(), listing)
+    listing, suspects = ListPublisher(), SuspectsPublisher()
+    controllers = (replication, TotalsController(), listing, suspects)
     runtime = Runtime(link, controllers, durable=(replication,))
     link.open()
     shutdown = anyio.Event()
@@ -64,6 +65,11 @@
                 "entries of the list of upstreams that could not be used",
                 lambda: listing.skipped_count,
             )
+            metrics.add_gauge(
+                "condemned_parts_count",
+                "parts of prompts that routers refuse because they crash upstreams",
+                suspects.condemned_count,
+            )
             for port in platform.ports(ManifestStore(replication), metrics.app()):
                 serve_port = partial(serve, graceful_timeout_s=settings.stop_timeout_s)
                 servers.start_soon(serve_port, port.app, port.bind, shutdown)
--- a/src/camphorvalve/wiring/joinedrouter.py
+++ b/src/camphorvalve/wiring/joinedrouter.py
@@ -17,12 +17,14 @@
 from camphorvalve.controllers.runtime import Runtime
 from camphorvalve.controllers.shares import MAX_LOGGED_AGE_S, SharesController
 from camphorvalve.controllers.stopping import GracefulStop
+from camphorvalve.controllers.suspects import SuspectsFollower
 from camphorvalve.filters.account import account
 from camphorvalve.filters.chain import compose
 from camphorvalve.filters.deadline import deadline
 from camphorvalve.filters.forward import forward
 from camphorvalve.filters.observe import ObserveFilter
 from camphorvalve.filters.place import PlaceFilter
+from camphorvalve.filters.quarantine import QuarantineFilter
 from camphorvalve.filters.retry import RetryFilter
 from camphorvalve.filters.route import route
 from camphorvalve.filters.share import share
@@ -98,7 +100,14 @@
             self._pools.noticed_leaving_ids,
         )
         link = create_joined_link(settings, self.incarnation)
-        controllers = (self._roster, self._config_follower, self._shares, self._list_follower)
+        self._suspects = SuspectsFollower(self._roster.live_controller_ids)
+        controllers = (
+            self._roster,
+            self._config_follower,
+            self._shares,
+            self._list_follower,
+            self._suspects,
+        )
         self._runtime = Runtime(link, controllers)
         self._client = create_client(keepalive_s=settings.upstream_idle_s)
         self._connections = ConnectionTracker(
@@ -164,6 +173,7 @@
                 deadline,
                 share(self._shares),
                 RetryFilter(retry_budget),
+                QuarantineFilter(self._suspects, self._pools.upstream, self._runtime.send),
                 PlaceFilter(self._pools, self._intake.is_overloaded),
             ),
             forward(
@@ -259,6 +269,11 @@
             "new connections of a team that are served in 50 ms",
             lambda: self._intake.level_count,
         )
+        add_gauge(
+            "condemned_parts_count",
+            "parts of prompts that are refused because they crash upstreams",
+            self._suspects.condemned_count,
+        )
         add_gauge("pressed", "whether callers are sent elsewhere (0 or 1)", self._is_pressed_level)
         reporter = self._level_reporter
         reporter.add_counter("connections_count", lambda: self._connections.opened_count)
--- a/tests/controllers/enginefleet.py
+++ b/tests/controllers/enginefleet.py
@@ -1,4 +1,4 @@
-"""Test fixture: routers before engines that may crash, in simulated time."""
+"""Test fixture: routers before engines that may crash, with controllers, in simulated time."""
 
 from __future__ import annotations
 
@@ -9,25 +9,31 @@
 from typing import TYPE_CHECKING, Any, NamedTuple
 from unittest import mock
 
+from camphorvalve.controllers.runtime import Sender
+from camphorvalve.controllers.suspects import SuspectsFollower, SuspectsPublisher
 from camphorvalve.filters.chain import compose
+from camphorvalve.filters.quarantine import QuarantineFilter
 from camphorvalve.filters.retry import RetryFilter
 from camphorvalve.model.answers import Body, Head
 from camphorvalve.model.errors import RequestError
 from camphorvalve.sharing.budget import RetryBudget
 from camphorvalve.upstreams.errors import Broken, NoAnswer, NotSent
-from tests.routebuilders import a_prompt, a_route, a_routed_exchange
+from tests.routebuilders import a_listed_upstream, a_prompt, a_route, a_routed_exchange
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator, Awaitable, Callable
+    from collections.abc import AsyncIterator, Awaitable, Callable, Iterable
 
+    from camphorvalve.controllers.runtime import Outgoing, StateController
     from camphorvalve.filters.chain import Handler
     from camphorvalve.model.answers import Part
     from camphorvalve.model.requests import Exchange
+    from camphorvalve.model.upstreams import Upstream
 
 DEADLY = "deadly"
 FIRST = "system"
 """First part of all prompts."""
 DOWN_S = 3.0
+TRANSIT_S = 0.002
 UNKNOWN_DOWN_RATIO = 0.1
 """Part of the choices in which an engine that is down is taken for usable."""
 
@@ -145,6 +151,38 @@
         return not waiter.done()
 
 
+class Process:
+    """A router or controller: delivers the messages of one state controller."""
+
+    def __init__(self, fleet: EngineFleet, host_id: str, controller: StateController) -> None:
+        self.fleet = fleet
+        self.host_id = host_id
+        self.controller = controller
+        self.is_up = True
+        self._tick = asyncio.get_running_loop().call_soon(self._run_tick)
+
+    def send(self, outgoing: Iterable[Outgoing]) -> None:
+        """Send messages, some of which may be lost."""
+        fleet = self.fleet
+        for peer_id, message in outgoing:
+            fleet.messages_count += 1
+            if fleet.rng.random() >= fleet.loss_ratio and self.is_up:
+                delay_s = TRANSIT_S * fleet.rng.uniform(1.0, fleet.delay_factor)
+                asyncio.get_running_loop().call_later(
+                    delay_s, fleet.deliver, self.host_id, peer_id, message
+                )
+
+    def stop(self) -> None:
+        """End the process; its state is lost."""
+        self.is_up = False
+        self._tick.cancel()
+
+    def _run_tick(self) -> None:
+        self.send(self.controller.tick(self.fleet.now_s()))
+        loop = asyncio.get_running_loop()
+        self._tick = loop.call_later(self.controller.tick_s, self._run_tick)
+
+
 class EngineFleet:
     """Callers send requests to random routers, which send them to engines."""
 
@@ -163,6 +201,7 @@
         self.crashes_s: list[float] = []
         self.outcomes: list[Outcome] = []
         self.engines = [Engine(self, number) for number in range(engines_count)]
+        self.processes: dict[str, Process] = {}
         self.handlers: dict[str, Handler] = {}
         self.controller_ids = ("controller-1", "controller-2", "controller-3")
         self.router_ids = tuple(f"router-{number}" for number in range(routers_count))
@@ -175,9 +214,26 @@
 
     def start(self, host_id: str) -> None:
         """Start or restart a process with empty state."""
-        if host_id in self.router_ids:
-            budget = RetryBudget(ratio=0.2, floor_count=lambda: 5)
-            self.handlers[host_id] = compose((RetryFilter(budget),), self._attempt)
+        if host_id in self.processes:
+            self.processes[host_id].stop()
+        if host_id in self.controller_ids:
+            self.processes[host_id] = Process(self, host_id, SuspectsPublisher())
+            return
+        suspects = SuspectsFollower(lambda: self.controller_ids)
+        process = self.processes[host_id] = Process(self, host_id, suspects)
+        budget = RetryBudget(ratio=0.2, floor_count=lambda: 5)
+        filters = (
+            RetryFilter(budget),
+            QuarantineFilter(suspects, self._upstream_of, process.send, self.now_s),
+        )
+        self.handlers[host_id] = compose(filters, self._attempt)
+
+    def deliver(self, sender_id: str, peer_id: str, message: Any) -> None:
+        """Deliver a message."""
+        process = self.processes[peer_id]
+        if process.is_up:
+            controller = process.controller
+            process.send(controller.handle(Sender(sender_id, 1), message, self.now_s()))
 
     def is_deadly(self, parts: tuple[str, ...]) -> bool:
         """:return: whether a prompt with these parts crashes its engine now"""
@@ -214,6 +270,9 @@
             code, retry_after_s = error.code, error.retry_after_s
         self.outcomes.append(Outcome(sent_s, parts, code, exchange.attempt, retry_after_s))
 
+    def _upstream_of(self, upstream_id: str) -> Upstream | None:
+        return a_listed_upstream(upstream_id)
+
     async def _attempt(self, exchange: Exchange) -> AsyncIterator[Part]:
         usable = [
             engine
--- /dev/null
+++ b/tests/sharing/test_suspects.py
@@ -0,0 +1,193 @@
+"""Guards against verdicts on sound parts, verdicts that depend on the order of messages, and state
+that callers can grow."""
+
+from __future__ import annotations
+
+import unittest
+from typing import TYPE_CHECKING
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from camphorvalve.sharing.suspects import (
+    LIFETIME_S,
+    MAX_ANSWERED_COUNT,
+    MAX_ENDED_COUNT,
+    MAX_LISTED_COUNT,
+    MAX_PARTS_COUNT,
+    TRIM_COUNT,
+    Condemned,
+    End,
+    Ended,
+    Sound,
+    Suspected,
+    SuspectParts,
+)
+
+if TYPE_CHECKING:
+    import random
+
+NOW_S = 100.0
+PARTS = ("a", "b", "c")
+MERGES = st.one_of(
+    st.tuples(
+        st.sampled_from(PARTS),
+        st.sampled_from(("up-1", "up-2", "up-3", "up-4", "up-5")),
+        st.integers(0, 20).map(lambda tenths: NOW_S + tenths / 10),
+        st.booleans(),
+    ),
+    st.tuples(
+        st.none(),
+        st.sampled_from(("up-1", "up-2", "up-6", "up-7")),
+        st.integers(0, 20).map(lambda tenths: NOW_S + tenths / 10),
+        st.booleans(),
+    ),
+)
+
+
+def ended_at(*times_s: float, part: str = "a") -> SuspectParts:
+    """Build the state after upstreams ended while a part waited."""
+    parts = SuspectParts()
+    for number, at_s in enumerate(times_s):
+        parts.record_end((part,), f"up-{number}", at_s)
+    return parts
+
+
+def merged(merges: list[tuple[str | None, str, float, bool]]) -> SuspectParts:
+    """Build the state after messages in this order."""
+    parts = SuspectParts()
+    for part_id, upstream, at_s, flag in merges:
+        if part_id is None:
+            parts.merge_ended(upstream, Ended(at_s, survived=flag), NOW_S + 3.0)
+        else:
+            parts.merge(part_id, {upstream: End(at_s, cleared=flag)}, NOW_S + 3.0)
+    return parts
+
+
+class VerdictTest(unittest.TestCase):
+    def test_ends(self) -> None:
+        cases = {
+            "none": ((), Sound()),
+            "one": ((1.0,), Sound()),
+            "two": ((1.0, 2.0), Suspected(("a",))),
+            "three": ((1.0, 2.0, 3.0), Condemned("a")),
+            "power cut": ((1.0, 1.05, 1.1, 1.2), Sound()),
+            "power cut after an end": ((1.0, 3.0, 3.05, 3.1, 3.2), Suspected(("a",))),
+        }
+        for name, (times_s, verdict) in cases.items():
+            with self.subTest(name):
+                self.assertEqual(ended_at(*times_s).judge(("other", "a")), verdict)
+
+    def test_one_upstream(self) -> None:
+        """Guards against a verdict because one upstream breaks many connections."""
+        parts = SuspectParts()
+        for number in range(20):
+            parts.record_end(("a",), "up", 1.0 + number)
+        self.assertEqual(parts.judge(("a",)), Sound())
+
+    def test_an_answer_clears(self) -> None:
+        """Guards against refusing a part whose requests are answered."""
+        parts = ended_at(1.0, 2.0, 3.0)
+        self.assertEqual(parts.record_answer(("a",), 2.5), ["a"])
+        self.assertEqual(parts.judge(("a",)), Sound())
+        parts.record_end(("a",), "up-9", 3.5)
+        self.assertEqual(parts.judge(("a",)), Suspected(("a",)))
+        parts.record_answer(("a",), 4.0)
+        self.assertEqual(parts.count("a"), 0)
+
+    def test_an_answer_that_began_before(self) -> None:
+        """Guards against clearing a part by an answer that began before the part was deadly."""
+        parts = ended_at(1.0, 2.0, 3.0)
+        self.assertEqual(parts.record_answer(("a",), 0.9), [])
+        self.assertEqual(parts.judge(("a",)), Condemned("a"))
+
+    def test_ends_that_are_heard_late(self) -> None:
+        """Guards against a verdict from ends elsewhere before an answer that was given here."""
+        parts = SuspectParts()
+        parts.record_answer(("a",), 5.0)
+        ends = {f"up-{number}": End(1.0 + number, cleared=False) for number in range(3)}
+        parts.merge("a", ends, 6.0)
+        self.assertEqual(parts.judge(("a",)), Sound())
+
+    def test_ends_that_the_part_does_not_explain(self) -> None:
+        """Guards against a verdict on a sound part that waited by chance at some of the upstreams
+        that ended one after another, and against none if it waits at all of them."""
+        parts = ended_at(1.0, 2.0, 3.0)
+        for number, at_s in enumerate((1.5, 2.5)):
+            parts.merge_ended(f"other-{number}", Ended(at_s, survived=False), 3.0)
+        self.assertEqual(parts.judge(("a",)), Suspected(("a",)))
+        parts.merge_ended("other-0", Ended(1.5, survived=True), 3.0)
+        self.assertEqual(parts.judge(("a",)), Condemned("a"))
+        many = ended_at(*range(1, 6))
+        for number in range(1, 5):
+            many.merge_ended(f"other-{number}", Ended(number + 0.5, survived=False), 6.0)
+        self.assertEqual(many.judge(("a",)), Condemned("a"))
+
+    def test_neighbours_of_a_deadly_part(self) -> None:
+        """Guards against a verdict on parts that waited beside the deadly one."""
+        parts = ended_at(1.0, 2.0, 3.0, 4.0)
+        for number in range(3):
+            parts.record_end(("b",), f"up-{number}", 1.0 + number)
+        self.assertEqual(parts.judge(("b",)), Sound())
+        self.assertEqual(parts.judge(("b", "a")), Condemned("a"))
+
+    def test_an_upstream_that_lives_on(self) -> None:
+        """Guards against counting an upstream that closed connections and answers others."""
+        parts = ended_at(1.0, 2.0, 3.0)
+        self.assertFalse(parts.record_survival("up-1", 2.1))
+        self.assertTrue(parts.record_survival("up-1", 2.6))
+        self.assertEqual(parts.judge(("a",)), Suspected(("a",)))
+
+    def test_a_restart_is_no_survival(self) -> None:
+        """Guards against taking the answers of the next start under the same id for survival."""
+        parts = ended_at(1.0, 2.0, 3.0)
+        self.assertFalse(parts.record_survival("up-1", 5.0))
+        self.assertEqual(parts.judge(("a",)), Condemned("a"))
+
+    def test_expiry(self) -> None:
+        """Guards against refusing a part for ever that may be sound again."""
+        parts = ended_at(1.0, 2.0, 3.0)
+        self.assertEqual(parts.expire(LIFETIME_S), [])
+        self.assertEqual(parts.expire(1.5 + LIFETIME_S), ["a"])
+        self.assertEqual(parts.judge(("a",)), Suspected(("a",)))
+        parts.expire(3.5 + LIFETIME_S)
+        self.assertEqual(parts.judge(("a",)), Sound())
+        self.assertEqual(parts.suspected_ids(), [])
+
+
+class MergeTest(unittest.TestCase):
+    @settings(deadline=None, max_examples=200, derandomize=True)
+    @given(st.lists(MERGES, max_size=25), st.randoms(use_true_random=False))
+    def test_order_and_repetition(
+        self, merges: list[tuple[str | None, str, float, bool]], rng: random.Random
+    ) -> None:
+        """Guards against verdicts that depend on the order, loss or repetition of messages."""
+        other = [*merges, *rng.sample(merges, len(merges) // 2)]
+        rng.shuffle(other)
+        one, two = merged(merges), merged(other)
+        for part_id in PARTS:
+            self.assertEqual(one.ends(part_id), two.ends(part_id))
+            self.assertEqual(one.judge((part_id,)), two.judge((part_id,)))
+        ids = one.suspected_ids()
+        self.assertEqual(sorted(ids), sorted(two.suspected_ids()))
+        self.assertEqual(one.version(ids), two.version(two.suspected_ids()))
+
+
+class BoundsTest(unittest.TestCase):
+    def test_a_flood_of_parts(self) -> None:
+        """Guards against new names that push a condemned part out of the bounded state."""
+        parts = ended_at(1.0, 2.0, 3.0)
+        for number in range(MAX_PARTS_COUNT + 2 * TRIM_COUNT):
+            parts.record_end((f"flood-{number}",), "up-9", 10.0 + number / 1e6)
+            parts.record_answer((f"flood-{number}",), 5.0)
+        self.assertEqual(parts.judge(("a",)), Condemned("a"))
+        self.assertLessEqual(len(parts._parts), MAX_PARTS_COUNT + TRIM_COUNT)
+        self.assertLessEqual(len(parts._answered_s), MAX_ANSWERED_COUNT)
+        self.assertEqual(len(parts.unsuspected_ids()), MAX_LISTED_COUNT)
+
+    def test_a_flood_of_upstreams(self) -> None:
+        parts = SuspectParts()
+        for number in range(2 * MAX_ENDED_COUNT):
+            parts.record_end(("a",), f"up-{number}", 1.0 + number / 100)
+        self.assertLessEqual(len(parts._ended), MAX_ENDED_COUNT)
+        self.assertLessEqual(len(parts.ends("a")), 8)
