Break off a stream whose connection ends before its first event

An answer may come with neither length nor chunks and end with its connection, so an upstream that crashes between the head and the first event left an empty stream that was passed on as complete, and no end was recorded for its parts.

Change: such a stream is broken off (Broken, connection_ended), unless it continues one.

Evidence: upstreams.test_routed, test_streams_that_end_with_the_connection and the new case of test_connection_ends fail without the change (None is not an instance of Broken) and pass with it.

--- a/src/camphorvalve/upstreams/routed.py
+++ b/src/camphorvalve/upstreams/routed.py
@@ -237,6 +237,8 @@
         self, upstream: Upstream, exchange: Exchange, response: httpx.Response
     ) -> AsyncGenerator[Body, None]:
         sequencer = EventSequencer(self._last_event_number(exchange))
+        # A continuation may have no more events.
+        may_end = sequencer.last_number is not None
         cause = "the stream ended inside an event"
         # Without a length or chunks, the end of the connection is that of the body.
         ended = not {"content-length", "transfer-encoding"} & response.headers.keys()
@@ -244,12 +246,15 @@
             async with coalesced(response.aiter_raw()) as chunks:
                 async for chunk in chunks:
                     if events := sequencer.add(chunk):
+                        may_end = True
                         yield Body(events)
                     elif time.monotonic() > exchange.deadline_s:
                         # The deadline filter only sees parts, and this stream yields none.
                         raise RequestError("timed_out", "the response was not complete in time")
             if not sequencer.inside_event:
-                return
+                if may_end or not ended:
+                    return
+                cause = "the connection ended before an event"
         except (httpx.HTTPError, EventError) as error:
             cause, ended = f"{type(error).__name__}: {error}", is_connection_end(error)
         count = sequencer.last_number or 0
--- a/tests/upstreams/test_routed.py
+++ b/tests/upstreams/test_routed.py
@@ -196,6 +196,7 @@
             ("closed before an event", Script(chunked_response(end=b""), "close"), True),
             ("reset before an event", Script(chunked_response(end=b""), "reset", 0.05), True),
             ("closed in an event", Script(unframed + b"\r\n\r\nid: 1\nda", "close"), True),
+            ("closed after the head", Script(unframed + b"\r\n\r\n", "close"), True),
             ("incomplete event", Script(chunked_response(EVENTS[:-4])), False),
             ("gap", Script(chunked_response(EVENTS, b"id: 9\ndata: z\n\n")), False),
             ("not HTTP", Script(b"garbage\r\n\r\n", "close"), False),
@@ -211,6 +212,21 @@
                     self.assertIsInstance(result.error, UpstreamError)
                     self.assertEqual(ended_connection(result.error), ended, result.error)
 
+    def test_streams_that_end_with_the_connection(self) -> None:
+        """Guards against a crash before the first event that looks like a complete stream, and
+        against breaking off a continuation that has no more events."""
+        head = (
+            b"HTTP/1.1 200 OK\r\n" + UPSTREAM_HEADERS + b"content-type: text/event-stream\r\n\r\n"
+        )
+        route = a_route(streamed=True, resumable=True)
+        result = self.run_script(Script(head, "close"), route=route)
+        self.assertIsInstance(result.error, Broken)
+        result = self.run_script(Script(head + EVENTS, "close"), route=route)
+        self.assertEqual((result.content, result.error), (EVENTS, None))
+        broken = BrokenStream(2, "")
+        result = self.run_script(Script(head, "close"), route=route, broken=broken)
+        self.assertEqual((result.content, result.error), (b"", None))
+
     def test_endless_responses(self) -> None:
         """Guards against a faulty upstream that sends data until the process is out of memory."""
         head = b"HTTP/1.1 200 OK\r\n"
