Exchange fewer suspected parts

64 in place of 128: a full report of parts with eight ends each took 41 KB, of what a host may spend on control in two and a half seconds. It is sent only when a router and a controller disagree.

--- a/src/camphorvalve/sharing/suspects.py
+++ b/src/camphorvalve/sharing/suspects.py
@@ -40,7 +40,7 @@
 """Most upstreams whose ends are remembered."""
 MAX_ANSWERED_COUNT = 4096
 """Parts whose newest answer is remembered, about 0.6 MB."""
-MAX_LISTED_COUNT = 128
+MAX_LISTED_COUNT = 64
 """Most suspected parts that processes exchange."""
 MAX_LISTED_ENDED_COUNT = 32
 """Most upstreams that have ended that processes exchange, the newest."""
