Let a restarted router learn the suspected parts before its first poll interval ends

A router that had just started let a request with a condemned part through (502 instead of 503), since answers to its first polls are dropped until the controller has connected back, and the next poll came a second later.

Change: it polls every 0.2 s until it has had an answer, and asks for one (is_first), as it does for the list of upstreams.

Evidence: processes.test_joined (test_a_deadly_part: real processes, workers that crash, router killed) failed at the request after the restart and passes; controllers.test_suspects (test_a_lost_first_answer).

--- a/src/camphorvalve/controllers/suspects.py
+++ b/src/camphorvalve/controllers/suspects.py
@@ -38,6 +38,9 @@
 MERGING_COUNT = 2
 """Controllers that do so, so that the restart of one leaves no gap."""
 POLL_S = 1.0
+INITIAL_POLL_S = 0.2
+"""Poll interval until the first answer: answers are dropped until the controller has connected
+back."""
 POLL_LIFETIME_S = 5.0
 """How long a controller sends changes to a router after its last poll: five poll intervals."""
 
@@ -48,7 +51,6 @@
     """Owns the suspected parts that a router knows, and reports what its requests show of them."""
 
     name = "suspects"
-    tick_s = POLL_S
     accepts = (SuspectUpdate, SuspectRecall)
 
     def __init__(self, controller_ids: Callable[[], Iterable[str]]) -> None:
@@ -60,6 +62,12 @@
         self._controller_ids = controller_ids
         self._parts = SuspectParts()
         self._levels = _LevelLog(self._parts)
+        self._was_answered = False
+
+    @property
+    def tick_s(self) -> float:
+        """:return: time until the next poll"""
+        return POLL_S if self._was_answered else INITIAL_POLL_S
 
     def judge(self, part_ids: Iterable[str]) -> Verdict:
         """
@@ -116,6 +124,7 @@
         """
         match message:
             case SuspectUpdate(parts, ended):
+                self._was_answered = True
                 _merge_ended(self._parts, ended, now_s)
                 _merge(self._parts, parts, now_s)
                 self._levels.write(part.part_id for part in parts)
@@ -142,6 +151,7 @@
         poll = SuspectPoll(
             self._parts.version(self._parts.suspected_ids()),
             self._parts.version(self._parts.unsuspected_ids()),
+            not self._was_answered,
         )
         for controller_id in self._merging_ids():
             yield Outgoing(controller_id, poll)
@@ -198,14 +208,14 @@
         """
         router_id = sender.host_id
         match message:
-            case SuspectPoll(version, unsuspected_version):
+            case SuspectPoll(version, unsuspected_version, is_first):
                 self._polled_s[router_id] = now_s
                 suspected_ids = self._parts.suspected_ids()
                 is_different = version != self._parts.version(suspected_ids)
                 has_more = unsuspected_version not in (0, self._reported_versions.get(router_id))
                 if has_more or (version and is_different):
                     yield Outgoing(router_id, SuspectRecall())
-                if suspected_ids and is_different:
+                if is_first or (suspected_ids and is_different):
                     yield Outgoing(router_id, self._update(suspected_ids, now_s))
             case SuspectReport(unsuspected_version=unsuspected_version):
                 if unsuspected_version:
--- a/tests/controllers/test_suspects.py
+++ b/tests/controllers/test_suspects.py
@@ -112,6 +112,19 @@
             self.assertFalse(isinstance(router.judge(("rare",)), Condemned))
         self.assertEqual({c.condemned_count() for c in self.controllers.values()}, {0})
 
+    def test_a_lost_first_answer(self) -> None:
+        """Guards against a restarted router that lacks the verdict for a whole poll interval."""
+        self.condemn()
+        router = self.routers["r-1"] = self.new_router()
+        first = list(router.tick(self.now_s))
+        self.assertLess(router.tick_s, 0.5)
+        for controller_id, poll in first:
+            # These answers are lost.
+            list(self.controllers[controller_id].handle(Sender("r-1", 2), poll, self.now_s))
+        self.deliver("r-1", list(router.tick(self.now_s)))
+        self.assertEqual(router.judge(("deadly",)), Condemned("deadly"))
+        self.assertEqual(router.tick_s, 1.0)
+
     def test_quiet_cost(self) -> None:
         """Guards against control traffic that grows while nothing ends."""
         self.tick()
--- a/tests/processes/test_joined.py
+++ b/tests/processes/test_joined.py
@@ -69,6 +69,42 @@
     async def avoids(self, worker_id: str, router: str) -> bool:
         return worker_id not in await self.run_by(router, 1)
 
+    async def ask(self, part: str, router: str) -> int:
+        """Send a request with a part of a prompt, and return the status."""
+        parts = f"first:100,{part}:100,own:50"
+        headers = {"model": "m", "token_count": "250,10", "prompt_prefix": parts}
+        return (await self.call("/once/1", router, **headers)).status_code
+
+    async def runs(self, part: str, router: str) -> bool:
+        return await self.ask(part, router) == 200
+
+    async def restarted_router_condemns(self) -> bool:
+        starts_count = len(self.logged("router-2", "router started"))
+        return len(self.logged("router-2", "part condemned")) == starts_count
+
+    async def test_a_deadly_part(self) -> None:
+        """Guards against a part of a prompt that crashes one worker after another, when each router
+        sees only some of the crashes, and one of them restarts."""
+        for router in ROUTERS:
+            self.assertEqual(await self.ask("sound", router), 200)
+        self.workers.deadly_part = "deadly"
+        for number in range(3):
+            router = ROUTERS[number % 2]
+            self.assertEqual(await self.ask("deadly", router), 502)
+            self.assertEqual(self.workers.crashes_count, number + 1)
+            for other in ROUTERS:
+                await self.fleet.wait_until(lambda other=other: self.runs("sound", other), 5.0)
+            await asyncio.sleep(0.3)
+        for router in ROUTERS:
+            self.assertEqual(await self.ask("deadly", router), 503)
+            self.assertEqual(await self.ask("sound", router), 200)
+        await self.fleet.stop("router-2", signal.SIGKILL)
+        await self.fleet.start("router-2")
+        await self.fleet.wait_until(lambda: self.fleet.is_ready("router-2"))
+        await self.fleet.wait_until(self.restarted_router_condemns, 3.0)
+        self.assertEqual(await self.ask("deadly", "router-2"), 503)
+        self.assertEqual(self.workers.crashes_count, 3)
+
     async def test_graceful_stop(self) -> None:
         """Guards against a stop that cuts a stream, or that directory and readiness don't show."""
         self.workers.events_count, self.workers.event_pause_s = 20, 0.1
--- a/tools/standins/karrilane.py
+++ b/tools/standins/karrilane.py
@@ -20,6 +20,10 @@
     body: bytes
 
 
+class WorkerCrashError(ConnectionError):
+    """Closes the connection inside a response."""
+
+
 class Workers:
     """Serves the list of workers, and the workers as ASGI applications."""
 
@@ -38,6 +42,10 @@
         """Workers that say in their answers that they are leaving."""
         self.hold_off_s: dict[str, str] = {}
         """Workers that refuse requests, and the ``Retry-After`` of their refusals."""
+        self.deadly_part: str | None = None
+        """Id of a part of prompts; a worker that runs a request with it crashes, and starts again
+        under a new id."""
+        self.crashes_count = 0
         self._service = service
         self._entries: dict[str, dict[str, Any]] = {}
 
@@ -75,12 +83,27 @@
         :return: an ASGI application
         """
 
+        current_id = worker_id
+
         async def app(scope: Scope, receive: Receive, send: Send) -> None:
+            nonlocal current_id
             if scope["type"] == "http":
-                await self._handle_request(worker_id, scope, receive, send)
+                try:
+                    await self._handle_request(current_id, scope, receive, send)
+                except WorkerCrashError:
+                    current_id = self._replace(current_id)
+                    raise
 
         return app
 
+    def _replace(self, worker_id: str) -> str:
+        """List a worker under a new id, and return the id."""
+        self.crashes_count += 1
+        entry = self._entries.pop(worker_id)
+        new_id = f"{worker_id}+"
+        self._entries[new_id] = {**entry, "id": new_id}
+        return new_id
+
     async def _handle_request(
         self, worker_id: str, scope: Scope, receive: Receive, send: Send
     ) -> None:
@@ -105,6 +128,10 @@
         target = scope["raw_path"].decode()
         self.runs.append(Run(worker_id, request_id, headers, target, body))
         own_headers = {"attempt-id": request_id, "server-stamp": f"stamp of {worker_id}"}
+        if self.deadly_part is not None and self.deadly_part in headers.get("prompt-prefix", ""):
+            # The server would answer an error before the head with a response of its own.
+            await _send_head(send, 200, {**own_headers, "content-length": "100"})
+            raise WorkerCrashError("the worker crashes as it begins to answer")
         if worker_id in self.leaving_ids:
             own_headers["server-leaving"] = "1"
         if not target.startswith("/stream/"):
@@ -132,4 +159,4 @@
     await send({"type": "http.response.body", "body": body})
 
 
-__all__ = ["Run", "Workers"]
+__all__ = ["Run", "WorkerCrashError", "Workers"]
