Try a prompt with only one of the parts that came together before refusing it

Cause: parts with the same ends can't be told apart by ends alone, and a refused part gets no answers.

Change: a condemned part is refused only with two ends that no condemned part outside the prompt explains. Otherwise the prompt runs as a suspected one, alone: an answer clears the part, an end tells it apart from the others. An answer is under way 0.25 s after its first event instead of 0.5 s, so that it clears sooner.

Evidence: sharing.test_suspects (test_parts_that_came_together, test_a_deadly_first_part) fails on the code before and passes; controllers.test_deadlypart passes.

--- a/src/camphorvalve/controllers/suspects.py
+++ b/src/camphorvalve/controllers/suspects.py
@@ -28,7 +28,7 @@
 )
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Iterable, Iterator
+    from collections.abc import Callable, Iterable, Iterator, Sequence
 
     from camphorvalve.controllers.runtime import Sender
     from camphorvalve.sharing.suspects import Ends, Verdict
@@ -69,7 +69,7 @@
         """:return: time until the next poll"""
         return POLL_S if self._was_answered else INITIAL_POLL_S
 
-    def judge(self, part_ids: Iterable[str]) -> Verdict:
+    def judge(self, part_ids: Sequence[str]) -> Verdict:
         """
         Judge the parts of a prompt.
 
--- a/src/camphorvalve/filters/quarantine.py
+++ b/src/camphorvalve/filters/quarantine.py
@@ -24,7 +24,7 @@
     from camphorvalve.model.requests import Exchange
     from camphorvalve.model.upstreams import Upstream
 
-UNDER_WAY_S = 0.5
+UNDER_WAY_S = 0.25
 """Time after the beginning of an answer for which its upstream has to live on: it crashes when the
 answer begins."""
 CONDEMNED_RETRY_S = 60.0
--- a/src/camphorvalve/sharing/suspects.py
+++ b/src/camphorvalve/sharing/suspects.py
@@ -19,6 +19,8 @@
 ended meanwhile."""
 CERTAIN_COUNT = 5
 """Ends after which they are refused in any case."""
+UNEXPLAINED_COUNT = 2
+"""Ends that no other condemned part explains, with which a condemned part is refused."""
 MIN_EXPLAINED_RATIO = 0.75
 """Part of the ends meanwhile at which a part has to have waited."""
 SAME_CAUSE_S = 0.25
@@ -110,21 +112,26 @@
         self._answered_s: OrderedDict[str, float] = OrderedDict()
         """When the newest answer on each part began, from the requests of this process."""
 
-    def judge(self, part_ids: Iterable[str]) -> Verdict:
+    def judge(self, part_ids: Sequence[str]) -> Verdict:
         """
         Judge the parts of a prompt.
 
+        Parts that came together have the same ends. A prompt with only some of them is suspected,
+        not condemned: its answer or the end of its upstream shows which part is at fault.
+
         :param part_ids: its shared parts
         :return: the gravest verdict
         """
         suspected_ids = []
+        asked_ids = set(part_ids)
         for part_id in part_ids:
             if part_id not in self._parts:
                 continue
-            count = self._unexplained_count(part_id)
-            if part_id in self._condemned and count >= CONDEMNED_COUNT:
+            count = self._unexplained_count(part_id, asked_ids)
+            is_condemned = part_id in self._condemned
+            if is_condemned and count >= UNEXPLAINED_COUNT:
                 return Condemned(part_id)
-            if count >= SUSPECTED_COUNT:
+            if is_condemned or count >= SUSPECTED_COUNT:
                 suspected_ids.append(part_id)
         return Suspected(tuple(suspected_ids)) if suspected_ids else Sound()
 
@@ -300,7 +307,7 @@
 
     def condemned_count(self) -> int:
         """:return: number of condemned parts"""
-        return sum(isinstance(self.judge((part_id,)), Condemned) for part_id in self._condemned)
+        return len(self._condemned)
 
     def version(self, part_ids: Sequence[str]) -> int:
         """
@@ -315,7 +322,7 @@
         return 1 + xxhash.xxh32_intdigest(msgspec.msgpack.encode(content))
 
     def _refresh(self, part_id: str) -> None:
-        """Decide whether the ends of a part condemn it, unless another part explains them."""
+        """Decide whether the ends of a part condemn it, whatever other parts explain."""
         if self.count(part_id) < CONDEMNED_COUNT:
             self._candidates.discard(part_id)
             self._condemned.pop(part_id, None)
@@ -351,15 +358,15 @@
         ended = self._ended.get(upstream)
         return ended is not None and (ended.survived or at_s > ended.at_s + SAME_END_S)
 
-    def _unexplained_count(self, part_id: str) -> int:
-        """Count the ends of a part without those that a condemned part with more ends explains."""
+    def _unexplained_count(self, part_id: str, asked_ids: set[str]) -> int:
+        """Count the ends of a part without those that a condemned part elsewhere explains."""
         counting = self._counting(part_id)
-        explained = [ended for ended in self._condemned.values() if len(ended) > len(counting)]
-        return _count_causes(
-            at_s
-            for upstream, at_s in counting.items()
-            if not any(upstream in ended for ended in explained)
-        )
+        counts = [
+            _count_causes(at_s for upstream, at_s in counting.items() if upstream not in ended)
+            for condemned_id, ended in self._condemned.items()
+            if condemned_id not in asked_ids
+        ]
+        return min(counts, default=_count_causes(counting.values()))
 
     def _most_important(self, min_count: int, below_count: int = MAX_ENDS_COUNT + 1) -> list[str]:
         counts = {part_id: self.count(part_id) for part_id in self._parts}
