Refuse requests beyond a team's share with 429

What callers saw: 503 ('overloaded') for two different reasons: the engines were full, or their own team asked for more than its share while others needed the capacity.

Change: code over_share, 429, not run, with the same delay.

Evidence: filters.test_share (the case was 503; a check of the new status as strict as before).

--- a/src/camphorvalve/filters/share.py
+++ b/src/camphorvalve/filters/share.py
@@ -75,7 +75,7 @@
         within_share=False,
         retry_after_s=RETRY_AFTER_S,
     )
-    return RequestError("overloaded", message, retry_after_s=RETRY_AFTER_S)
+    return RequestError("over_share", message, retry_after_s=RETRY_AFTER_S)
 
 
 __all__ = ["share"]
--- a/src/camphorvalve/model/errors.py
+++ b/src/camphorvalve/model/errors.py
@@ -51,6 +51,7 @@
     "too_large": _Code(413, Run.NO),
     "queue_full": _Code(429, Run.NO),
     "wait_too_long": _Code(429, Run.NO),
+    "over_share": _Code(429, Run.NO),
     "internal_error": _Code(500, Run.UNKNOWN),
     "upstream_failed": _Code(502, Run.UNKNOWN),
     "stream_broken": _Code(502, Run.UNKNOWN),
