--- a/tests/controllers/test_deadlypart.py
+++ b/tests/controllers/test_deadlypart.py
@@ -110,6 +110,15 @@
         """Guards against requests with the part that go on crashing engines."""
         self.check(lambda fleet: None)
 
+    def test_few_sound_requests(self) -> None:
+        """Guards against refusing all requests with the first part, when most of them have the
+        deadly part too and no answer comes between the crashes."""
+
+        def prepare(fleet: EngineFleet) -> None:
+            fleet.requests_per_s, fleet.deadly_ratio = 12.0, 0.8
+
+        self.check(prepare)
+
     def test_lost_messages(self) -> None:
         """Guards against routers that miss the verdict: a third of the messages is lost, the others
         overtake each other."""
