Tell a router which of its ends others have cleared

Cause: controllers told routers of cleared ends only of parts that were suspected. When two routers saw the same ends and one of them cleared each at once, the part was never suspected at the controllers; the other router went on counting the ends, and three condemned the part there alone.

Change: a controller answers a report with the parts of which the sender counts cleared ends, as routers answered controllers already.

--- a/src/camphorvalve/controllers/suspects.py
+++ b/src/camphorvalve/controllers/suspects.py
@@ -128,7 +128,7 @@
                 _merge_ended(self._parts, ended, now_s)
                 _merge(self._parts, parts, now_s)
                 self._levels.write(part.part_id for part in parts)
-                corrected_ids = [part.part_id for part in parts if self._clears_more(part)]
+                corrected_ids = _cleared_more(self._parts, parts)
                 if corrected_ids:
                     report = SuspectReport(_encode(self._parts, corrected_ids, now_s), ())
                     yield Outgoing(sender.host_id, report)
@@ -170,13 +170,6 @@
     def _merging_ids(self) -> list[str]:
         return ranked(SUSPECTS_KEY, self._controller_ids())[:MERGING_COUNT]
 
-    def _clears_more(self, part: SuspectPart) -> bool:
-        known = self._parts.ends(part.part_id)
-        return any(
-            not end.cleared and end.upstream in known and known[end.upstream].cleared
-            for end in part.ends
-        )
-
 
 class SuspectsPublisher:
     """Owns the merged ends of a controller, and tells its routers which parts are suspected."""
@@ -221,6 +214,9 @@
                 if unsuspected_version:
                     self._reported_versions[router_id] = unsuspected_version
                 yield from self._merge_report(message, now_s)
+                corrected_ids = _cleared_more(self._parts, message.parts)
+                if corrected_ids:
+                    yield Outgoing(router_id, self._update(corrected_ids, now_s))
 
     def tick(self, now_s: float) -> Iterator[Outgoing]:
         """
@@ -299,6 +295,20 @@
     ]
 
 
+def _cleared_more(parts: SuspectParts, received: Iterable[SuspectPart]) -> list[str]:
+    """List the parts of which the sender counts ends that are known to be cleared."""
+    return [
+        part.part_id
+        for part in received
+        if any(
+            not end.cleared
+            and end.upstream in parts.ends(part.part_id)
+            and parts.ends(part.part_id)[end.upstream].cleared
+            for end in part.ends
+        )
+    ]
+
+
 def _merge_ended(parts: SuspectParts, received: Iterable[EndedUpstream], now_s: float) -> bool:
     """Merge ends of upstreams, and return whether that may change a verdict."""
     is_new = False
--- a/tests/controllers/test_suspects.py
+++ b/tests/controllers/test_suspects.py
@@ -125,6 +125,20 @@
         self.assertEqual(router.judge(("deadly",)), Condemned("deadly"))
         self.assertEqual(router.tick_s, 1.0)
 
+    def test_answers_that_clear_a_part_elsewhere(self) -> None:
+        """Guards against a router that refuses a part which another router has cleared end by end,
+        before the controllers had to tell anybody of it."""
+        self.tick()
+        for number in range(4):
+            self.end("r-0", f"up-{number}", "first")
+            self.end("r-1", f"up-{number}", "first", after_s=0.0)
+            outgoing = self.routers["r-1"].record_answer(
+                ("first",), "up-9", self.now_s + 0.1, self.now_s
+            )
+            self.deliver("r-1", list(outgoing))
+        self.tick()
+        self.assertEqual(self.routers["r-0"].judge(("first",)), Sound())
+
     def test_quiet_cost(self) -> None:
         """Guards against control traffic that grows while nothing ends."""
         self.tick()
