Condemn a part by ends that span a second

Cause: in a burst of ends, three of them come before an answer on a sound part can begin.

Change: three or four ends condemn only if a second lies between the first and the last; until then the part is suspected.

--- a/src/camphorvalve/sharing/suspects.py
+++ b/src/camphorvalve/sharing/suspects.py
@@ -17,6 +17,8 @@
 CONDEMNED_COUNT = 3
 """Ends after which requests with a part are refused, if it waited at most of the upstreams that
 ended meanwhile."""
+MIN_SPAN_S = 1.0
+"""Least time between the first and the last of these ends, in which a sound part gets an answer."""
 CERTAIN_COUNT = 5
 """Ends after which they are refused in any case."""
 UNEXPLAINED_COUNT = 2
@@ -339,7 +341,10 @@
                 for ended in self._ended.values()
                 if not ended.survived and first_s <= ended.at_s <= last_s
             )
-            is_condemned = count >= MIN_EXPLAINED_RATIO * ended_count
+            is_condemned = (
+                count >= MIN_EXPLAINED_RATIO * ended_count
+                and last_s - first_s >= MIN_SPAN_S + 2 * SAME_CAUSE_S
+            )
         if is_condemned:
             self._condemned[part_id] = frozenset(counting)
         else:
--- a/tests/sharing/test_suspects.py
+++ b/tests/sharing/test_suspects.py
@@ -71,6 +71,8 @@
             "one": ((1.0,), Sound()),
             "two": ((1.0, 2.0), Suspected(("a",))),
             "three": ((1.0, 2.0, 3.0), Condemned("a")),
+            "three in a moment": ((1.0, 1.3, 1.6), Suspected(("a",))),
+            "four in a second": ((1.0, 1.3, 1.6, 2.1), Condemned("a")),
             "power cut": ((1.0, 1.05, 1.1, 1.2), Sound()),
             "power cut after an end": ((1.0, 3.0, 3.05, 3.1, 3.2), Suspected(("a",))),
         }
