--- a/src/camphorvalve/upstreams/routed.py
+++ b/src/camphorvalve/upstreams/routed.py
@@ -28,6 +28,7 @@
 from camphorvalve.upstreams.opening import (
     SEND_STARTED_EVENT,
     ends_with_connection,
+    is_connection_end,
     is_event_stream,
     read_body,
     stream_head,
@@ -166,7 +167,8 @@
                 # The read timeout may fire just before the deadline filter.
                 raise _timed_out() from error
             if started:
-                raise NoAnswer(upstream.upstream_id, cause) from error
+                ended = is_connection_end(error)
+                raise NoAnswer(upstream.upstream_id, cause, connection_ended=ended) from error
             is_timeout = isinstance(error, httpx.ConnectTimeout)
             raise (NotReached if is_timeout else NotSent)(upstream.upstream_id, cause) from error
         # httpcore reads this entry when it starts to read the body.
@@ -251,6 +253,7 @@
         sequencer = EventSequencer(
             self._last_event_number(exchange), continues=exchange.broken is not None
         )
+        connection_ended = ends_with_connection(response)
         try:
             async with coalesced(response.aiter_raw()) as chunks:
                 async for chunk in chunks:
@@ -264,9 +267,11 @@
                 return
         except (httpx.HTTPError, EventError) as error:
             cause = f"{type(error).__name__}: {error}"
+            connection_ended = is_connection_end(error)
             if isinstance(error, OutOfOrderError) and error.events:
                 yield Body(error.events)
-        raise Broken(upstream.upstream_id, cause, sequencer.last_number or 0)
+        events_count = sequencer.last_number or 0
+        raise Broken(upstream.upstream_id, cause, events_count, connection_ended=connection_ended)
 
     def _last_event_number(self, exchange: Exchange) -> int | None:
         if exchange.broken is not None:
