Check that a stopping router holds no request until its end

test_late_request_is_not_cut accepted a connection that was closed without an answer at any time, also one that was held until the end of the stop. Only a request that crosses the close of an idle connection may end so; that takes less than the second that is now allowed.

--- a/tests/processes/test_stopping.py
+++ b/tests/processes/test_stopping.py
@@ -28,6 +28,9 @@
 HANGING = "/once/hanging"
 ENDINGS = ("answered", "refused", "unconnected", "closed")
 """Endings that leave no doubt whether the request ran."""
+HELD_S = 1.0
+"""Time after which a connection that is closed without an answer has held the request up; only one
+that crosses the close of an idle connection may get none."""
 
 
 class Sent(NamedTuple):
@@ -122,6 +125,8 @@
         sent = await self.stop_under_load([STREAM, SLOW, QUICK])
         run_ids = self.run_ids()
         self.assertEqual([request for request in sent if request.ending not in ENDINGS], [])
+        held = [request for request in sent if request.ending == "closed" and _is_held(request)]
+        self.assertEqual(held, [])
         self.assertEqual(
             [
                 request
@@ -196,6 +201,10 @@
         return any(run.target == target for run in self.workers.runs)
 
 
+def _is_held(request: Sent) -> bool:
+    return request.ended_s - request.sent_s > HELD_S
+
+
 def _ending(target: str, response: httpx.Response) -> str:
     match response.status_code:
         case 200:
