Let the product's own router refuse calls that its stop would cut off

Change: both routers have the same filter. A call without a deadline of which nothing is known is taken, and gets a 504 before the server cuts it off.

--- a/src/camphorvalve/filters/deadline.py
+++ b/src/camphorvalve/filters/deadline.py
@@ -47,7 +47,7 @@
         """
         Cancel the rest of the chain when the response is not complete by the deadline.
 
-        :param exchange: the request with its deadline
+        :param exchange: the request, with its deadline if it has one
         :param inner: the rest of the chain
         :return: parts of the response
         :raises RequestError: ``leaving`` when the response may not be complete before the router
@@ -57,7 +57,8 @@
         if not departure.takes(exchange.kind, exchange.deadline_s, time.monotonic()):
             message = "this router is stopping, and others are available"
             raise RequestError("leaving", message, retry_after_s=LEAVING_RETRY_S)
-        exchange.deadline_s = min(exchange.deadline_s, departure.ends_s)
+        deadline_s = departure.ends_s if exchange.deadline_s is None else exchange.deadline_s
+        exchange.deadline_s = min(deadline_s, departure.ends_s)
         async with aclosing(inner(exchange)) as parts:
             body_started = False
             while True:
--- a/src/camphorvalve/sharing/departure.py
+++ b/src/camphorvalve/sharing/departure.py
@@ -80,21 +80,24 @@
         self._refuses_from_s = now_s + self._intake_s
         self.ends_s = now_s + self._duration_s
 
-    def takes(self, kind: str, deadline_s: float, now_s: float) -> bool:
+    def takes(self, kind: str, deadline_s: float | None, now_s: float) -> bool:
         """
         Decide whether a request is taken.
 
         :param kind: kind of the request
-        :param deadline_s: monotonic time by which its caller wants the complete response
+        :param deadline_s: monotonic time by which its caller wants the complete response, ``None``
+            without a deadline
         :param now_s: monotonic time
-        :return: whether its response is expected to be complete before the router ends
+        :return: whether its response is expected to be complete before the router ends, or nothing
+            is known of its duration
         """
         if now_s >= self._refuses_from_s:
             return False
         longest_s = self._longest_times.longest_s(kind, now_s)
-        if longest_s is None:
-            return deadline_s <= self.ends_s
-        return min(deadline_s, now_s + MARGIN_RATIO * longest_s) <= self.ends_s
+        bounds_s = [] if deadline_s is None else [deadline_s]
+        if longest_s is not None:
+            bounds_s.append(now_s + MARGIN_RATIO * longest_s)
+        return min(bounds_s, default=now_s) <= self.ends_s
 
     def record_response(self, kind: str, duration_s: float, now_s: float) -> None:
         """
--- a/src/camphorvalve/wiring/router.py
+++ b/src/camphorvalve/wiring/router.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+import time
 from functools import partial
 from typing import TYPE_CHECKING, NamedTuple
 
@@ -25,13 +26,14 @@
 from camphorvalve.controllers.recordclient import RecordClient
 from camphorvalve.controllers.runtime import Runtime
 from camphorvalve.controllers.scheduling import SchedulingController
-from camphorvalve.controllers.stopping import GracefulStop, wait_until
+from camphorvalve.controllers.stopping import ANNOUNCEMENT_S, GracefulStop, wait_until
 from camphorvalve.controllers.submitting import SubmissionController
 from camphorvalve.controllers.work import WorkController
 from camphorvalve.filters.account import account
 from camphorvalve.filters.admission import AdmissionFilter
 from camphorvalve.filters.chain import compose
 from camphorvalve.filters.classify import classify
+from camphorvalve.filters.deadline import DeadlineFilter
 from camphorvalve.filters.deduplicate import DeduplicateFilter
 from camphorvalve.filters.defer import DeferFilter
 from camphorvalve.filters.dispatch import Dispatch
@@ -56,6 +58,7 @@
 from camphorvalve.reports.traces import TraceStore
 from camphorvalve.sharing.aggregate import Aggregator
 from camphorvalve.sharing.budget import RetryBudget
+from camphorvalve.sharing.departure import Departure
 from camphorvalve.sharing.ledger import Ledger
 from camphorvalve.sharing.scheduler import Scheduler
 from camphorvalve.upstreams.client import create_client
@@ -196,6 +199,15 @@
         Dispatch(client, membership),
     )
     observe = ObserveFilter()
+    stop_duration_s = ANNOUNCEMENT_S + settings.address_lifetime_s + settings.stop_timeout_s
+    departure = Departure(stop_duration_s, stop_duration_s)
+    deadline_filter = DeadlineFilter(departure)
+
+    def leave() -> None:
+        membership.set_leaving()
+        departure.begin(time.monotonic())
+        deadline_filter.begin_departure()
+
     burn = BurnTracker(settings.host_id)
     traces = TraceStore()
     metrics = Metrics(destination_from_settings(settings.metrics))
@@ -217,6 +229,7 @@
             observe,
             identify(settings.callers, parameters),
             classify(membership.interface_of),
+            deadline_filter,
             limit(
                 Queues(demand, config_follower),
                 settings.queue_total_count,
@@ -234,7 +247,7 @@
         tokens=None if settings.callers is None else Tokens(settings.callers),
     )
     caller_app = CallerApp(handler, lookups.handlers(), host_id=settings.host_id)
-    graceful_stop = GracefulStop(membership.set_leaving, settings.address_lifetime_s)
+    graceful_stop = GracefulStop(leave, settings.address_lifetime_s)
     tasks = (
         runtime.run,
         graceful_stop.run,
--- a/tests/sharing/test_departure.py
+++ b/tests/sharing/test_departure.py
@@ -48,6 +48,15 @@
             with self.subTest(now_s=now_s):
                 self.assertEqual(self.takes(now_s, FAR_S, 0.01), expected)
 
+    def test_unknown_duration(self) -> None:
+        """Guards against a router that refuses every call after the signal because callers give no
+        deadline and no response has been seen."""
+        departure = a_departure()
+        departure.begin(100.0)
+        self.assertTrue(departure.takes("drafts", None, 100.0))
+        departure.record_response("drafts", 60.0, 100.0)
+        self.assertFalse(departure.takes("drafts", None, 100.0))
+
     def test_every_request_is_taken_before_the_signal(self) -> None:
         """Guards against refusals by a router that isn't stopping."""
         departure = a_departure()
