--- a/src/camphorvalve/sharing/suspects.py
+++ b/src/camphorvalve/sharing/suspects.py
@@ -24,7 +24,7 @@
 UNEXPLAINED_COUNT = 2
 """Ends that no other condemned part explains, with which a condemned part is refused."""
 MIN_EXPLAINED_RATIO = 0.75
-"""Part of the ends meanwhile at which a part has to have waited."""
+"""Part of the ends meanwhile; a condemned part has waited at more."""
 SAME_CAUSE_S = 0.25
 """Time between ends that count once: a power failure ends many upstreams at a time."""
 SAME_END_S = 0.5
@@ -342,7 +342,7 @@
                 if not ended.survived and first_s <= ended.at_s <= last_s
             )
             is_condemned = (
-                count >= MIN_EXPLAINED_RATIO * ended_count
+                count > MIN_EXPLAINED_RATIO * ended_count
                 and last_s - first_s >= MIN_SPAN_S + 2 * SAME_CAUSE_S
             )
         if is_condemned:
--- a/tests/sharing/test_suspects.py
+++ b/tests/sharing/test_suspects.py
@@ -119,6 +119,8 @@
             parts.merge_ended(f"other-{number}", Ended(at_s, survived=False), 3.0)
         self.assertEqual(parts.judge(("a",)), Suspected(("a",)))
         parts.merge_ended("other-0", Ended(1.5, survived=True), 3.0)
+        self.assertEqual(parts.judge(("a",)), Suspected(("a",)))
+        parts.merge_ended("other-1", Ended(2.5, survived=True), 3.0)
         self.assertEqual(parts.judge(("a",)), Condemned("a"))
         many = ended_at(*range(1, 6))
         for number in range(1, 5):
