Keep the ends that make up the count of a part

Cause: of one part eight ends are kept, the newest; many ends in one moment pushed out the earlier ones, and count as one.

Change: the first ends of each moment are kept before the others.

--- a/src/camphorvalve/sharing/suspects.py
+++ b/src/camphorvalve/sharing/suspects.py
@@ -222,8 +222,7 @@
             for upstream, end in merged.items()
         }
         if len(merged) > MAX_ENDS_COUNT:
-            by_weight = sorted(merged.items(), key=lambda item: (item[1].cleared, -item[1].at_s))
-            merged = dict(by_weight[:MAX_ENDS_COUNT])
+            merged = _most_telling(merged)
         if merged == known:
             return False
         self._parts[part_id] = merged
@@ -398,11 +397,28 @@
 
 def _count_causes(times_s: Iterable[float]) -> int:
     """Count ends; those within a short time of the first of them count once."""
-    count, cause_s = 0, float("-inf")
+    return len(_cause_times_s(times_s))
+
+
+def _cause_times_s(times_s: Iterable[float]) -> set[float]:
+    """Return the times of the first ends of each cause."""
+    causes_s, cause_s = set(), float("-inf")
     for at_s in sorted(times_s):
         if at_s - cause_s > SAME_CAUSE_S:
-            count, cause_s = count + 1, at_s
-    return count
+            cause_s = at_s
+            causes_s.add(at_s)
+    return causes_s
+
+
+def _most_telling(ends: Ends) -> Ends:
+    """Select ends up to the bound: first those that make up the count, then the newest."""
+    causes_s = _cause_times_s(end.at_s for end in ends.values() if not end.cleared)
+
+    def weight(upstream: str) -> tuple[bool, bool, float]:
+        at_s, cleared = ends[upstream]
+        return cleared, at_s not in causes_s, -at_s
+
+    return {upstream: ends[upstream] for upstream in sorted(ends, key=weight)[:MAX_ENDS_COUNT]}
 
 
 def _merge_end(one: End, other: End) -> End:
--- a/tests/sharing/test_suspects.py
+++ b/tests/sharing/test_suspects.py
@@ -217,6 +217,14 @@
         self.assertLessEqual(len(parts._answered_s), MAX_ANSWERED_COUNT)
         self.assertEqual(len(parts.unsuspected_ids()), MAX_LISTED_COUNT)
 
+    def test_many_ends_in_a_moment(self) -> None:
+        """Guards against acquitting a part when the ends of one moment push out earlier ones."""
+        parts = ended_at(1.0, 2.0, 3.0)
+        for number in range(20):
+            parts.record_end(("a",), f"more-{number}", 4.0 + number / 100)
+        self.assertEqual(parts.judge(("a",)), Condemned("a"))
+        self.assertLessEqual(len(parts.ends("a")), 8)
+
     def test_a_flood_of_upstreams(self) -> None:
         parts = SuspectParts()
         for number in range(2 * MAX_ENDED_COUNT):
