Let the test of a deadly part wait for workers that restart

Two causes, both in the test: the request may meet a worker that is restarting, which is refused as not run; and since three ends have to span a second to condemn a part, crashes 0.3 s apart may not. The request is now repeated until it reaches a worker, with the check that it isn't quarantined before the third crash, and the crashes are 0.6 s apart. The other checks are unchanged. The harness of test_relayed uses the deadline filter by its new name.

--- a/tests/http/relaying.py
+++ b/tests/http/relaying.py
@@ -10,7 +10,7 @@
 from h11 import CLIENT, Connection, Data, EndOfMessage, RemoteProtocolError, Request, Response
 
 from camphorvalve.filters.chain import compose
-from camphorvalve.filters.deadline import deadline
+from camphorvalve.filters.deadline import DeadlineFilter
 from camphorvalve.filters.retry import RetryFilter
 from camphorvalve.http.connections import ConnectionTracker
 from camphorvalve.http.routed import RoutedApp
@@ -20,7 +20,7 @@
 from camphorvalve.upstreams.routed import RoutedAttempts
 from tests.http.serving import serving
 from tests.rawpeers import exchange_bytes, upstream
-from tests.routebuilders import HEADER_NAMES, a_listed_upstream, a_routed_exchange
+from tests.routebuilders import HEADER_NAMES, a_departure, a_listed_upstream, a_routed_exchange
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
@@ -145,7 +145,7 @@
         url = urls[exchange.attempt - 1]
         return attempts.open(a_listed_upstream(exchange.upstream_id, url=url), exchange)
 
-    return compose((prepare, deadline, RetryFilter(RetryBudget())), forward)
+    return compose((prepare, DeadlineFilter(a_departure()), RetryFilter(RetryBudget())), forward)
 
 
 __all__ = ["CALL", "Received", "Relay", "parse", "relaying"]
--- a/tests/processes/test_joined.py
+++ b/tests/processes/test_joined.py
@@ -5,9 +5,13 @@
 import asyncio
 import signal
 import unittest
+from typing import TYPE_CHECKING
 
 from tests.processes.joinedcase import CONTROLLERS, ROUTERS, JoinedFleetCase
 
+if TYPE_CHECKING:
+    import httpx
+
 
 class JoinedFleetTest(JoinedFleetCase):
     async def addresses(self, router: str) -> list[str]:
@@ -69,11 +73,25 @@
     async def avoids(self, worker_id: str, router: str) -> bool:
         return worker_id not in await self.run_by(router, 1)
 
-    async def ask(self, part: str, router: str) -> int:
-        """Send a request with a part of a prompt, and return the status."""
+    async def send(self, part: str, router: str) -> httpx.Response:
+        """Send a request with a part of a prompt."""
         parts = f"first:100,{part}:100,own:50"
         headers = {"model": "m", "token_count": "250,10", "prompt_prefix": parts}
-        return (await self.call("/once/1", router, **headers)).status_code
+        return await self.call("/once/1", router, **headers)
+
+    async def ask(self, part: str, router: str) -> int:
+        """Send a request with a part of a prompt, and return the status."""
+        return (await self.send(part, router)).status_code
+
+    async def crashes(self, router: str) -> bool:
+        """Send a request with the deadly part; return whether it reached a worker, which may be
+        restarting."""
+        response = await self.send("deadly", router)
+        if response.status_code == 503:
+            self.assertNotEqual(response.json()["error"]["code"], "quarantined")
+            return False
+        self.assertEqual(response.status_code, 502)
+        return True
 
     async def runs(self, part: str, router: str) -> bool:
         return await self.ask(part, router) == 200
@@ -90,11 +108,12 @@
         self.workers.deadly_part = "deadly"
         for number in range(3):
             router = ROUTERS[number % 2]
-            self.assertEqual(await self.ask("deadly", router), 502)
+            await self.fleet.wait_until(lambda router=router: self.crashes(router), 5.0)
             self.assertEqual(self.workers.crashes_count, number + 1)
             for other in ROUTERS:
                 await self.fleet.wait_until(lambda other=other: self.runs("sound", other), 5.0)
-            await asyncio.sleep(0.3)
+            # The crashes have to span a second.
+            await asyncio.sleep(0.6)
         for router in ROUTERS:
             self.assertEqual(await self.ask("deadly", router), 503)
             self.assertEqual(await self.ask("sound", router), 200)
