Keep the duration of the simulated workers' streams on a busy machine

test_late_request_is_not_cut failed once in 5 runs of its module at a load average of 19: a stream of 5 s took more than 6.9 s, as each pause between its events was late and the delays added up, so that it was cut at the end of the stop although it had been taken at 0.4 s. Each event now has its time after the start of the stream. The checks are unchanged.

--- a/tools/standins/karrilane.py
+++ b/tools/standins/karrilane.py
@@ -143,12 +143,16 @@
         first_number = int(headers.get("last-event-id", 0)) + 1
         cut_after, self.cut_after = self.cut_after, None
         await _send_head(send, 200, {**own_headers, "content-type": "text/event-stream"})
+        loop = asyncio.get_running_loop()
+        next_s = loop.time()
         for number in range(first_number, self.events_count + 1):
             if cut_after is not None and number > cut_after:
                 raise ConnectionError("stream cut after the event that cut_after names")
             event = f"id: {number}\ndata: token\n\n".encode()
             await send({"type": "http.response.body", "body": event, "more_body": True})
-            await asyncio.sleep(self.event_pause_s)
+            # A late event does not delay the ones after it.
+            next_s += self.event_pause_s
+            await asyncio.sleep(next_s - loop.time())
         await send({"type": "http.response.body", "body": b""})
 
 
