Leave streams that have begun to the end of the stop

Cause: the end of the stop replaced the deadline of each request that was taken during it. Change: it bounds the wait for the response only; the deadline stays that of the caller. Evidence: test_running_stream_at_the_end_of_a_stop failed before (RequestError) and passes, as do tests.filters.test_deadline, test_latecalls and test_late_request_is_not_cut.

--- a/src/camphorvalve/filters/deadline.py
+++ b/src/camphorvalve/filters/deadline.py
@@ -57,8 +57,7 @@
         if not departure.takes(exchange.kind, exchange.deadline_s, time.monotonic()):
             message = "this router is stopping, and others are available"
             raise RequestError("leaving", message, retry_after_s=LEAVING_RETRY_S)
-        deadline_s = departure.ends_s if exchange.deadline_s is None else exchange.deadline_s
-        exchange.deadline_s = min(deadline_s, departure.ends_s)
+        deadline_s = float("inf") if exchange.deadline_s is None else exchange.deadline_s
         async with aclosing(inner(exchange)) as parts:
             body_started = False
             while True:
@@ -68,21 +67,22 @@
                         # around each event took 15% of the time of a streamed response.
                         part = await anext(parts)
                     else:
-                        part = await self._first_part(parts, exchange)
+                        part = await self._first_part(parts, deadline_s)
                 except StopAsyncIteration:
                     break
                 except TimeoutError:
                     raise _deadline_error(exchange) from None
-                if body_started and time.monotonic() > exchange.deadline_s:
+                if body_started and time.monotonic() > deadline_s:
                     raise _deadline_error(exchange)
                 body_started = body_started or isinstance(part, Body)
                 yield part
         now_s = time.monotonic()
         departure.record_response(exchange.kind, now_s - exchange.received_s, now_s)
 
-    async def _first_part(self, parts: AsyncIterator[Part], exchange: Exchange) -> Part:
+    async def _first_part(self, parts: AsyncIterator[Part], deadline_s: float) -> Part:
+        until_s = min(deadline_s, self._departure.ends_s)
         # The scope covers one part only: it must not stay open across a yield.
-        with anyio.fail_after(exchange.deadline_s - time.monotonic()) as scope:
+        with anyio.fail_after(until_s - time.monotonic()) as scope:
             self._waiting.add(scope)
             try:
                 return await anext(parts)
--- a/tests/filters/test_deadline.py
+++ b/tests/filters/test_deadline.py
@@ -102,6 +102,27 @@
                 error = anyio.run(run, begins_after_s)
                 self.assertEqual((error.code, error.run), ("timed_out", Run.UNKNOWN))
 
+    def test_running_stream_at_the_end_of_a_stop(self) -> None:
+        """Guards against a stream that is logged as late for its caller when it is the stop that
+        cuts it off, and so is missing from the log of the stop."""
+
+        async def inner(exchange: Exchange) -> AsyncIterator[Part]:
+            yield Head(200, ())
+            for _ in range(10):
+                yield Body(b"event")
+                await anyio.sleep(0.05)
+
+        async def run() -> int:
+            departure = a_departure(duration_s=0.2)
+            departure.record_response("drafts", 0.1, time.monotonic())
+            departure.begin(time.monotonic())
+            exchange = a_routed_exchange(deadline_s=time.monotonic() + 30.0)
+            exchange.kind = "drafts"
+            async with aclosing(DeadlineFilter(departure)(exchange, inner)) as parts:
+                return len([part async for part in parts])
+
+        self.assertEqual(anyio.run(run), 11)
+
     def test_refused_late_in_a_stop(self) -> None:
         """Guards against a request that a stopping router takes though it may be cut off."""
         departure = a_departure(intake_s=2.0)
