Keep the earlier ends of a part when many upstreams end at a time

In the closed loop, when the deadly part comes often (100 requests a second before 9 engines, one in five with it), requests with it went on crashing engines later than 3 s after the fifth crash, and sound parts were refused with a delay of 60 s.

Cause: of each part only the newest 8 ends were kept. Ends within 0.25 s count once, so that a burst pushed the earlier ones out and left a count of one or two; and the ends of the deadly part no longer explained those of the parts that had waited beside it in the first crashes, which then were refused.

Change: 32 ends of a part are kept, and of ends at about the same time the first goes before the others.

Why it works: the count of a part and the ends that it explains no longer shrink while it goes on crashing upstreams.

--- a/src/camphorvalve/sharing/suspects.py
+++ b/src/camphorvalve/sharing/suspects.py
@@ -39,8 +39,9 @@
 MAX_PARTS_COUNT = 4096
 TRIM_COUNT = 256
 """Parts that are added beyond the bound before the least important ones are dropped."""
-MAX_ENDS_COUNT = 8
-"""Most ends that are remembered of one part."""
+MAX_ENDS_COUNT = 32
+"""Most ends that are remembered of one part. Those of a condemned part explain the ends of others,
+so that all ends in a burst are needed."""
 MAX_ENDED_COUNT = 256
 """Most upstreams whose ends are remembered."""
 MAX_ANSWERED_COUNT = 4096
@@ -243,8 +244,7 @@
             for upstream, end in merged.items()
         }
         if len(merged) > MAX_ENDS_COUNT:
-            by_weight = sorted(merged.items(), key=lambda item: (item[1].cleared, -item[1].at_s))
-            merged = dict(by_weight[:MAX_ENDS_COUNT])
+            merged = _most_telling(merged)
         if merged == known:
             return False
         self._store(part_id, merged)
@@ -429,11 +429,27 @@
 
 def _count_causes(times_s: Iterable[float]) -> int:
     """Count ends; those within a short time of the first of them count once."""
-    count, cause_s = 0, float("-inf")
+    return len(_cause_times(times_s))
+
+
+def _cause_times(times_s: Iterable[float]) -> list[float]:
+    """Return the time of the first of the ends that count once."""
+    causes_s: list[float] = []
     for at_s in sorted(times_s):
-        if at_s - cause_s > SAME_CAUSE_S:
-            count, cause_s = count + 1, at_s
-    return count
+        if not causes_s or at_s - causes_s[-1] > SAME_CAUSE_S:
+            causes_s.append(at_s)
+    return causes_s
+
+
+def _most_telling(ends: Ends) -> Ends:
+    """Select ends within the bound, so that many at a time do not push out the earlier ones."""
+    causes_s = set(_cause_times(end.at_s for end in ends.values() if not end.cleared))
+
+    def weight(upstream: str) -> tuple[bool, bool, float]:
+        end = ends[upstream]
+        return end.cleared, end.at_s not in causes_s, -end.at_s
+
+    return {upstream: ends[upstream] for upstream in sorted(ends, key=weight)[:MAX_ENDS_COUNT]}
 
 
 def _merge_end(one: End, other: End) -> End:
--- a/tests/controllers/test_deadlypart.py
+++ b/tests/controllers/test_deadlypart.py
@@ -119,6 +119,15 @@
 
         self.check(prepare)
 
+    def test_all_engines_crash_at_once(self) -> None:
+        """Guards against requests with the part that come so often that all engines crash within a
+        second, again and again, and beside which few sound requests are answered."""
+
+        def prepare(fleet: EngineFleet) -> None:
+            fleet.requests_per_s, fleet.deadly_ratio = 100.0, 0.2
+
+        self.check(prepare)
+
     def test_lost_messages(self) -> None:
         """Guards against routers that miss the verdict: a third of the messages is lost, the others
         overtake each other."""
