Judge a prompt without going through all condemned parts for each of its parts

What callers saw: nothing yet. Upstreams that crash under load can leave many condemned parts, and callers choose 64 parts of a prompt: with 4,096 condemned parts, a request with 64 of them held up the loop of a router for 462 ms (100 condemned parts: 4.2 ms).

Cause: for each asked part with an end, judge() counted its ends once for each condemned part elsewhere.

Change: parts with too few ends to be suspected are passed over at once; the ends that condemned parts explain are collected once for a prompt, each set once: parts that came together have the same.

Why it works: fewer unexplained ends than ends that count are never enough, so that parts that are passed over stay sound; equal sets explain the same ends. What remains: as many sets as condemned parts, if all of these waited at different upstreams.

--- a/src/camphorvalve/sharing/suspects.py
+++ b/src/camphorvalve/sharing/suspects.py
@@ -146,11 +146,13 @@
         :return: the gravest verdict
         """
         suspected_ids = []
-        asked_ids = set(part_ids)
+        explanations: set[frozenset[str]] | None = None
         for part_id in part_ids:
-            if part_id not in self._parts:
+            if self.count(part_id) < SUSPECTED_COUNT:
                 continue
-            count = self._unexplained_count(part_id, asked_ids)
+            if explanations is None:
+                explanations = self._explanations(set(part_ids))
+            count = self._unexplained_count(part_id, explanations)
             is_condemned = part_id in self._condemned
             if is_condemned and count >= UNEXPLAINED_COUNT:
                 return Condemned(part_id)
@@ -409,13 +411,16 @@
         ended = self._ended.get(upstream)
         return ended is not None and (ended.survived or at_s > ended.at_s + SAME_END_S)
 
-    def _unexplained_count(self, part_id: str, asked_ids: set[str]) -> int:
+    def _explanations(self, asked_ids: set[str]) -> set[frozenset[str]]:
+        """Return the ends that condemned parts of other prompts explain; many have the same."""
+        return {ended for part_id, ended in self._condemned.items() if part_id not in asked_ids}
+
+    def _unexplained_count(self, part_id: str, explanations: Iterable[frozenset[str]]) -> int:
         """Count the ends of a part without those that a condemned part elsewhere explains."""
         counting = self._counting(part_id)
         counts = [
             _count_causes(at_s for upstream, at_s in counting.items() if upstream not in ended)
-            for condemned_id, ended in self._condemned.items()
-            if condemned_id not in asked_ids
+            for ended in explanations
         ]
         return min(counts, default=_count_causes(counting.values()))
 
--- a/tests/sharing/test_suspects.py
+++ b/tests/sharing/test_suspects.py
@@ -5,10 +5,12 @@
 
 import unittest
 from typing import TYPE_CHECKING
+from unittest import mock
 
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from camphorvalve.sharing import suspects
 from camphorvalve.sharing.suspects import (
     LIFETIME_S,
     MAX_ANSWERED_COUNT,
@@ -283,6 +285,17 @@
 
 
 class BoundsTest(unittest.TestCase):
+    def test_many_condemned_parts(self) -> None:
+        """Guards against going through all condemned parts for each part of a prompt."""
+        parts = SuspectParts()
+        part_ids = tuple(f"a-{number}" for number in range(200))
+        for number in range(3):
+            parts.record_end(part_ids, f"up-{number}", 1.0 + number)
+        self.assertEqual(parts.condemned_count(), 200)
+        with mock.patch.object(suspects, "_count_causes", wraps=suspects._count_causes) as counted:
+            self.assertEqual(parts.judge(part_ids[:64]), Suspected(part_ids[:64]))
+        self.assertLessEqual(counted.call_count, 2 * 64)
+
     def test_a_flood_of_parts(self) -> None:
         """Guards against new names that push a condemned part out of the bounded state."""
         parts = ended_at(1.0, 2.0, 3.0)
