Forget the logged verdicts of parts that the bound has dropped

What callers saw: nothing yet. A router or controller whose bound of 4,096 parts was exceeded by suspected parts, whose names callers choose, kept an entry for each dropped one until its restart.

Cause: the record of verdicts for the log lost an entry only when the part was reported as changed; parts that the bound drops never were.

Change: expire() also returns the parts that were dropped since its last call.

--- a/src/camphorvalve/sharing/suspects.py
+++ b/src/camphorvalve/sharing/suspects.py
@@ -126,6 +126,8 @@
         """``None`` after a change."""
         self._oldest_s = float("inf")
         """No end is older."""
+        self._dropped_ids: list[str] = []
+        """Parts that the bound has dropped since the last call of ``expire``."""
         self._ended: dict[str, Ended] = {}
         """Ends of upstreams with and without waiting requests."""
         self._candidates: set[str] = set()
@@ -300,11 +302,12 @@
         Forget ends that are too old.
 
         :param now_s: monotonic time
-        :return: parts whose ends have changed
+        :return: parts whose ends have changed, and those that the bound has dropped since the last
+            call
         """
+        changed, self._dropped_ids = self._dropped_ids, []
         if now_s - self._oldest_s < LIFETIME_S:
-            return []
-        changed = []
+            return changed
         for part_id, ends in list(self._parts.items()):
             kept = {
                 upstream: end for upstream, end in ends.items() if now_s - end.at_s < LIFETIME_S
@@ -430,6 +433,7 @@
 
         for part_id in sorted(self._parts, key=weight)[:-MAX_PARTS_COUNT]:
             self._store(part_id, {})
+            self._dropped_ids.append(part_id)
 
 
 def _count_causes(times_s: Iterable[float]) -> int:
--- a/tests/controllers/test_suspects.py
+++ b/tests/controllers/test_suspects.py
@@ -7,7 +7,13 @@
 
 from camphorvalve.controllers.runtime import Sender
 from camphorvalve.controllers.suspects import POLL_LIFETIME_S, SuspectsFollower, SuspectsPublisher
-from camphorvalve.sharing.suspects import Condemned, Sound
+from camphorvalve.sharing.suspects import (
+    LIFETIME_S,
+    MAX_PARTS_COUNT,
+    TRIM_COUNT,
+    Condemned,
+    Sound,
+)
 from camphorvalve.wire.codec import Envelope, EnvelopeCodec
 from camphorvalve.wire.messages import MESSAGES, SuspectPoll, SuspectReport, SuspectUpdate
 
@@ -166,6 +172,17 @@
             self.end("r-0", "up-0", "first", "rare", after_s=0.0)
         self.assertEqual([type(message) for message in self.sent], [SuspectReport] * 2)
 
+    def test_parts_that_the_bound_drops(self) -> None:
+        """Guards against a record of verdicts that grows with the names that callers choose."""
+        router = self.routers["r-0"]
+        for number in range(2 * MAX_PARTS_COUNT):
+            for upstream in range(2):
+                list(router.record_end((f"a-{number}",), f"up-{upstream}", 100.0 + upstream))
+        list(router.tick(102.0))
+        self.assertLessEqual(len(router._levels._verdicts), MAX_PARTS_COUNT + TRIM_COUNT)
+        list(router.tick(102.0 + LIFETIME_S))
+        self.assertEqual(router._levels._verdicts, {})
+
     def test_routers_that_left(self) -> None:
         """Guards against messages to routers that have stopped."""
         self.tick()
