Clear no part by an answer that ends with its connection as it begins

What callers saw: found by reading. If an upstream answers without a length or chunks and crashes as the answer begins, the closed connection (a FIN) ends the answer: what was sent counts as whole. That cleared the deadly part of all ends, so that it would never have been condemned.

Cause: QuarantineFilter took each complete answer as one that the upstream has outlived, at once.

Evidence: filters.test_quarantine (test_answers_that_end_with_their_connection, real connections) fails with the filter before (stream, plain, plain without a body) and passes; reset connections were seen as ends before.

What remains: such an end counts neither for nor against the part. A plain answer without a length is read whole before it begins here, so that it never clears; its part needs an answer with a length.

--- a/src/camphorvalve/filters/quarantine.py
+++ b/src/camphorvalve/filters/quarantine.py
@@ -79,7 +79,9 @@
                         attempt.add(part, self._clock())
                         self._record_answer(exchange, attempt, part_ids, UNDER_WAY_S)
                     yield part
-            self._record_answer(exchange, attempt, part_ids, 0.0)
+            # The crash of an upstream may close the connection as the end of an answer does.
+            min_age_s = UNDER_WAY_S if exchange.ends_with_connection else 0.0
+            self._record_answer(exchange, attempt, part_ids, min_age_s)
         except UpstreamError as error:
             if part_ids and ended_connection(error):
                 self._record_end(exchange, error.upstream_id, attempt, part_ids)
--- a/src/camphorvalve/model/requests.py
+++ b/src/camphorvalve/model/requests.py
@@ -162,6 +162,9 @@
     failed_upstreams: set[str] = field(default_factory=set)
     """Upstreams at which an attempt failed: a routed call is not sent to them again, another call
     only when every live upstream of the pool is among them."""
+    ends_with_connection: bool = False
+    """Whether only the end of its connection ends the current response, so that the crash of its
+    upstream may look the same."""
     output_started: bool = False
     """Whether the caller has received a part of the response."""
     head: Head | None = None
--- a/src/camphorvalve/upstreams/routed.py
+++ b/src/camphorvalve/upstreams/routed.py
@@ -198,6 +198,7 @@
         self, upstream: Upstream, exchange: Exchange, response: httpx.Response
     ) -> AsyncGenerator[Part, None]:
         self._check_response(upstream, exchange, response)
+        exchange.ends_with_connection = ends_with_connection(response)
         headers = tuple(end_to_end(response.headers.multi_items()))
         head = Head(response.status_code, headers)
         is_stream = is_event_stream(response)
--- a/tests/filters/test_quarantine.py
+++ b/tests/filters/test_quarantine.py
@@ -221,6 +221,43 @@
 
 
 class QuarantineHttpTest(unittest.TestCase):
+    def test_answers_that_end_with_their_connection(self) -> None:
+        """Guards against clearing a part by an upstream that crashed as its answer began: without a
+        length or chunks, what it had sent looks like a whole answer."""
+        head = b"HTTP/1.1 200 OK\r\n" + UPSTREAM_HEADERS
+        stream = head + b"content-type: text/event-stream\r\n"
+        event = b"id: 1\ndata: a\n\n"
+        cases = {
+            "stream": (STREAM, stream + b"\r\n" + event, 1),
+            "stream with a length": (STREAM, stream + b"content-length: 15\r\n\r\n" + event, 0),
+            "plain": (PLAIN, head + b"\r\npart", 1),
+            "plain without a body": (PLAIN, head + b"\r\n", 1),
+            "plain with a length": (PLAIN, head + b"content-length: 4\r\n\r\npart", 0),
+        }
+
+        async def run(route: Any, content: bytes) -> int:
+            quarantine = Quarantine()
+            await quarantine.crash("a", "last", upstream_id="up-1")
+            quarantine.now_s += 1.0
+            async with (
+                create_client() as client,
+                upstream(Script(content, "close")) as (url, _),
+            ):
+                listed = a_listed_upstream("up-9", url=url)
+                attempts = RoutedAttempts(client, HEADER_NAMES)
+
+                def handler(exchange: Exchange) -> AsyncIterator[Part]:
+                    exchange.upstream_id = listed.upstream_id
+                    return attempts.open(listed, exchange)
+
+                exchange = an_exchange("a", "last", route=route)
+                await run_filter(quarantine.filter, exchange, handler)
+            return quarantine.ends_count("a")
+
+        for name, (route, content, count) in cases.items():
+            with self.subTest(name):
+                self.assertEqual(anyio.run(run, route, content), count)
+
     def test_upstreams_that_close(self) -> None:
         """Guards against a prompt that ends one upstream after another over real connections."""
         whole = (
