--- a/src/camphorvalve/sharing/suspects.py
+++ b/src/camphorvalve/sharing/suspects.py
@@ -39,8 +39,9 @@
 MAX_PARTS_COUNT = 4096
 TRIM_COUNT = 256
 """Parts that are added beyond the bound before the least important ones are dropped."""
-MAX_ENDS_COUNT = 8
-"""Most ends that are remembered of one part."""
+MAX_ENDS_COUNT = 32
+"""Most ends that are remembered of one part. Those of a condemned part explain the ends of others,
+so that all ends in a burst are needed."""
 MAX_ENDED_COUNT = 256
 """Most upstreams whose ends are remembered."""
 MAX_ANSWERED_COUNT = 4096
@@ -125,6 +126,8 @@
         """``None`` after a change."""
         self._oldest_s = float("inf")
         """No end is older."""
+        self._dropped_ids: list[str] = []
+        """Parts that the bound has dropped since the last call of ``expire``."""
         self._ended: dict[str, Ended] = {}
         """Ends of upstreams with and without waiting requests."""
         self._candidates: set[str] = set()
@@ -145,11 +148,13 @@
         :return: the gravest verdict
         """
         suspected_ids = []
-        asked_ids = set(part_ids)
+        explanations: set[frozenset[str]] | None = None
         for part_id in part_ids:
-            if part_id not in self._parts:
+            if self.count(part_id) < SUSPECTED_COUNT:
                 continue
-            count = self._unexplained_count(part_id, asked_ids)
+            if explanations is None:
+                explanations = self._explanations(set(part_ids))
+            count = self._unexplained_count(part_id, explanations)
             is_condemned = part_id in self._condemned
             if is_condemned and count >= UNEXPLAINED_COUNT:
                 return Condemned(part_id)
@@ -297,11 +302,12 @@
         Forget ends that are too old.
 
         :param now_s: monotonic time
-        :return: parts whose ends have changed
+        :return: parts whose ends have changed, and those that the bound has dropped since the last
+            call
         """
+        changed, self._dropped_ids = self._dropped_ids, []
         if now_s - self._oldest_s < LIFETIME_S:
-            return []
-        changed = []
+            return changed
         for part_id, ends in list(self._parts.items()):
             kept = {
                 upstream: end for upstream, end in ends.items() if now_s - end.at_s < LIFETIME_S
@@ -408,13 +414,16 @@
         ended = self._ended.get(upstream)
         return ended is not None and (ended.survived or at_s > ended.at_s + SAME_END_S)
 
-    def _unexplained_count(self, part_id: str, asked_ids: set[str]) -> int:
+    def _explanations(self, asked_ids: set[str]) -> set[frozenset[str]]:
+        """Return the ends that condemned parts of other prompts explain; many have the same."""
+        return {ended for part_id, ended in self._condemned.items() if part_id not in asked_ids}
+
+    def _unexplained_count(self, part_id: str, explanations: Iterable[frozenset[str]]) -> int:
         """Count the ends of a part without those that a condemned part elsewhere explains."""
         counting = self._counting(part_id)
         counts = [
             _count_causes(at_s for upstream, at_s in counting.items() if upstream not in ended)
-            for condemned_id, ended in self._condemned.items()
-            if condemned_id not in asked_ids
+            for ended in explanations
         ]
         return min(counts, default=_count_causes(counting.values()))
 
@@ -424,30 +433,30 @@
 
         for part_id in sorted(self._parts, key=weight)[:-MAX_PARTS_COUNT]:
             self._store(part_id, {})
+            self._dropped_ids.append(part_id)
 
 
 def _count_causes(times_s: Iterable[float]) -> int:
     """Count ends; those within a short time of the first of them count once."""
-    return len(_cause_times_s(times_s))
+    return len(_cause_times(times_s))
 
 
-def _cause_times_s(times_s: Iterable[float]) -> set[float]:
-    """Return the times of the first ends of each cause."""
-    causes_s, cause_s = set(), float("-inf")
+def _cause_times(times_s: Iterable[float]) -> list[float]:
+    """Return the time of the first of the ends that count once."""
+    causes_s: list[float] = []
     for at_s in sorted(times_s):
-        if at_s - cause_s > SAME_CAUSE_S:
-            cause_s = at_s
-            causes_s.add(at_s)
+        if not causes_s or at_s - causes_s[-1] > SAME_CAUSE_S:
+            causes_s.append(at_s)
     return causes_s
 
 
 def _most_telling(ends: Ends) -> Ends:
-    """Select ends up to the bound: first those that make up the count, then the newest."""
-    causes_s = _cause_times_s(end.at_s for end in ends.values() if not end.cleared)
+    """Select ends within the bound, so that many at a time do not push out the earlier ones."""
+    causes_s = set(_cause_times(end.at_s for end in ends.values() if not end.cleared))
 
     def weight(upstream: str) -> tuple[bool, bool, float]:
-        at_s, cleared = ends[upstream]
-        return cleared, at_s not in causes_s, -at_s
+        end = ends[upstream]
+        return end.cleared, end.at_s not in causes_s, -end.at_s
 
     return {upstream: ends[upstream] for upstream in sorted(ends, key=weight)[:MAX_ENDS_COUNT]}
 
