--- a/review/fleet.py
+++ b/review/fleet.py
@@ -474,4 +474,13 @@
             record("result: the rule was BROKEN" if broken else "result: the rule held")
             return 1 if broken else 0
 
-    sys.exit(asyncio.run(main()))
+    async def main_until_signalled() -> int:
+        task = asyncio.current_task()
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
+        return await main()
+
+    try:
+        sys.exit(asyncio.run(main_until_signalled()))
+    except (asyncio.CancelledError, KeyboardInterrupt):
+        record("could not run: ended from outside")
+        sys.exit(2)
