--- a/review/fleet.py
+++ b/review/fleet.py
@@ -24,6 +24,7 @@
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 RESTART_DELAY_S = 0.5
+CONTRACTS = ["base", "drain", "config", "cost", "retry", "recover", "engine", "stream", "tenants"]
 BOUNDS = {
     "seedLagS": 3,
     "addrReuseS": 2,
@@ -249,7 +250,7 @@
         'discovery = "cloud_api"',
         'entry = "directory"',
         "heartbeatMs = 1200",
-        'contracts = ["base","drain","config","cost","retry","recover","stream","tenants"]',
+        f"contracts = {json.dumps(CONTRACTS)}",
         'configMode = "highest"',
     ]
     if node.role == "controller":
