Keep the majority of a group whose hosts are replaced in turn

Cause: a silent member left 15 s after the newest election, while each successor was added as a further voter at once. The dead added up until they were half of the group. Ruled out that elections alone cause it: a group of three whose followers are replaced 5 s apart stops, too.

Change: the silence of members survives elections and restarts (reports of the leader with its heartbeats, and of followers to a new leader; used for five election timeouts, and only after two of own observation). In a group of even size that has just grown, a silent member leaves after half of catchUpS, as such a group bears no more losses than the next smaller one; at an odd size a learner waits until that can happen. Learners that do not answer are not added. Member changes are logged.

--- a/src/camphorvalve/consensus/election.py
+++ b/src/camphorvalve/consensus/election.py
@@ -9,6 +9,7 @@
 from camphorvalve.consensus.messages import Vote, VoteRequest
 from camphorvalve.consensus.replication import become_leader
 from camphorvalve.consensus.roles import Candidate, Follower, Leader, become_follower
+from camphorvalve.consensus.silence import record_silent_leader
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -97,6 +98,7 @@
         yield SaveVote(state.term, state.identity)
     state.role = Candidate(pre, {state.identity}, state.next_deadline_s(now_s))
     if known_leader is not None:
+        record_silent_leader(state, known_leader, now_s)
         yield LeaderChanged(state.term, None)
     for member in state.other_members():
         yield Send(
--- a/src/camphorvalve/consensus/following.py
+++ b/src/camphorvalve/consensus/following.py
@@ -7,6 +7,7 @@
 from camphorvalve.consensus.events import Commit, Send, StoreEntries
 from camphorvalve.consensus.messages import Appended
 from camphorvalve.consensus.roles import become_follower
+from camphorvalve.consensus.silence import report_to_new_leader
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -28,7 +29,10 @@
     if message.term < state.term:
         yield _response(state, message, 0, accepted=False)
         return
+    has_new_leader = state.leader != message.sender
     yield from become_follower(state, message.term, message.sender, now_s)
+    if has_new_leader:
+        yield from report_to_new_leader(state, message.sender, now_s)
     previous_term = state.log.term(message.previous_index)
     is_committed = message.previous_index <= state.log.base_index
     if not is_committed and previous_term != message.previous_term:
--- a/src/camphorvalve/consensus/messages.py
+++ b/src/camphorvalve/consensus/messages.py
@@ -97,13 +97,35 @@
     held_bytes: int
 
 
+class MemberSilence(NamedTuple):
+    """How long a member has been silent."""
+
+    member: str
+    silent_s: float
+
+
+class SilenceReport(NamedTuple):
+    """
+    The silent members, from the leader to its followers, and from a follower to a new leader.
+
+    The monotonic clocks of hosts differ, so the report contains durations.
+    """
+
+    sender: str
+    receiver: str
+    term: int
+    silences: tuple[MemberSilence, ...]
+
+
 class Join(NamedTuple):
     """A replica that is no member, or hears from no leader, asks to be caught up and added."""
 
     sender: str
 
 
-Message = VoteRequest | Vote | Append | Appended | SnapshotChunk | ChunkStored | Join
+Message = (
+    VoteRequest | Vote | Append | Appended | SnapshotChunk | ChunkStored | SilenceReport | Join
+)
 MESSAGES: tuple[type, ...] = (
     VoteRequest,
     Vote,
@@ -111,6 +133,7 @@
     Appended,
     SnapshotChunk,
     ChunkStored,
+    SilenceReport,
     Join,
 )
 
@@ -121,7 +144,9 @@
     "ChunkStored",
     "Entry",
     "Join",
+    "MemberSilence",
     "Message",
+    "SilenceReport",
     "Snapshot",
     "SnapshotChunk",
     "Vote",
--- a/src/camphorvalve/consensus/replica.py
+++ b/src/camphorvalve/consensus/replica.py
@@ -4,7 +4,14 @@
 
 from typing import TYPE_CHECKING, NamedTuple
 
-from camphorvalve.consensus import election, following, replication, transfer
+from camphorvalve.consensus import (
+    election,
+    following,
+    memberchanges,
+    replication,
+    silence,
+    transfer,
+)
 from camphorvalve.consensus.events import (
     Compacted,
     ConfirmLeadership,
@@ -21,6 +28,7 @@
     ChunkStored,
     Entry,
     Join,
+    SilenceReport,
     Snapshot,
     SnapshotChunk,
     Vote,
@@ -90,6 +98,7 @@
             # Delays votes: a lease that this replica renewed before the restart may still hold.
             heard_s=now_s,
             role=Follower(None, 0.0),
+            known_members=log.members,
         )
         self.state.role = Follower(None, self.state.next_deadline_s(now_s))
 
@@ -102,13 +111,14 @@
         :return: effects in the order in which to execute them; has to be exhausted
         """
         state = self.state
+        state.record_growth(now_s)
         yield from replication.check_quorum(state, now_s)
         match event:
             case Received(message):
                 yield from self._receive(message, now_s)
             case Tick():
                 yield from replication.send_heartbeats(state, now_s)
-                yield from replication.remove_silent_member(state, now_s)
+                yield from memberchanges.remove_silent_member(state, now_s)
                 yield from election.check_election_timeout(state, now_s)
             case Propose():
                 yield from replication.propose(state, event)
@@ -118,7 +128,7 @@
                 yield from replication.send_pending(state, now_s, heartbeat=False)
             case Synced(index):
                 state.synced_index = max(state.synced_index, index)
-                yield from replication.advance_commit_index(state)
+                yield from replication.advance_commit_index(state, now_s)
             case Compacted(snapshot):
                 state.log.compact(snapshot)
 
@@ -158,7 +168,7 @@
     def _receive(self, message: Message, now_s: float) -> Iterator[Effect]:
         state = self.state
         if isinstance(message, Join):
-            replication.on_join(state, message.sender, now_s)
+            memberchanges.on_join(state, message.sender, now_s)
             return
         # Sent to another identity of this host, such as one whose disk was lost.
         if message.receiver != state.identity:
@@ -176,6 +186,8 @@
                 yield from transfer.on_chunk(state, message, now_s)
             case ChunkStored():
                 yield from transfer.on_chunk_stored(state, message, now_s)
+            case SilenceReport():
+                silence.on_report(state, message, now_s)
 
 
 def _commit_index(log: Log, stored: PersistentState) -> int:
--- a/src/camphorvalve/consensus/replication.py
+++ b/src/camphorvalve/consensus/replication.py
@@ -1,4 +1,4 @@
-"""Leader side of log replication: sends entries, commits, holds the lease, changes members."""
+"""Leader side of log replication: sends entries, commits, holds the lease."""
 
 from __future__ import annotations
 
@@ -10,11 +10,18 @@
     LeaderChanged,
     Rejected,
     Send,
-    StoreEntries,
 )
-from camphorvalve.consensus.members import is_quorum, quorum_value, superseded_member
+from camphorvalve.consensus.memberchanges import drop_silent_learners, propose_member_change
+from camphorvalve.consensus.members import quorum_value
 from camphorvalve.consensus.messages import Append, Appended, Entry
-from camphorvalve.consensus.roles import Leader, Progress, become_follower, record_ack
+from camphorvalve.consensus.roles import (
+    Leader,
+    Progress,
+    append_entry,
+    become_follower,
+    record_ack,
+)
+from camphorvalve.consensus.silence import report_to_followers, reported_silence_s
 from camphorvalve.consensus.transfer import send_chunk
 
 if TYPE_CHECKING:
@@ -29,11 +36,6 @@
 """Entries sent before a response; an unreachable replica is sent no more than these."""
 LEASE_RATIO = 0.9
 """Lease duration as a fraction of the election timeout; the rest is a margin for clock drift."""
-MIN_MEMBERS_COUNT = 3
-"""Removal of silent members leaves at least this many: with fewer, one more failure would end the
-majority."""
-LEARNER_TIMEOUT_RATIO = 10
-"""Silence after which replication to a learner ends, in election timeouts."""
 
 
 def become_leader(state: ReplicaState, now_s: float) -> Iterator[Effect]:
@@ -46,10 +48,13 @@
     """
     next_index = state.log.last_index + 1
     role = Leader(next_index, now_s, now_s + state.timing.heartbeat_s)
-    role.progress = {member: Progress(next_index, now_s) for member in state.other_members()}
+    role.progress = {
+        member: Progress(next_index, now_s, reported_silence_s(state, member, now_s))
+        for member in state.other_members()
+    }
     state.role = role
     yield LeaderChanged(state.term, state.identity)
-    yield from _append_entry(state, None, state.term_start_command)
+    yield from append_entry(state, None, state.term_start_command)
     yield from send_pending(state, now_s, heartbeat=True)
 
 
@@ -63,7 +68,7 @@
     """
     match state.role:
         case Leader():
-            yield from _append_entry(state, None, proposal.payload)
+            yield from append_entry(state, None, proposal.payload)
             yield Accepted(proposal.proposal_id, state.log.last_index, state.term)
         case _:
             yield Rejected(proposal.proposal_id, state.leader)
@@ -115,38 +120,6 @@
             return None
 
 
-def remove_silent_member(state: ReplicaState, now_s: float) -> Iterator[Effect]:
-    """
-    Remove a member that has been silent for too long, if a majority of the others responds.
-
-    :param state: the replica
-    :param now_s: current time
-    :return: effects
-    """
-    lost_s = state.timing.member_lost_s
-    match state.role:
-        case Leader() as role if lost_s is not None and _may_change_members(state, role):
-            last_heard_s = {
-                member: max(role.progress[member].since_s, role.progress[member].acked_s)
-                for member in state.other_members()
-            }
-            if len(last_heard_s) < MIN_MEMBERS_COUNT or not last_heard_s:
-                return
-            silent = min(last_heard_s, key=last_heard_s.__getitem__)
-            remaining = tuple(member for member in state.log.members if member != silent)
-            responding = [
-                member
-                for member in remaining
-                if member == state.identity
-                or now_s - last_heard_s[member] <= state.timing.election_timeout_s
-            ]
-            if now_s - last_heard_s[silent] > lost_s and is_quorum(remaining, responding):
-                role.progress.pop(silent)
-                yield from _append_entry(state, remaining, b"")
-        case _:
-            return
-
-
 def send_heartbeats(
     state: ReplicaState, now_s: float, *, at_once: bool = False
 ) -> Iterator[Effect]:
@@ -161,8 +134,9 @@
     match state.role:
         case Leader(heartbeat_due_s=due_s) as role if at_once or now_s >= due_s:
             role.heartbeat_due_s = now_s + state.timing.heartbeat_s
-            _drop_silent_learners(state, role, now_s)
+            drop_silent_learners(state, role, now_s)
             yield from send_pending(state, now_s, heartbeat=True)
+            yield from report_to_followers(state, role, now_s)
 
 
 def send_pending(state: ReplicaState, now_s: float, *, heartbeat: bool) -> Iterator[Effect]:
@@ -204,14 +178,15 @@
         hint = min(response.match_index, state.log.last_index)
         progress.next_index = max(progress.match_index, hint) + 1
     yield from _send_entries(state, response.sender, progress, now_s, heartbeat=False)
-    yield from advance_commit_index(state)
+    yield from advance_commit_index(state, now_s)
 
 
-def advance_commit_index(state: ReplicaState) -> Iterator[Effect]:
+def advance_commit_index(state: ReplicaState, now_s: float) -> Iterator[Effect]:
     """
     Commit the entries that a majority of the members holds, then start a due member change.
 
     :param state: the replica
+    :param now_s: current time
     :return: effects
     """
     match state.role:
@@ -224,49 +199,7 @@
                 committed = state.log.between(state.commit_index + 1, index)
                 state.commit_index = index
                 yield Commit(committed)
-            yield from _propose_member_change(state, role)
-
-
-def on_join(state: ReplicaState, replica: str, now_s: float) -> None:
-    """
-    Start replicating to a replica that is not a member yet.
-
-    :param state: the replica
-    :param replica: identity of the new replica
-    :param now_s: current time
-    """
-    match state.role:
-        case Leader(progress=progress) if replica not in progress and replica != state.identity:
-            progress[replica] = Progress(state.log.last_index + 1, now_s)
-
-
-def _append_entry(
-    state: ReplicaState, members: tuple[str, ...] | None, payload: bytes
-) -> Iterator[Effect]:
-    entry = Entry(state.log.last_index + 1, state.term, members, payload)
-    state.log.extend((entry,))
-    yield StoreEntries((entry,))
-
-
-def _propose_member_change(state: ReplicaState, role: Leader) -> Iterator[Effect]:
-    members = state.log.members
-    if not _may_change_members(state, role):
-        return
-    if (superseded := superseded_member(members)) is not None:
-        role.progress.pop(superseded, None)
-        yield from _append_entry(
-            state, tuple(member for member in members if member != superseded), b""
-        )
-        return
-    for replica, progress in role.progress.items():
-        if replica not in members and progress.match_index >= state.commit_index:
-            yield from _append_entry(state, (*members, replica), b"")
-            return
-
-
-def _may_change_members(state: ReplicaState, role: Leader) -> bool:
-    """Check that the previous member change and the first entry of the term are committed."""
-    return max(state.log.members_index, role.term_start_index) <= state.commit_index
+            yield from propose_member_change(state, role, now_s)
 
 
 def _send_entries(
@@ -325,15 +258,6 @@
     )
 
 
-def _drop_silent_learners(state: ReplicaState, role: Leader, now_s: float) -> None:
-    silence_s = LEARNER_TIMEOUT_RATIO * state.timing.election_timeout_s
-    for replica in list(role.progress):
-        progress = role.progress[replica]
-        heard_s = max(progress.since_s, progress.acked_s)
-        if replica not in state.log.members and now_s - heard_s > silence_s:
-            del role.progress[replica]
-
-
 __all__ = [
     "advance_commit_index",
     "become_leader",
@@ -341,9 +265,7 @@
     "lease_until_s",
     "majority_acked_s",
     "on_appended",
-    "on_join",
     "propose",
-    "remove_silent_member",
     "send_heartbeats",
     "send_pending",
 ]
--- a/src/camphorvalve/consensus/roles.py
+++ b/src/camphorvalve/consensus/roles.py
@@ -6,8 +6,9 @@
 from random import Random
 from typing import TYPE_CHECKING, NamedTuple
 
-from camphorvalve.consensus.events import LeaderChanged, SaveVote
+from camphorvalve.consensus.events import LeaderChanged, SaveVote, StoreEntries
 from camphorvalve.consensus.log import Log
+from camphorvalve.consensus.messages import Entry
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -26,6 +27,9 @@
     member_lost_s: float | None = None
     """Silence after which the leader removes a member; ``None`` disables removal. A removed member
     that becomes reachable again rejoins with its existing log."""
+    member_replaced_s: float | None = None
+    """The same, shorter, for a member whose successor has joined; ``None`` applies
+    ``member_lost_s`` to all."""
 
 
 @dataclass(slots=True)
@@ -61,6 +65,8 @@
 
     next_index: int
     since_s: float
+    earlier_silence_s: float = 0.0
+    """Silence before ``since_s``, as reported by other replicas; void after an acknowledgement."""
     match_index: int = 0
     acked_s: float = NEVER_S
     """Leader's time when it sent the newest message that was acknowledged."""
@@ -79,11 +85,22 @@
     since_s: float
     heartbeat_due_s: float
     progress: dict[str, Progress] = field(default_factory=dict)
+    report_until_s: float = NEVER_S
+    """When the reports of silent members end."""
 
 
 Role = Follower | Candidate | Leader
 
 
+@dataclass(slots=True)
+class ReportedSilences:
+    """Silent members as known to a replica that does not lead, with the time of the report."""
+
+    received_s: float = NEVER_S
+    silent_s: dict[str, float] = field(default_factory=dict)
+    """Silence by member; the time since the report is not part of it."""
+
+
 @dataclass(slots=True)
 class ReplicaState:
     """Persistent and volatile state of one replica."""
@@ -101,6 +118,11 @@
     heard_s: float
     """When a leader was last heard from; within an election timeout of it no vote is granted."""
     role: Role
+    known_members: tuple[str, ...]
+    """Members when ``record_growth`` was last called."""
+    grown_s: float = NEVER_S
+    """When a member was last added; not known after a restart."""
+    reported: ReportedSilences = field(default_factory=ReportedSilences)
 
     @property
     def leader(self) -> str | None:
@@ -129,6 +151,17 @@
         """:return: identities of the other members"""
         return tuple(member for member in self.log.members if member != self.identity)
 
+    def record_growth(self, now_s: float) -> None:
+        """
+        Record whether a member has been added since the last call.
+
+        :param now_s: current time
+        """
+        if self.log.members != self.known_members:
+            if not set(self.log.members) <= set(self.known_members):
+                self.grown_s = now_s
+            self.known_members = self.log.members
+
     def next_deadline_s(self, now_s: float) -> float:
         """
         Pick a randomized time for the next election unless a leader is heard from before then.
@@ -158,6 +191,22 @@
             return None
 
 
+def append_entry(
+    state: ReplicaState, members: tuple[str, ...] | None, payload: bytes
+) -> Iterator[Effect]:
+    """
+    Append an entry of the current term to the log of the leader.
+
+    :param state: the leader
+    :param members: the voting members from this entry on; ``None`` for a command
+    :param payload: the encoded command
+    :return: effects
+    """
+    entry = Entry(state.log.last_index + 1, state.term, members, payload)
+    state.log.extend((entry,))
+    yield StoreEntries((entry,))
+
+
 def become_follower(
     state: ReplicaState, term: int, leader: str | None, now_s: float
 ) -> Iterator[Effect]:
@@ -195,8 +244,10 @@
     "Leader",
     "Progress",
     "ReplicaState",
+    "ReportedSilences",
     "Role",
     "Timing",
+    "append_entry",
     "become_follower",
     "record_ack",
 ]
--- a/src/camphorvalve/controllers/replication.py
+++ b/src/camphorvalve/controllers/replication.py
@@ -101,7 +101,12 @@
         self._wall_clock = wall_clock
         self._machine = RegistryMachine()
         first_command = COMMAND_CODEC.encode(TakeLeadership(settings.host_id))
-        timing = Timing(settings.election_timeout_s, settings.heartbeat_s, settings.member_lost_s)
+        timing = Timing(
+            settings.election_timeout_s,
+            settings.heartbeat_s,
+            settings.member_lost_s,
+            settings.member_replaced_s,
+        )
         self._replica = Replica(storage.stored, timing, random, started_s, first_command)
         self._driver = Driver(self._replica, storage, self._machine, settings.snapshot_every_count)
         self._presence = Presence(settings.router_lost_s, started_s)
@@ -122,6 +127,7 @@
         self._outbox: list[Outgoing] = []
         self._join_due_s = started_s
         self._recovery_due_s = started_s
+        self._logged_members = self._replica.state.log.members
         self._flush_requested = anyio.Event()
         self.leads_since_s = started_s
         """Start of the newest leadership of this controller; before that, its own start."""
@@ -285,6 +291,7 @@
                 yield from self._recover(now_s)
         yield from self._complete_reads(now_s)
         yield from self.flush(now_s)
+        self._log_member_changes()
 
     def flush(self, now_s: float) -> Iterator[Outgoing]:
         """
@@ -405,6 +412,20 @@
                 case Restored(index):
                     _log.info("state restored from the snapshot of the leader", index=index)
 
+    def _log_member_changes(self) -> None:
+        replica = self._replica.state
+        members, logged = replica.log.members, self._logged_members
+        if members == logged:
+            return
+        self._logged_members = members
+        _log.info(
+            "members changed",
+            term=replica.term,
+            added=[member for member in members if member not in logged],
+            removed=[member for member in logged if member not in members],
+            members_count=len(members),
+        )
+
     def _handle_leader_change(self, term: int, leader: str | None, now_s: float) -> None:
         _log.info("leader changed", term=term, leader=leader)
         if leader == self._replica.state.identity:
--- a/src/camphorvalve/controllers/status.py
+++ b/src/camphorvalve/controllers/status.py
@@ -6,6 +6,7 @@
 
 from camphorvalve.consensus.members import host_of
 from camphorvalve.consensus.roles import Candidate, Follower, Leader
+from camphorvalve.consensus.silence import silence_s
 
 if TYPE_CHECKING:
     from camphorvalve.consensus.replica import Replica
@@ -94,10 +95,7 @@
         case Leader(progress=progress):
             match_indexes = {identity: peer.match_index for identity, peer in progress.items()}
             match_indexes[local.identity] = local.synced_index
-            silent = {
-                identity: now_s - max(peer.since_s, peer.acked_s)
-                for identity, peer in progress.items()
-            }
+            silent = {identity: silence_s(peer, now_s) for identity, peer in progress.items()}
             silent[local.identity] = 0.0
         case _:
             match_indexes = {}
--- a/src/camphorvalve/settings/checks.py
+++ b/src/camphorvalve/settings/checks.py
@@ -41,6 +41,8 @@
     "result_retention_s": (1, 30 * 86400),
     "result_store_bytes": (MAX_RECORDED_ANSWER_BYTES, 1 << 34),
     "router_lost_s": (3, 120),
+    "member_lost_s": (2, 3600),
+    "member_replaced_s": (1, 3600),
 }
 
 _NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,62}")
@@ -242,6 +244,9 @@
     if _are_numbers(heartbeat_s, election_s) and heartbeat_s * 3 > election_s:
         expected = f"at most a third of election_timeout_s ({election_s:g})"
         yield problem_at("heartbeat_s", heartbeat_s, expected)
+    lost_s, replaced_s = settings.member_lost_s, settings.member_replaced_s
+    if _are_numbers(lost_s, replaced_s) and replaced_s > lost_s:
+        yield problem_at("member_replaced_s", replaced_s, f"at most member_lost_s ({lost_s:g})")
     if isinstance(settings.controllers, tuple):
         host_ids = [getattr(controller, "host_id", None) for controller in settings.controllers]
         if settings.host_id not in host_ids:
--- a/src/camphorvalve/settings/schema.py
+++ b/src/camphorvalve/settings/schema.py
@@ -160,6 +160,8 @@
     """Longest time that a graceful stop waits for the last open request."""
     member_lost_s: float | None = None
     """Silence after which the leader removes a controller from the group; it may rejoin."""
+    member_replaced_s: float | None = None
+    """The same, shorter, for a controller whose successor has joined the group."""
 
 
 __all__ = [
--- a/tests/consensus/cluster.py
+++ b/tests/consensus/cluster.py
@@ -300,6 +300,11 @@
                 self.in_flight.append((due_s, self._count, message, host))
 
 
+def first_hosts(count: int) -> tuple[str, ...]:
+    """Name the first hosts of a cluster."""
+    return tuple("abcdefghi"[:count])
+
+
 def patch_retained_count() -> tuple[Callable[[], Any], Callable[[], Any]]:
     """Build module fixtures that retain few entries, so that lagging replicas need snapshots."""
     patch = mock.patch("camphorvalve.consensus.log.RETAINED_COUNT", 2)
@@ -318,5 +323,6 @@
     "MemoryStorage",
     "Node",
     "RecordingStateMachine",
+    "first_hosts",
     "patch_retained_count",
 ]
--- a/tests/platform/builders.py
+++ b/tests/platform/builders.py
@@ -34,6 +34,7 @@
         "limits": {"memoryMb": 300, "maxFds": 4100},
         "bounds": {
             "contactMs": 3000,
+            "catchUpS": 4,
             "graceS": 8,
             "retryBudgetRatio": 0.2,
             "retryBudgetMin": 56,
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -17,7 +17,13 @@
 from camphorvalve_platform import settings
 from tests.platform.builders import a_settings_file
 
-BOUNDS = {"contactMs": 3000, "graceS": 8, "retryBudgetRatio": 0.2, "retryBudgetMin": 56}
+BOUNDS = {
+    "contactMs": 3000,
+    "catchUpS": 4,
+    "graceS": 8,
+    "retryBudgetRatio": 0.2,
+    "retryBudgetMin": 56,
+}
 FIELDS = ("node", "zone", "internalPorts", "seeds", "bootstrap", "listen", "bounds", "limits")
 toml_values = strategies.recursive(
     strategies.booleans()
@@ -53,6 +59,7 @@
         controller = settings.controller_settings(loaded)
         self.assertEqual(controller.data_folder, "/data/core")
         self.assertTrue(controller.bootstrap)
+        self.assertEqual((controller.member_lost_s, controller.member_replaced_s), (15, 2))
 
     def test_wrong_fields(self) -> None:
         """Guards against an error that does not name the field."""
--- a/tests/settings/test_loader.py
+++ b/tests/settings/test_loader.py
@@ -69,6 +69,11 @@
     ({"heartbeat_s": 0.5}, [("heartbeat_s", "0.5", "at most a third of election_timeout_s (1)")]),
     ({"host_id": "controller-9"}, [("controllers", "without this host", "'controller-9'")]),
     ({"data_folder": "data"}, [("data_folder", "'data'", "an absolute path")]),
+    ({"member_lost_s": 15000}, [("member_lost_s", "15000", "2 to 3600")]),
+    (
+        {"member_lost_s": 15, "member_replaced_s": 20},
+        [("member_replaced_s", "20", "at most member_lost_s (15)")],
+    ),
     ({"result_store_bytes": 9}, [("result_store_bytes", "9", "262144 to")]),
     (
         {"data_folder": 7, "operator_url": "x", "heartbeat_s": True, "nonsense": 1},
--- a/tests/specs/test_specs.py
+++ b/tests/specs/test_specs.py
@@ -7,14 +7,15 @@
 
 from minicheck import check_safety
 
-from specs import at_most_once, fenced_order, member_removal, replicated_log
+from specs import at_most_once, fenced_order, member_removal, member_replacement, replicated_log
 
-MODULES = (replicated_log, member_removal, at_most_once, fenced_order)
+MODULES = (replicated_log, member_removal, member_replacement, at_most_once, fenced_order)
 # Enough states to reach the shortest violation; the full state space of a defect is larger.
 MAX_DEFECT_STATES = 40_000
 VIOLATED_INVARIANTS = {
     replicated_log: {"one leader per term", "committed entries never change"},
     member_removal: {"committed entries never change"},
+    member_replacement: {"running members are a majority"},
     at_most_once: {"at most one run"},
     fenced_order: {"no stale order on an engine that ignores fencing numbers"},
 }
@@ -22,6 +23,9 @@
 REQUIRED_STATES = {
     replicated_log: lambda state: any(entry.members == (0, 1, 3) for entry in state["committed"]),
     member_removal: lambda state: any(entry.members == (1, 2, 3) for entry in state["committed"]),
+    member_replacement: lambda state: (
+        state["losses_left_count"] == 0 and state["running_count"] == 5 and not state["silent_s"]
+    ),
     at_most_once: lambda state: state["outcome"] == "answer" and state["second"].sent,
     fenced_order: lambda state: state["newest_leaders"] == (2, 2),
 }
--- a/tools/joinedfleet.py
+++ b/tools/joinedfleet.py
@@ -215,6 +215,7 @@
 directory = "{ip}:{ports.directory}"
 [bounds]
 contactMs = 1000
+catchUpS = 4
 graceS = {self.grace_s}
 retryBudgetRatio = 0.2
 retryBudgetMin = 56
