Limit the head of a response with all informational responses

Callers whose upstream sent interim responses (102, 103) without end got nothing until their deadline, and those of other upstreams waited: httpcore skips such responses in a loop, and as bytes had always arrived already, the event loop got no turn.

A connection now counts the bytes between a request and the end of the response's head (64 KiB at most), reads 8 KiB of it at a time, and gives the loop a turn in between.

tests.upstreams.test_routed (test_endless_responses, "informational") ran into its limit of 5 s before and passes now.

--- a/src/camphorvalve/upstreams/client.py
+++ b/src/camphorvalve/upstreams/client.py
@@ -9,7 +9,7 @@
 
 import httpx
 
-from camphorvalve.upstreams.network import Backend
+from camphorvalve.upstreams.network import Backend, Stream
 
 if TYPE_CHECKING:
     import httpcore
@@ -89,7 +89,11 @@
             pool = _Pool(origin, self._unacknowledged_timeout_s, self._keepalive_s)
             self._pools[origin] = pool
         pool.last_used_s = time.monotonic()
-        return await pool.transport.handle_async_request(request)
+        response = await pool.transport.handle_async_request(request)
+        match response.extensions["network_stream"]:
+            case Stream() as stream:
+                stream.start_body()
+        return response
 
     async def aclose(self) -> None:
         for pool in self._pools.values():
--- a/src/camphorvalve/upstreams/network.py
+++ b/src/camphorvalve/upstreams/network.py
@@ -20,6 +20,11 @@
 """Text of the error that a waiting reader gets from ``Stream.abort``."""
 READ_AHEAD_BYTES = 64 << 10
 """Bytes buffered for the reader before the connection pauses reading."""
+MAX_HEAD_BYTES = 64 << 10
+"""Longest head of a response, together with the informational responses before it, which httpcore
+reads without an end."""
+HEAD_READ_BYTES = 8 << 10
+"""Most bytes that one read returns before the body, so that parsing does not hold the loop."""
 
 
 class Stream(asyncio.Protocol, httpcore.AsyncNetworkStream):
@@ -36,6 +41,8 @@
         self._read_waiter: asyncio.Future[None] | None = None
         self._write_waiter: asyncio.Future[None] | None = None
         self._writing_paused = False
+        self._head_left_bytes: int | None = None
+        """Bytes that the head of the response may still take, ``None`` outside of it."""
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """
@@ -97,7 +104,27 @@
         :return: the bytes, empty at the end of the connection
         :raises httpcore.ReadTimeout: nothing arrived in time
         :raises httpcore.ReadError: the connection failed
-        """
+        :raises httpcore.RemoteProtocolError: the head of the response is too long
+        """
+        if self._head_left_bytes is not None:
+            max_bytes = min(max_bytes, HEAD_READ_BYTES)
+            if self._head_left_bytes < MAX_HEAD_BYTES:
+                # Bytes that have already arrived would be read without a turn of the loop.
+                await asyncio.sleep(0)
+        content = await self._read(max_bytes, timeout)
+        if self._head_left_bytes is not None:
+            self._head_left_bytes -= len(content)
+            if self._head_left_bytes < 0:
+                raise httpcore.RemoteProtocolError(
+                    f"the head of the response is longer than {MAX_HEAD_BYTES} bytes"
+                )
+        return content
+
+    def start_body(self) -> None:
+        """End the limits on the head of the response, which has been received."""
+        self._head_left_bytes = None
+
+    async def _read(self, max_bytes: int, timeout: float | None) -> bytes:
         if not self._chunks and not self._eof:
             self._read_waiter = asyncio.get_running_loop().create_future()
             try:
@@ -129,6 +156,7 @@
             return
         if self._transport.is_closing():
             raise httpcore.WriteError(str(self._error or "the connection is closed"))
+        self._head_left_bytes = MAX_HEAD_BYTES
         self._transport.write(buffer)
         if self._writing_paused:
             self._write_waiter = asyncio.get_running_loop().create_future()
