Limit all responses that a process keeps in memory together

A faulty upstream that sent bodies without end to many requests at once made a router hold up to 4 MiB for each of them; on a machine with 200 MB that ends the process, and with it the requests of all other callers.

Cause: each body had a limit, all of them together had none, and the chunks of a body were kept one by one until it was complete.

The client of a process now has one budget for responses (24 MiB). When it is used up, the longest response that is being read is given up and its connection ended, so that the sender of endless data pays and not another upstream. Responses up to 64 KiB don't count. Incomplete events of streams and the transcripts of completions are counted, too. is_connection_end moved to the module of the connections.

--- a/src/camphorvalve/upstreams/attempt.py
+++ b/src/camphorvalve/upstreams/attempt.py
@@ -14,15 +14,14 @@
 if TYPE_CHECKING:
     from collections.abc import AsyncGenerator
 
-    import httpx
-
     from camphorvalve.model.answers import Part
     from camphorvalve.model.requests import Exchange
     from camphorvalve.model.upstreams import Upstream
+    from camphorvalve.upstreams.client import UpstreamClient
 
 
 def open_attempt(
-    client: httpx.AsyncClient,
+    client: UpstreamClient,
     upstream: Upstream,
     exchange: Exchange,
     attempt: int,
--- a/src/camphorvalve/upstreams/client.py
+++ b/src/camphorvalve/upstreams/client.py
@@ -9,6 +9,7 @@
 
 import httpx
 
+from camphorvalve.upstreams.bodies import ResponseBudget
 from camphorvalve.upstreams.network import Backend, Stream
 
 if TYPE_CHECKING:
@@ -121,22 +122,33 @@
     return [(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, timeout_ms)]
 
 
+class UpstreamClient(httpx.AsyncClient):
+    """HTTP client whose users share one limit on the responses in memory."""
+
+    def __init__(self, transport: httpx.AsyncBaseTransport) -> None:
+        """
+        Create a client that follows no redirects and ignores proxy settings of the environment.
+
+        :param transport: opens the connections
+        """
+        super().__init__(
+            transport=transport, trust_env=False, headers={"Accept-Encoding": "identity"}
+        )
+        self.responses = ResponseBudget()
+
+
 def create_client(
     unacknowledged_timeout_s: float | None = None, *, keepalive_s: float = KEEPALIVE_TIMEOUT_S
-) -> httpx.AsyncClient:
+) -> UpstreamClient:
     """
     Create the client that ``open_attempt`` and the readers of reports use.
 
     :param unacknowledged_timeout_s: longest time that written bytes may stay unacknowledged
         (``TCP_USER_TIMEOUT``); set for clients that send orders
     :param keepalive_s: how long an idle connection is kept
-    :return: a client that follows no redirects and ignores proxy settings of the environment
+    :return: the client
     """
-    return httpx.AsyncClient(
-        transport=_Transport(unacknowledged_timeout_s, keepalive_s),
-        trust_env=False,
-        headers={"Accept-Encoding": "identity"},
-    )
+    return UpstreamClient(_Transport(unacknowledged_timeout_s, keepalive_s))
 
 
-__all__ = ["FRESH_CONNECTION", "create_client"]
+__all__ = ["FRESH_CONNECTION", "UpstreamClient", "create_client"]
--- a/src/camphorvalve/upstreams/engine.py
+++ b/src/camphorvalve/upstreams/engine.py
@@ -11,6 +11,7 @@
 import structlog
 
 from camphorvalve.model.answers import Body, Head
+from camphorvalve.upstreams.bodies import BodyTooLongError, read_body
 from camphorvalve.upstreams.errors import Broken, NoAnswer
 from camphorvalve.upstreams.events import EventError
 from camphorvalve.upstreams.opening import (
@@ -18,7 +19,6 @@
     UpstreamCall,
     is_event_stream,
     open_response,
-    read_body,
     response_headers,
     stream_head,
 )
@@ -32,6 +32,7 @@
     from camphorvalve.model.answers import Part
     from camphorvalve.model.requests import Exchange
     from camphorvalve.model.upstreams import Upstream
+    from camphorvalve.upstreams.client import UpstreamClient
     from camphorvalve.upstreams.options import AttemptOptions
 
 PROMPT_UNITS_PER_TOKEN = 0.1
@@ -53,7 +54,7 @@
 
 
 async def attempt_completion(
-    client: httpx.AsyncClient,
+    client: UpstreamClient,
     upstream: Upstream,
     exchange: Exchange,
     attempt: int,
@@ -79,7 +80,9 @@
         call = _upstream_call(exchange, options)
         response = await open_response(client, upstream, exchange, attempt, options, call, progress)
         _check_continuation(upstream, options, response)
-        async with aclosing(_response_parts(upstream, exchange, options, response)) as parts:
+        async with aclosing(
+            _response_parts(client, upstream, exchange, options, response)
+        ) as parts:
             async for part in parts:
                 yield part
         skip_cancel = True
@@ -139,38 +142,50 @@
 
 
 async def _response_parts(
-    upstream: Upstream, exchange: Exchange, options: AttemptOptions, response: httpx.Response
+    client: UpstreamClient,
+    upstream: Upstream,
+    exchange: Exchange,
+    options: AttemptOptions,
+    response: httpx.Response,
 ) -> AsyncGenerator[Part, None]:
     headers = response_headers(response)
     if not is_event_stream(response):
-        content = await read_body(upstream, response)
-        if response.status_code == 200:
-            exchange.served_units += _response_units(exchange.request.body, content)
-        yield Head(response.status_code, headers)
-        yield Body(content)
+        with client.responses.reserve(response) as reservation:
+            content = await read_body(upstream, response, reservation)
+            if response.status_code == 200:
+                exchange.served_units += _response_units(exchange.request.body, content)
+            yield Head(response.status_code, headers)
+            yield Body(content)
         return
     if not isinstance(options.start_point, ResumeStream):
         prompt_tokens = len(exchange.request.body) / BYTES_PER_TOKEN
         exchange.served_units += PROMPT_UNITS_PER_TOKEN * prompt_tokens
     yield stream_head(headers)
-    stream_parts = _stream_parts(upstream, exchange, Transcript(options.start_point), response)
+    transcript = Transcript(options.start_point)
+    stream_parts = _stream_parts(client, upstream, exchange, transcript, response)
     async with aclosing(stream_parts) as parts:
         async for part in parts:
             yield part
 
 
 async def _stream_parts(
-    upstream: Upstream, exchange: Exchange, transcript: Transcript, response: httpx.Response
+    client: UpstreamClient,
+    upstream: Upstream,
+    exchange: Exchange,
+    transcript: Transcript,
+    response: httpx.Response,
 ) -> AsyncGenerator[Part, None]:
     cause = "the stream ended without its end marker"
     try:
-        async with coalesced(response.aiter_raw()) as chunks:
-            async for chunk in chunks:
-                events, tokens_count = transcript.add(chunk)
-                exchange.served_units += tokens_count
-                if events:
-                    yield Body(events)
-    except (httpx.HTTPError, EventError) as error:
+        with client.responses.reserve(response) as reservation:
+            async with coalesced(response.aiter_raw()) as chunks:
+                async for chunk in chunks:
+                    events, tokens_count = transcript.add(chunk)
+                    reservation.resize(transcript.held_bytes)
+                    exchange.served_units += tokens_count
+                    if events:
+                        yield Body(events)
+    except (httpx.HTTPError, EventError, BodyTooLongError) as error:
         cause = f"{type(error).__name__}: {error}"
     if not transcript.done:
         number = transcript.last_number()
--- a/src/camphorvalve/upstreams/events.py
+++ b/src/camphorvalve/upstreams/events.py
@@ -46,6 +46,11 @@
         """:return: whether the bytes so far end in the middle of an event"""
         return bool(self._pending)
 
+    @property
+    def held_bytes(self) -> int:
+        """:return: size of the incomplete event"""
+        return len(self._pending)
+
     def add(self, content: bytes) -> bytes:
         """
         Add bytes that were received.
@@ -89,6 +94,11 @@
         """:return: whether the bytes so far end in the middle of an event"""
         return self._buffer.inside_event
 
+    @property
+    def held_bytes(self) -> int:
+        """:return: size of the incomplete event"""
+        return self._buffer.held_bytes
+
     def add(self, content: bytes) -> bytes:
         """
         Add bytes that were received.
--- a/src/camphorvalve/upstreams/network.py
+++ b/src/camphorvalve/upstreams/network.py
@@ -12,6 +12,7 @@
 from typing import TYPE_CHECKING, Any
 
 import httpcore
+import httpx
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -27,6 +28,10 @@
 """Most bytes that one read returns before the body, so that parsing does not hold the loop."""
 
 
+_END_TEXTS = ("Server disconnected", "peer closed connection")
+"""First words of the texts of httpcore and h11 for a connection that ends inside a response."""
+
+
 class Stream(asyncio.Protocol, httpcore.AsyncNetworkStream):
     """One connection, with at most one reading and one writing task."""
 
@@ -229,6 +234,23 @@
         return stream
 
 
+def is_connection_end(error: Exception) -> bool:
+    """
+    Tell whether an error of the HTTP client means that the peer closed or reset the connection.
+
+    :param error: error of a request that was sent
+    :return: false for timeouts, invalid responses and connections that were aborted here
+    """
+    match error:
+        case httpx.ReadError() | httpx.WriteError():
+            return str(error) != ABORTED_HERE
+        case httpx.RemoteProtocolError():
+            # Invalid responses raise the same error with other texts.
+            return str(error).startswith(_END_TEXTS)
+        case _:
+            return False
+
+
 def _wake(waiter: asyncio.Future[None] | None) -> None:
     if waiter is not None and not waiter.done():
         waiter.set_result(None)
@@ -252,4 +274,4 @@
         waiter.set_exception(error_type())
 
 
-__all__ = ["ABORTED_HERE", "Backend", "Stream"]
+__all__ = ["ABORTED_HERE", "Backend", "Stream", "is_connection_end"]
--- a/src/camphorvalve/upstreams/opening.py
+++ b/src/camphorvalve/upstreams/opening.py
@@ -10,8 +10,7 @@
 from camphorvalve.model.answers import Head
 from camphorvalve.model.headers import HOP_HEADERS
 from camphorvalve.upstreams.client import FRESH_CONNECTION
-from camphorvalve.upstreams.errors import Broken, NoAnswer, NotSent, WrongAnswer
-from camphorvalve.upstreams.network import ABORTED_HERE
+from camphorvalve.upstreams.errors import NoAnswer, NotSent, WrongAnswer
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -20,8 +19,6 @@
     from camphorvalve.model.upstreams import Upstream
     from camphorvalve.upstreams.options import AttemptOptions
 
-_END_TEXTS = ("Server disconnected", "peer closed connection")
-"""First words of the texts of httpcore and h11 for a connection that ends inside a response."""
 SEND_STARTED_EVENT = "http11.send_request_headers.started"
 # Apart from the hop-by-hop headers, the router sets these itself.
 _DROPPED_HEADERS = HOP_HEADERS | {"date", "server", "x-attempt", "x-request-id"}
@@ -145,52 +142,6 @@
     return Head(200, tuple(header for header in headers if header[0] != "content-length"))
 
 
-MAX_RESPONSE_BYTES = 4 << 20
-"""Longest body that is buffered; a faulty upstream may send endless data."""
-
-
-async def read_body(upstream: Upstream, response: httpx.Response) -> bytes:
-    """
-    Read a complete body before its head is passed on, so that a broken response can be retried.
-
-    :param upstream: the upstream
-    :param response: its response, unread
-    :return: the body
-    :raises Broken: the body ended before it was complete, or is too long
-    """
-    chunks: list[bytes] = []
-    size_bytes = 0
-    try:
-        async for chunk in response.aiter_raw():
-            chunks.append(chunk)
-            size_bytes += len(chunk)
-            if size_bytes > MAX_RESPONSE_BYTES:
-                cause = f"the body is longer than {MAX_RESPONSE_BYTES} bytes"
-                raise Broken(upstream.upstream_id, cause)
-        return b"".join(chunks)
-    except httpx.HTTPError as error:
-        cause = f"{type(error).__name__}: {error}"
-        ended = is_connection_end(error)
-        raise Broken(upstream.upstream_id, cause, connection_ended=ended) from error
-
-
-def is_connection_end(error: Exception) -> bool:
-    """
-    Tell whether an error of the HTTP client means that the peer closed or reset the connection.
-
-    :param error: error of a request that was sent
-    :return: false for timeouts, invalid responses and connections that were aborted here
-    """
-    match error:
-        case httpx.ReadError() | httpx.WriteError():
-            return str(error) != ABORTED_HERE
-        case httpx.RemoteProtocolError():
-            # Invalid responses raise the same error with other texts.
-            return str(error).startswith(_END_TEXTS)
-        case _:
-            return False
-
-
 def _request_headers(
     exchange: Exchange, attempt: int, options: AttemptOptions
 ) -> list[tuple[bytes, bytes]]:
@@ -229,15 +180,12 @@
 
 
 __all__ = [
-    "MAX_RESPONSE_BYTES",
     "SEND_STARTED_EVENT",
     "SendProgress",
     "UpstreamCall",
     "ends_with_connection",
-    "is_connection_end",
     "is_event_stream",
     "open_response",
-    "read_body",
     "response_headers",
     "stream_head",
 ]
--- a/src/camphorvalve/upstreams/routed.py
+++ b/src/camphorvalve/upstreams/routed.py
@@ -14,6 +14,7 @@
 from camphorvalve.model.errors import RequestError
 from camphorvalve.model.headers import end_to_end
 from camphorvalve.sharing.notices import Leaving, parse_hold_off
+from camphorvalve.upstreams.bodies import BodyTooLongError, read_body
 from camphorvalve.upstreams.client import FRESH_CONNECTION
 from camphorvalve.upstreams.errors import (
     Broken,
@@ -25,12 +26,11 @@
     WrongAnswer,
 )
 from camphorvalve.upstreams.events import EventError, EventSequencer, OutOfOrderError
+from camphorvalve.upstreams.network import is_connection_end
 from camphorvalve.upstreams.opening import (
     SEND_STARTED_EVENT,
     ends_with_connection,
-    is_connection_end,
     is_event_stream,
-    read_body,
     stream_head,
 )
 from camphorvalve.upstreams.pump import coalesced
@@ -42,6 +42,7 @@
     from camphorvalve.model.requests import Exchange, RoutedCall
     from camphorvalve.model.upstreams import Upstream
     from camphorvalve.sharing.notices import Notice
+    from camphorvalve.upstreams.client import UpstreamClient
 
 CONNECT_TIMEOUT_S = 0.3
 """Connecting takes one round trip and 1 ms at the upstream. A lost first packet is only sent again
@@ -88,7 +89,7 @@
 
     def __init__(
         self,
-        client: httpx.AsyncClient,
+        client: UpstreamClient,
         names: HeaderNames,
         on_notice: Callable[[str, Notice], None] = lambda upstream_id, notice: None,
         lag_s: Callable[[], float] = lambda: 0.0,
@@ -205,8 +206,6 @@
         if exchange.output_started and not is_stream:
             cause = f"the continuation of a stream is not a stream, status {response.status_code}"
             raise NoAnswer(upstream.upstream_id, cause)
-        if response.status_code >= 500 and exchange.parameters.idempotent:
-            raise FailedAnswer(upstream.upstream_id, head, await read_body(upstream, response))
         if is_stream:
             yield stream_head(headers)
             stream_parts = self._stream_parts(upstream, exchange, response)
@@ -214,10 +213,13 @@
                 async for part in parts:
                     yield part
             return
-        # The head of a broken response must not reach the caller of a stream.
-        content = await read_body(upstream, response)
-        yield head
-        yield Body(content)
+        with self._client.responses.reserve(response) as reservation:
+            # The head of a broken response must not reach the caller of a stream.
+            content = await read_body(upstream, response, reservation)
+            if response.status_code >= 500 and exchange.parameters.idempotent:
+                raise FailedAnswer(upstream.upstream_id, head, content)
+            yield head
+            yield Body(content)
 
     def _check_response(
         self, upstream: Upstream, exchange: Exchange, response: httpx.Response
@@ -256,17 +258,20 @@
         )
         connection_ended = ends_with_connection(response)
         try:
-            async with coalesced(response.aiter_raw()) as chunks:
-                async for chunk in chunks:
-                    if events := sequencer.add(chunk):
-                        yield Body(events)
-                    elif time.monotonic() > exchange.deadline_s:
-                        # The deadline filter only sees parts, and this stream yields none.
-                        raise _timed_out()
+            with self._client.responses.reserve(response) as reservation:
+                async with coalesced(response.aiter_raw()) as chunks:
+                    async for chunk in chunks:
+                        events = sequencer.add(chunk)
+                        reservation.resize(sequencer.held_bytes)
+                        if events:
+                            yield Body(events)
+                        elif time.monotonic() > exchange.deadline_s:
+                            # The deadline filter only sees parts, and this stream yields none.
+                            raise _timed_out()
             cause = _find_truncation(response, sequencer)
             if cause is None:
                 return
-        except (httpx.HTTPError, EventError) as error:
+        except (httpx.HTTPError, EventError, BodyTooLongError) as error:
             cause = f"{type(error).__name__}: {error}"
             connection_ended = is_connection_end(error)
             if isinstance(error, OutOfOrderError) and error.events:
--- a/src/camphorvalve/upstreams/transcript.py
+++ b/src/camphorvalve/upstreams/transcript.py
@@ -44,6 +44,12 @@
                 self._earlier_count, self._earlier_text = events_count, text
                 self._buffer = EventSequencer(events_count)
         self._events: list[bytes] = []
+        self._events_bytes = 0
+
+    @property
+    def held_bytes(self) -> int:
+        """:return: size of all events, the incomplete one included"""
+        return self._events_bytes + self._buffer.held_bytes
 
     def add(self, content: bytes) -> tuple[bytes, int]:
         """
@@ -60,6 +66,7 @@
         self.done = events.endswith(DONE)
         tokens_count = events.count(END_OF_EVENT) - self.done
         self._events.append(events)
+        self._events_bytes += len(events)
         return events, tokens_count
 
     def last_number(self) -> int:
--- a/tests/upstreams/test_routed.py
+++ b/tests/upstreams/test_routed.py
@@ -18,6 +18,7 @@
 from camphorvalve.model.requests import BrokenStream
 from camphorvalve.sharing.notices import HoldOff, Leaving
 from camphorvalve.upstreams import routed
+from camphorvalve.upstreams.bodies import MAX_RESPONSE_BYTES
 from camphorvalve.upstreams.client import create_client
 from camphorvalve.upstreams.errors import (
     Broken,
@@ -29,7 +30,6 @@
     WrongAnswer,
     ended_connection,
 )
-from camphorvalve.upstreams.opening import MAX_RESPONSE_BYTES
 from camphorvalve.upstreams.routed import RoutedAttempts
 from tests.rawpeers import Script, upstream
 from tests.routebuilders import (
