Break off responses whose chunks carry a few bytes without a pause

A faulty upstream that sent chunks of one byte without end held the loop of a router: all its requests waited, and those that it had sent there were given up after 31 s where 4.5 s were allowed (the issue's probe, 60 attempts).

Cause: parsing a chunk takes about the same time whatever its size, bytes that have arrived are read without a turn of the event loop, and only the size of a body was limited.

Bodies are now read through body_chunks, which gives the loop a turn after 16 chunks and breaks off a response of which 1024 chunks in a row arrived without a pause and with less than 8 bytes each on average. A slow stream of a few bytes at a time is passed on as before (test_small_chunks_with_pauses).

--- a/src/camphorvalve/upstreams/bodies.py
+++ b/src/camphorvalve/upstreams/bodies.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from contextlib import contextmanager
 from typing import TYPE_CHECKING
 
@@ -12,7 +13,7 @@
 from camphorvalve.upstreams.network import Stream, is_connection_end
 
 if TYPE_CHECKING:
-    from collections.abc import Iterator
+    from collections.abc import AsyncIterator, Iterator
 
     from camphorvalve.model.upstreams import Upstream
 
@@ -22,6 +23,12 @@
 """Total size of the responses that a process keeps in memory, the short ones not counted."""
 SHORT_RESPONSE_BYTES = 64 << 10
 """Size up to which a response does not count, so that others never cost it its memory."""
+CHUNKS_PER_TURN_COUNT = 16
+"""Chunks after which the event loop gets a turn."""
+SMALL_CHUNKS_COUNT = 1024
+"""Chunks that arrive without a pause before their size is checked."""
+MIN_CHUNK_BYTES = 8
+"""Smallest average size of such chunks."""
 
 _log = structlog.get_logger(__name__)
 
@@ -138,6 +145,34 @@
             self.held_bytes -= reservation.size_bytes
 
 
+async def body_chunks(response: httpx.Response) -> AsyncIterator[bytes]:
+    """
+    Read a body in chunks as they were sent, without decompressing them.
+
+    Chunks of a few bytes cost far more time than they carry, and those that have already arrived
+    are read without a turn of the event loop.
+
+    :param response: the response, unread
+    :return: the chunks
+    :raises httpx.HTTPError: the body ended before it was complete, or its chunks are too small
+    """
+    stream = response.extensions.get("network_stream")
+    waits_count = chunks_count = total_bytes = 0
+    async for chunk in response.aiter_raw():
+        yield chunk
+        if not isinstance(stream, Stream):
+            continue
+        if stream.waits_count != waits_count:
+            waits_count, chunks_count, total_bytes = stream.waits_count, 0, 0
+        chunks_count += 1
+        total_bytes += len(chunk)
+        if chunks_count % CHUNKS_PER_TURN_COUNT:
+            continue
+        if chunks_count >= SMALL_CHUNKS_COUNT and total_bytes < MIN_CHUNK_BYTES * chunks_count:
+            raise httpx.RemoteProtocolError("the chunks of the body are too small")
+        await asyncio.sleep(0)
+
+
 async def read_limited(
     response: httpx.Response, reservation: Reservation, limit_bytes: int
 ) -> bytes:
@@ -153,7 +188,7 @@
     """
     content = bytearray()
     try:
-        async for chunk in response.aiter_raw():
+        async for chunk in body_chunks(response):
             content += chunk
             if len(content) > limit_bytes:
                 raise BodyTooLongError(f"the body is longer than {limit_bytes} bytes")
@@ -197,6 +232,7 @@
     "BodyTooLongError",
     "Reservation",
     "ResponseBudget",
+    "body_chunks",
     "read_body",
     "read_limited",
 ]
--- a/src/camphorvalve/upstreams/engine.py
+++ b/src/camphorvalve/upstreams/engine.py
@@ -11,7 +11,7 @@
 import structlog
 
 from camphorvalve.model.answers import Body, Head
-from camphorvalve.upstreams.bodies import BodyTooLongError, read_body
+from camphorvalve.upstreams.bodies import BodyTooLongError, body_chunks, read_body
 from camphorvalve.upstreams.errors import Broken, NoAnswer
 from camphorvalve.upstreams.events import EventError
 from camphorvalve.upstreams.opening import (
@@ -178,7 +178,7 @@
     cause = "the stream ended without its end marker"
     try:
         with client.responses.reserve(response) as reservation:
-            async with coalesced(response.aiter_raw()) as chunks:
+            async with coalesced(body_chunks(response)) as chunks:
                 async for chunk in chunks:
                     events, tokens_count = transcript.add(chunk)
                     reservation.resize(transcript.held_bytes)
--- a/src/camphorvalve/upstreams/network.py
+++ b/src/camphorvalve/upstreams/network.py
@@ -46,6 +46,8 @@
         self._read_waiter: asyncio.Future[None] | None = None
         self._write_waiter: asyncio.Future[None] | None = None
         self._writing_paused = False
+        self.waits_count = 0
+        """Reads that had to wait for bytes."""
         self._head_left_bytes: int | None = None
         """Bytes that the head of the response may still take, ``None`` outside of it."""
 
@@ -131,6 +133,7 @@
 
     async def _read(self, max_bytes: int, timeout: float | None) -> bytes:
         if not self._chunks and not self._eof:
+            self.waits_count += 1
             self._read_waiter = asyncio.get_running_loop().create_future()
             try:
                 await _wait(self._read_waiter, timeout, httpcore.ReadTimeout)
--- a/src/camphorvalve/upstreams/routed.py
+++ b/src/camphorvalve/upstreams/routed.py
@@ -14,7 +14,7 @@
 from camphorvalve.model.errors import RequestError
 from camphorvalve.model.headers import end_to_end
 from camphorvalve.sharing.notices import Leaving, parse_hold_off
-from camphorvalve.upstreams.bodies import BodyTooLongError, read_body
+from camphorvalve.upstreams.bodies import BodyTooLongError, body_chunks, read_body
 from camphorvalve.upstreams.client import FRESH_CONNECTION
 from camphorvalve.upstreams.errors import (
     Broken,
@@ -259,7 +259,7 @@
         connection_ended = ends_with_connection(response)
         try:
             with self._client.responses.reserve(response) as reservation:
-                async with coalesced(response.aiter_raw()) as chunks:
+                async with coalesced(body_chunks(response)) as chunks:
                     async for chunk in chunks:
                         events = sequencer.add(chunk)
                         reservation.resize(sequencer.held_bytes)
--- a/src/camphorvalve/upstreams/service.py
+++ b/src/camphorvalve/upstreams/service.py
@@ -9,6 +9,7 @@
 import httpx
 
 from camphorvalve.model.answers import Body, Head
+from camphorvalve.upstreams.bodies import body_chunks
 from camphorvalve.upstreams.errors import Broken
 from camphorvalve.upstreams.events import ENDS_OF_EVENT, LONGEST_END_BYTES
 from camphorvalve.upstreams.opening import (
@@ -63,7 +64,7 @@
         )
         yield Head(response.status_code, response_headers(response))
         last_bytes = b""
-        async with coalesced(response.aiter_raw()) as chunks:
+        async with coalesced(body_chunks(response)) as chunks:
             async for chunk in chunks:
                 exchange.served_units = units_before + _elapsed_ms(started_s)
                 last_bytes = (last_bytes + chunk[-LONGEST_END_BYTES:])[-LONGEST_END_BYTES:]
--- a/tests/upstreams/test_endless.py
+++ b/tests/upstreams/test_endless.py
@@ -2,17 +2,22 @@
 
 from __future__ import annotations
 
+import time
 import tracemalloc
 import unittest
 from typing import TYPE_CHECKING
+from unittest import mock
 
 import anyio
 import httpx
 from structlog.testing import capture_logs
 
+from camphorvalve.model.errors import RequestError
+from camphorvalve.upstreams import routed
 from camphorvalve.upstreams.bodies import (
     MAX_HELD_BYTES,
     SHORT_RESPONSE_BYTES,
+    SMALL_CHUNKS_COUNT,
     BodyTooLongError,
     ResponseBudget,
 )
@@ -71,6 +76,12 @@
 
 
 class EndlessTest(unittest.TestCase):
+    def setUp(self) -> None:
+        # The faulty upstream and the sound one share the loop with the client.
+        patch = mock.patch.object(routed, "CONNECT_TIMEOUT_S", 5.0)
+        patch.start()
+        self.addCleanup(patch.stop)
+
     def test_memory(self) -> None:
         """Guards against a process that runs out of memory because many responses never end."""
         streamed = a_route(streamed=True, resumable=True)
@@ -96,6 +107,36 @@
                 tracemalloc.stop()
                 self.assertLess(peak_bytes, 2 * MAX_HELD_BYTES)
 
+    def test_small_chunks(self) -> None:
+        """Guards against a loop that is held up by chunks of one byte until the deadline."""
+        streamed = a_route(streamed=True, resumable=True)
+        chunked = b"transfer-encoding: chunked\r\n\r\n"
+        event_stream = HEAD + b"content-type: text/event-stream\r\n" + chunked
+        for name, route, content in [
+            ("body", a_route(), HEAD + chunked),
+            ("stream", streamed, event_stream),
+        ]:
+            with self.subTest(name):
+                script = Script(content, "endless", repeated=b"1\r\nx\r\n" * 1000)
+                anyio.run(self.run_beside_sound_requests, script, route)
+
+    def test_small_chunks_with_pauses(self) -> None:
+        """Guards against breaking off a sound stream that sends a few bytes at a time."""
+        route = a_route(streamed=True)
+        head = HEAD + b"content-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n"
+        script = Script(head, "endless", repeated=b"1\r\nx\r\n" * 10, repeat_pause_s=0.001)
+
+        async def run() -> int:
+            deadline_s = time.monotonic() + 1.5
+            async with upstream(script) as (url, peer), create_client() as client:
+                with self.assertRaises(RequestError) as caught:
+                    await attempt(url, a_routed_exchange(route, deadline_s=deadline_s), client)
+                self.assertEqual(caught.exception.code, "timed_out")
+                return peer.repeated_bytes
+
+        sent_bytes = anyio.run(run)
+        self.assertGreater(sent_bytes, len(b"1\r\nx\r\n") * SMALL_CHUNKS_COUNT)
+
     async def run_beside_sound_requests(self, script: Script, route: Parameters) -> None:
         """Send requests to a faulty upstream and check that those to a sound one are served."""
         error_types: list[type] = []
