Read reports, states and lists within a size and a time

Cause: client.get and client.post buffer whatever comes, their timeout starts anew with each byte, and compressed bodies are unpacked without a bound.

fetch() now sends such requests: one time for the whole exchange, a size for the body, no decompression, and the memory counts towards the limit on all responses.

The tests of the list answer with unread bodies, as a connection does.

--- a/src/camphorvalve/upstreams/engine.py
+++ b/src/camphorvalve/upstreams/engine.py
@@ -14,6 +14,7 @@
 from camphorvalve.upstreams.bodies import BodyTooLongError, body_chunks, read_body
 from camphorvalve.upstreams.errors import Broken, NoAnswer
 from camphorvalve.upstreams.events import EventError
+from camphorvalve.upstreams.fetching import FetchLimits, fetch
 from camphorvalve.upstreams.opening import (
     SendProgress,
     UpstreamCall,
@@ -40,6 +41,7 @@
 BYTES_PER_TOKEN = 4
 """Approximate size of a token, used to estimate usage that the engine does not report."""
 CANCEL_TIMEOUT_S = 1.0
+CANCEL_LIMITS = FetchLimits(CANCEL_TIMEOUT_S, body_bytes=64 << 10)
 
 _log = structlog.get_logger(__name__)
 
@@ -98,9 +100,7 @@
             await cancel(client, upstream, exchange.request.request_id, attempt)
 
 
-async def cancel(
-    client: httpx.AsyncClient, upstream: Upstream, request_id: str, attempt: int
-) -> None:
+async def cancel(client: UpstreamClient, upstream: Upstream, request_id: str, attempt: int) -> None:
     """
     Ask an engine to stop a run; waits at most a second, also inside a cancelled scope.
 
@@ -112,7 +112,7 @@
     url = f"{upstream.url.rstrip('/')}/v1/streams/{request_id}/cancel"
     with anyio.move_on_after(CANCEL_TIMEOUT_S, shield=True):
         try:
-            await client.post(url, params={"attempt": attempt}, timeout=CANCEL_TIMEOUT_S)
+            await fetch(client, "POST", url, CANCEL_LIMITS, params={"attempt": attempt})
         except httpx.HTTPError as error:
             _log.info("cancel failed", upstream=upstream.upstream_id, reason=str(error))
 
--- /dev/null
+++ b/src/camphorvalve/upstreams/fetching.py
@@ -0,0 +1,93 @@
+"""Sends a request and reads its whole response, within a time and a size."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING, Any, NamedTuple
+
+import httpx
+
+from camphorvalve.upstreams.bodies import BodyTooLongError, read_limited
+
+if TYPE_CHECKING:
+    from camphorvalve.upstreams.client import UpstreamClient
+
+
+class FetchLimits(NamedTuple):
+    """Limits on one response."""
+
+    timeout_s: float
+    """Time for the whole exchange; timeouts of ``httpx`` start anew with each byte."""
+    body_bytes: int
+    """Longest body."""
+
+
+class FetchedResponse(NamedTuple):
+    """A complete response."""
+
+    status_code: int
+    content: bytes
+
+    @property
+    def text(self) -> str:
+        """:return: the body as text; invalid UTF-8 is replaced"""
+        return self.content.decode("utf-8", "replace")
+
+
+async def fetch(
+    client: UpstreamClient, method: str, url: str, limits: FetchLimits, **fields: Any
+) -> FetchedResponse:
+    """
+    Send a request and read the whole response.
+
+    :param client: HTTP client
+    :param method: method of the request
+    :param url: where to send it
+    :param limits: time and size
+    :param fields: further fields of the request, as of ``httpx.AsyncClient.build_request``
+    :return: the response, of any status
+    :raises httpx.HTTPError: no response, or one that is too late, too long or compressed
+    """
+    request = client.build_request(method, url, timeout=limits.timeout_s, **fields)
+    try:
+        async with asyncio.timeout(limits.timeout_s):
+            response = await client.send(request, stream=True)
+            try:
+                content = await _read(client, response, limits.body_bytes)
+            finally:
+                await response.aclose()
+    except TimeoutError:
+        cause = f"the response was not complete within {limits.timeout_s:g} s"
+        raise httpx.ReadTimeout(cause, request=request) from None
+    return FetchedResponse(response.status_code, content)
+
+
+async def fetch_ok(client: UpstreamClient, url: str, limits: FetchLimits, **fields: Any) -> bytes:
+    """
+    Send a GET request whose response has to be successful.
+
+    :param client: HTTP client
+    :param url: where to send it
+    :param limits: time and size
+    :param fields: further fields of the request, as of ``httpx.AsyncClient.build_request``
+    :return: the body
+    :raises httpx.HTTPError: as of ``fetch``, or another status
+    """
+    response = await fetch(client, "GET", url, limits, **fields)
+    if not 200 <= response.status_code < 300:
+        raise httpx.RemoteProtocolError(f"status {response.status_code}")
+    return response.content
+
+
+async def _read(client: UpstreamClient, response: httpx.Response, limit_bytes: int) -> bytes:
+    if response.headers.get("content-encoding", "identity") != "identity":
+        # Decompression has no limit, and nothing asked for it.
+        raise httpx.DecodingError("the body is compressed")
+    try:
+        with client.responses.reserve(response) as reservation:
+            return await read_limited(response, reservation, limit_bytes)
+    except BodyTooLongError as error:
+        raise httpx.RemoteProtocolError(str(error)) from error
+
+
+__all__ = ["FetchLimits", "FetchedResponse", "fetch", "fetch_ok"]
--- a/src/camphorvalve/upstreams/orders.py
+++ b/src/camphorvalve/upstreams/orders.py
@@ -11,6 +11,7 @@
 
 from camphorvalve.model.upstreams import ChecksFencing, ModelEngine
 from camphorvalve.upstreams.client import FRESH_CONNECTION
+from camphorvalve.upstreams.fetching import FetchLimits, fetch, fetch_ok
 from camphorvalve.upstreams.orderreplies import (
     Accepted,
     EngineState,
@@ -24,9 +25,11 @@
 if TYPE_CHECKING:
     from camphorvalve.model.upstreams import Upstream
     from camphorvalve.registry.commands import EngineAction
+    from camphorvalve.upstreams.client import UpstreamClient
+    from camphorvalve.upstreams.fetching import FetchedResponse
 
-ORDER_TIMEOUT_S = 1.0
-STATE_TIMEOUT_S = 2.0
+ORDER_LIMITS = FetchLimits(timeout_s=1.0, body_bytes=64 << 10)
+STATE_LIMITS = FetchLimits(timeout_s=2.0, body_bytes=1 << 20)
 _WRITE_EVENTS = frozenset(
     {"http11.send_request_headers.started", "http11.send_request_body.started"}
 )
@@ -49,7 +52,7 @@
 
 
 async def send_order(
-    client: httpx.AsyncClient,
+    client: UpstreamClient,
     upstream: Upstream,
     order: EngineOrder,
     token: str | None,
@@ -78,11 +81,13 @@
         sent = sent or event.endswith("body.started")
 
     try:
-        response = await client.post(
+        response = await fetch(
+            client,
+            "POST",
             f"{upstream.url.rstrip('/')}/v1/orders",
+            ORDER_LIMITS,
             content=_encode(order),
             headers={"Content-Type": "application/json", **_authorisation(token)},
-            timeout=ORDER_TIMEOUT_S,
             extensions={"trace": check_lease, FRESH_CONNECTION: True},
         )
     except _LeaseEndedError:
@@ -93,7 +98,7 @@
     return _reply(upstream, response)
 
 
-async def read_state(client: httpx.AsyncClient, upstream: Upstream) -> EngineState:
+async def read_state(client: UpstreamClient, upstream: Upstream) -> EngineState:
     """
     Read the state of an engine's orders and what it has loaded.
 
@@ -104,9 +109,8 @@
     """
     try:
         url = f"{upstream.url.rstrip('/')}/v1/state"
-        response = await client.get(url, timeout=STATE_TIMEOUT_S)
-        response.raise_for_status()
-        return msgspec.json.decode(response.content, type=EngineState)
+        content = await fetch_ok(client, url, STATE_LIMITS)
+        return msgspec.json.decode(content, type=EngineState)
     except (httpx.HTTPError, msgspec.MsgspecError) as error:
         cause = f"{type(error).__name__}: {error}"
         raise OrderingError(f"upstream {upstream.upstream_id!r}: {cause}") from error
@@ -121,7 +125,7 @@
     return {} if token is None else {"Authorization": f"Bearer {token}"}
 
 
-def _reply(upstream: Upstream, response: httpx.Response) -> OrderReply:
+def _reply(upstream: Upstream, response: FetchedResponse) -> OrderReply:
     fencing = upstream.interface.fencing if isinstance(upstream.interface, ModelEngine) else None
     match (fencing, response.status_code):
         case (_, 200 | 202):
--- a/src/camphorvalve/upstreams/platform.py
+++ b/src/camphorvalve/upstreams/platform.py
@@ -17,14 +17,16 @@
     PlainService,
     Upstream,
 )
+from camphorvalve.upstreams.fetching import FetchLimits, fetch_ok
 
 if TYPE_CHECKING:
     from collections.abc import AsyncGenerator
 
     from camphorvalve.model.upstreams import FencingBehaviour, UpstreamInterface
+    from camphorvalve.upstreams.client import UpstreamClient
 
 Member = Host | Upstream
-POLL_TIMEOUT_S = 5.0
+FEED_LIMITS = FetchLimits(timeout_s=5.0, body_bytes=16 << 20)
 
 _log = structlog.get_logger(__name__)
 
@@ -76,7 +78,7 @@
 
 
 async def follow(
-    client: httpx.AsyncClient, platform_url: str, host_id: str, interval_s: float
+    client: UpstreamClient, platform_url: str, host_id: str, interval_s: float
 ) -> AsyncGenerator[list[Member], None]:
     """
     Poll the membership feed without end.
@@ -114,12 +116,10 @@
     return reason
 
 
-async def _poll(client: httpx.AsyncClient, platform_url: str, host_id: str, after: int) -> Members:
+async def _poll(client: UpstreamClient, platform_url: str, host_id: str, after: int) -> Members:
     url = f"{platform_url.rstrip('/')}/v1/members"
     params = {"after": after, "for": host_id}
-    response = await client.get(url, params=params, timeout=POLL_TIMEOUT_S)
-    response.raise_for_status()
-    return decode_feed(response.content)
+    return decode_feed(await fetch_ok(client, url, FEED_LIMITS, params=params))
 
 
 def _member(entry: _Entry) -> Member:
--- a/src/camphorvalve/upstreams/reports.py
+++ b/src/camphorvalve/upstreams/reports.py
@@ -9,12 +9,15 @@
 import httpx
 import msgspec
 
+from camphorvalve.upstreams.fetching import FetchLimits, fetch_ok
+
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
     from camphorvalve.model.upstreams import Upstream
+    from camphorvalve.upstreams.client import UpstreamClient
 
-REPORT_TIMEOUT_S = 2.0
+REPORT_LIMITS = FetchLimits(timeout_s=2.0, body_bytes=1 << 20)
 PREFIX_BLOCK_CHARACTERS = 64
 """Engines identify a cached prefix by a hash over complete blocks of this size."""
 MAX_PREFIXES_COUNT = 4096
@@ -57,7 +60,7 @@
     events: list[CacheEvent]
 
 
-async def read_load(client: httpx.AsyncClient, upstream: Upstream, now_s: float) -> LoadReport:
+async def read_load(client: UpstreamClient, upstream: Upstream, now_s: float) -> LoadReport:
     """
     Read an engine's load report.
 
@@ -72,7 +75,7 @@
     return LoadReport(load["running"], load["waiting"], load["slots"], age_s)
 
 
-async def read_cache_events(client: httpx.AsyncClient, upstream: Upstream, after: int) -> CacheFeed:
+async def read_cache_events(client: UpstreamClient, upstream: Upstream, after: int) -> CacheFeed:
     """
     Read the changes of an engine's prefix cache.
 
@@ -165,14 +168,11 @@
         self._prefixes.clear()
 
 
-async def _fetch(
-    client: httpx.AsyncClient, upstream: Upstream, path: str, response_type: Any
-) -> Any:
+async def _fetch(client: UpstreamClient, upstream: Upstream, path: str, response_type: Any) -> Any:
     try:
         url = f"{upstream.url.rstrip('/')}{path}"
-        response = await client.get(url, timeout=REPORT_TIMEOUT_S)
-        response.raise_for_status()
-        return msgspec.json.decode(response.content, type=response_type)
+        content = await fetch_ok(client, url, REPORT_LIMITS)
+        return msgspec.json.decode(content, type=response_type)
     except (httpx.HTTPError, msgspec.MsgspecError) as error:
         cause = f"{type(error).__name__}: {error}"
         raise ReportError(f"upstream {upstream.upstream_id!r}: {cause}") from error
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -36,6 +36,7 @@
 from camphorvalve.sharing.backlog import Waiter
 from camphorvalve.sharing.ledger import TeamKey
 from camphorvalve.sharing.shedding import Backlog, Bounds, IncomingRequest, SheddableRequests
+from camphorvalve.upstreams.orders import EngineOrder
 from camphorvalve.wire.messages import ConfigPoll
 
 if TYPE_CHECKING:
@@ -79,6 +80,10 @@
     return Host(**{**values, **fields})
 
 
+def an_engine_order(number: int, order_id: str = "order") -> EngineOrder:
+    return EngineOrder(order_id, number, a_load_action())
+
+
 def an_upstream(upstream_id: str = "engine-1", **fields: Any) -> Upstream:
     values = {
         "upstream_id": upstream_id,
--- a/tests/platform/test_instances.py
+++ b/tests/platform/test_instances.py
@@ -14,6 +14,7 @@
 from structlog.testing import capture_logs
 
 from camphorvalve.model.hosts import HostState
+from camphorvalve.upstreams.client import UpstreamClient
 from camphorvalve_platform import instances
 from tests.platform.builders import ODD_TEXTS, a_page_with, an_entry, an_entry_text
 
@@ -21,6 +22,11 @@
     from camphorvalve.model.upstreams import UpstreamList
 
 
+def a_response(content: bytes, status: int = 200) -> httpx.Response:
+    """A response whose body is still unread, as one from a connection."""
+    return httpx.Response(status, stream=httpx.ByteStream(content))
+
+
 def read(*pages: Any) -> Any:
     """
     Read a list served in the given pages.
@@ -34,14 +40,16 @@
         page = remaining.pop(0)
         match page:
             case int():
-                return httpx.Response(page)
-            case str() | bytes():
-                return httpx.Response(200, content=page)
+                return a_response(b"", page)
+            case str():
+                return a_response(page.encode())
+            case bytes():
+                return a_response(page)
         token = "next" if remaining else None
-        return httpx.Response(200, text=json.dumps({"instances": page, "nextToken": token}))
+        return a_response(json.dumps({"instances": page, "nextToken": token}).encode())
 
     async def run() -> Any:
-        async with httpx.AsyncClient(transport=httpx.MockTransport(answer)) as client:
+        async with UpstreamClient(httpx.MockTransport(answer)) as client:
             return await instances.read(client, "cloud:1")
 
     pages = anyio.run(run)
@@ -129,8 +137,8 @@
         lists: list[UpstreamList] = []
 
         async def run() -> None:
-            transport = httpx.MockTransport(lambda request: httpx.Response(200, content=page))
-            async with httpx.AsyncClient(transport=transport) as client:
+            transport = httpx.MockTransport(lambda request: a_response(page))
+            async with UpstreamClient(transport) as client:
                 async for upstream_list in instances.poll_upstreams(client, lambda: True, "c:1"):
                     lists.append(upstream_list)
                     if len(lists) == 3:
--- a/tests/upstreams/test_orders.py
+++ b/tests/upstreams/test_orders.py
@@ -15,16 +15,12 @@
 from camphorvalve.model.upstreams import ChecksFencing, IgnoresFencing, ModelEngine
 from camphorvalve.upstreams.client import create_client
 from camphorvalve.upstreams.orderreplies import Accepted, InDoubt, Refused, Stale, Unsent
-from camphorvalve.upstreams.orders import EngineOrder, OrderingError, read_state, send_order
-from tests.builders import a_load_action, an_upstream
+from camphorvalve.upstreams.orders import OrderingError, read_state, send_order
+from tests.builders import an_engine_order, an_upstream
 
 NO_LEASE_END = float("inf")
 
 
-def an_engine_order(number: int, order_id: str = "order") -> EngineOrder:
-    return EngineOrder(order_id, number, a_load_action())
-
-
 class SendOrderTest(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self) -> None:
         stack = await self.enterAsyncContext(AsyncExitStack())
