--- a/src/camphorvalve/upstreams/network.py
+++ b/src/camphorvalve/upstreams/network.py
@@ -21,7 +21,7 @@
 """Text of the error that a waiting reader gets from ``Stream.abort``."""
 READ_AHEAD_BYTES = 64 << 10
 """Bytes buffered for the reader before the connection pauses reading."""
-MAX_HEAD_BYTES = 64 << 10
+MAX_HEAD_BYTES = 32 << 10
 """Longest head of a response, together with the informational responses before it, which httpcore
 reads without an end."""
 HEAD_READ_BYTES = 8 << 10
