Hold teams to the service of a team whose router serves little

Cause: teams over their share get at most 1.5 times the service of the least served one, but that bound was never below the usual max-min level divided by 1.4. It was 2.5 times of what a router short of processor time serves of a team.

The lower limit of the bound is now a quarter of the level.

Measured: controllers.test_fairness, test_flooded_router_that_serves_little, failed in all four cases before and passes.

--- a/src/camphorvalve/sharing/allowances.py
+++ b/src/camphorvalve/sharing/allowances.py
@@ -32,6 +32,9 @@
 MAX_LEAD_RATIO = 1.5
 """Maximum share of a team, as a multiple of the service of the least served other team over its
 share; the platform's fairness rule is broken at 2."""
+MIN_BOUND_RATIO = 0.25
+"""Lower limit of that share, as a part of the usual max-min level: a team without any service, as
+after the failure of a router, must not stop the others."""
 MIN_SERVED_RATIO = 0.01
 """Minimum service of a team in the calculation of its correction, as a part of all service, so that
 the correction is finite."""
@@ -248,9 +251,7 @@
     if not any(served.get(team, 0.0) for team in over):
         return dict.fromkeys(teams, float("inf"))
     least_team = min(over, key=lambda team: served.get(team, 0.0))
-    # The lower bound keeps a team without any service, as after the failure of a router, from
-    # limiting the others.
-    maximum = max(usual_level / MAX_CORRECTION, MAX_LEAD_RATIO * served.get(least_team, 0.0))
+    maximum = max(MIN_BOUND_RATIO * usual_level, MAX_LEAD_RATIO * served.get(least_team, 0.0))
     return {**dict.fromkeys(teams, maximum), least_team: float("inf")}
 
 
--- a/tests/controllers/test_fairness.py
+++ b/tests/controllers/test_fairness.py
@@ -84,6 +84,17 @@
         flood = SimulatedTeam("flood", 8.0 * STATED_TOKENS_PER_S, router=3)
         self.check(flood, SPREAD, limits=Limits(accepted_per_s=30.0))
 
+    def test_flooded_router_that_serves_little(self) -> None:
+        """Guards against a team whose only router is short of processor time, and gets less than
+        half of what a spread team gets for as long as the flood lasts."""
+        flood = SimulatedTeam("flood", 6.0 * STATED_TOKENS_PER_S, router=3)
+        spread = SimulatedTeam("spread", 1.2 * STATED_TOKENS_PER_S)
+        for accepted_per_s in (12.0, 15.0, 17.0, 20.0):
+            with self.subTest(accepted_per_s=accepted_per_s):
+                # Nobody's share is known in the first second.
+                limits = Limits(accepted_per_s=accepted_per_s)
+                self.check(flood, spread, duration_s=14, start_s=1, limits=limits)
+
     def test_service_after_a_burst(self) -> None:
         """Guards against a past burst that still counts, so that its team gets almost nothing."""
         for factor in (6.0, 7.5):
