Test that a frozen follower does not shorten its leader's silence

A follower that was frozen takes its own pause for the silence of its leader. The new leader uses the shortest silence that it knows of, its own, so that the report does not make it remove the former one early.

--- a/src/camphorvalve/upstreams/bodies.py
+++ b/src/camphorvalve/upstreams/bodies.py
@@ -195,9 +195,9 @@
             reservation.resize(len(content))
         reservation.is_complete = True
         return bytes(content)
-    except httpx.HTTPError as error:
+    except httpx.HTTPError:
         reservation.check()
-        raise error
+        raise
     finally:
         # The traceback of an error keeps this frame.
         content.clear()
--- a/tests/consensus/test_replacements.py
+++ b/tests/consensus/test_replacements.py
@@ -134,6 +134,23 @@
                     cluster.run(CATCH_UP_S)
                     self.assertEqual(voters(cluster), set(first_hosts(size)))
 
+    def test_leader_that_a_frozen_follower_did_not_hear(self) -> None:
+        """Guards against the early removal of a leader that only a frozen follower did not hear."""
+        for seed in range(1, 6):
+            with self.subTest(seed=seed):
+                cluster = create_cluster(5, seed)
+                leader = cluster.wait_for_leader()
+                host = other_than(cluster, leader)
+                cluster.nodes[host].frozen = True
+                cluster.run(8.0)
+                # Its timer fires before any message of the leader arrives.
+                cluster.nodes[host].pending_messages = []
+                cluster.unfreeze(host)
+                cluster.run(1.0)
+                leader.isolated = True
+                cluster.run(LONGEST_OUTAGE_S)
+                self.assertIn(leader.host_id, voters(cluster))
+
     def test_earlier_silence_of_a_returned_member(self) -> None:
         """Guards against a leader that uses an old report of a member that has answered since."""
         cluster = create_cluster(5)
