--- a/tests/consensus/test_replacements.py
+++ b/tests/consensus/test_replacements.py
@@ -11,8 +11,8 @@
 REPLACEMENT_TIMING = TIMING._replace(member_lost_s=15.0, member_replaced_s=2.0)
 CATCH_UP_S = 4.0
 """Time after the start of a successor at which the next host may be lost."""
-COMMIT_LIMIT_S = 5.0
-"""Time in which a command has to be committed while one host is lost."""
+COMMIT_LIMIT_S = 4.0
+"""Time in which a command has to be committed then, as the platform's ``ackMs``."""
 LONGEST_OUTAGE_S = 12.0
 """Longest silence of a host that comes back."""
 
