--- a/tests/consensus/cluster.py
+++ b/tests/consensus/cluster.py
@@ -305,6 +305,11 @@
     return tuple("abcdefghi"[:count])
 
 
+def voters(cluster: Cluster) -> set[str]:
+    """Wait for a leader, and return the hosts of the members in its log."""
+    return {host_of(member) for member in cluster.wait_for_leader().replica.state.log.members}
+
+
 def patch_retained_count() -> tuple[Callable[[], Any], Callable[[], Any]]:
     """Build module fixtures that retain few entries, so that lagging replicas need snapshots."""
     patch = mock.patch("camphorvalve.consensus.log.RETAINED_COUNT", 2)
@@ -325,4 +330,5 @@
     "RecordingStateMachine",
     "first_hosts",
     "patch_retained_count",
+    "voters",
 ]
--- a/tests/consensus/test_members.py
+++ b/tests/consensus/test_members.py
@@ -7,16 +7,12 @@
 
 from camphorvalve.consensus.events import ConfirmLeadership
 from camphorvalve.consensus.members import host_of, is_quorum
-from tests.consensus.cluster import TIMING, Cluster, Faults
+from tests.consensus.cluster import TIMING, Cluster, Faults, voters
 
 REMOVAL_TIMING = TIMING._replace(member_lost_s=5.0)
 FIVE_HOSTS = ("a", "b", "c", "d", "e")
 
 
-def members(cluster: Cluster) -> set[str]:
-    return {host_of(member) for member in cluster.wait_for_leader().replica.state.log.members}
-
-
 class LostMemberTest(unittest.TestCase):
     def test_silent_member_is_removed(self) -> None:
         """Guards against members of replaced hosts that stay voters until no majority is left."""
@@ -24,9 +20,9 @@
         silent = next(host for host in FIVE_HOSTS if host != cluster.wait_for_leader().host_id)
         cluster.crash(silent)
         cluster.run(4.0)
-        self.assertEqual(members(cluster), set(FIVE_HOSTS))
+        self.assertEqual(voters(cluster), set(FIVE_HOSTS))
         cluster.run(3.0)
-        self.assertEqual(members(cluster), set(FIVE_HOSTS) - {silent})
+        self.assertEqual(voters(cluster), set(FIVE_HOSTS) - {silent})
 
     def test_repeated_replacements(self) -> None:
         """Guards against a cluster that stops after more replacements than it has members."""
@@ -35,12 +31,12 @@
             cluster.wait_for_leader()
             cluster.propose(f"before {number}")
             cluster.run(0.5)
-            removed = sorted(members(cluster))[0]
+            removed = sorted(voters(cluster))[0]
             cluster.crash(removed)
             cluster.add(f"new{number}")
             cluster.run(10.0)
-            self.assertNotIn(removed, members(cluster))
-            self.assertIn(f"new{number}", members(cluster))
+            self.assertNotIn(removed, voters(cluster))
+            self.assertIn(f"new{number}", voters(cluster))
         cluster.check_applied_commands()
 
     def test_removed_member_rejoins(self) -> None:
@@ -49,7 +45,7 @@
         isolated = next(host for host in FIVE_HOSTS if host != cluster.wait_for_leader().host_id)
         cluster.nodes[isolated].isolated = True
         cluster.run(8.0)
-        self.assertNotIn(isolated, members(cluster))
+        self.assertNotIn(isolated, voters(cluster))
         identity = cluster.nodes[isolated].replica.state.identity
         cluster.nodes[isolated].isolated = False
         cluster.run(4.0)
@@ -62,7 +58,7 @@
         silent = next(host for host in cluster.nodes if host != cluster.wait_for_leader().host_id)
         cluster.crash(silent)
         cluster.run(20.0)
-        self.assertEqual(members(cluster), {"a", "b", "c"})
+        self.assertEqual(voters(cluster), {"a", "b", "c"})
 
     def test_minority_removes_nobody(self) -> None:
         """Guards against a minority partition that removes the members of the majority."""
@@ -79,7 +75,7 @@
         )
         cluster.blocked_links.clear()
         cluster.run(6.0)
-        self.assertEqual(members(cluster), set(FIVE_HOSTS))
+        self.assertEqual(voters(cluster), set(FIVE_HOSTS))
         cluster.check_applied_commands()
 
     def test_random_losses(self) -> None:
--- a/tests/consensus/test_replacements.py
+++ b/tests/consensus/test_replacements.py
@@ -5,8 +5,7 @@
 import random
 import unittest
 
-from camphorvalve.consensus.members import host_of
-from tests.consensus.cluster import TIMING, Cluster, Faults, Node, first_hosts
+from tests.consensus.cluster import TIMING, Cluster, Faults, Node, first_hosts, voters
 
 REPLACEMENT_TIMING = TIMING._replace(member_lost_s=15.0, member_replaced_s=2.0)
 CATCH_UP_S = 4.0
@@ -25,10 +24,6 @@
     return sorted(host for host, node in cluster.nodes.items() if node.driver is not None)
 
 
-def voters(cluster: Cluster) -> set[str]:
-    return {host_of(member) for member in cluster.wait_for_leader().replica.state.log.members}
-
-
 def other_than(cluster: Cluster, leader: Node) -> str:
     return next(host for host in running_hosts(cluster) if host != leader.host_id)
 
