Log how a response was framed and what its connection carried before

Cause: the lines of a request named neither what ended its response nor whether the connection had carried others, so that a body that takes in a second response, and a response that belongs to an earlier request, look the same in the logs.

Change: `attempt failed` and `request finished` have `framing` (length, chunks, close) and `earlier_responses_count`. They replace the flag `ends_with_connection` of an exchange, which stayed set for later attempts.

Measured: tests.upstreams.test_routed (test_sources) and tests.filters pass.

--- a/src/camphorvalve/filters/account.py
+++ b/src/camphorvalve/filters/account.py
@@ -91,6 +91,7 @@
         units=round(exchange.served_units, 1),
         first_byte_ms=_milliseconds(finished.first_byte_s),
         total_ms=_milliseconds(finished.total_s),
+        **(exchange.source.log_fields() if exchange.source else {}),
     )
 
 
--- a/src/camphorvalve/filters/quarantine.py
+++ b/src/camphorvalve/filters/quarantine.py
@@ -8,7 +8,7 @@
 
 import structlog
 
-from camphorvalve.model.answers import Body, Head
+from camphorvalve.model.answers import Body, Framing, Head
 from camphorvalve.model.errors import RequestError
 from camphorvalve.model.requests import shared_part_ids
 from camphorvalve.sharing.suspects import Condemned, Suspected
@@ -80,7 +80,9 @@
                         self._record_answer(exchange, attempt, part_ids, UNDER_WAY_S)
                     yield part
             # The crash of an upstream may close the connection as the end of an answer does.
-            min_age_s = UNDER_WAY_S if exchange.ends_with_connection else 0.0
+            source = exchange.source
+            is_ambiguous = source is not None and source.framing is Framing.CLOSE
+            min_age_s = UNDER_WAY_S if is_ambiguous else 0.0
             self._record_answer(exchange, attempt, part_ids, min_age_s)
         except UpstreamError as error:
             if part_ids and ended_connection(error):
--- a/src/camphorvalve/filters/retry.py
+++ b/src/camphorvalve/filters/retry.py
@@ -132,6 +132,7 @@
         output = _OutputBuffer(exchange)
         while True:
             exchange.attempt += 1
+            exchange.source = None
             try:
                 async with aclosing(inner(exchange)) as parts:
                     async for part in parts:
@@ -171,6 +172,7 @@
             output_started=exchange.output_started,
             connection_ended=ended,
             parts=shared_part_ids(exchange.request.call) if is_waiting else [],
+            **(exchange.source.log_fields() if exchange.source else {}),
         )
         exchange.note(time.monotonic(), f"attempt {exchange.attempt} failed: {error}")
         if exchange.upstream_id is not None:
--- a/src/camphorvalve/model/answers.py
+++ b/src/camphorvalve/model/answers.py
@@ -2,9 +2,19 @@
 
 from __future__ import annotations
 
+import enum
 from dataclasses import dataclass
 
 
+class Framing(enum.Enum):
+    """What ends the body of an upstream's response (RFC 9112, 6.3)."""
+
+    LENGTH = "length"
+    CHUNKS = "chunks"
+    CLOSE = "close"
+    """Only the end of the connection."""
+
+
 @dataclass(frozen=True, slots=True)
 class Head:
     """Status code and headers of a response; always its first part."""
@@ -22,4 +32,4 @@
 
 Part = Head | Body
 
-__all__ = ["Body", "Head", "Part"]
+__all__ = ["Body", "Framing", "Head", "Part"]
--- a/src/camphorvalve/model/requests.py
+++ b/src/camphorvalve/model/requests.py
@@ -4,12 +4,12 @@
 
 import enum
 from dataclasses import dataclass, field
-from typing import TYPE_CHECKING, NamedTuple
+from typing import TYPE_CHECKING, Any, NamedTuple
 
 import xxhash
 
 if TYPE_CHECKING:
-    from camphorvalve.model.answers import Head
+    from camphorvalve.model.answers import Framing, Head
     from camphorvalve.model.routes import Route
     from camphorvalve.model.teams import KindParameters, TeamParameters
 
@@ -128,6 +128,19 @@
     text: str
 
 
+class ResponseSource(NamedTuple):
+    """How a response of an upstream arrived."""
+
+    framing: Framing
+    """What ends its body; if that is the end of the connection, a crash may look the same."""
+    earlier_count: int | None
+    """Responses that its connection had carried before, ``None`` if that is not known."""
+
+    def log_fields(self) -> dict[str, Any]:
+        """:return: fields for the log lines of the request"""
+        return {"framing": self.framing.value, "earlier_responses_count": self.earlier_count}
+
+
 @dataclass(slots=True)
 class Exchange:
     """State of one request in the filter chain; the filters set its fields as they run."""
@@ -162,9 +175,8 @@
     failed_upstreams: set[str] = field(default_factory=set)
     """Upstreams at which an attempt failed: a routed call is not sent to them again, another call
     only when every live upstream of the pool is among them."""
-    ends_with_connection: bool = False
-    """Whether only the end of its connection ends the current response, so that the crash of its
-    upstream may look the same."""
+    source: ResponseSource | None = None
+    """How the response of the current attempt arrived, ``None`` before its head."""
     output_started: bool = False
     """Whether the caller has received a part of the response."""
     head: Head | None = None
@@ -211,6 +223,7 @@
     "Prompt",
     "PromptPart",
     "Request",
+    "ResponseSource",
     "RoutedCall",
     "ServiceCall",
     "Stage",
--- a/src/camphorvalve/upstreams/opening.py
+++ b/src/camphorvalve/upstreams/opening.py
@@ -7,10 +7,12 @@
 
 import httpx
 
-from camphorvalve.model.answers import Head
+from camphorvalve.model.answers import Framing, Head
 from camphorvalve.model.headers import HOP_HEADERS
+from camphorvalve.model.requests import ResponseSource
 from camphorvalve.upstreams.client import FRESH_CONNECTION
 from camphorvalve.upstreams.errors import NoAnswer, NotSent, WrongAnswer
+from camphorvalve.upstreams.network import Stream
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -20,6 +22,7 @@
     from camphorvalve.upstreams.options import AttemptOptions
 
 SEND_STARTED_EVENT = "http11.send_request_headers.started"
+_STATUSES_WITHOUT_BODY = (204, 304)
 # Apart from the hop-by-hop headers, the router sets these itself.
 _DROPPED_HEADERS = HOP_HEADERS | {"date", "server", "x-attempt", "x-request-id"}
 
@@ -85,6 +88,7 @@
     except (httpx.HTTPError, httpx.InvalidURL) as error:
         cause = f"{type(error).__name__}: {error}"
         raise (NoAnswer if progress.started else NotSent)(upstream.upstream_id, cause) from error
+    record_source(exchange, response)
     if mismatch := _find_mismatch(response.headers, exchange.request.request_id, attempt, call):
         await response.aclose()
         raise WrongAnswer(upstream.upstream_id, mismatch)
@@ -121,15 +125,32 @@
     return response.status_code == 200 and content_type.startswith(_EVENT_STREAM_TYPE)
 
 
-def ends_with_connection(response: httpx.Response) -> bool:
+def framing(response: httpx.Response) -> Framing:
     """
-    Tell whether the body has neither a length nor chunks, so that closing the connection ends it.
+    Tell what ends the body of a response.
 
     :param response: the upstream's response
-    :return: whether nothing else says that the body is complete
+    :return: the framing; a response without a body has a length
     """
-    has_body = response.request.method != "HEAD"
-    return has_body and not {"content-length", "transfer-encoding"} & response.headers.keys()
+    if response.request.method == "HEAD" or response.status_code in _STATUSES_WITHOUT_BODY:
+        return Framing.LENGTH
+    if "transfer-encoding" in response.headers:
+        return Framing.CHUNKS
+    return Framing.LENGTH if "content-length" in response.headers else Framing.CLOSE
+
+
+def record_source(exchange: Exchange, response: httpx.Response) -> None:
+    """
+    Note how a response is framed and what its connection carried before.
+
+    :param exchange: the request
+    :param response: the upstream's response to it, or the one found in its place
+    """
+    match response.extensions["network_stream"]:
+        case Stream(responses_count=count):
+            exchange.source = ResponseSource(framing(response), count - 1)
+        case _:
+            exchange.source = ResponseSource(framing(response), None)
 
 
 def stream_head(headers: Iterable[tuple[str, str]]) -> Head:
@@ -183,9 +204,10 @@
     "SEND_STARTED_EVENT",
     "SendProgress",
     "UpstreamCall",
-    "ends_with_connection",
+    "framing",
     "is_event_stream",
     "open_response",
+    "record_source",
     "response_headers",
     "stream_head",
 ]
--- a/src/camphorvalve/upstreams/routed.py
+++ b/src/camphorvalve/upstreams/routed.py
@@ -10,7 +10,7 @@
 import anyio
 import httpx
 
-from camphorvalve.model.answers import Body, Head
+from camphorvalve.model.answers import Body, Framing, Head
 from camphorvalve.model.errors import RequestError
 from camphorvalve.model.headers import end_to_end
 from camphorvalve.sharing.notices import Leaving, parse_hold_off
@@ -29,8 +29,9 @@
 from camphorvalve.upstreams.network import is_connection_end
 from camphorvalve.upstreams.opening import (
     SEND_STARTED_EVENT,
-    ends_with_connection,
+    framing,
     is_event_stream,
+    record_source,
     stream_head,
 )
 from camphorvalve.upstreams.pump import coalesced
@@ -198,8 +199,8 @@
     async def _response_parts(
         self, upstream: Upstream, exchange: Exchange, response: httpx.Response
     ) -> AsyncGenerator[Part, None]:
+        record_source(exchange, response)
         self._check_response(upstream, exchange, response)
-        exchange.ends_with_connection = ends_with_connection(response)
         headers = tuple(end_to_end(response.headers.multi_items()))
         head = Head(response.status_code, headers)
         is_stream = is_event_stream(response)
@@ -256,7 +257,7 @@
         sequencer = EventSequencer(
             self._last_event_number(exchange), continues=exchange.broken is not None
         )
-        connection_ended = ends_with_connection(response)
+        connection_ended = framing(response) is Framing.CLOSE
         try:
             with self._client.responses.reserve(response) as reservation:
                 async with coalesced(body_chunks(response)) as chunks:
@@ -298,7 +299,7 @@
 def _find_truncation(response: httpx.Response, sequencer: EventSequencer) -> str | None:
     if sequencer.inside_event:
         return "the stream ended inside an event"
-    if not sequencer.has_events and ends_with_connection(response):
+    if not sequencer.has_events and framing(response) is Framing.CLOSE:
         return "the connection was closed before the first event"
     return None
 
--- a/src/camphorvalve/upstreams/service.py
+++ b/src/camphorvalve/upstreams/service.py
@@ -8,14 +8,14 @@
 import anyio
 import httpx
 
-from camphorvalve.model.answers import Body, Head
+from camphorvalve.model.answers import Body, Framing, Head
 from camphorvalve.upstreams.bodies import body_chunks
 from camphorvalve.upstreams.errors import Broken
 from camphorvalve.upstreams.events import ENDS_OF_EVENT, LONGEST_END_BYTES
 from camphorvalve.upstreams.opening import (
     SendProgress,
     UpstreamCall,
-    ends_with_connection,
+    framing,
     is_event_stream,
     open_response,
     response_headers,
@@ -69,7 +69,7 @@
                 exchange.served_units = units_before + _elapsed_ms(started_s)
                 last_bytes = (last_bytes + chunk[-LONGEST_END_BYTES:])[-LONGEST_END_BYTES:]
                 yield Body(chunk)
-        if is_event_stream(response) and ends_with_connection(response):
+        if is_event_stream(response) and framing(response) is Framing.CLOSE:
             _check_end(upstream, last_bytes)
     except httpx.HTTPError as error:
         raise Broken(upstream.upstream_id, f"{type(error).__name__}: {error}") from error
--- a/tests/upstreams/test_routed.py
+++ b/tests/upstreams/test_routed.py
@@ -13,9 +13,9 @@
 
 from camphorvalve.filters.chain import compose
 from camphorvalve.filters.deadline import DeadlineFilter
-from camphorvalve.model.answers import Body, Head
+from camphorvalve.model.answers import Body, Framing, Head
 from camphorvalve.model.errors import RequestError
-from camphorvalve.model.requests import BrokenStream
+from camphorvalve.model.requests import BrokenStream, ResponseSource
 from camphorvalve.sharing.notices import HoldOff, Leaving
 from camphorvalve.upstreams import routed
 from camphorvalve.upstreams.bodies import MAX_RESPONSE_BYTES
@@ -464,6 +464,31 @@
                 self.assertIsInstance(second.error, WrongAnswer)
                 self.assertEqual(third, AttemptResult(200, b"3", None))
 
+    def test_sources(self) -> None:
+        """Guards against log lines that name the wrong framing or connection of a response."""
+        chunked = UPSTREAM_HEADERS + b"transfer-encoding: chunked\r\n\r\n1\r\na\r\n0\r\n\r\n"
+        scripts = [
+            Script(response(b"a")),
+            Script(b"HTTP/1.1 200 OK\r\n" + chunked),
+            Script(b"HTTP/1.1 200 OK\r\n" + UPSTREAM_HEADERS + b"\r\na", "close"),
+            Script(response(b"a")),
+        ]
+
+        async def run() -> list[ResponseSource | None]:
+            exchanges = [a_routed_exchange(a_route(idempotent=True)) for _ in scripts]
+            async with upstream(*scripts) as (url, _), create_client() as client:
+                for exchange in exchanges:
+                    await attempt(url, exchange, client)
+            return [exchange.source for exchange in exchanges]
+
+        expected = [
+            ResponseSource(Framing.LENGTH, 0),
+            ResponseSource(Framing.CHUNKS, 1),
+            ResponseSource(Framing.CLOSE, 2),
+            ResponseSource(Framing.LENGTH, 0),
+        ]
+        self.assertEqual(anyio.run(run), expected)
+
     def test_notices(self) -> None:
         """Guards against a notice that is overlooked, or taken from an answer of another
         upstream or to another request."""
