Test for second responses after one that ends with its connection

An upstream that responds twice makes a caller's body begin with its own response and go on with the second one, status line and headers included, where only the end of the connection ends the first one.

--- a/tests/rawpeers.py
+++ b/tests/rawpeers.py
@@ -23,8 +23,8 @@
     content: bytes
     ending: str = "keep"
     """``close`` or ``reset`` the connection, ``keep`` it open, ``extra`` to send ``content`` again
-    without a request, ``later`` to send ``repeated`` once, or ``endless`` to send it until the
-    caller closes the connection."""
+    without a request, ``later`` to send ``repeated`` once, ``later then close`` to close the
+    connection after that, or ``endless`` to send it until the caller closes the connection."""
     pause_s: float = 0.0
     """Delay before the ending, so that the content arrives first."""
     early: bool = False
@@ -65,6 +65,9 @@
                     case "later":
                         with contextlib.suppress(anyio.BrokenResourceError):
                             await stream.send(script.repeated)
+                    case "later then close":
+                        await stream.send(script.repeated)
+                        return
                     case "endless":
                         await self._repeat(stream, script)
                         return
