Break off a body into which a second response runs

Callers got their own response followed by another one, status line and headers included, as one body with status 200, and events of a second response after those of their own stream.

Cause: nothing but the end of its connection ends a body without a length and chunks, so that whatever else an upstream sends on the connection counts as the body. The id of the response, which keeps responses apart everywhere else, is checked in its head only.

Change: such a body is searched for the head of another response (upstreams/framing.py): a status line and the name of a header, or their first bytes at the end. It is broken off there, and not ended, since the upstream may have stopped in the middle of the first response as well. Text that only mentions a status line is passed on.

Bytes that are no response, and the first six bytes of one, can still not be told from a body.

--- /dev/null
+++ b/src/camphorvalve/upstreams/framing.py
@@ -0,0 +1,97 @@
+"""Tells what ends the body of a response, and finds a second one where only the close does."""
+
+from __future__ import annotations
+
+import re
+from contextlib import aclosing
+from typing import TYPE_CHECKING
+
+import httpx
+
+from camphorvalve.model.answers import Framing
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncGenerator
+
+_STATUSES_WITHOUT_BODY = (204, 304)
+
+_TOKEN = rb"[!#$%&'*+.^_`|~0-9A-Za-z-]"
+_VERSION = b"HTTP/1."
+_MAX_REASON_LENGTH = 128
+_MAX_NAME_LENGTH = 64
+# The lines of an event may follow text that looks like a status line (HTML Living Standard, 9.2.6).
+_SECOND_HEAD = re.compile(
+    rb"HTTP/1\.[01] [1-5]\d\d(?: [^\r\n]{0,%d})?\r?\n(?!(?:data|event|id|retry):)%s{1,%d}:"
+    % (_MAX_REASON_LENGTH, _TOKEN, _MAX_NAME_LENGTH)
+)
+"""A status line and the name of the first header (RFC 9112, 4 and 5)."""
+_UNFINISHED_HEAD = re.compile(
+    rb"HTTP/1\.(?:[01](?: (?:[1-5](?:\d(?:\d(?: [^\r\n]{0,%d})?(?:\r?(?:\n%s{0,%d})?)?)?)?)?)?)?\Z"
+    % (_MAX_REASON_LENGTH, _TOKEN, _MAX_NAME_LENGTH)
+)
+"""The first bytes of a second head, from the version on, at the end of what has arrived."""
+
+
+def framing(response: httpx.Response) -> Framing:
+    """
+    Tell what ends the body of a response.
+
+    :param response: the upstream's response
+    :return: the framing; a response without a body has a length
+    """
+    if response.request.method == "HEAD" or response.status_code in _STATUSES_WITHOUT_BODY:
+        return Framing.LENGTH
+    if "transfer-encoding" in response.headers:
+        return Framing.CHUNKS
+    return Framing.LENGTH if "content-length" in response.headers else Framing.CLOSE
+
+
+async def without_second_response(
+    chunks: AsyncGenerator[bytes, None],
+) -> AsyncGenerator[bytes, None]:
+    """
+    Check a body that only the end of its connection ends.
+
+    A faulty upstream may send another response on the connection before it closes it, and nothing
+    else separates the two. The bytes before the second one may be a part of a body as well as a
+    whole one, so that the body is broken off instead of being ended there.
+
+    :param chunks: the body in chunks of any size
+    :return: the same bytes; those that may begin a second response wait for the ones after them
+    :raises httpx.RemoteProtocolError: the head of another response, or its first bytes, follow
+    """
+    held = b""
+    async with aclosing(chunks):
+        async for chunk in chunks:
+            content = held + chunk
+            if head := _SECOND_HEAD.search(content):
+                if head.start():
+                    yield content[: head.start()]
+                raise _second_response_error()
+            start = _unfinished_head_start(content)
+            held = content[start:]
+            if start:
+                yield content[:start]
+    if held.startswith(_VERSION):
+        raise _second_response_error()
+    if held:
+        yield held
+
+
+def _unfinished_head_start(content: bytes) -> int:
+    """Return where bytes that may begin a second head start, or the length if there are none."""
+    if unfinished := _UNFINISHED_HEAD.search(content):
+        return unfinished.start()
+    for length in range(len(_VERSION) - 1, 0, -1):
+        if content.endswith(_VERSION[:length]):
+            return len(content) - length
+    return len(content)
+
+
+def _second_response_error() -> httpx.RemoteProtocolError:
+    return httpx.RemoteProtocolError(
+        "another response follows in a body that ends with its connection"
+    )
+
+
+__all__ = ["framing", "without_second_response"]
--- a/src/camphorvalve/upstreams/opening.py
+++ b/src/camphorvalve/upstreams/opening.py
@@ -7,11 +7,12 @@
 
 import httpx
 
-from camphorvalve.model.answers import Framing, Head
+from camphorvalve.model.answers import Head
 from camphorvalve.model.headers import HOP_HEADERS
 from camphorvalve.model.requests import ResponseSource
 from camphorvalve.upstreams.client import FRESH_CONNECTION
 from camphorvalve.upstreams.errors import NoAnswer, NotSent, WrongAnswer
+from camphorvalve.upstreams.framing import framing
 from camphorvalve.upstreams.network import Stream
 
 if TYPE_CHECKING:
@@ -22,7 +23,6 @@
     from camphorvalve.upstreams.options import AttemptOptions
 
 SEND_STARTED_EVENT = "http11.send_request_headers.started"
-_STATUSES_WITHOUT_BODY = (204, 304)
 # Apart from the hop-by-hop headers, the router sets these itself.
 _DROPPED_HEADERS = HOP_HEADERS | {"date", "server", "x-attempt", "x-request-id"}
 
@@ -125,20 +125,6 @@
     return response.status_code == 200 and content_type.startswith(_EVENT_STREAM_TYPE)
 
 
-def framing(response: httpx.Response) -> Framing:
-    """
-    Tell what ends the body of a response.
-
-    :param response: the upstream's response
-    :return: the framing; a response without a body has a length
-    """
-    if response.request.method == "HEAD" or response.status_code in _STATUSES_WITHOUT_BODY:
-        return Framing.LENGTH
-    if "transfer-encoding" in response.headers:
-        return Framing.CHUNKS
-    return Framing.LENGTH if "content-length" in response.headers else Framing.CLOSE
-
-
 def record_source(exchange: Exchange, response: httpx.Response) -> None:
     """
     Note how a response is framed and what its connection carried before.
@@ -204,7 +190,6 @@
     "SEND_STARTED_EVENT",
     "SendProgress",
     "UpstreamCall",
-    "framing",
     "is_event_stream",
     "open_response",
     "record_source",
--- a/tests/upstreams/test_second_response.py
+++ b/tests/upstreams/test_second_response.py
@@ -6,13 +6,17 @@
 from typing import TYPE_CHECKING
 
 import anyio
+import httpx
 
 from camphorvalve.upstreams.errors import Broken
+from camphorvalve.upstreams.framing import without_second_response
 from tests.rawpeers import Script, upstream
 from tests.routebuilders import a_route, a_routed_exchange
 from tests.upstreams.test_routed import EVENTS, AttemptResult, attempt, response
 
 if TYPE_CHECKING:
+    from collections.abc import AsyncGenerator
+
     from camphorvalve.model.routes import Route
 
 HEADERS = b"X-Id: id-1\r\nX-Proof: p\r\n"
@@ -132,6 +136,38 @@
                 result = anyio.run(results_of, Script(content, "close"), ONCE)
                 self.assertEqual(result, AttemptResult(200, WHOLE, None))
 
+    def test_chunk_boundaries(self) -> None:
+        """Guards against a second head that is missed because it arrives in pieces, and against
+        sound bytes that are lost with the pieces."""
+        sound = b"see HTTP/1.1 and HTTP/1.1 200 OK\n\nHT"
+        for content, expected in (
+            (sound, (sound, False)),
+            (sound + OLDER, (sound, True)),
+            (sound + OLDER[:7], (sound, True)),
+            (b"HTTP/1.1 200 OK\r\n" + b"a" * 80 + b": b", (None, False)),
+        ):
+            pieces = [[content[:at], content[at:]] for at in range(len(content))]
+            pieces.append([content[at : at + 1] for at in range(len(content))])
+            for chunks in pieces:
+                with self.subTest(chunks=chunks):
+                    read, is_broken = anyio.run(self.read_checked, chunks)
+                    self.assertEqual((read, is_broken), (expected[0] or content, expected[1]))
+
+    async def read_checked(self, chunks: list[bytes]) -> tuple[bytes, bool]:
+        """Return the bytes that pass the check, and whether it ended with an error."""
+
+        async def body() -> AsyncGenerator[bytes, None]:
+            for chunk in chunks:
+                yield chunk
+
+        read = b""
+        try:
+            async for chunk in without_second_response(body()):
+                read += chunk
+        except httpx.RemoteProtocolError:
+            return read, True
+        return read, False
+
 
 if __name__ == "__main__":
     unittest.main()
