Refuse a command that finds the leadership lost, without an error

Cause: the replica gives up its leadership while it handles the command, so that the change of the leader drops the ids of all proposals, and the refusal of the command that follows finds none.

Change: the end of a leadership drops the proposals that have a position in the log; the others are refused in the same step, with the truth that nothing was appended.

--- a/src/camphorvalve/controllers/submissions.py
+++ b/src/camphorvalve/controllers/submissions.py
@@ -186,13 +186,15 @@
 
     def abandon(self) -> None:
         """
-        Drop the proposal ids when the leadership ends; the next leader handles resent commands.
+        Drop the ids of appended proposals when the leadership ends; the next leader handles resent
+        commands.
 
-        A remote submitter still gets its reply if the entry is committed after all.
+        A remote submitter still gets its reply if the entry is committed after all. A proposal that
+        finds the leadership lost has no position yet, and is refused next.
         """
-        for proposal in self._by_id.values():
+        for proposal in self._by_index.values():
             _fail_if_local(proposal)
-        self._by_id.clear()
+            self._forget_id(proposal)
 
     def expire(self, now_s: float) -> None:
         """
@@ -206,11 +208,15 @@
                 self._forget(proposal)
 
     def _forget(self, proposal: _Proposal) -> None:
-        if self._by_id.get(proposal.proposal_id) is proposal:
-            del self._by_id[proposal.proposal_id]
+        self._forget_id(proposal)
         if self._by_index.get(proposal.index) is proposal:
             del self._by_index[proposal.index]
 
+    def _forget_id(self, proposal: _Proposal) -> None:
+        # A command that was sent again has a newer proposal under the same id.
+        if self._by_id.get(proposal.proposal_id) is proposal:
+            del self._by_id[proposal.proposal_id]
+
 
 def _fail_if_local(proposal: _Proposal) -> None:
     if isinstance(proposal.waiter, PendingOutcome):
--- a/tests/controllers/test_replication.py
+++ b/tests/controllers/test_replication.py
@@ -10,7 +10,12 @@
 
 from camphorvalve.consensus.messages import Join
 from camphorvalve.controllers.runtime import Sender
-from camphorvalve.controllers.submissions import NotLeaderError, OutcomeUnknownError
+from camphorvalve.controllers.submissions import (
+    NotLeaderError,
+    OutcomeUnknownError,
+    RemoteSubmitter,
+    Submissions,
+)
 from camphorvalve.registry import configuration
 from camphorvalve.registry.commands import (
     COMMAND_CODEC,
@@ -98,6 +103,34 @@
         self.group.run(1)
         self.assertEqual(self.leader.state.snapshot(), new_leader.state.snapshot())
 
+    def test_a_leader_that_was_suspended_refuses_the_first_command(self) -> None:
+        """Guards against an error that ends the process, when the command that comes first after a
+        suspension finds the leadership lost."""
+        resumed_s = self.group.now_s + 3.5
+        submit = Submit("late", COMMAND_CODEC.encode(an_acceptance()))
+        outgoing = list(self.leader.handle(Sender("router-0", 1), submit, resumed_s))
+        replies = [sent.message for sent in outgoing if sent.peer_id == "router-0"]
+        self.assertEqual(replies, [SubmitReply("late", False, None, b"")])
+        self.assertFalse(self.leader.leads)
+
+    def test_a_command_whose_first_entry_is_of_an_earlier_term_is_refused(self) -> None:
+        """Guards against the same error for a command that is sent again under its id."""
+        submissions, waiter = Submissions(), RemoteSubmitter("router-0", "again")
+        submissions.add("id", waiter, 0.0)
+        submissions.record_position("id", 5, 1)
+        submissions.abandon()
+        submissions.add("id", waiter, 1.0)
+        submissions.abandon()
+        (refusal,) = submissions.refuse("id", None)
+        self.assertEqual(refusal.message, SubmitReply("again", False, None, b""))
+
+    def test_a_suspended_leader_refuses_its_own_command(self) -> None:
+        """Guards against the same error for a command of the process itself, which may be sent
+        again as nothing was appended."""
+        pending = self.leader.submit(an_acceptance(), self.group.now_s + 3.5)
+        with self.assertRaises(NotLeaderError):
+            anyio.run(pending.wait)
+
     def test_an_entry_of_another_leader_answers_nobody(self) -> None:
         group, host = self.group, self.group.host(self.leader)
         group.disconnected.add(host)
