Require a key also after the last tenant has been removed

Cause: whether keys are required followed from the number of tenants, so that an empty list looked like a manifest without the list.

Change: the manifest says whether it lists tenants. Stored manifests that lack the field require keys if they have tenants, as before.

--- a/src/camphorvalve/filters/route.py
+++ b/src/camphorvalve/filters/route.py
@@ -48,7 +48,7 @@
     matched = table.find(call.host, call.target)
     if matched is None:
         raise RequestError("not_found", f"no route matches host {call.host!r} and this path")
-    if table.has_teams and not matched.public:
+    if table.requires_keys and not matched.public:
         exchange.team = table.team(exchange.request.token)
         if exchange.team is None:
             raise RequestError("unauthorised", "the API key is unknown")
--- a/src/camphorvalve/model/routes.py
+++ b/src/camphorvalve/model/routes.py
@@ -99,6 +99,9 @@
     bounds: CallerBounds
     source: bytes
     """The document as the operator sent it, returned when it is read back."""
+    lists_tenants: bool = False
+    """Whether the document has a list of tenants, which may be empty; false in stored manifests
+    that are older than this field."""
 
 
 __all__ = [
--- a/src/camphorvalve/sharing/routing.py
+++ b/src/camphorvalve/sharing/routing.py
@@ -83,9 +83,9 @@
         return {(team, route) for team in teams for route in routes}
 
     @property
-    def has_teams(self) -> bool:
+    def requires_keys(self) -> bool:
         """:return: whether requests on routes that are not public need a key"""
-        return bool(self.manifest.tenants)
+        return self.manifest.lists_tenants or bool(self.manifest.tenants)
 
 
 def split(route: Route, position: float) -> str:
--- /dev/null
+++ b/tests/filters/test_route.py
@@ -0,0 +1,56 @@
+"""Guards against requests that are run without a key that a manifest holds."""
+
+from __future__ import annotations
+
+import random
+import unittest
+
+from camphorvalve.filters.route import route
+from camphorvalve.model.errors import RequestError
+from camphorvalve.model.routes import Tenant
+from camphorvalve.sharing.routing import RouteTable
+from tests.filters.harness import response_handler, run_filter
+from tests.routebuilders import a_manifest, a_route, a_routed_exchange
+
+
+class RouteTest(unittest.IsolatedAsyncioTestCase):
+    async def test_keys(self) -> None:
+        """Guards against admitting any request once the last tenant has been removed."""
+        youth = (Tenant("youth", ("key-1",), 1),)
+        rows = [
+            ("known key", youth, True, "key-1", False, None),
+            ("unknown key", youth, True, "key-2", False, "unauthorised"),
+            (
+                "unknown key, manifest of an older store",
+                youth,
+                False,
+                "key-2",
+                False,
+                "unauthorised",
+            ),
+            ("no tenant left", (), True, "key-1", False, "unauthorised"),
+            ("no tenant left, no key", (), True, "", False, "unauthorised"),
+            ("no tenant left, public route", (), True, "", True, None),
+            ("manifest without tenants", (), False, "", False, None),
+        ]
+        for name, tenants, lists_tenants, token, public, code in rows:
+            with self.subTest(name):
+                routes = (a_route(public=public),)
+                table = RouteTable(
+                    a_manifest(routes=routes, tenants=tenants, lists_tenants=lists_tenants)
+                )
+                exchange = a_routed_exchange(routes[0], token=token)
+                raised = None
+                try:
+                    await run_filter(
+                        route(lambda table=table: table, random.Random(1)),
+                        exchange,
+                        response_handler(b"yes"),
+                    )
+                except RequestError as error:
+                    raised = error.code
+                self.assertEqual(raised, code)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/platform/test_manifests.py
+++ b/tests/platform/test_manifests.py
@@ -34,6 +34,18 @@
         self.assertEqual(manifest.tenants, (Tenant("youth", ("key-1",), 1),))
         self.assertEqual(manifest.bounds.idle_timeout_s, 15.0)
 
+    def test_last_tenant_removed(self) -> None:
+        """Guards against taking an empty list of tenants for none, which would admit any key."""
+        without_tenants = json.loads(a_manifest_document())
+        del without_tenants["tenants"]
+        for document, expected in (
+            (a_manifest_document(), True),
+            (a_manifest_document(tenants=[]), True),
+            (json.dumps(without_tenants).encode(), False),
+        ):
+            with self.subTest(document):
+                self.assertIs(manifests.decode(document).lists_tenants, expected)
+
     def test_kinds(self) -> None:
         """Guards against repeating a request whose kind allows only one attempt."""
         rows = [
