Leave out entries of the list that lack a field

Cause: an entry without slots, version and coldRemainingMs counted as one of the platform, though its page says that each entry has them.

Change: the three fields are required, as the others are.

--- a/tests/platform/test_instances.py
+++ b/tests/platform/test_instances.py
@@ -84,6 +84,15 @@
         upstreams = read([an_entry(id="i-1"), *bad, an_entry(id="i-2")])
         self.assertEqual([upstream.upstream_id for upstream in upstreams], ["i-1", "i-2"])
 
+    def test_entries_without_a_field(self) -> None:
+        """Guards against an entry of another writer that lacks a field, and would move a running
+        worker to another pool."""
+        for field in sorted(an_entry().keys() - {"models"}):
+            with self.subTest(field):
+                odd = an_entry(service="desk")
+                del odd[field]
+                self.assertEqual([up.pool for up in read([an_entry(), odd])], ["engines"])
+
     def test_odd_entries(self) -> None:
         """Guards against an entry of another writer that makes the whole list unreadable, ends the
         process, or is used although no worker can be reached at it."""
--- a/tools/standins/karrilane.py
+++ b/tools/standins/karrilane.py
@@ -64,7 +64,9 @@
             "service": self._service,
             "address": url.removeprefix("http://"),
             "zone": "zone-a",
+            "version": "v1",
             "slots": 8,
+            "coldRemainingMs": 0,
             "state": state,
             "models": [{"name": "m"}],
         }
