Keep a connection only after a response that named its request

Load reports and other reads without an id took the response to an earlier read, or the second one to a request, for their own: a load report read 9 running requests from the body of a response to a caller.

Cause: these reads shared kept connections with each other and with requests, and every complete response left its connection to be reused. A read cannot tell an earlier response from its own, and one that takes it leaves its own response to the next user of the connection.

Change: a connection is reused only if the reader has called `keep_connection` for the response (upstreams/client.py). routed.py and opening.py do so once the response has named the request; a plain service or engine whose responses bear no X-Request-Id gets a connection for each request. `fetch` opens a connection of its own for each read, which is closed after it.

--- a/src/camphorvalve/upstreams/client.py
+++ b/src/camphorvalve/upstreams/client.py
@@ -20,6 +20,8 @@
 
 FRESH_CONNECTION = "camphorvalve.fresh_connection"
 """Request extension that asks for a new connection instead of a pooled one."""
+_KEPT_CONNECTION = "camphorvalve.kept_connection"
+"""Response extension that is set once the response is known to be the one to its request."""
 KEEPALIVE_TIMEOUT_S = 4.0
 """How long an idle connection is kept; below the 5 s after which common servers close it."""
 MAX_KEEPALIVE_COUNT = 256
@@ -81,6 +83,7 @@
 
     def __init__(self, response: httpx.Response) -> None:
         self._stream = response.stream
+        self._extensions = response.extensions
         self._network_stream: httpcore.AsyncNetworkStream = response.extensions["network_stream"]
         # httpcore looks for unsolicited bytes in the network stream only, not in its parser.
         self._parser: h11.Connection = (
@@ -92,7 +95,7 @@
 
     async def aclose(self) -> None:
         try:
-            if self._has_extra_bytes():
+            if _KEPT_CONNECTION not in self._extensions or self._has_extra_bytes():
                 await self._network_stream.aclose()
         finally:
             await self._stream.aclose()  # type: ignore[union-attr]
@@ -140,6 +143,18 @@
             await self._pools.pop(origin).transport.aclose()
 
 
+def keep_connection(response: httpx.Response) -> None:
+    """
+    Let other requests use the connection of a response once the response is complete.
+
+    To be called when the response names its request. A response that doesn't may be an earlier one,
+    whose place that of the current request takes later; its connection is closed.
+
+    :param response: response that names the request it was received for
+    """
+    response.extensions[_KEPT_CONNECTION] = True
+
+
 _EMPTY_TLS_CONTEXT = ssl.SSLContext(ssl.PROTOCOL_TLS_CLIENT)
 
 
@@ -180,4 +195,4 @@
     return UpstreamClient(_Transport(unacknowledged_timeout_s, keepalive_s))
 
 
-__all__ = ["FRESH_CONNECTION", "UpstreamClient", "create_client"]
+__all__ = ["FRESH_CONNECTION", "UpstreamClient", "create_client", "keep_connection"]
--- a/src/camphorvalve/upstreams/fetching.py
+++ b/src/camphorvalve/upstreams/fetching.py
@@ -3,13 +3,17 @@
 from __future__ import annotations
 
 import asyncio
+from types import MappingProxyType
 from typing import TYPE_CHECKING, Any, NamedTuple
 
 import httpx
 
 from camphorvalve.upstreams.bodies import BodyTooLongError, read_limited
+from camphorvalve.upstreams.client import FRESH_CONNECTION
 
 if TYPE_CHECKING:
+    from collections.abc import Mapping
+
     from camphorvalve.upstreams.client import UpstreamClient
 
 
@@ -35,20 +39,35 @@
 
 
 async def fetch(
-    client: UpstreamClient, method: str, url: str, limits: FetchLimits, **fields: Any
+    client: UpstreamClient,
+    method: str,
+    url: str,
+    limits: FetchLimits,
+    extensions: Mapping[str, Any] = MappingProxyType({}),
+    **fields: Any,
 ) -> FetchedResponse:
     """
-    Send a request and read the whole response.
+    Send a request on a new connection and read the whole response.
+
+    The response names no request. On a connection that carried others, a second copy of theirs
+    could be taken for it.
 
     :param client: HTTP client
     :param method: method of the request
     :param url: where to send it
     :param limits: time and size
+    :param extensions: extensions of the request
     :param fields: further fields of the request, as of ``httpx.AsyncClient.build_request``
     :return: the response, of any status
     :raises httpx.HTTPError: no response, or one that is too late, too long or compressed
     """
-    request = client.build_request(method, url, timeout=limits.timeout_s, **fields)
+    request = client.build_request(
+        method,
+        url,
+        timeout=limits.timeout_s,
+        extensions={**extensions, FRESH_CONNECTION: True},
+        **fields,
+    )
     try:
         async with asyncio.timeout(limits.timeout_s):
             response = await client.send(request, stream=True)
--- a/src/camphorvalve/upstreams/opening.py
+++ b/src/camphorvalve/upstreams/opening.py
@@ -10,7 +10,7 @@
 from camphorvalve.model.answers import Head
 from camphorvalve.model.headers import HOP_HEADERS
 from camphorvalve.model.requests import ResponseSource
-from camphorvalve.upstreams.client import FRESH_CONNECTION
+from camphorvalve.upstreams.client import FRESH_CONNECTION, keep_connection
 from camphorvalve.upstreams.errors import NoAnswer, NotSent, WrongAnswer
 from camphorvalve.upstreams.framing import framing
 from camphorvalve.upstreams.network import Stream
@@ -92,6 +92,8 @@
     if mismatch := _find_mismatch(response.headers, exchange.request.request_id, attempt, call):
         await response.aclose()
         raise WrongAnswer(upstream.upstream_id, mismatch)
+    if "x-request-id" in response.headers:
+        keep_connection(response)
     return response
 
 
--- a/src/camphorvalve/upstreams/routed.py
+++ b/src/camphorvalve/upstreams/routed.py
@@ -15,7 +15,7 @@
 from camphorvalve.model.headers import end_to_end
 from camphorvalve.sharing.notices import Leaving, parse_hold_off
 from camphorvalve.upstreams.bodies import BodyTooLongError, body_chunks, read_body
-from camphorvalve.upstreams.client import FRESH_CONNECTION
+from camphorvalve.upstreams.client import FRESH_CONNECTION, keep_connection
 from camphorvalve.upstreams.errors import (
     Broken,
     Declined,
@@ -234,6 +234,8 @@
             # The answer to this request follows and must not meet another one.
             response.extensions["network_stream"].abort()
             raise WrongAnswer(upstream.upstream_id, f"response to request {response_id!r}")
+        if response_id:
+            keep_connection(response)
         if response.status_code != 421:
             # Status 421 comes from another upstream that now listens on the same address.
             for notice in self._notices(response):
--- a/tests/rawpeers.py
+++ b/tests/rawpeers.py
@@ -98,6 +98,33 @@
             tasks.cancel_scope.cancel()
 
 
+@asynccontextmanager
+async def repeating_upstream(*contents: bytes) -> AsyncIterator[tuple[str, list[bytes]]]:
+    """
+    Run an upstream that sends the previous response of a connection again before each later one.
+
+    :param contents: responses to the requests of all connections, in order
+    :return: its URL, and the requests that it has received
+    """
+    left, received = list(contents), []
+
+    async def handle(stream: SocketStream) -> None:
+        previous = b""
+        async with stream:
+            while (request := await _read_request(stream, whole=True)) is not None:
+                received.append(request)
+                content = left.pop(0)
+                await stream.send(previous + content)
+                previous = content
+
+    async with await anyio.create_tcp_listener(local_host="127.0.0.1") as listener:
+        port = listener.extra(SocketAttribute.local_port)
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(listener.serve, handle)
+            yield f"http://127.0.0.1:{port}", received
+            tasks.cancel_scope.cancel()
+
+
 async def exchange_bytes(port: int, content: bytes, *, wait_s: float = 2.0) -> bytes:
     """Send bytes, and return what is received until the connection closes or ``wait_s`` is over."""
     received = b""
@@ -135,4 +162,4 @@
     return head + b"\r\n\r\n" + body
 
 
-__all__ = ["Script", "ScriptedUpstream", "exchange_bytes", "upstream"]
+__all__ = ["Script", "ScriptedUpstream", "exchange_bytes", "repeating_upstream", "upstream"]
--- a/tests/upstreams/test_attempt.py
+++ b/tests/upstreams/test_attempt.py
@@ -124,6 +124,19 @@
             result = await self.run_attempt(an_upstream(url=url), exchange)
         self.assertEqual(result, AttemptResult(503, body, None))
 
+    async def test_connections_of_responses_without_an_id(self) -> None:
+        """Guards against keeping a connection whose response may be that to another request."""
+        rows = [(b"x-request-id: id-1\r\n", 1), (b"", 2), (b"x-attempt: 1\r\n", 2)]
+        for headers, connections_count in rows:
+            content = b"HTTP/1.1 200 OK\r\n" + headers + b"content-length: 3\r\n\r\nyes"
+            with self.subTest(headers):
+                async with raw_upstream(Script(content), Script(content)) as (url, peer):
+                    for _ in range(2):
+                        exchange = a_service_exchange(request_id="id-1")
+                        result = await self.run_attempt(a_service(url=url), exchange)
+                        self.assertEqual(result, AttemptResult(200, b"yes", None))
+                self.assertEqual(peer.connections_count, connections_count)
+
     async def test_a_stream_with_a_length(self) -> None:
         """Guards against a length in the head that a continued stream doesn't keep to."""
         headers = b"x-request-id: id-1\r\ncontent-type: text/event-stream\r\n"
--- a/tests/upstreams/test_fetching.py
+++ b/tests/upstreams/test_fetching.py
@@ -18,7 +18,9 @@
 from camphorvalve.upstreams.orderreplies import InDoubt
 from camphorvalve_platform import instances
 from tests.builders import an_engine_order, an_upstream
-from tests.rawpeers import Script, upstream
+from tests.rawpeers import Script, repeating_upstream, upstream
+from tests.routebuilders import a_route, a_routed_exchange
+from tests.upstreams.test_routed import attempt, response
 
 HEAD = b"HTTP/1.1 200 OK\r\n"
 MAX_SENT_BYTES = 24 << 20
@@ -26,6 +28,12 @@
 MAX_DURATION_S = 20.0
 SHORT_LIMITS = FetchLimits(timeout_s=0.3, body_bytes=1 << 20)
 
+
+def a_load(running_count: int, headers: bytes = b"") -> bytes:
+    body = b'{"running": %d, "waiting": 0, "slots": 4, "measured_at_s": 1.0}' % running_count
+    return response(body, headers=headers)
+
+
 Reader = Callable[[UpstreamClient, str], Awaitable[Any]]
 
 
@@ -150,6 +158,25 @@
             with self.subTest(status):
                 self.assertEqual(anyio.run(run, script), expected)
 
+    def test_earlier_responses(self) -> None:
+        """Guards against a report that is read from the response to an earlier read, or to a
+        request, which the upstream sends once more on its connection."""
+
+        async def run() -> list[int]:
+            named = a_load(9, b"x-id: id-1\r\nx-proof: p\r\n")
+            contents = [a_load(1), a_load(2), named, a_load(3), a_load(4)]
+            running = []
+            async with repeating_upstream(*contents) as (url, _), create_client() as client:
+                for number in range(len(contents)):
+                    if number == 2:
+                        await attempt(url, a_routed_exchange(a_route(idempotent=True)), client)
+                    else:
+                        report = await reports.read_load(client, an_upstream(url=url), 2.0)
+                        running.append(report.running_count)
+            return running
+
+        self.assertEqual(anyio.run(run), [1, 2, 3, 4])
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/upstreams/test_network.py
+++ b/tests/upstreams/test_network.py
@@ -12,7 +12,7 @@
 from tools.standins.serving import listening_socket
 
 from camphorvalve.upstreams import client as client_module
-from camphorvalve.upstreams.client import create_client
+from camphorvalve.upstreams.client import create_client, keep_connection
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
@@ -43,10 +43,16 @@
         self.addCleanup(server.close)
         return f"http://127.0.0.1:{server.sockets[0].getsockname()[1]}/"
 
+    async def get(self, url: str) -> str:
+        """Read a response like a reader that has found the name of its request in it."""
+        async with self.client.stream("GET", url) as response:
+            keep_connection(response)
+            return (await response.aread()).decode()
+
     async def get_twice(self, url: str) -> list[str]:
-        first = await self.client.get(url)
+        first = await self.get(url)
         await asyncio.sleep(SHORT_DELAY_S)
-        return [first.text, (await self.client.get(url)).text]
+        return [first, await self.get(url)]
 
     async def test_a_connection_that_ended_or_has_unsolicited_bytes_is_not_reused(self) -> None:
         async def close(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
@@ -78,6 +84,23 @@
         self.assertEqual(await self.get_twice(await self.serve(respond_again)), ["ok", "ok"])
         self.assertEqual(self.opened_count, 1)
 
+    async def test_a_connection_is_kept_only_after_a_response_that_named_its_request(self) -> None:
+        """Guards against an unnamed response that is an earlier one, so that each later response
+        of its connection meets the wrong request."""
+        closed = asyncio.Event()
+
+        async def wait_for_end(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            await reader.read()
+            writer.close()
+            closed.set()
+
+        url = await self.serve(wait_for_end)
+        self.assertEqual((await self.client.get(url)).text, "ok")
+        async with asyncio.timeout(5):
+            await closed.wait()
+        self.assertEqual((await self.client.get(url)).text, "ok")
+        self.assertEqual(self.opened_count, 2)
+
     async def test_a_connection_that_is_closed_here_ends_no_response(self) -> None:
         """Guards against taking the end of the client for the end of an unframed response."""
         url = await self.serve(lambda reader, writer: reader.read(), UNFRAMED_RESPONSE)
@@ -108,7 +131,7 @@
             with self.subTest(name), self.assertRaises(error):
                 await self.client.get(url, timeout=SHORT_DELAY_S)
         url = await self.serve(hang)
-        await self.client.get(url)
+        await self.get(url)
         with (
             self.subTest("no response on a reused connection"),
             self.assertRaises(httpx.ReadTimeout),
@@ -122,7 +145,7 @@
             await reader.read()
             ended.set()
 
-        await self.client.get(await self.serve(wait_for_end))
+        await self.get(await self.serve(wait_for_end))
         with mock.patch.object(client_module, "POOL_IDLE_TIMEOUT_S", 0.0):
             await self.client.get(await self.serve(wait_for_end))
         async with asyncio.timeout(5):
