--- a/src/camphorvalve/upstreams/client.py
+++ b/src/camphorvalve/upstreams/client.py
@@ -7,16 +7,21 @@
 import time
 from typing import TYPE_CHECKING, NamedTuple
 
+import h11
 import httpx
 
 from camphorvalve.upstreams.bodies import ResponseBudget
 from camphorvalve.upstreams.network import Backend, Stream
 
 if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
     import httpcore
 
 FRESH_CONNECTION = "camphorvalve.fresh_connection"
 """Request extension that asks for a new connection instead of a pooled one."""
+_KEPT_CONNECTION = "camphorvalve.kept_connection"
+"""Response extension that is set once the response is known to be the one to its request."""
 KEEPALIVE_TIMEOUT_S = 4.0
 """How long an idle connection is kept; below the 5 s after which common servers close it."""
 MAX_KEEPALIVE_COUNT = 256
@@ -73,6 +78,32 @@
         return all(conn.is_idle() or conn.is_closed() for conn in self._httpcore_pool.connections)
 
 
+class _ResponseStream(httpx.AsyncByteStream):
+    """Body of a response, whose end decides whether its connection is reused."""
+
+    def __init__(self, response: httpx.Response) -> None:
+        self._stream = response.stream
+        self._extensions = response.extensions
+        self._network_stream: httpcore.AsyncNetworkStream = response.extensions["network_stream"]
+        # httpcore looks for unsolicited bytes in the network stream only, not in its parser.
+        self._parser: h11.Connection = (
+            response.stream._httpcore_stream._stream._connection._h11_state  # type: ignore[union-attr]
+        )
+
+    def __aiter__(self) -> AsyncIterator[bytes]:
+        return self._stream.__aiter__()  # type: ignore[union-attr]
+
+    async def aclose(self) -> None:
+        try:
+            if _KEPT_CONNECTION not in self._extensions or self._has_extra_bytes():
+                await self._network_stream.aclose()
+        finally:
+            await self._stream.aclose()  # type: ignore[union-attr]
+
+    def _has_extra_bytes(self) -> bool:
+        return self._parser.their_state is h11.DONE and bool(self._parser.trailing_data[0])
+
+
 class _Transport(httpx.AsyncBaseTransport):
     """Keeps up to two pools per origin: one with keep-alive, one for single-use connections."""
 
@@ -94,6 +125,7 @@
         match response.extensions["network_stream"]:
             case Stream() as stream:
                 stream.start_body()
+        response.stream = _ResponseStream(response)
         return response
 
     async def aclose(self) -> None:
@@ -111,6 +143,18 @@
             await self._pools.pop(origin).transport.aclose()
 
 
+def keep_connection(response: httpx.Response) -> None:
+    """
+    Let other requests use the connection of a response once the response is complete.
+
+    To be called when the response names its request. A response that doesn't may be an earlier one,
+    whose place that of the current request takes later; its connection is closed.
+
+    :param response: response that names the request it was received for
+    """
+    response.extensions[_KEPT_CONNECTION] = True
+
+
 _EMPTY_TLS_CONTEXT = ssl.SSLContext(ssl.PROTOCOL_TLS_CLIENT)
 
 
@@ -151,4 +195,4 @@
     return UpstreamClient(_Transport(unacknowledged_timeout_s, keepalive_s))
 
 
-__all__ = ["FRESH_CONNECTION", "UpstreamClient", "create_client"]
+__all__ = ["FRESH_CONNECTION", "UpstreamClient", "create_client", "keep_connection"]
--- a/src/camphorvalve/upstreams/routed.py
+++ b/src/camphorvalve/upstreams/routed.py
@@ -15,7 +15,7 @@
 from camphorvalve.model.headers import end_to_end
 from camphorvalve.sharing.notices import Leaving, parse_hold_off
 from camphorvalve.upstreams.bodies import BodyTooLongError, body_chunks, read_body
-from camphorvalve.upstreams.client import FRESH_CONNECTION
+from camphorvalve.upstreams.client import FRESH_CONNECTION, keep_connection
 from camphorvalve.upstreams.errors import (
     Broken,
     Declined,
@@ -159,7 +159,7 @@
                 extensions={
                     "trace": trace,
                     "timeout": _timeout(exchange, self._lag_s()).as_dict(),
-                    FRESH_CONNECTION: not exchange.parameters.idempotent,
+                    FRESH_CONNECTION: _needs_new_connection(exchange),
                 },
             )
             response = await self._client.send(request, stream=True)
@@ -234,6 +234,8 @@
             # The answer to this request follows and must not meet another one.
             response.extensions["network_stream"].abort()
             raise WrongAnswer(upstream.upstream_id, f"response to request {response_id!r}")
+        if response_id:
+            keep_connection(response)
         if response.status_code != 421:
             # Status 421 comes from another upstream that now listens on the same address.
             for notice in self._notices(response):
@@ -288,6 +290,12 @@
         return int(number_sent) if number_sent.isdecimal() else None
 
 
+def _needs_new_connection(exchange: Exchange) -> bool:
+    # The responses to the attempts of a request bear the same id, so that a second copy of an
+    # earlier one must not lie on the connection.
+    return exchange.attempt > 1 or not exchange.parameters.idempotent
+
+
 def _is_past_deadline(exchange: Exchange) -> bool:
     return time.monotonic() >= exchange.deadline_s - TIMER_RESOLUTION_S
 
