Take a response without an id only as the first of its connection

Callers of completions and plain services got, with status 200, the body of the response to an earlier request on the same connection, and callers of an engine the response to a cancel or a load report.

Cause: a response without `X-Request-Id` counted as the response to the current request on every connection. A cancel and the reads of load reports share connections with requests, and their responses have no id, so that this also happened at engines that name every request: a second response in the place of the one to the cancel left the cancel's own one for the next request.

Change: where the connection has carried a response before, or may have, the response has to have the id of the request. The first response of a connection needs none, as plain services may not send it back. The refusals of the simulated engine and service name their request now: one without an id on a kept connection is no longer passed on, which test_engine_faults_are_distinguished showed.

--- a/src/camphorvalve/upstreams/opening.py
+++ b/src/camphorvalve/upstreams/opening.py
@@ -88,8 +88,10 @@
     except (httpx.HTTPError, httpx.InvalidURL) as error:
         cause = f"{type(error).__name__}: {error}"
         raise (NoAnswer if progress.started else NotSent)(upstream.upstream_id, cause) from error
-    record_source(exchange, response)
-    if mismatch := _find_mismatch(response.headers, exchange.request.request_id, attempt, call):
+    source = record_source(exchange, response)
+    is_first = options.fresh_connection or source.earlier_count == 0
+    request_id = exchange.request.request_id
+    if mismatch := _find_mismatch(response.headers, request_id, attempt, call, is_first=is_first):
         await response.aclose()
         raise WrongAnswer(upstream.upstream_id, mismatch)
     return response
@@ -125,18 +127,21 @@
     return response.status_code == 200 and content_type.startswith(_EVENT_STREAM_TYPE)
 
 
-def record_source(exchange: Exchange, response: httpx.Response) -> None:
+def record_source(exchange: Exchange, response: httpx.Response) -> ResponseSource:
     """
     Note how a response is framed and what its connection carried before.
 
     :param exchange: the request
     :param response: the upstream's response to it, or the one found in its place
+    :return: what was noted
     """
     match response.extensions["network_stream"]:
         case Stream(responses_count=count):
-            exchange.source = ResponseSource(framing(response), count - 1)
+            source = ResponseSource(framing(response), count - 1)
         case _:
-            exchange.source = ResponseSource(framing(response), None)
+            source = ResponseSource(framing(response), None)
+    exchange.source = source
+    return source
 
 
 def stream_head(headers: Iterable[tuple[str, str]]) -> Head:
@@ -175,10 +180,13 @@
 
 
 def _find_mismatch(
-    headers: httpx.Headers, request_id: str, attempt: int, call: UpstreamCall
+    headers: httpx.Headers, request_id: str, attempt: int, call: UpstreamCall, *, is_first: bool
 ) -> str | None:
-    response_id = headers.get("x-request-id", request_id)
-    if response_id != request_id:
+    """Compare ids; without an id, only the first response of a connection has a known request."""
+    response_id = headers.get("x-request-id")
+    if response_id is None and not is_first:
+        return "response without an id on a connection that has carried others"
+    if response_id not in (None, request_id):
         return f"response to request {response_id!r} instead of {request_id!r}"
     response_attempt = headers.get("x-attempt", str(attempt))
     if call.checks_attempt and response_attempt != str(attempt):
--- a/tests/rawpeers.py
+++ b/tests/rawpeers.py
@@ -24,7 +24,8 @@
     ending: str = "keep"
     """``close`` or ``reset`` the connection, ``keep`` it open, ``extra`` to send ``content`` again
     without a request, ``later`` to send ``repeated`` once, ``later then close`` to close the
-    connection after that, or ``endless`` to send it until the caller closes the connection."""
+    connection after that, ``endless`` to send it until the caller closes the connection, or
+    ``next`` to send ``content`` again before the response to the next request on it."""
     pause_s: float = 0.0
     """Delay before the ending, so that the content arrives first."""
     early: bool = False
@@ -37,25 +38,33 @@
 class ScriptedUpstream:
     """Responds to each request with the next script, and records the received requests."""
 
-    def __init__(self, *scripts: Script) -> None:
+    def __init__(self, *scripts: Script, cancel_response: bytes = b"") -> None:
         self.received: list[bytes] = []
         self.connections_count = 0
         self.repeated_bytes = 0
         self.closed_by_caller = anyio.Event()
         """Set when the caller has closed the connection of an ``endless`` script."""
         self._scripts = list(scripts)
+        self._cancel_response = cancel_response
 
     async def handle(self, stream: SocketStream) -> None:
         """Serve one connection."""
         self.connections_count += 1
+        due = b""
         async with stream:
             while self._scripts:
                 request = await _read_request(stream, whole=not self._scripts[0].early)
                 if request is None:
                     return
                 self.received.append(request)
+                is_cancel = b"/cancel?" in request.partition(b"\r\n")[0]
+                if self._cancel_response and is_cancel:
+                    await stream.send(due + self._cancel_response)
+                    due = b""
+                    continue
                 script = self._scripts.pop(0)
-                await stream.send(script.content)
+                await stream.send(due + script.content)
+                due = script.content if script.ending == "next" else b""
                 await anyio.sleep(script.pause_s)
                 match script.ending:
                     case "close":
@@ -87,9 +96,15 @@
 
 
 @asynccontextmanager
-async def upstream(*scripts: Script) -> AsyncIterator[tuple[str, ScriptedUpstream]]:
-    """Run a scripted upstream on a free port; yield its URL and the upstream."""
-    scripted = ScriptedUpstream(*scripts)
+async def upstream(
+    *scripts: Script, cancel_response: bytes = b""
+) -> AsyncIterator[tuple[str, ScriptedUpstream]]:
+    """
+    Run a scripted upstream on a free port; yield its URL and the upstream.
+
+    With ``cancel_response``, requests that cancel a run get it and use no script.
+    """
+    scripted = ScriptedUpstream(*scripts, cancel_response=cancel_response)
     async with await anyio.create_tcp_listener(local_host="127.0.0.1") as listener:
         port = listener.extra(SocketAttribute.local_port)
         async with anyio.create_task_group() as tasks:
--- a/tools/standins/asgi.py
+++ b/tools/standins/asgi.py
@@ -58,6 +58,17 @@
     return HttpRequest(scope["method"], scope["path"], query, headers, b"".join(chunks))
 
 
+def request_names(request: HttpRequest) -> dict[str, str]:
+    """
+    Return the headers by which a response names its request.
+
+    :param request: the request
+    :return: the id and the number of the attempt, as far as the request has them
+    """
+    names = ("x-request-id", "x-attempt")
+    return {name: request.headers[name] for name in names if name in request.headers}
+
+
 async def send_head(send: Send, status: int, headers: dict[str, str]) -> None:
     """
     Send the status and the headers of a response.
@@ -121,6 +132,7 @@
     "Scope",
     "Send",
     "read_request",
+    "request_names",
     "send_head",
     "send_json",
     "send_chunk",
--- a/tools/standins/engine.py
+++ b/tools/standins/engine.py
@@ -13,6 +13,7 @@
     HttpRequest,
     cancel_on_disconnect,
     read_request,
+    request_names,
     send_chunk,
     send_head,
     send_json,
@@ -133,7 +134,8 @@
 
     async def _handle_completion(self, request: HttpRequest, receive: Receive, send: Send) -> None:
         if refuse := self.faults.take(Refuse):
-            await send_json(send, {"error": "refused"}, status=refuse.status)
+            headers = request_names(request)
+            await send_json(send, {"error": "refused"}, status=refuse.status, headers=headers)
             return
         try:
             body = msgspec.convert(request.json(), dict[str, Any])
--- a/tools/standins/service.py
+++ b/tools/standins/service.py
@@ -14,6 +14,7 @@
     HttpRequest,
     cancel_on_disconnect,
     read_request,
+    request_names,
     send_chunk,
     send_head,
     send_json,
@@ -83,7 +84,8 @@
 
     async def _handle_call(self, call: HttpRequest, receive: Receive, send: Send) -> None:
         if refuse := self.faults.take(Refuse):
-            await send_json(send, {"error": "refused"}, status=refuse.status)
+            headers = request_names(call)
+            await send_json(send, {"error": "refused"}, status=refuse.status, headers=headers)
             return
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(cancel_on_disconnect, receive, tasks.cancel_scope)
