--- a/tests/upstreams/test_crossed_responses.py
+++ b/tests/upstreams/test_crossed_responses.py
@@ -12,6 +12,7 @@
 from camphorvalve.upstreams.attempt import open_attempt
 from camphorvalve.upstreams.client import create_client
 from camphorvalve.upstreams.engine import cancel
+from camphorvalve.upstreams.errors import WrongAnswer
 from camphorvalve.upstreams.options import AttemptOptions
 from camphorvalve.upstreams.reports import read_load
 from camphorvalve.upstreams.transcript import DONE
@@ -165,6 +166,23 @@
                     self.assertIn(result.content, (b"", kind.body % 1))
                     self.assertEqual(result.error is None, result.content != b"", result)
 
+    async def test_response_to_an_earlier_attempt(self) -> None:
+        """Guards against taking a second response to an earlier attempt of the same request for
+        the one to this attempt."""
+        for name in ("stream", "completion", "service"):
+            for names in (b"id attempt", b"id", b""):
+                for ending in ("next", "keep"):
+                    with self.subTest(name, names=names, ending=ending):
+                        kind = a_kind(name)
+                        first = a_response(kind, 0, names=names)
+                        copies_count = 2 if ending == "keep" else 1
+                        own = a_response(kind, 0, names=names)
+                        served = (Script(first * copies_count, ending), Script(own))
+                        async with upstream(*served, cancel_response=CANCELLED) as (url, _):
+                            await run(self.client, url, kind)
+                            result = await run(self.client, url, a_kind(name), attempt=2)
+                        self.assertIsInstance(result.error, WrongAnswer)
+
     async def test_first_response_without_an_id(self) -> None:
         """Guards against refusing a plain service that does not send the ids back."""
         for name in ("stream", "completion", "service"):
