--- a/tests/rawpeers.py
+++ b/tests/rawpeers.py
@@ -17,10 +17,14 @@
     from anyio.abc import SocketStream
 
 
+ECHOED_ID = b"<the id of the request>"
+
+
 class Script(NamedTuple):
     """Response of a scripted upstream to one request, and what it does with the connection."""
 
     content: bytes
+    """``ECHOED_ID`` in it is replaced by the request's ``X-Request-Id``."""
     ending: str = "keep"
     """``close`` or ``reset`` the connection, ``keep`` it open, ``extra`` to send ``content`` again
     without a request, ``later`` to send ``repeated`` once, ``later then close`` to close the
@@ -62,7 +66,7 @@
                     await stream.send(due + self._cancel_response)
                     due = b""
                     continue
-                script = self._scripts.pop(0)
+                script = _echoing(self._scripts.pop(0), request)
                 await stream.send(due + script.content)
                 due = script.content if script.ending == "next" else b""
                 await anyio.sleep(script.pause_s)
@@ -127,6 +131,22 @@
     return received
 
 
+def _echoing(script: Script, request: bytes) -> Script:
+    request_id = _header(request, b"x-request-id")
+    return script._replace(
+        content=script.content.replace(ECHOED_ID, request_id),
+        repeated=script.repeated.replace(ECHOED_ID, request_id),
+    )
+
+
+def _header(request: bytes, wanted: bytes) -> bytes:
+    for line in request.partition(b"\r\n\r\n")[0].split(b"\r\n"):
+        name, _, value = line.partition(b":")
+        if name.lower() == wanted:
+            return value.strip()
+    return b""
+
+
 def _reset(stream: SocketStream) -> None:
     raw_socket = stream.extra(SocketAttribute.raw_socket)
     raw_socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
@@ -140,14 +160,10 @@
         except (anyio.EndOfStream, anyio.BrokenResourceError):
             return None
     head, _, body = received.partition(b"\r\n\r\n")
-    length = 0
-    for line in head.split(b"\r\n"):
-        name, _, value = line.partition(b":")
-        if name.lower() == b"content-length":
-            length = int(value)
+    length = int(_header(head, b"content-length") or 0)
     while whole and len(body) < length:
         body += await stream.receive()
     return head + b"\r\n\r\n" + body
 
 
-__all__ = ["Script", "ScriptedUpstream", "exchange_bytes", "upstream"]
+__all__ = ["ECHOED_ID", "Script", "ScriptedUpstream", "exchange_bytes", "upstream"]
--- a/tests/upstreams/test_crossed_responses.py
+++ b/tests/upstreams/test_crossed_responses.py
@@ -155,7 +155,7 @@
                     first, own = (Script(a_response(kind, number), "next") for number in (0, 1))
                     if form == "report twice":
                         first = Script(LOAD * 2)
-                    async with upstream(first, own, cancel_response=CANCELLED) as (url, _):
+                    async with upstream(first, own, own, cancel_response=CANCELLED) as (url, _):
                         target = kind.upstream._replace(url=url)
                         if form == "report twice":
                             await read_load(self.client, target, 5.0)
@@ -177,7 +177,8 @@
                         first = a_response(kind, 0, names=names)
                         copies_count = 2 if ending == "keep" else 1
                         own = a_response(kind, 0, names=names)
-                        served = (Script(first * copies_count, ending), Script(own))
+                        # While a script is left, cancels get their response.
+                        served = (Script(first * copies_count, ending), Script(own), Script(own))
                         async with upstream(*served, cancel_response=CANCELLED) as (url, _):
                             await run(self.client, url, kind)
                             result = await run(self.client, url, a_kind(name), attempt=2)
