Decide in one place which attempts need a new connection

Both branches gave repeated attempts a connection of their own, one in the dispatch and one where the request is sent. The latter stays, and announces with Connection: close that the connection is not used again.

--- a/src/camphorvalve/filters/dispatch.py
+++ b/src/camphorvalve/filters/dispatch.py
@@ -59,7 +59,7 @@
                 broken = error
                 exchange.note(time.monotonic(), f"resuming the stream: {error}")
                 start_point = ResumeStream(error.events_count, error.text)
-                options = options._replace(start_point=start_point, fresh_connection=True)
+                options = options._replace(start_point=start_point)
             except UpstreamError:
                 if broken is None:
                     raise
@@ -79,11 +79,8 @@
     start_point: FromStart | ContinueText = FromStart()
     if exchange.broken is not None:
         start_point = ContinueText(exchange.broken.events_count, exchange.broken.text)
-    # The other kept connections may carry late responses as well.
-    is_repeated = exchange.attempt > 1
     return AttemptOptions(
-        start_point=start_point,
-        fresh_connection=is_repeated or not exchange.parameters.idempotent,
+        start_point=start_point, fresh_connection=not exchange.parameters.idempotent
     )
 
 
--- a/src/camphorvalve/upstreams/opening.py
+++ b/src/camphorvalve/upstreams/opening.py
@@ -71,6 +71,8 @@
     :raises WrongAnswer: the response belongs to another request or attempt
     """
 
+    is_new = _needs_new_connection(attempt, options)
+
     async def trace(event: str, info: dict[str, Any]) -> None:
         if event == SEND_STARTED_EVENT:
             progress.started = True
@@ -81,16 +83,16 @@
             call.method,
             f"{upstream.url.rstrip('/')}/{call.path.lstrip('/')}",
             content=call.content,
-            headers=_request_headers(exchange, attempt, options),
+            headers=_request_headers(exchange, attempt, is_new=is_new),
             timeout=_timeout(options),
-            extensions={"trace": trace, FRESH_CONNECTION: _needs_new_connection(attempt, options)},
+            extensions={"trace": trace, FRESH_CONNECTION: is_new},
         )
         response = await client.send(request, stream=True)
     except (httpx.HTTPError, httpx.InvalidURL) as error:
         cause = f"{type(error).__name__}: {error}"
         raise (NoAnswer if progress.started else NotSent)(upstream.upstream_id, cause) from error
     source = record_source(exchange, response)
-    is_first = options.fresh_connection or source.earlier_count == 0
+    is_first = is_new or source.earlier_count == 0
     request_id = exchange.request.request_id
     if mismatch := _find_mismatch(response.headers, request_id, attempt, call, is_first=is_first):
         await response.aclose()
@@ -165,7 +167,7 @@
 
 
 def _request_headers(
-    exchange: Exchange, attempt: int, options: AttemptOptions
+    exchange: Exchange, attempt: int, *, is_new: bool
 ) -> list[tuple[bytes, bytes]]:
     request = exchange.request
     headers = [
@@ -176,7 +178,7 @@
         headers.append((b"Content-Type", request.content_type.encode()))
     if request.idempotency_key is not None:
         headers.append((b"Idempotency-Key", request.idempotency_key.encode()))
-    if options.fresh_connection:
+    if is_new:
         headers.append((b"Connection", b"close"))
     return headers
 
--- a/src/camphorvalve/upstreams/options.py
+++ b/src/camphorvalve/upstreams/options.py
@@ -37,9 +37,9 @@
 
     start_point: StartPoint = FromStart()
     fresh_connection: bool = False
-    """Open a new connection; set for non-idempotent requests and for repeated attempts. If the
-    upstream closes a reused idle connection just as a request is sent, it is unknown whether the
-    request arrived; a second response to an earlier request may arrive on such a connection."""
+    """Open a new connection; set for non-idempotent requests, and implied for repeated attempts and
+    continuations. If the upstream closes a reused idle connection just as a request is sent, it is
+    unknown whether the request arrived."""
     connect_timeout_s: float = 1.0
     inactivity_timeout_s: float = 60.0
     """Longest time that one read from, or write to, the upstream may take."""
