Limit connections to one request after responses astray

At an upstream that responds twice, callers of requests that may be repeated lost attempt after attempt: each kept connection could hold an earlier response, and a repeated request may meet such a connection too.

Cause: a connection on which a response had gone astray was closed, but the other connections to the same upstream were kept and trusted as before.

Change: after a response to another request, or bytes behind a response (in the packet of its end, or while the connection is idle), connections to that origin carry one request each for SINGLE_USE_S = 30 s (upstreams/singleuse.py, used by client.py). Further such events let the time start anew, also those on connections for one request. The first one is logged: `connections limited to one request`, with `origin`, `reason` and `duration_s`. An origin whose time is over leaves when another one is added.

Open: a copy that comes before the first event on an origin still costs one attempt; a second response behind a body that the close ends is broken off, but does not count here.

--- a/src/camphorvalve/upstreams/client.py
+++ b/src/camphorvalve/upstreams/client.py
@@ -5,6 +5,7 @@
 import socket
 import ssl
 import time
+from functools import partial
 from typing import TYPE_CHECKING, NamedTuple
 
 import h11
@@ -12,16 +13,18 @@
 
 from camphorvalve.upstreams.bodies import ResponseBudget
 from camphorvalve.upstreams.network import Backend, Stream
+from camphorvalve.upstreams.singleuse import SingleUseOrigins
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator
+    from collections.abc import AsyncIterator, Callable
 
     import httpcore
 
 FRESH_CONNECTION = "camphorvalve.fresh_connection"
 """Request extension that asks for a new connection instead of a pooled one."""
-_KEPT_CONNECTION = "camphorvalve.kept_connection"
-"""Response extension that is set once the response is known to be the one to its request."""
+_RESPONSE_STREAM = "camphorvalve.response_stream"
+"""Response extension with the ``_ResponseStream``."""
+_EXTRA_BYTES = "bytes behind a complete response"
 KEEPALIVE_TIMEOUT_S = 4.0
 """How long an idle connection is kept; below the 5 s after which common servers close it."""
 MAX_KEEPALIVE_COUNT = 256
@@ -81,9 +84,12 @@
 class _ResponseStream(httpx.AsyncByteStream):
     """Body of a response, whose end decides whether its connection is reused."""
 
-    def __init__(self, response: httpx.Response) -> None:
+    def __init__(self, response: httpx.Response, on_stray: Callable[[str], None]) -> None:
+        self.names_request = False
+        """Whether the response is known to be the one to its request."""
+        self.on_stray = on_stray
+        """Called with the reason when bytes arrive that belong to no request."""
         self._stream = response.stream
-        self._extensions = response.extensions
         self._network_stream: httpcore.AsyncNetworkStream = response.extensions["network_stream"]
         # httpcore looks for unsolicited bytes in the network stream only, not in its parser.
         self._parser: h11.Connection = (
@@ -95,13 +101,21 @@
 
     async def aclose(self) -> None:
         try:
-            if _KEPT_CONNECTION not in self._extensions or self._has_extra_bytes():
+            if not self._is_reusable():
                 await self._network_stream.aclose()
         finally:
             await self._stream.aclose()  # type: ignore[union-attr]
 
-    def _has_extra_bytes(self) -> bool:
-        return self._parser.their_state is h11.DONE and bool(self._parser.trailing_data[0])
+    def _is_reusable(self) -> bool:
+        if self._parser.their_state not in (h11.DONE, h11.MUST_CLOSE):
+            return False
+        if self._parser.trailing_data[0]:
+            self.on_stray(_EXTRA_BYTES)
+            return False
+        match self._network_stream:
+            case Stream() as stream:
+                stream.start_idle(partial(self.on_stray, _EXTRA_BYTES))
+        return self.names_request
 
 
 class _Transport(httpx.AsyncBaseTransport):
@@ -111,9 +125,11 @@
         self._unacknowledged_timeout_s = unacknowledged_timeout_s
         self._keepalive_s = keepalive_s
         self._pools: dict[_Origin, _Pool] = {}
+        self._single_use = SingleUseOrigins()
 
     async def handle_async_request(self, request: httpx.Request) -> httpx.Response:
-        fresh = bool(request.extensions.get(FRESH_CONNECTION))
+        base_url = f"{request.url.scheme}://{request.url.netloc.decode()}"
+        fresh = bool(request.extensions.get(FRESH_CONNECTION)) or base_url in self._single_use
         origin = _Origin(request.url.scheme, request.url.netloc, fresh)
         pool = self._pools.get(origin)
         if pool is None:
@@ -125,7 +141,8 @@
         match response.extensions["network_stream"]:
             case Stream() as stream:
                 stream.start_body()
-        response.stream = _ResponseStream(response)
+        response.stream = _ResponseStream(response, partial(self._single_use.add, base_url))
+        response.extensions[_RESPONSE_STREAM] = response.stream
         return response
 
     async def aclose(self) -> None:
@@ -152,7 +169,21 @@
 
     :param response: response that names the request it was received for
     """
-    response.extensions[_KEPT_CONNECTION] = True
+    match response.extensions.get(_RESPONSE_STREAM):
+        case _ResponseStream() as stream:
+            stream.names_request = True
+
+
+def report_other_response(response: httpx.Response, reason: str) -> None:
+    """
+    Let connections to an origin carry one request each for a time.
+
+    :param response: response that is not the one to its request
+    :param reason: how that was seen
+    """
+    match response.extensions.get(_RESPONSE_STREAM):
+        case _ResponseStream() as stream:
+            stream.on_stray(reason)
 
 
 _EMPTY_TLS_CONTEXT = ssl.SSLContext(ssl.PROTOCOL_TLS_CLIENT)
@@ -195,4 +226,10 @@
     return UpstreamClient(_Transport(unacknowledged_timeout_s, keepalive_s))
 
 
-__all__ = ["FRESH_CONNECTION", "UpstreamClient", "create_client", "keep_connection"]
+__all__ = [
+    "FRESH_CONNECTION",
+    "UpstreamClient",
+    "create_client",
+    "keep_connection",
+    "report_other_response",
+]
--- a/src/camphorvalve/upstreams/network.py
+++ b/src/camphorvalve/upstreams/network.py
@@ -15,7 +15,7 @@
 import httpx
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import Callable, Iterable
 
 ABORTED_HERE = "the connection was aborted here"
 """Text of the error that a waiting reader gets from ``Stream.abort``."""
@@ -52,6 +52,8 @@
         """Responses whose head has been received."""
         self._head_left_bytes: int | None = None
         """Bytes that the head of the response may still take, ``None`` outside of it."""
+        self._on_idle_bytes: Callable[[], None] | None = None
+        """Called when bytes arrive, ``None`` while a request is under way."""
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """
@@ -67,6 +69,7 @@
 
         :param data: the received bytes
         """
+        self._report_idle_bytes()
         self._chunks.append(data)
         self._buffered_bytes += len(data)
         if self._buffered_bytes > READ_AHEAD_BYTES and not self._reading_paused:
@@ -134,6 +137,21 @@
         self.responses_count += 1
         self._head_left_bytes = None
 
+    def start_idle(self, on_bytes: Callable[[], None]) -> None:
+        """
+        Report bytes that are there or arrive before the next request.
+
+        :param on_bytes: called once if there are any
+        """
+        self._on_idle_bytes = on_bytes
+        if self._chunks:
+            self._report_idle_bytes()
+
+    def _report_idle_bytes(self) -> None:
+        if self._on_idle_bytes is not None:
+            on_bytes, self._on_idle_bytes = self._on_idle_bytes, None
+            on_bytes()
+
     async def _read(self, max_bytes: int, timeout: float | None) -> bytes:
         if not self._chunks and not self._eof:
             self.waits_count += 1
@@ -167,6 +185,7 @@
             return
         if self._transport.is_closing():
             raise httpcore.WriteError(str(self._error or "the connection is closed"))
+        self._on_idle_bytes = None
         self._head_left_bytes = MAX_HEAD_BYTES
         self._transport.write(buffer)
         if self._writing_paused:
--- a/src/camphorvalve/upstreams/opening.py
+++ b/src/camphorvalve/upstreams/opening.py
@@ -10,7 +10,11 @@
 from camphorvalve.model.answers import Head
 from camphorvalve.model.headers import HOP_HEADERS
 from camphorvalve.model.requests import ResponseSource
-from camphorvalve.upstreams.client import FRESH_CONNECTION, keep_connection
+from camphorvalve.upstreams.client import (
+    FRESH_CONNECTION,
+    keep_connection,
+    report_other_response,
+)
 from camphorvalve.upstreams.errors import NoAnswer, NotSent, WrongAnswer
 from camphorvalve.upstreams.framing import framing
 from camphorvalve.upstreams.network import Stream
@@ -91,6 +95,7 @@
         raise (NoAnswer if progress.started else NotSent)(upstream.upstream_id, cause) from error
     record_source(exchange, response)
     if mismatch := _find_mismatch(response.headers, exchange.request.request_id, attempt, call):
+        report_other_response(response, mismatch)
         await response.aclose()
         raise WrongAnswer(upstream.upstream_id, mismatch)
     if "x-request-id" in response.headers:
--- a/src/camphorvalve/upstreams/routed.py
+++ b/src/camphorvalve/upstreams/routed.py
@@ -15,7 +15,11 @@
 from camphorvalve.model.headers import end_to_end
 from camphorvalve.sharing.notices import Leaving, parse_hold_off
 from camphorvalve.upstreams.bodies import BodyTooLongError, body_chunks, read_body
-from camphorvalve.upstreams.client import FRESH_CONNECTION, keep_connection
+from camphorvalve.upstreams.client import (
+    FRESH_CONNECTION,
+    keep_connection,
+    report_other_response,
+)
 from camphorvalve.upstreams.errors import (
     Broken,
     Declined,
@@ -233,7 +237,9 @@
         if response_id != exchange.request.request_id and (response_id or not may_lack_id):
             # The answer to this request follows and must not meet another one.
             response.extensions["network_stream"].abort()
-            raise WrongAnswer(upstream.upstream_id, f"response to request {response_id!r}")
+            cause = f"response to request {response_id!r}"
+            report_other_response(response, cause)
+            raise WrongAnswer(upstream.upstream_id, cause)
         if response_id:
             keep_connection(response)
         if response.status_code != 421:
