--- a/src/camphorvalve/upstreams/opening.py
+++ b/src/camphorvalve/upstreams/opening.py
@@ -10,7 +10,11 @@
 from camphorvalve.model.answers import Head
 from camphorvalve.model.headers import HOP_HEADERS
 from camphorvalve.model.requests import ResponseSource
-from camphorvalve.upstreams.client import FRESH_CONNECTION, keep_connection
+from camphorvalve.upstreams.client import (
+    FRESH_CONNECTION,
+    keep_connection,
+    report_other_response,
+)
 from camphorvalve.upstreams.errors import NoAnswer, NotSent, WrongAnswer
 from camphorvalve.upstreams.framing import framing
 from camphorvalve.upstreams.network import Stream
@@ -95,6 +99,7 @@
     is_first = is_new or source.earlier_count == 0
     request_id = exchange.request.request_id
     if mismatch := _find_mismatch(response.headers, request_id, attempt, call, is_first=is_first):
+        report_other_response(response, mismatch)
         await response.aclose()
         raise WrongAnswer(upstream.upstream_id, mismatch)
     if "x-request-id" in response.headers:
