Add workers on raw sockets that respond twice

Change: tools/standins/stutter.py serves several workers on raw sockets. A response is framed by a length, chunks or the close of its connection, and may be followed by a copy of itself or of an earlier refusal or failure: in the same write, up to 0.4 s later, in two pieces, where the next response is due, or its first part only; or it is reset before its last byte. The record keeps runs and replies by request id. Faults follow from the seed and the id of the request. JoinedFleet takes the checkout whose code it runs.

--- a/tools/joinedfleet.py
+++ b/tools/joinedfleet.py
@@ -34,16 +34,18 @@
 class JoinedFleet:
     """Starts and controls processes by name; the role is the part of the name before ``-``."""
 
-    def __init__(self, folder: Path, list_url: str) -> None:
+    def __init__(self, folder: Path, list_url: str, code_folder: Path = ROOT) -> None:
         """
         Prepare a fleet without starting it.
 
         :param folder: folder for settings, data and logs
         :param list_url: URL that serves the list of workers
+        :param code_folder: checkout whose code the processes run
         """
         self.ports = Ports(*(free_port() for _ in Ports._fields))
         self.client = httpx.AsyncClient(trust_env=False, timeout=5.0)
         self._folder = folder
+        self._code_folder = code_folder
         self._list_address = list_url.removeprefix("http://")
         self._processes: dict[str, asyncio.subprocess.Process] = {}
         self._ips: dict[str, str] = {}
@@ -86,7 +88,7 @@
         """
         path = self._folder / f"{name}.toml"
         path.write_text(self._settings(name, bootstrap))
-        python_path = os.pathsep.join(str(ROOT / part) for part in ("src", "platform"))
+        python_path = os.pathsep.join(str(self._code_folder / part) for part in ("src", "platform"))
         environment = {
             **os.environ,
             "PYTHONPATH": python_path,
--- a/tools/standins/karrilane.py
+++ b/tools/standins/karrilane.py
@@ -69,6 +69,14 @@
             "models": [{"name": "m"}],
         }
 
+    def remove(self, worker_id: str) -> None:
+        """
+        Remove a worker from the list.
+
+        :param worker_id: id of the worker
+        """
+        del self._entries[worker_id]
+
     async def serve_list(self, scope: Scope, receive: Receive, send: Send) -> None:
         """Respond with the list of workers; an ASGI application."""
         if scope["type"] == "http":
--- /dev/null
+++ b/tools/standins/stutter.py
@@ -0,0 +1,600 @@
+"""
+Simulated workers on raw sockets that send responses twice, or reset them.
+
+The faults of a response follow from the seed, the id of its request and how often that request has
+arrived, whatever the order in which requests arrive.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+import random
+import re
+import socket
+import struct
+from collections import defaultdict
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, NamedTuple
+
+from tools.standins.karrilane import Workers
+from tools.standins.serving import listening_socket
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+MAX_PAUSE_S = 0.4
+"""Longest time between a response and its copy."""
+MIN_PART_BYTES = len(b"HTTP/1.")
+"""Fewer bytes of a copy can't be told from a body that ends with its connection."""
+BODY_BYTES = (0, 60, 1_500, 40_000)
+"""Bytes that the body of a response has besides its own first line."""
+MAX_RUN_S = 0.03
+MAX_EVENT_PAUSE_S = 0.01
+MAX_EVENTS_COUNT = 8
+REASONS = {200: "OK", 421: "Misdirected", 429: "Busy", 500: "Oops", 503: "Full"}
+_RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+"""``SO_LINGER`` with a timeout of 0 s."""
+
+
+class Shares(NamedTuple):
+    """Shares of the responses, from 0 to 1."""
+
+    second: float = 0.3
+    """Responses that are followed by a second one or a part of one."""
+    reset: float = 0.04
+    """Responses that are reset before their last byte."""
+    failure: float = 0.1
+    """Requests that are not streams and are run and answered with status 500."""
+    refusal: float = 0.05
+    """Requests that are refused without being run."""
+    framings: tuple[str, ...] = ("length", "chunks", "close")
+    """What may end a body; one of them is drawn for each response."""
+
+
+@dataclass(frozen=True, slots=True)
+class Once:
+    """The response is sent once."""
+
+
+@dataclass(frozen=True, slots=True)
+class SameWrite:
+    """A second response is sent in the same write."""
+
+
+@dataclass(frozen=True, slots=True)
+class Late:
+    """A second response is sent after a pause, and paused once more inside."""
+
+    pause_s: float
+    first_ratio: float = 1.0
+    """Part of the second response that is sent before the second pause."""
+    second_pause_s: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class InPlace:
+    """A second response is sent where the response to the next request is due."""
+
+    swallows_next: bool
+    """Whether the response to the next request is left out."""
+
+
+@dataclass(frozen=True, slots=True)
+class FirstPart:
+    """Only the first part of a second response is sent, after a pause."""
+
+    pause_s: float
+    ratio: float
+
+
+@dataclass(frozen=True, slots=True)
+class Reset:
+    """The connection is reset before the last byte of the response."""
+
+    ratio: float
+    pause_s: float
+
+
+Fault = Once | SameWrite | Late | InPlace | FirstPart | Reset
+
+
+class ReceivedRequest(NamedTuple):
+    """Request as a worker received it."""
+
+    method: str
+    target: str
+    headers: dict[str, str]
+    body: bytes
+
+    @property
+    def request_id(self) -> str:
+        """:return: the request's id, empty if it has none"""
+        return self.headers.get("attempt-id", "")
+
+
+class StampedRun(NamedTuple):
+    """Request that a worker started to process."""
+
+    worker_id: str
+    request_id: str
+    target: str
+    body: bytes
+    stamp: str
+    first_number: int
+    """Number of the first event of a stream."""
+    last_number: int
+
+
+class Reply(NamedTuple):
+    """Response to a request as the worker sent it the first time."""
+
+    worker_id: str
+    request_id: str
+    status: int
+    stamp: str
+    """Empty for a refusal."""
+    content: bytes
+    framing: str
+    fault: Fault
+    connection_number: int
+    position: int
+    """Responses that the connection had carried before."""
+
+    @property
+    def is_whole(self) -> bool:
+        """:return: whether the worker sent each byte before the connection ended"""
+        return not isinstance(self.fault, Reset)
+
+
+class WorkerRecord:
+    """What all workers have run and replied, by the id of the request."""
+
+    def __init__(self) -> None:
+        """Start without requests."""
+        self.runs: defaultdict[str, list[StampedRun]] = defaultdict(list)
+        self.replies: defaultdict[str, list[Reply]] = defaultdict(list)
+        self.connections_count = 0
+
+
+class _Plan(NamedTuple):
+    """Response to one request, in the pieces that are written one after another."""
+
+    reply: Reply
+    pieces: tuple[bytes, ...]
+    pause_s: float
+    """Time between two pieces."""
+    run_s: float
+    repeats_older: bool
+    """Whether the second response is a copy of an earlier refusal or failure."""
+    ending_pause_s: float
+    """Time between the last byte and the close of a connection that ends the body."""
+
+    @property
+    def content(self) -> bytes:
+        return b"".join(self.pieces)
+
+
+def event(request_id: str, stamp: str, number: int) -> bytes:
+    """
+    Encode an event of a stream.
+
+    :param request_id: id of the request
+    :param stamp: stamp of the run
+    :param number: number of the event, from 1
+    :return: the event with the empty line that ends it
+    """
+    return f"id: {number}\ndata: {request_id} {stamp} {number}\n\n".encode()
+
+
+def events_count(request_id: str) -> int:
+    """
+    Tell how many events the stream of a request has.
+
+    :param request_id: id of the request
+    :return: the number of the last event
+    """
+    return random.Random(request_id).randint(3, MAX_EVENTS_COUNT)
+
+
+class StutteringWorkers:
+    """Serves several workers of one service, each on a port of its own, and their list."""
+
+    def __init__(self, service: str, seed: int, shares: Shares = Shares()) -> None:  # noqa: B008
+        """
+        Prepare workers without starting one.
+
+        :param service: name of the service that all workers belong to
+        :param seed: seed of all faults
+        :param shares: how often each fault occurs
+        """
+        self.listed = Workers(service)
+        self.record = WorkerRecord()
+        self.shares = shares
+        self._seed = seed
+        self._workers: dict[str, _Worker] = {}
+
+    @property
+    def running_ids(self) -> list[str]:
+        """:return: ids of the workers that run"""
+        return list(self._workers)
+
+    async def start(self, worker_id: str, port: int = 0) -> int:
+        """
+        Start a worker and list it.
+
+        :param worker_id: id of the worker
+        :param port: loopback port; 0 lets the system choose
+        :return: the port
+        """
+        worker = _Worker(worker_id, self._seed, self.shares, self.record)
+        sock = listening_socket(port)
+        port = sock.getsockname()[1]
+        worker.server = await asyncio.start_server(worker.serve, sock=sock)
+        self._workers[worker_id] = worker
+        self.listed.add(worker_id, f"http://127.0.0.1:{port}")
+        return port
+
+    async def end(self, worker_id: str) -> int:
+        """
+        End a worker, whose connections are reset; it stays on the list.
+
+        :param worker_id: id of the worker
+        :return: the port that is free now
+        """
+        worker = self._workers.pop(worker_id)
+        port = worker.server.sockets[0].getsockname()[1]
+        await worker.end()
+        return port
+
+    def announce_end(self, worker_id: str) -> None:
+        """
+        List a running worker as one that is about to end.
+
+        :param worker_id: id of the worker
+        """
+        port = self._workers[worker_id].server.sockets[0].getsockname()[1]
+        self.listed.add(worker_id, f"http://127.0.0.1:{port}", "draining")
+
+    async def close(self) -> None:
+        """End all workers."""
+        for worker_id in list(self._workers):
+            await self.end(worker_id)
+
+
+class _Worker:
+    """One worker: its listening socket and its connections."""
+
+    def __init__(self, worker_id: str, seed: int, shares: Shares, record: WorkerRecord) -> None:
+        self.worker_id = worker_id
+        self.server: asyncio.Server
+        self.record = record
+        self._seed = seed
+        self._shares = shares
+        self._connections: set[_Connection] = set()
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._arrivals: defaultdict[str, int] = defaultdict(int)
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        """Serve one connection until it ends."""
+        self.record.connections_count += 1
+        connection = _Connection(self, reader, writer, self.record.connections_count)
+        self._connections.add(connection)
+        task = asyncio.current_task()
+        assert task is not None
+        self._tasks.add(task)
+        try:
+            await connection.serve()
+        except (ConnectionError, asyncio.IncompleteReadError, asyncio.LimitOverrunError):
+            connection.abort()
+        except asyncio.CancelledError:
+            # asyncio logs a server's task that ends as cancelled as an error.
+            connection.abort()
+        finally:
+            self._connections.discard(connection)
+            self._tasks.discard(task)
+
+    async def end(self) -> None:
+        """Close the listening socket and reset each connection."""
+        self.server.close()
+        for connection in self._connections:
+            connection.abort()
+        tasks = list(self._tasks)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    def plan(self, request: ReceivedRequest, connection_number: int, position: int) -> _Plan:
+        """Draw the response to a request, and record the run and the response."""
+        request_id = request.request_id
+        arrival = self._arrivals[request_id]
+        self._arrivals[request_id] += 1
+        draw = random.Random(f"{self._seed} {self.worker_id} {request_id} {arrival}")
+        framing = draw.choice(self._shares.framings)
+        fault = _draw_fault(draw, self._shares)
+        status, headers, contents = self._respond(draw, request, arrival)
+        stamp = headers.get("Server-Stamp", "")
+        reply = Reply(
+            self.worker_id,
+            request_id,
+            status,
+            stamp,
+            b"".join(contents),
+            framing,
+            fault,
+            connection_number,
+            position,
+        )
+        self.record.replies[request_id].append(reply)
+        return _Plan(
+            reply,
+            tuple(_encode(status, headers, contents, framing)),
+            draw.uniform(0, MAX_EVENT_PAUSE_S) if len(contents) > 1 else 0.0,
+            draw.uniform(0, MAX_RUN_S) if stamp else 0.0,
+            draw.random() < 0.3,
+            draw.choice((0.0, draw.uniform(0, 0.05))),
+        )
+
+    def _respond(
+        self, draw: random.Random, request: ReceivedRequest, arrival: int
+    ) -> tuple[int, dict[str, str], list[bytes]]:
+        """Return the status, the headers and the body in pieces."""
+        if request.headers.get("target-instance", self.worker_id) != self.worker_id:
+            return 421, {"Instance-Id": self.worker_id, "Not-Executed": "1"}, [b""]
+        request_id = request.request_id
+        if draw.random() < self._shares.refusal:
+            headers = {"Attempt-Id": request_id, "Not-Executed": "1"}
+            if draw.random() < 0.5:
+                headers["Retry-After"] = "0.05"
+            return draw.choice((429, 503)), headers, [b""]
+        stamp = f"{self.worker_id}.{arrival}.{draw.getrandbits(32):08x}"
+        headers = {"Attempt-Id": request_id, "Server-Stamp": stamp}
+        is_stream = request.target.startswith(("/stream/", "/feed/"))
+        first_number = int(request.headers.get("last-event-id", 0)) + 1
+        last_number = events_count(request_id)
+        self.record.runs[request_id].append(
+            StampedRun(
+                self.worker_id,
+                request_id,
+                request.target,
+                request.body,
+                stamp,
+                first_number,
+                last_number,
+            )
+        )
+        if is_stream:
+            numbers = range(first_number, last_number + 1)
+            events = [event(request_id, stamp, number) for number in numbers]
+            return 200, {**headers, "Content-Type": "text/event-stream"}, events
+        status = 500 if draw.random() < self._shares.failure else 200
+        filler = draw.randbytes(draw.choice(BODY_BYTES)).hex().encode()
+        return status, headers, [f"{status} {request_id} {stamp}\n".encode() + filler]
+
+
+class _Connection:
+    """Serves one request at a time; no second response is written inside another one."""
+
+    def __init__(
+        self,
+        worker: _Worker,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        number: int,
+    ) -> None:
+        self._worker = worker
+        self._reader = reader
+        self._writer = writer
+        self._number = number
+        self._writing = asyncio.Lock()
+        self._position = 0
+        self._older: list[bytes] = []
+        """Refusals and failures that this connection carried."""
+        self._due: tuple[bytes, InPlace] | None = None
+        self._late: set[asyncio.Task[None]] = set()
+
+    async def serve(self) -> None:
+        """Serve requests until the connection ends."""
+        try:
+            while (request := await _read_request(self._reader)) is not None:
+                if request.target == "/-/report":
+                    await self._write(_report())
+                else:
+                    await self._respond(request)
+                if self._writer.is_closing():
+                    break
+        finally:
+            for task in self._late:
+                task.cancel()
+            self._writer.close()
+
+    def abort(self) -> None:
+        """Reset the connection."""
+        sock: socket.socket | None = self._writer.get_extra_info("socket")
+        with contextlib.suppress(OSError):
+            if sock is not None:
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
+        self._writer.transport.abort()
+
+    async def _respond(self, request: ReceivedRequest) -> None:
+        plan = self._worker.plan(request, self._number, self._position)
+        self._position += 1
+        await asyncio.sleep(plan.run_s)
+        async with self._writing:
+            if self._due is not None:
+                content, fault = self._due
+                self._due = None
+                await self._write(content)
+                if fault.swallows_next:
+                    return
+            await self._send(plan)
+        if plan.reply.status != 200:
+            self._older.append(plan.content)
+
+    async def _send(self, plan: _Plan) -> None:
+        second = plan.content
+        if plan.repeats_older and self._older:
+            second = self._older[-1]
+        ends = plan.reply.framing == "close"
+        match plan.reply.fault:
+            case Reset(ratio, pause_s):
+                content = plan.content
+                await self._write(content[: max(1, int(len(content) * ratio))])
+                await asyncio.sleep(pause_s)
+                self.abort()
+                return
+            case SameWrite():
+                await self._write_pieces(plan, second)
+            case Once():
+                await self._write_pieces(plan)
+            case Late() | FirstPart() as fault:
+                await self._write_pieces(plan)
+                if ends:
+                    await self._write_late(second, fault)
+                else:
+                    self._start(self._write_between(second, fault))
+            case InPlace() as fault:
+                await self._write_pieces(plan)
+                if ends:
+                    await self._write(second)
+                else:
+                    self._due = (second, fault)
+        if ends:
+            await asyncio.sleep(plan.ending_pause_s)
+            self._writer.close()
+
+    async def _write_pieces(self, plan: _Plan, second: bytes = b"") -> None:
+        *firsts, last = plan.pieces
+        for piece in firsts:
+            await self._write(piece)
+            await asyncio.sleep(plan.pause_s)
+        await self._write(last + second)
+
+    def _start(self, writing: asyncio.Task[None] | object) -> None:
+        task = asyncio.ensure_future(writing)  # type: ignore[arg-type]
+        self._late.add(task)
+        task.add_done_callback(self._late.discard)
+
+    async def _write_between(self, second: bytes, fault: Late | FirstPart) -> None:
+        """Write a late response between two others."""
+        await asyncio.sleep(fault.pause_s)
+        with contextlib.suppress(ConnectionError):
+            async with self._writing:
+                await self._write_late(second, fault, waits=False)
+
+    async def _write_late(
+        self, second: bytes, fault: Late | FirstPart, *, waits: bool = True
+    ) -> None:
+        if waits:
+            await asyncio.sleep(fault.pause_s)
+        match fault:
+            case Late(_, first_ratio, second_pause_s):
+                first_bytes = int(len(second) * first_ratio)
+                await self._write(second[:first_bytes])
+                if first_bytes < len(second):
+                    await asyncio.sleep(second_pause_s)
+                    await self._write(second[first_bytes:])
+            case FirstPart(_, ratio):
+                last = len(second) - 1
+                await self._write(second[: min(last, max(MIN_PART_BYTES, int(last * ratio)))])
+
+    async def _write(self, content: bytes) -> None:
+        if self._writer.is_closing():
+            raise ConnectionResetError("the connection is closed")
+        self._writer.write(content)
+        await self._writer.drain()
+
+
+def _draw_fault(draw: random.Random, shares: Shares) -> Fault:
+    number = draw.random()
+    if number < shares.reset:
+        return Reset(draw.uniform(0, 0.9999), draw.choice((0.0, 0.005)))
+    if number >= shares.reset + shares.second:
+        return Once()
+    pause_s = draw.uniform(0, MAX_PAUSE_S)
+    # Short parts end inside the head.
+    ratio = draw.choice((draw.random(), draw.uniform(0, 0.1)))
+    return draw.choice(
+        (
+            SameWrite(),
+            Late(pause_s),
+            Late(pause_s / 2, ratio, pause_s / 2),
+            InPlace(draw.random() < 0.3),
+            FirstPart(pause_s, ratio),
+        )
+    )
+
+
+def _encode(
+    status: int, headers: dict[str, str], contents: list[bytes], framing: str
+) -> Iterator[bytes]:
+    """Yield the head, joined with the body unless that comes in pieces, and the body's pieces."""
+    fields = dict(headers)
+    match framing:
+        case "length":
+            fields["Content-Length"] = str(sum(map(len, contents)))
+        case "chunks":
+            fields["Transfer-Encoding"] = "chunked"
+            contents = [b"%x\r\n%s\r\n" % (len(piece), piece) for piece in contents if piece]
+            contents = (
+                [*contents, b"0\r\n\r\n"] if len(contents) != 1 else [contents[0] + b"0\r\n\r\n"]
+            )
+        case _:
+            fields["Connection"] = "close"
+    lines = [f"HTTP/1.1 {status} {REASONS[status]}"]
+    lines += [f"{name}: {value}" for name, value in fields.items()]
+    head = "\r\n".join([*lines, "", ""]).encode()
+    if len(contents) == 1:
+        yield head + contents[0]
+        return
+    yield head
+    yield from contents
+
+
+def _report() -> bytes:
+    report = {"stage": "both", "models": [{"name": "m", "version": 1, "adapters": []}]}
+    counts = {"busy": False, "sequence": 0, "queued": 0, "running": 0, "kvUsed": 0, "kvTotal": 1}
+    content = json.dumps({**report, **counts, "handles": 0}).encode()
+    head = b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n"
+    return head % len(content) + content
+
+
+async def _read_request(reader: asyncio.StreamReader) -> ReceivedRequest | None:
+    """Return the next request, or ``None`` when the caller has closed the connection."""
+    try:
+        head = await reader.readuntil(b"\r\n\r\n")
+    except asyncio.IncompleteReadError as error:
+        if error.partial:
+            raise
+        return None
+    line, *lines = head.decode("latin-1").split("\r\n")
+    method, target, _ = line.split(" ")
+    pairs = (re.split(r":\s*", line, maxsplit=1) for line in lines if line)
+    headers = {name.lower(): value for name, value in pairs}
+    body = b""
+    if headers.get("transfer-encoding") == "chunked":
+        while size := int(await reader.readuntil(b"\r\n"), 16):
+            body += (await reader.readexactly(size + 2))[:-2]
+        await reader.readuntil(b"\r\n")
+    else:
+        body = await reader.readexactly(int(headers.get("content-length", 0)))
+    return ReceivedRequest(method, target, headers, body)
+
+
+__all__ = [
+    "FirstPart",
+    "InPlace",
+    "Late",
+    "Once",
+    "ReceivedRequest",
+    "Reply",
+    "Reset",
+    "SameWrite",
+    "Shares",
+    "StampedRun",
+    "StutteringWorkers",
+    "WorkerRecord",
+    "event",
+    "events_count",
+]
