--- a/tests/processes/joinedcase.py
+++ b/tests/processes/joinedcase.py
@@ -16,6 +16,8 @@
 from tests.routebuilders import a_manifest_document
 
 if TYPE_CHECKING:
+    from collections.abc import Sequence
+
     import httpx
 
 CONTROLLERS = ["controller-1", "controller-2", "controller-3", "controller-4", "controller-5"]
@@ -35,6 +37,21 @@
 ]
 
 
+async def start_fleet(fleet: JoinedFleet, routers: Sequence[str], document: bytes) -> None:
+    """Start five controllers and some routers, and wait until all routers have the manifest."""
+    fleet.seeds = CONTROLLERS[:3]
+    # The processes that start first find none of the others listening.
+    for name in [*routers, *CONTROLLERS[::-1]]:
+        await fleet.start(name, bootstrap=True)
+
+    async def accepted() -> bool:
+        return await fleet.put_manifest("controller-4", document) == 200
+
+    await fleet.wait_until(accepted)
+    for router in routers:
+        await fleet.wait_until(lambda router=router: fleet.is_ready(router))
+
+
 class JoinedFleetCase(unittest.IsolatedAsyncioTestCase):
     """Base class of tests with a fleet of five controllers, two routers and two workers."""
 
@@ -49,13 +66,7 @@
             self.workers.add(worker_id, await self.stack.enter_async_context(serve_app(app)))
         self.fleet = JoinedFleet(folder, list_url)
         self.stack.push_async_callback(self.fleet.close)
-        self.fleet.seeds = CONTROLLERS[:3]
-        # The processes that start first find none of the others listening.
-        for name in [*ROUTERS, *CONTROLLERS[::-1]]:
-            await self.fleet.start(name, bootstrap=True)
-        await self.fleet.wait_until(lambda: self.accepted("controller-4", 5))
-        for router in ROUTERS:
-            await self.fleet.wait_until(lambda router=router: self.fleet.is_ready(router))
+        await start_fleet(self.fleet, ROUTERS, self.document(5))
 
     def document(self, version: int) -> bytes:
         return a_manifest_document(version=version, routes=ROUTES)
@@ -92,4 +103,4 @@
         return current == version
 
 
-__all__ = ["CONTROLLERS", "ROUTERS", "JoinedFleetCase"]
+__all__ = ["CONTROLLERS", "ROUTERS", "JoinedFleetCase", "start_fleet"]
