Return the id with refusals of raw workers

The platform's workers echo the id in each response; the refusals with status 421 lacked it, so that a router took those on kept connections for responses to other requests.

--- a/tools/standins/stutter.py
+++ b/tools/standins/stutter.py
@@ -340,9 +340,9 @@
         self, draw: random.Random, request: ReceivedRequest, arrival: int
     ) -> tuple[int, dict[str, str], list[bytes]]:
         """Return the status, the headers and the body in pieces."""
-        if request.headers.get("target-instance", self.worker_id) != self.worker_id:
-            return 421, {"Instance-Id": self.worker_id, "Not-Executed": "1"}, [b""]
         request_id = request.request_id
+        if request.headers.get("target-instance", self.worker_id) != self.worker_id:
+            return 421, {"Attempt-Id": request_id, "Not-Executed": "1"}, [b""]
         if draw.random() < self._shares.refusal:
             headers = {"Attempt-Id": request_id, "Not-Executed": "1"}
             if draw.random() < 0.5:
