--- a/tools/standins/stutter.py
+++ b/tools/standins/stutter.py
@@ -201,7 +201,7 @@
 class StutteringWorkers:
     """Serves several workers of one service, each on a port of its own, and their list."""
 
-    def __init__(self, service: str, seed: int, shares: Shares = Shares()) -> None:  # noqa: B008
+    def __init__(self, service: str, seed: int, shares: Shares) -> None:
         """
         Prepare workers without starting one.
 
@@ -275,11 +275,16 @@
         self._connections: set[_Connection] = set()
         self._tasks: set[asyncio.Task[None]] = set()
         self._arrivals: defaultdict[str, int] = defaultdict(int)
+        self._ended = False
 
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         """Serve one connection until it ends."""
         self.record.connections_count += 1
         connection = _Connection(self, reader, writer, self.record.connections_count)
+        if self._ended:
+            # The connection was accepted just before the end.
+            connection.abort()
+            return
         self._connections.add(connection)
         task = asyncio.current_task()
         assert task is not None
@@ -297,6 +302,7 @@
 
     async def end(self) -> None:
         """Close the listening socket and reset each connection."""
+        self._ended = True
         self.server.close()
         for connection in self._connections:
             connection.abort()
@@ -313,7 +319,7 @@
         draw = random.Random(f"{self._seed} {self.worker_id} {request_id} {arrival}")
         framing = draw.choice(self._shares.framings)
         fault = _draw_fault(draw, self._shares)
-        status, headers, contents = self._respond(draw, request, arrival)
+        status, headers, contents = self._draw_response(draw, request, arrival)
         stamp = headers.get("Server-Stamp", "")
         reply = Reply(
             self.worker_id,
@@ -336,10 +342,10 @@
             draw.choice((0.0, draw.uniform(0, 0.05))),
         )
 
-    def _respond(
+    def _draw_response(
         self, draw: random.Random, request: ReceivedRequest, arrival: int
     ) -> tuple[int, dict[str, str], list[bytes]]:
-        """Return the status, the headers and the body in pieces."""
+        """Return the status, the headers and the body in pieces; record the run if there is one."""
         request_id = request.request_id
         if request.headers.get("target-instance", self.worker_id) != self.worker_id:
             return 421, {"Attempt-Id": request_id, "Not-Executed": "1"}, [b""]
@@ -451,9 +457,12 @@
             case Late() | FirstPart() as fault:
                 await self._write_pieces(plan)
                 if ends:
+                    await asyncio.sleep(fault.pause_s)
                     await self._write_late(second, fault)
                 else:
-                    self._start(self._write_between(second, fault))
+                    task = asyncio.create_task(self._write_between(second, fault))
+                    self._late.add(task)
+                    task.add_done_callback(self._late.discard)
             case InPlace() as fault:
                 await self._write_pieces(plan)
                 if ends:
@@ -471,23 +480,14 @@
             await asyncio.sleep(plan.pause_s)
         await self._write(last + second)
 
-    def _start(self, writing: asyncio.Task[None] | object) -> None:
-        task = asyncio.ensure_future(writing)  # type: ignore[arg-type]
-        self._late.add(task)
-        task.add_done_callback(self._late.discard)
-
     async def _write_between(self, second: bytes, fault: Late | FirstPart) -> None:
-        """Write a late response between two others."""
+        """Write a late response, or its first part, between two others."""
         await asyncio.sleep(fault.pause_s)
         with contextlib.suppress(ConnectionError):
             async with self._writing:
-                await self._write_late(second, fault, waits=False)
+                await self._write_late(second, fault)
 
-    async def _write_late(
-        self, second: bytes, fault: Late | FirstPart, *, waits: bool = True
-    ) -> None:
-        if waits:
-            await asyncio.sleep(fault.pause_s)
+    async def _write_late(self, second: bytes, fault: Late | FirstPart) -> None:
         match fault:
             case Late(_, first_ratio, second_pause_s):
                 first_bytes = int(len(second) * first_ratio)
