Reject heads that consist of those of two responses

Cause: an upstream sent the first bytes of an earlier response on a kept connection once the next request had arrived. They ended inside the reason, or inside a header before the id, so that the right response completed them: its status line became a part of the reason or of that header, and its id passed the check.

Change: a head with the status line of another response in its reason or in a header is rejected wherever a response is received, reads of reports included (upstreams/framing.has_joined_heads, client.py), and connections to that origin carry one request each for a time.

In test_parts_of_a_body the second attempt had the number of the first one; as a repeated one it gets its own connection, and passes. tests.upstreams passes (101).

--- a/src/camphorvalve/upstreams/client.py
+++ b/src/camphorvalve/upstreams/client.py
@@ -12,6 +12,7 @@
 import httpx
 
 from camphorvalve.upstreams.bodies import ResponseBudget
+from camphorvalve.upstreams.framing import has_joined_heads
 from camphorvalve.upstreams.network import Backend, Stream
 from camphorvalve.upstreams.singleuse import SingleUseOrigins
 
@@ -25,6 +26,7 @@
 _RESPONSE_STREAM = "camphorvalve.response_stream"
 """Response extension with the ``_ResponseStream``."""
 _EXTRA_BYTES = "bytes behind a complete response"
+_JOINED_HEADS = "the head of the response contains the status line of another"
 KEEPALIVE_TIMEOUT_S = 4.0
 """How long an idle connection is kept; below the 5 s after which common servers close it."""
 MAX_KEEPALIVE_COUNT = 256
@@ -143,6 +145,10 @@
                 stream.start_body()
         response.stream = _ResponseStream(response, partial(self._single_use.add, base_url))
         response.extensions[_RESPONSE_STREAM] = response.stream
+        if has_joined_heads(response):
+            self._single_use.add(base_url, _JOINED_HEADS)
+            await response.aclose()
+            raise httpx.RemoteProtocolError(_JOINED_HEADS, request=request)
         return response
 
     async def aclose(self) -> None:
--- a/src/camphorvalve/upstreams/framing.py
+++ b/src/camphorvalve/upstreams/framing.py
@@ -1,4 +1,4 @@
-"""Tells what ends the body of a response, and finds a second one where only the close does."""
+"""Tells what ends a response, and finds two that an upstream has joined."""
 
 from __future__ import annotations
 
@@ -19,9 +19,11 @@
 _VERSION = b"HTTP/1."
 _MAX_REASON_LENGTH = 128
 _MAX_NAME_LENGTH = 64
+_STATUS_LINE = re.compile(rb"HTTP/1\.[01] [1-5]\d\d")
 # The lines of an event may follow text that looks like a status line (HTML Living Standard, 9.2.6).
 _SECOND_HEAD = re.compile(
-    rb"HTTP/1\.[01] [1-5]\d\d(?: [^\r\n]{0,%d})?\r?\n(?!(?:data|event|id|retry):)%s{1,%d}:"
+    _STATUS_LINE.pattern
+    + rb"(?: [^\r\n]{0,%d})?\r?\n(?!(?:data|event|id|retry):)%s{1,%d}:"
     % (_MAX_REASON_LENGTH, _TOKEN, _MAX_NAME_LENGTH)
 )
 """A status line and the name of the first header (RFC 9112, 4 and 5)."""
@@ -46,6 +48,21 @@
     return Framing.LENGTH if "content-length" in response.headers else Framing.CLOSE
 
 
+def has_joined_heads(response: httpx.Response) -> bool:
+    """
+    Tell whether the head of a response consists of those of two.
+
+    An upstream that stops in the middle of a head leaves the reason or a header open, which the
+    status line of the next response on the connection completes.
+
+    :param response: the upstream's response
+    :return: whether another status line is part of its head
+    """
+    fields = (value for _, value in response.headers.raw)
+    reason = response.extensions.get("reason_phrase", b"")
+    return any(_STATUS_LINE.search(field) for field in (reason, *fields))
+
+
 async def without_second_response(
     chunks: AsyncGenerator[bytes, None],
 ) -> AsyncGenerator[bytes, None]:
@@ -94,4 +111,4 @@
     )
 
 
-__all__ = ["framing", "without_second_response"]
+__all__ = ["framing", "has_joined_heads", "without_second_response"]
--- a/tests/upstreams/test_partial_copy.py
+++ b/tests/upstreams/test_partial_copy.py
@@ -67,8 +67,10 @@
     """Send both requests with one client, and return what the second attempt yields."""
     async with repeating_upstream(repeat) as url, create_client() as client:
         with anyio.fail_after(5):
-            for request_id in (repeat.first_id, "id-1"):
+            is_repeated = repeat.first_id == "id-1"
+            for request_id, number in ((repeat.first_id, 1), ("id-1", 2 if is_repeated else 1)):
                 exchange = a_routed_exchange(SAFE, request_id=request_id, body=request_id.encode())
+                exchange.attempt = number
                 result = await attempt(url, exchange, client)
             return result
 
