Send the target of a routed request as the caller sent it

Dot segments, fragments and characters like braces were changed on the way.

Cause: the target became a part of a URL, which httpx normalises.

Change: the target goes to httpcore as it is; the URL names the upstream only. An empty query ("/a?") is still lost in the caller's HTTP server.

--- a/src/camphorvalve/upstreams/routed.py
+++ b/src/camphorvalve/upstreams/routed.py
@@ -157,11 +157,13 @@
             # Not built by the client, which would add its default headers.
             request = httpx.Request(
                 call.method,
-                f"{upstream.url}{call.target}",
+                upstream.url,
                 content=exchange.request.body,
                 headers=self._headers(upstream, exchange, call),
                 extensions={
                     "trace": trace,
+                    # A URL would be normalised, and name another path than the one of the route.
+                    "target": call.target.encode("latin-1"),
                     "timeout": _timeout(exchange, self._lag_s()).as_dict(),
                     FRESH_CONNECTION: _needs_new_connection(exchange),
                 },
--- a/tests/upstreams/test_routed.py
+++ b/tests/upstreams/test_routed.py
@@ -405,6 +405,26 @@
         self.assertNotIn("accept", values)
         self.assertNotIn("user-agent", values)
 
+    def test_target_is_unchanged(self) -> None:
+        """Guards against a request that leaves the path of its route, or loses a part of it."""
+        rows = [
+            "/drafts/1?part=2",
+            "/drafts/./1",
+            "/drafts/../secret/1",
+            "/drafts/..",
+            "/drafts//1",
+            "/drafts/%2e%2e/1%20a",
+            "/drafts/1?",
+            "/drafts/1?a=<b>&c={d}'e\"",
+            "/drafts/1#part",
+            "/drafts/@desk.example:80/",
+        ]
+        for target in rows:
+            with self.subTest(target):
+                self.run_script(Script(response(b"yes")), target=target)
+                request_line = self.peer.received[0].split(b"\r\n")[0]
+                self.assertEqual(request_line, f"POST {target} HTTP/1.1".encode())
+
     def test_continuation(self) -> None:
         """Guards against a continuation that starts from the beginning."""
         exchange_fields = {"broken": BrokenStream(1, ""), "output_started": True}
