End a stream of an engine with its end marker

Callers got events after the end marker of their stream: a second stream of events, a second marker or other bytes. Where these ended inside an event or without a marker, a whole stream was called broken and resumed.

Cause: the stream counted as whole if the bytes received so far happened to end with the marker, and everything in the body was passed on.

Change: the events end at the marker. A body that goes on after it is dropped with its connection, and one without a length and chunks is not read further. A body in chunks is read to its end, so that the connection is kept.

--- a/src/camphorvalve/upstreams/engine.py
+++ b/src/camphorvalve/upstreams/engine.py
@@ -10,11 +10,12 @@
 import msgspec
 import structlog
 
-from camphorvalve.model.answers import Body, Head
+from camphorvalve.model.answers import Body, Framing, Head
 from camphorvalve.upstreams.bodies import BodyTooLongError, body_chunks, read_body
 from camphorvalve.upstreams.errors import Broken, NoAnswer
 from camphorvalve.upstreams.events import EventError
 from camphorvalve.upstreams.fetching import FetchLimits, fetch
+from camphorvalve.upstreams.framing import framing
 from camphorvalve.upstreams.opening import (
     SendProgress,
     UpstreamCall,
@@ -180,11 +181,16 @@
         with client.responses.reserve(response) as reservation:
             async with coalesced(body_chunks(response)) as chunks:
                 async for chunk in chunks:
+                    if transcript.done:
+                        # The end of the body should have followed, and not more of it.
+                        break
                     events, tokens_count = transcript.add(chunk)
                     reservation.resize(transcript.held_bytes)
                     exchange.served_units += tokens_count
                     if events:
                         yield Body(events)
+                    if transcript.done and framing(response) is Framing.CLOSE:
+                        break
     except (httpx.HTTPError, EventError, BodyTooLongError) as error:
         cause = f"{type(error).__name__}: {error}"
     if not transcript.done:
--- a/src/camphorvalve/upstreams/transcript.py
+++ b/src/camphorvalve/upstreams/transcript.py
@@ -14,6 +14,7 @@
 
 DONE = b"data: [DONE]\n\n"
 """Event that ends a complete stream."""
+_LAST_LINE = b"\n" + DONE
 _DATA_PREFIX = b"data: "
 _ID_PREFIX = b"id: "
 
@@ -56,14 +57,15 @@
         Add bytes that were received.
 
         :param content: the next bytes of the stream
-        :return: the events that are now complete, without those of earlier attempts, and how many
-            of them are tokens
+        :return: the events that are now complete, without those of earlier attempts and what
+            follows the end of the stream, and how many of them are tokens
         :raises EventError: an event is too long, or one is missing in a continued stream
         """
         events = self._buffer.add(content)
         if not events:
             return b"", 0
-        self.done = events.endswith(DONE)
+        before, self.done = _before_end(events)
+        events = before + DONE if self.done else events
         tokens_count = events.count(END_OF_EVENT) - self.done
         self._events.append(events)
         self._events_bytes += len(events)
@@ -91,6 +93,14 @@
         return b"".join(self._events).split(b"\n")
 
 
+def _before_end(events: bytes) -> tuple[bytes, bool]:
+    """Return the events in front of the one that ends the stream, and whether there is one."""
+    if events.startswith(DONE):
+        return b"", True
+    before, end, _ = events.partition(_LAST_LINE)
+    return (before + b"\n", True) if end else (events, False)
+
+
 def _event_text(line: bytes) -> str:
     try:
         return _decoder.decode(line[len(_DATA_PREFIX) :])["text"]
--- a/tests/upstreams/test_crossed_responses.py
+++ b/tests/upstreams/test_crossed_responses.py
@@ -184,6 +184,36 @@
                             result = await run(self.client, url, a_kind(name), attempt=2)
                         self.assertIsInstance(result.error, WrongAnswer)
 
+    async def test_bytes_after_the_end_marker(self) -> None:
+        """Guards against events after the end of a stream, and against a stream that ends only
+        when its connection does."""
+        kind = a_kind("stream")
+        own, extra = kind.body % 0, kind.body % 1
+        for framing in ("chunks", "close"):
+            for rest in (extra, extra[:30], extra[-len(DONE) :], b"garbage\n\n"):
+                for ending in ("close", "keep"):
+                    with self.subTest(framing=framing, rest=rest, ending=ending):
+                        whole = kind._replace(body=kind.body + rest)
+                        content = a_response(whole, 0, framing=framing)
+                        async with upstream(Script(content, ending)) as (url, _):
+                            with anyio.fail_after(OPTIONS.inactivity_timeout_s / 2):
+                                result = await run(self.client, url, kind)
+                        self.assertEqual(result, AttemptResult(200, own, None))
+
+    async def test_bytes_without_end_after_the_end_marker(self) -> None:
+        """Guards against a stream that never ends although its end marker has arrived."""
+        kind = a_kind("stream")
+        more = b"6\r\n: no\n\n\r\n"
+        for framing, repeated in (("chunks", more), ("close", b": no\n\n")):
+            with self.subTest(framing):
+                content = a_response(kind, 0, framing=framing).removesuffix(b"0\r\n\r\n")
+                script = Script(content, "endless", repeated=repeated, repeat_pause_s=0.01)
+                async with upstream(script) as (url, peer):
+                    with anyio.fail_after(OPTIONS.inactivity_timeout_s):
+                        result = await run(self.client, url, kind)
+                        await peer.closed_by_caller.wait()
+                self.assertEqual(result, AttemptResult(200, kind.body % 0, None))
+
     async def test_first_response_without_an_id(self) -> None:
         """Guards against refusing a plain service that does not send the ids back."""
         for name in ("stream", "completion", "service"):
