--- a/tests/processes/responsechecks.py
+++ b/tests/processes/responsechecks.py
@@ -46,9 +46,12 @@
 
 
 def describe(entry: Received, record: WorkerRecord) -> str:
-    """Describe a response and the replies to its request in one line."""
+    """Describe a response, the replies to its request and what their connections had carried."""
     call = entry.call
-    replies = "; ".join(map(_describe_reply, record.replies[call.request_id]))
+    replies = "; ".join(
+        " after ".join(map(_describe_reply, (reply, *reversed(record.earlier(reply)))))
+        for reply in record.replies[call.request_id]
+    )
     whole = "whole" if entry.is_whole else f"not whole ({entry.error})"
     return (
         f"{call.kind} {call.request_id} at {entry.router}: status {entry.status}, {whole}, stamp "
@@ -59,8 +62,8 @@
 
 def _describe_reply(reply: Reply) -> str:
     return (
-        f"{reply.worker_id} {reply.status} {reply.stamp} {reply.framing} {reply.fault} "
-        f"{len(reply.content)} bytes, connection {reply.connection_number}, "
+        f"{reply.worker_id} {reply.status} {reply.stamp or 'refused'} {reply.framing} "
+        f"{reply.fault} {len(reply.content)} bytes, connection {reply.connection_number}, "
         f"position {reply.position}"
     )
 
--- a/tools/standins/stutter.py
+++ b/tools/standins/stutter.py
@@ -157,6 +157,25 @@
         self.replies: defaultdict[str, list[Reply]] = defaultdict(list)
         self.connections_count = 0
 
+    def earlier(self, reply: Reply) -> list[Reply]:
+        """
+        Return what the connection of a response had carried before.
+
+        :param reply: the response
+        :return: the responses to earlier requests, oldest first
+        """
+        all_replies = (reply for replies in self.replies.values() for reply in replies)
+        key = (reply.worker_id, reply.connection_number)
+        return sorted(
+            (
+                other
+                for other in all_replies
+                if (other.worker_id, other.connection_number) == key
+                and other.position < reply.position
+            ),
+            key=lambda other: other.position,
+        )
+
 
 class _Plan(NamedTuple):
     """Response to one request, in the pieces that are written one after another."""
