Check bodies for second responses in the client

A second response in a body that ends with its connection broke the body off, but the other kept connections of that upstream stayed in use, and could hold more of its second responses.

Cause: the check lay in the reading of bodies, which doesn't know the origin's state.

Change: the client checks the stream of such a response, as it checks heads, and lets connections to the origin carry one request each for a time.

--- a/src/camphorvalve/upstreams/bodies.py
+++ b/src/camphorvalve/upstreams/bodies.py
@@ -3,19 +3,17 @@
 from __future__ import annotations
 
 import asyncio
-from contextlib import aclosing, contextmanager
+from contextlib import contextmanager
 from typing import TYPE_CHECKING
 
 import httpx
 import structlog
 
-from camphorvalve.model.answers import Framing
 from camphorvalve.upstreams.errors import Broken
-from camphorvalve.upstreams.framing import framing, without_second_response
 from camphorvalve.upstreams.network import Stream, is_connection_end
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncGenerator, Iterator
+    from collections.abc import AsyncIterator, Iterator
 
     from camphorvalve.model.upstreams import Upstream
 
@@ -147,30 +145,18 @@
             self.held_bytes -= reservation.size_bytes
 
 
-async def body_chunks(response: httpx.Response) -> AsyncGenerator[bytes, None]:
+async def body_chunks(response: httpx.Response) -> AsyncIterator[bytes]:
     """
     Read a body in chunks as they were sent, without decompressing them.
 
+    Chunks of a few bytes cost far more time than they carry, and those that have already arrived
+    are read without a turn of the event loop.
+
     :param response: the response, unread
     :return: the chunks
     :raises httpx.HTTPError: the body ended before it was complete, its chunks are too small, or
         another response follows in a body that ends with its connection
     """
-    chunks = _raw_chunks(response)
-    if framing(response) is Framing.CLOSE:
-        chunks = without_second_response(chunks)
-    async with aclosing(chunks):
-        async for chunk in chunks:
-            yield chunk
-
-
-async def _raw_chunks(response: httpx.Response) -> AsyncGenerator[bytes, None]:
-    """
-    Read chunks, with a turn of the event loop now and then.
-
-    Chunks of a few bytes cost far more time than they carry, and those that have already arrived
-    are read without a turn of the event loop.
-    """
     stream = response.extensions.get("network_stream")
     waits_count = chunks_count = total_bytes = 0
     async for chunk in response.aiter_raw():
--- a/src/camphorvalve/upstreams/client.py
+++ b/src/camphorvalve/upstreams/client.py
@@ -11,13 +11,19 @@
 import h11
 import httpx
 
+from camphorvalve.model.answers import Framing
 from camphorvalve.upstreams.bodies import ResponseBudget
-from camphorvalve.upstreams.framing import has_joined_heads
+from camphorvalve.upstreams.framing import (
+    SecondResponseError,
+    framing,
+    has_joined_heads,
+    without_second_response,
+)
 from camphorvalve.upstreams.network import Backend, Stream
 from camphorvalve.upstreams.singleuse import SingleUseOrigins
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator, Callable
+    from collections.abc import AsyncGenerator, AsyncIterator, Callable
 
     import httpcore
 
@@ -92,6 +98,7 @@
         self.on_stray = on_stray
         """Called with the reason when bytes arrive that belong to no request."""
         self._stream = response.stream
+        self._framing = framing(response)
         self._network_stream: httpcore.AsyncNetworkStream = response.extensions["network_stream"]
         # httpcore looks for unsolicited bytes in the network stream only, not in its parser.
         self._parser: h11.Connection = (
@@ -99,7 +106,16 @@
         )
 
     def __aiter__(self) -> AsyncIterator[bytes]:
-        return self._stream.__aiter__()  # type: ignore[union-attr]
+        chunks = self._stream.__aiter__()  # type: ignore[union-attr]
+        return self._checked(chunks) if self._framing is Framing.CLOSE else chunks
+
+    async def _checked(self, chunks: AsyncGenerator[bytes, None]) -> AsyncIterator[bytes]:
+        try:
+            async for chunk in without_second_response(chunks):
+                yield chunk
+        except SecondResponseError as error:
+            self.on_stray(str(error))
+            raise
 
     async def aclose(self) -> None:
         try:
@@ -143,6 +159,7 @@
         match response.extensions["network_stream"]:
             case Stream() as stream:
                 stream.start_body()
+        response.request = request
         response.stream = _ResponseStream(response, partial(self._single_use.add, base_url))
         response.extensions[_RESPONSE_STREAM] = response.stream
         if has_joined_heads(response):
--- a/src/camphorvalve/upstreams/framing.py
+++ b/src/camphorvalve/upstreams/framing.py
@@ -34,6 +34,14 @@
 """The first bytes of a second head, from the version on, at the end of what has arrived."""
 
 
+class SecondResponseError(httpx.RemoteProtocolError):
+    """Another response follows in a body that only the end of its connection ends."""
+
+    def __init__(self) -> None:
+        """Create the error."""
+        super().__init__("another response follows in a body that ends with its connection")
+
+
 def framing(response: httpx.Response) -> Framing:
     """
     Tell what ends the body of a response.
@@ -75,7 +83,7 @@
 
     :param chunks: the body in chunks of any size
     :return: the same bytes; those that may begin a second response wait for the ones after them
-    :raises httpx.RemoteProtocolError: the head of another response, or its first bytes, follow
+    :raises SecondResponseError: the head of another response, or its first bytes, follow
     """
     held = b""
     async with aclosing(chunks):
@@ -84,13 +92,13 @@
             if head := _SECOND_HEAD.search(content):
                 if head.start():
                     yield content[: head.start()]
-                raise _second_response_error()
+                raise SecondResponseError
             start = _unfinished_head_start(content)
             held = content[start:]
             if start:
                 yield content[:start]
     if held.startswith(_VERSION):
-        raise _second_response_error()
+        raise SecondResponseError
     if held:
         yield held
 
@@ -105,10 +113,4 @@
     return len(content)
 
 
-def _second_response_error() -> httpx.RemoteProtocolError:
-    return httpx.RemoteProtocolError(
-        "another response follows in a body that ends with its connection"
-    )
-
-
-__all__ = ["framing", "has_joined_heads", "without_second_response"]
+__all__ = ["SecondResponseError", "framing", "has_joined_heads", "without_second_response"]
--- a/tests/upstreams/test_singleuse.py
+++ b/tests/upstreams/test_singleuse.py
@@ -96,6 +96,23 @@
                 reasons = [line["reason"] for line in lines if line["event"] == EVENT]
                 self.assertEqual(reasons, ["bytes behind a complete response"])
 
+    def test_second_response_in_a_body(self) -> None:
+        """Guards against trusting the kept connections of an upstream that sends a second response
+        where only the end of a connection ends the first one."""
+        unframed = b"HTTP/1.1 200 OK\r\nx-id: id-0\r\nx-proof: p\r\n\r\n0"
+        rows = {"body": unframed * 2, "head": b"HTTP/1.1 200 O" + a_response(0)}
+        for name, content in rows.items():
+
+            async def run(content: bytes = content) -> int:
+                scripts = [Script(content, "close"), *(Script(a_response(n)) for n in (1, 2))]
+                async with upstream(*scripts) as (url, peer), create_client() as client:
+                    for number in range(3):
+                        await attempt_safely(url, number, client)
+                    return peer.connections_count
+
+            with self.subTest(name):
+                self.assertEqual(anyio.run(run), 3)
+
     def test_end(self) -> None:
         """Guards against an upstream that responded twice once and never gets a kept connection
         again, and against other upstreams that share its fate."""
