--- a/tools/standins/stutter.py
+++ b/tools/standins/stutter.py
@@ -540,7 +540,7 @@
             Late(pause_s),
             Late(pause_s / 2, ratio, pause_s / 2),
             InPlace(draw.random() < 0.3),
-            FirstPart(pause_s, ratio),
+            FirstPart(draw.choice((0.0, pause_s)), ratio),
         )
     )
 
