Drop the check of a number that no kept connection can lack

Repeated attempts have a connection of their own since both branches were joined, so that the check could not be reached.

tests.upstreams.test_crossed_responses, test_attempt and tests.filters.test_dispatch pass (23).

--- a/src/camphorvalve/upstreams/opening.py
+++ b/src/camphorvalve/upstreams/opening.py
@@ -200,18 +200,14 @@
     headers: httpx.Headers, request_id: str, attempt: int, call: UpstreamCall, *, is_first: bool
 ) -> str | None:
     """Compare the names in a response with those of its request; only the first response of a
-    connection may leave them out. The number may also be missing if no attempt came before."""
+    connection may leave out the id. Repeated attempts are the first request of theirs."""
     response_id = headers.get("x-request-id")
     if response_id is None and not is_first:
         return "response without an id on a connection that has carried others"
     if response_id not in (None, request_id):
         return f"response to request {response_id!r} instead of {request_id!r}"
-    if not call.checks_attempt:
-        return None
-    response_attempt = headers.get("x-attempt")
-    if response_attempt is None and not is_first and attempt > 1:
-        return f"response without the number of the attempt instead of {attempt}"
-    if response_attempt not in (None, str(attempt)):
+    response_attempt = headers.get("x-attempt", str(attempt))
+    if call.checks_attempt and response_attempt != str(attempt):
         return f"response to attempt {response_attempt} instead of {attempt}"
     return None
 
