Count earlier responses on connections of every backend

Calls to a service over TLS that returns no ids failed with WrongAnswer, each after the service had run it, and kept its origin at one request for each connection without end.

Cause: responses were counted by our own network stream only; on others the first response of a connection was not known to be the first, so that it had to bear an id.

Change: the count is that of httpcore's connection, whatever its stream.

--- a/src/camphorvalve/model/requests.py
+++ b/src/camphorvalve/model/requests.py
@@ -133,8 +133,8 @@
 
     framing: Framing
     """What ends its body; if that is the end of the connection, a crash may look the same."""
-    earlier_count: int | None
-    """Responses that its connection had carried before, ``None`` if that is not known."""
+    earlier_count: int
+    """Responses that its connection had carried before."""
 
     def log_fields(self) -> dict[str, Any]:
         """:return: fields for the log lines of the request"""
--- a/src/camphorvalve/upstreams/client.py
+++ b/src/camphorvalve/upstreams/client.py
@@ -29,6 +29,8 @@
 
 FRESH_CONNECTION = "camphorvalve.fresh_connection"
 """Request extension that asks for a new connection instead of a pooled one."""
+EARLIER_RESPONSES_COUNT = "camphorvalve.earlier_responses_count"
+"""Response extension with the number of responses that the connection had carried before."""
 _RESPONSE_STREAM = "camphorvalve.response_stream"
 """Response extension with the ``_ResponseStream``."""
 _EXTRA_BYTES = "bytes behind a complete response"
@@ -100,10 +102,13 @@
         self._stream = response.stream
         self._framing = framing(response)
         self._network_stream: httpcore.AsyncNetworkStream = response.extensions["network_stream"]
-        # httpcore looks for unsolicited bytes in the network stream only, not in its parser.
-        self._parser: h11.Connection = (
-            response.stream._httpcore_stream._stream._connection._h11_state  # type: ignore[union-attr]
+        connection: httpcore.AsyncHTTP11Connection = (
+            response.stream._httpcore_stream._stream._connection  # type: ignore[union-attr]
         )
+        # Counted for all network backends, that of encrypted connections included.
+        response.extensions[EARLIER_RESPONSES_COUNT] = connection._request_count - 1
+        # httpcore looks for unsolicited bytes in the network stream only, not in its parser.
+        self._parser: h11.Connection = connection._h11_state
 
     def __aiter__(self) -> AsyncIterator[bytes]:
         chunks = self._stream.__aiter__()  # type: ignore[union-attr]
@@ -250,6 +255,7 @@
 
 
 __all__ = [
+    "EARLIER_RESPONSES_COUNT",
     "FRESH_CONNECTION",
     "UpstreamClient",
     "create_client",
--- a/src/camphorvalve/upstreams/network.py
+++ b/src/camphorvalve/upstreams/network.py
@@ -48,8 +48,6 @@
         self._writing_paused = False
         self.waits_count = 0
         """Reads that had to wait for bytes."""
-        self.responses_count = 0
-        """Responses whose head has been received."""
         self._head_left_bytes: int | None = None
         """Bytes that the head of the response may still take, ``None`` outside of it."""
         self._on_idle_bytes: Callable[[], None] | None = None
@@ -133,8 +131,7 @@
         return content
 
     def start_body(self) -> None:
-        """Count the response whose head has been received, and end the limits on its head."""
-        self.responses_count += 1
+        """End the limits on the head of the response, which has been received."""
         self._head_left_bytes = None
 
     def start_idle(self, on_bytes: Callable[[], None]) -> None:
--- a/src/camphorvalve/upstreams/opening.py
+++ b/src/camphorvalve/upstreams/opening.py
@@ -11,13 +11,13 @@
 from camphorvalve.model.headers import HOP_HEADERS
 from camphorvalve.model.requests import ResponseSource
 from camphorvalve.upstreams.client import (
+    EARLIER_RESPONSES_COUNT,
     FRESH_CONNECTION,
     keep_connection,
     report_other_response,
 )
 from camphorvalve.upstreams.errors import NoAnswer, NotSent, WrongAnswer
 from camphorvalve.upstreams.framing import framing
-from camphorvalve.upstreams.network import Stream
 from camphorvalve.upstreams.options import FromStart
 
 if TYPE_CHECKING:
@@ -152,13 +152,9 @@
     :param response: the upstream's response to it, or the one found in its place
     :return: what was noted
     """
-    match response.extensions["network_stream"]:
-        case Stream(responses_count=count):
-            source = ResponseSource(framing(response), count - 1)
-        case _:
-            source = ResponseSource(framing(response), None)
-    exchange.source = source
-    return source
+    earlier_count = response.extensions[EARLIER_RESPONSES_COUNT]
+    exchange.source = ResponseSource(framing(response), earlier_count)
+    return exchange.source
 
 
 def stream_head(headers: Iterable[tuple[str, str]]) -> Head:
