Reject a body with a length that holds the start of its repetition

Callers got status 200 with a body of the right length that was not the upstream's: its first part, then the status line and headers of the same response, sent anew on the connection.

Cause: an upstream that stops in the middle of a response with a length and sends it once more fills up the body with the second one; only bodies that end with their connection were searched.

Change: a body with a length that contains a status line is broken off if bytes lie behind it, and its last chunk waits for that. A body that only mentions a response has none behind it. Chunks need no such check: the rest of one would have to end exactly at the end of a line.

--- a/src/camphorvalve/upstreams/bodies.py
+++ b/src/camphorvalve/upstreams/bodies.py
@@ -154,8 +154,8 @@
 
     :param response: the response, unread
     :return: the chunks
-    :raises httpx.HTTPError: the body ended before it was complete, its chunks are too small, or
-        another response follows in a body that ends with its connection
+    :raises httpx.HTTPError: the body ended before it was complete, its chunks are too small, or it
+        contains the start of another response
     """
     stream = response.extensions.get("network_stream")
     waits_count = chunks_count = total_bytes = 0
--- a/src/camphorvalve/upstreams/client.py
+++ b/src/camphorvalve/upstreams/client.py
@@ -17,6 +17,7 @@
     SecondResponseError,
     framing,
     has_joined_heads,
+    without_restarted_response,
     without_second_response,
 )
 from camphorvalve.upstreams.network import Backend, Stream
@@ -112,11 +113,21 @@
 
     def __aiter__(self) -> AsyncIterator[bytes]:
         chunks = self._stream.__aiter__()  # type: ignore[union-attr]
-        return self._checked(chunks) if self._framing is Framing.CLOSE else chunks
-
-    async def _checked(self, chunks: AsyncGenerator[bytes, None]) -> AsyncIterator[bytes]:
+        match self._framing:
+            case Framing.CLOSE:
+                return self._reporting(without_second_response(chunks))
+            case Framing.LENGTH:
+                return self._reporting(without_restarted_response(chunks, self._bytes_behind))
+            case Framing.CHUNKS:
+                # The bytes that complete a chunk are followed by the end of a line.
+                return chunks
+
+    def _bytes_behind(self) -> bytes:
+        return self._parser.trailing_data[0]
+
+    async def _reporting(self, chunks: AsyncGenerator[bytes, None]) -> AsyncIterator[bytes]:
         try:
-            async for chunk in without_second_response(chunks):
+            async for chunk in chunks:
                 yield chunk
         except SecondResponseError as error:
             self.on_stray(str(error))
@@ -132,7 +143,7 @@
     def _is_reusable(self) -> bool:
         if self._parser.their_state not in (h11.DONE, h11.MUST_CLOSE):
             return False
-        if self._parser.trailing_data[0]:
+        if self._bytes_behind():
             self.on_stray(_EXTRA_BYTES)
             return False
         match self._network_stream:
--- a/src/camphorvalve/upstreams/framing.py
+++ b/src/camphorvalve/upstreams/framing.py
@@ -11,7 +11,7 @@
 from camphorvalve.model.answers import Framing
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncGenerator
+    from collections.abc import AsyncGenerator, Callable
 
 _STATUSES_WITHOUT_BODY = (204, 304)
 
@@ -22,6 +22,7 @@
 _MAX_REASON_LENGTH = 128
 _MAX_NAME_LENGTH = 64
 _STATUS_LINE = re.compile(rb"HTTP/1\.[01] [1-5]\d\d")
+_STATUS_LINE_BYTES = len(b"HTTP/1.1 200")
 # The lines of an event may follow text that looks like a status line (HTML Living Standard, 9.2.6).
 _SECOND_HEAD = re.compile(
     _STATUS_LINE.pattern
@@ -38,11 +39,11 @@
 
 
 class SecondResponseError(httpx.RemoteProtocolError):
-    """Another response follows in a body that only the end of its connection ends."""
+    """A body contains the start of another response."""
 
     def __init__(self) -> None:
         """Create the error."""
-        super().__init__("another response follows in a body that ends with its connection")
+        super().__init__("the body contains the start of another response")
 
 
 def framing(response: httpx.Response) -> Framing:
@@ -106,6 +107,45 @@
         yield held
 
 
+async def without_restarted_response(
+    chunks: AsyncGenerator[bytes, None], bytes_behind: Callable[[], bytes]
+) -> AsyncGenerator[bytes, None]:
+    """
+    Check a body with a length.
+
+    A faulty upstream may stop in the middle of a response and send it anew. The second one then
+    fills up the body, and its rest lies behind it. A body that only mentions a response has nothing
+    behind it.
+
+    :param chunks: the body in chunks of any size
+    :param bytes_behind: returns the bytes that have arrived behind the body
+    :return: the same bytes; a chunk that may be the last one after the start of a response waits
+        for the one after it, so that the body doesn't look complete
+    :raises SecondResponseError: the body contains the start of another response and its rest
+        follows
+    """
+    contains_response = False
+    last_bytes = held = b""
+    async with aclosing(chunks):
+        async for chunk in chunks:
+            if held:
+                yield held
+            content = last_bytes + chunk
+            contains_response = contains_response or bool(_STATUS_LINE.search(content))
+            last_bytes = content[-_STATUS_LINE_BYTES + 1 :]
+            held = chunk if contains_response or _VERSION[:1] in last_bytes else b""
+            if not held:
+                yield chunk
+    if not held:
+        return
+    behind = bytes_behind()
+    # The status line may begin in the body and end behind it.
+    across = last_bytes + behind[: _STATUS_LINE_BYTES - 1]
+    if behind and (contains_response or _STATUS_LINE.search(across)):
+        raise SecondResponseError
+    yield held
+
+
 def _unfinished_head_start(content: bytes) -> int:
     """Return where bytes that may begin a second head start, or the length if there are none."""
     if unfinished := _UNFINISHED_HEAD.search(content):
@@ -116,4 +156,10 @@
     return len(content)
 
 
-__all__ = ["SecondResponseError", "framing", "has_joined_heads", "without_second_response"]
+__all__ = [
+    "SecondResponseError",
+    "framing",
+    "has_joined_heads",
+    "without_restarted_response",
+    "without_second_response",
+]
--- a/tests/upstreams/test_review_37.py
+++ b/tests/upstreams/test_review_37.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import unittest
+from typing import TYPE_CHECKING
 from unittest import mock
 
 import anyio
@@ -11,6 +12,7 @@
 from camphorvalve.upstreams import client as client_module
 from camphorvalve.upstreams.attempt import open_attempt
 from camphorvalve.upstreams.client import create_client
+from camphorvalve.upstreams.framing import SecondResponseError, without_restarted_response
 from tests.builders import a_service, a_service_exchange
 from tests.rawpeers import Script, upstream
 from tests.routebuilders import a_route, a_routed_exchange
@@ -18,6 +20,9 @@
 from tests.upstreams.test_routed import AttemptResult, attempt, response
 from tests.upstreams.test_second_response import unframed
 
+if TYPE_CHECKING:
+    from collections.abc import AsyncGenerator
+
 SAFE = a_route(idempotent=True)
 REQUESTS_COUNT = 3
 
@@ -75,6 +80,42 @@
                     else:
                         self.assertEqual((result.status, result.content), (None, b""))
 
+    def test_chunk_boundaries(self) -> None:
+        """Guards against a restarted response that is missed because of where it starts or how its
+        bytes arrive, against an end that is passed on before that is known, and against rejecting
+        sound bodies."""
+        body = b"HTTP/1.1 200 is sound, H"
+        whole = response(body)
+        for stop in range(len(body)):
+            received = body[:stop] + whole
+            content, behind = received[: len(body)], received[len(body) :]
+            for size in (1, 7, len(body)):
+                with self.subTest(stop=stop, size=size):
+                    read, is_broken = anyio.run(self.read_checked, content, behind, size)
+                    self.assertTrue(is_broken)
+                    self.assertLess(len(read), len(body))
+        for behind in (b"", b"HTTP/1.0"):
+            sound = body if not behind else body.replace(b"1.1 200", b"1.1, 20")
+            for size in (1, 7, len(body)):
+                with self.subTest(behind=behind, size=size):
+                    result = anyio.run(self.read_checked, sound, behind, size)
+                    self.assertEqual(result, (sound, False))
+
+    async def read_checked(self, content: bytes, behind: bytes, size: int) -> tuple[bytes, bool]:
+        """Return the bytes that pass the check, and whether it ended with an error."""
+
+        async def chunks() -> AsyncGenerator[bytes, None]:
+            for at in range(0, len(content), size):
+                yield content[at : at + size]
+
+        read = b""
+        try:
+            async for chunk in without_restarted_response(chunks(), lambda: behind):
+                read += chunk
+        except SecondResponseError:
+            return read, True
+        return read, False
+
     async def result_of(self, script: Script) -> AttemptResult:
         async with upstream(script) as (url, _):
             with anyio.fail_after(5):
