Search bodies for second responses in linear time

All requests of a router stood still while it read a body that ends with its connection and repeats a status line: 1.4 s of processor time for 0.5 MB. A caller can have it sent by an upstream that returns what it received.

Cause: the search for the first bytes of a second head started at each status line of a chunk, and both searches stepped back over each reason byte by byte.

Change: the first one starts where such bytes can reach the end, and reasons are matched without stepping back.

--- a/src/camphorvalve/upstreams/framing.py
+++ b/src/camphorvalve/upstreams/framing.py
@@ -26,16 +26,17 @@
 # The lines of an event may follow text that looks like a status line (HTML Living Standard, 9.2.6).
 _SECOND_HEAD = re.compile(
     _STATUS_LINE.pattern
-    + rb"(?: [^\r\n]{0,%d})?\r?\n(?!(?:data|event|id|retry):)%s%s{0,%d}:"
+    + rb"(?: [^\r\n]{0,%d}+)?\r?\n(?!(?:data|event|id|retry):)%s%s{0,%d}:"
     % (_MAX_REASON_LENGTH, _NAME_START, _TOKEN, _MAX_NAME_LENGTH - 1)
 )
 """A status line and the name of the first header (RFC 9112, 4 and 5)."""
 _UNFINISHED_HEAD = re.compile(
-    rb"HTTP/1\.(?:[01](?: (?:[1-5](?:\d(?:\d(?: [^\r\n]{0,%d})?"
+    rb"HTTP/1\.(?:[01](?: (?:[1-5](?:\d(?:\d(?: [^\r\n]{0,%d}+)?"
     rb"(?:\r?(?:\n(?:%s%s{0,%d})?)?)?)?)?)?)?)?\Z"
     % (_MAX_REASON_LENGTH, _NAME_START, _TOKEN, _MAX_NAME_LENGTH - 1)
 )
 """The first bytes of a second head, from the version on, at the end of what has arrived."""
+_MAX_UNFINISHED_BYTES = _STATUS_LINE_BYTES + 1 + _MAX_REASON_LENGTH + 2 + _MAX_NAME_LENGTH
 
 
 class SecondResponseError(httpx.RemoteProtocolError):
@@ -148,7 +149,8 @@
 
 def _unfinished_head_start(content: bytes) -> int:
     """Return where bytes that may begin a second head start, or the length if there are none."""
-    if unfinished := _UNFINISHED_HEAD.search(content):
+    earliest_start = max(0, len(content) - _MAX_UNFINISHED_BYTES)
+    if unfinished := _UNFINISHED_HEAD.search(content, earliest_start):
         return unfinished.start()
     for length in range(len(_VERSION) - 1, 0, -1):
         if content.endswith(_VERSION[:length]):
--- a/tests/upstreams/test_review_37.py
+++ b/tests/upstreams/test_review_37.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import contextlib
+import time
 import unittest
 from typing import TYPE_CHECKING
 from unittest import mock
@@ -12,7 +14,11 @@
 from camphorvalve.upstreams import client as client_module
 from camphorvalve.upstreams.attempt import open_attempt
 from camphorvalve.upstreams.client import create_client
-from camphorvalve.upstreams.framing import SecondResponseError, without_restarted_response
+from camphorvalve.upstreams.framing import (
+    SecondResponseError,
+    without_restarted_response,
+    without_second_response,
+)
 from tests.builders import a_service, a_service_exchange
 from tests.rawpeers import Script, upstream
 from tests.routebuilders import a_route, a_routed_exchange
@@ -25,6 +31,8 @@
 
 SAFE = a_route(idempotent=True)
 REQUESTS_COUNT = 3
+MAX_SEARCH_S = 0.4
+"""Processor time to search a body of 0.5 MB."""
 
 
 class ReviewTest(unittest.TestCase):
@@ -101,6 +109,26 @@
                     result = anyio.run(self.read_checked, sound, behind, size)
                     self.assertEqual(result, (sound, False))
 
+    def test_time_for_many_status_lines(self) -> None:
+        """Guards against a body that holds the event loop while it is searched: a caller may have
+        written it, if an upstream returns what it receives."""
+        line = b"HTTP/1.1 200 "
+        for body in (line * 5000, (line + b"a" * 115) * 500, b"HTTP/1." * 9000):
+            chunks = [body] * 8
+            with self.subTest(body[:40]):
+                started_s = time.process_time()
+                anyio.run(self.read_all, chunks)
+                self.assertLess(time.process_time() - started_s, MAX_SEARCH_S)
+
+    async def read_all(self, chunks: list[bytes]) -> None:
+        async def body() -> AsyncGenerator[bytes, None]:
+            for chunk in chunks:
+                yield chunk
+
+        with contextlib.suppress(SecondResponseError):
+            async for _ in without_second_response(body()):
+                pass
+
     async def read_checked(self, content: bytes, behind: bytes, size: int) -> tuple[bytes, bool]:
         """Return the bytes that pass the check, and whether it ended with an error."""
 
