Send no body with the refusal of a HEAD request

While processor time is short, a caller that asked with HEAD got a body behind the response, which is the start of no response in the protocol.

Cause: the refusal written before the HTTP server takes over the connection did not look at the method.

Change: it leaves out the content; the length stays (RFC 9110, 9.3.2).

Evidence: test_refused_head_request failed in both forms and passes; tests.http.test_refusing passes (11).

--- a/src/camphorvalve/http/refusing.py
+++ b/src/camphorvalve/http/refusing.py
@@ -162,7 +162,9 @@
         ]
         if request_id is not None:
             lines.append(f"{self._request_id_header}: {request_id}")
-        response = "\r\n".join(lines).encode("latin-1") + HEAD_END + content
+        response = "\r\n".join(lines).encode("latin-1") + HEAD_END
+        if not head.startswith(b"HEAD "):
+            response += content
         return Refused(response, _declared_body_bytes(headers))
 
 
--- a/tests/http/test_refusing.py
+++ b/tests/http/test_refusing.py
@@ -116,6 +116,15 @@
                 self.assertEqual(json.loads(body)["error"]["run"], "no")
                 self.assertEqual([refused.request_id for refused in self.refused], ["id-1"])
 
+    def test_refused_head_request(self) -> None:
+        """Guards against bytes behind a response that has no body (RFC 9110, 9.3.2), which a caller
+        may take for the start of another response."""
+        for busy_s in (0.0, 0.05):
+            with self.subTest(busy_s=busy_s):
+                response = self.exchange(HEAD.replace(b"POST", b"HEAD") + b"\r\n", busy_s=busy_s)
+                self.assertTrue(response.startswith(b"HTTP/1.1 503 "), response)
+                self.assertEqual(response.partition(b"\r\n\r\n")[2], b"")
+
     def test_accepted_requests_reach_the_server_complete(self) -> None:
         """Guards against bytes that are lost when a connection is handed over to the server."""
         head = HEAD + b"Credential: key-1\r\nConnection: close\r\n"
