Give the reads of each start of a controller other ids

A restarted controller could take the leader's reply to a read of its earlier start for that to its own, and answer with an outdated configuration.

Cause: a reply is told apart by the number of its read only, and each start counted from 1.

Change: each start begins with the time of its clock, as submit ids do.

--- a/src/camphorvalve/controllers/reads.py
+++ b/src/camphorvalve/controllers/reads.py
@@ -56,13 +56,15 @@
     local state to be applied far enough.
     """
 
+    newest_id: int
+    """Id of the newest forwarded read. Each start of the process begins with another one, since the
+    leader may still reply to reads of the one before."""
     _unconfirmed: list[_UnconfirmedRead] = field(default_factory=list)
     """At the leader: wait until a majority has answered a message sent after the read started."""
     _forwarded: dict[int, _ForwardedRead] = field(default_factory=dict)
     """At a follower, by read id: wait for the reply of the leader."""
     _confirmed: list[tuple[LocalRead, int, float]] = field(default_factory=list)
     """Wait until the local state is applied up to the index; the last item is the start time."""
-    _count: int = 0
 
     @property
     def has_open(self) -> bool:
@@ -87,9 +89,9 @@
         :param now_s: monotonic time
         :return: read id for the request to the leader
         """
-        self._count += 1
-        self._forwarded[self._count] = _ForwardedRead(read, now_s)
-        return self._count
+        self.newest_id += 1
+        self._forwarded[self.newest_id] = _ForwardedRead(read, now_s)
+        return self.newest_id
 
     def handle_reply(self, reply: ReadReply) -> None:
         """
--- a/src/camphorvalve/controllers/replication.py
+++ b/src/camphorvalve/controllers/replication.py
@@ -120,7 +120,7 @@
             lambda: self.leader_id,
             settings.result_store_bytes,
         )
-        self._reads = LinearizableReads()
+        self._reads = LinearizableReads(newest_id=int(started_s * 1e6))
         self._forwarder = CommandForwarder(f"{settings.host_id}/{started_s}")
         self._publisher = ConfigurationPublisher(self._presence)
         self._seeds = settings.seeds
--- a/tests/controllers/test_replication.py
+++ b/tests/controllers/test_replication.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import unittest
 from typing import Any
 
@@ -30,7 +31,14 @@
     SetDrain,
 )
 from camphorvalve.registry.history import decode_changes
-from camphorvalve.wire.messages import Assignment, ConfigUpdate, Submit, SubmitReply
+from camphorvalve.wire.messages import (
+    Assignment,
+    ConfigUpdate,
+    ReadReply,
+    ReadRequest,
+    Submit,
+    SubmitReply,
+)
 from tests.builders import (
     a_change,
     a_config_poll,
@@ -167,6 +175,40 @@
 
 
 class ConfigurationTest(unittest.TestCase):
+    def test_a_reply_to_a_read_before_a_restart_answers_no_later_read(self) -> None:
+        """Guards against an outdated configuration that is read as the newest one: the leader may
+        reply to a controller that has been restarted in the meantime."""
+
+        async def run() -> None:
+            group = ControllerGroup()
+            leader_host = group.host(group.leader())
+            host = next(other for other in HOSTS if other != leader_host)
+            group.run(1.0)
+            earlier, request = await self.forwarded_read(group, host)
+            group.start(host, 7)
+            group.run(1.0)
+            later, _ = await self.forwarded_read(group, host)
+            follower = group.controllers[host]
+            reply = ReadReply(request.read_id, 0)
+            list(follower.handle(Sender(leader_host, 1), reply, group.now_s))
+            list(follower.tick(group.now_s))
+            await asyncio.sleep(0)
+            self.assertFalse(later.done())
+            for read in (earlier, later):
+                read.cancel()
+
+        asyncio.run(run())
+
+    async def forwarded_read(
+        self, group: ControllerGroup, host: str
+    ) -> tuple[asyncio.Task[None], ReadRequest]:
+        """Start a read at a follower, and return it with its message, which goes nowhere."""
+        follower, now_s = group.controllers[host], group.now_s
+        read = asyncio.create_task(follower.read(now_s))
+        await asyncio.sleep(0)
+        messages = [message for _, message in follower.flush(now_s)]
+        return read, next(message for message in messages if isinstance(message, ReadRequest))
+
     def test_polls_are_answered_with_newer_configuration_only(self) -> None:
         group = ControllerGroup()
         self.assertEqual(group.outcome(a_change(PutTemplate(a_template()), 0)).revision, 1)
