--- a/src/camphorvalve/upstreams/client.py
+++ b/src/camphorvalve/upstreams/client.py
@@ -17,6 +17,7 @@
     SecondResponseError,
     framing,
     has_joined_heads,
+    without_restarted_response,
     without_second_response,
 )
 from camphorvalve.upstreams.network import Backend, Stream
@@ -29,6 +30,8 @@
 
 FRESH_CONNECTION = "camphorvalve.fresh_connection"
 """Request extension that asks for a new connection instead of a pooled one."""
+EARLIER_RESPONSES_COUNT = "camphorvalve.earlier_responses_count"
+"""Response extension with the number of responses that the connection had carried before."""
 _RESPONSE_STREAM = "camphorvalve.response_stream"
 """Response extension with the ``_ResponseStream``."""
 _EXTRA_BYTES = "bytes behind a complete response"
@@ -100,18 +103,31 @@
         self._stream = response.stream
         self._framing = framing(response)
         self._network_stream: httpcore.AsyncNetworkStream = response.extensions["network_stream"]
-        # httpcore looks for unsolicited bytes in the network stream only, not in its parser.
-        self._parser: h11.Connection = (
-            response.stream._httpcore_stream._stream._connection._h11_state  # type: ignore[union-attr]
+        connection: httpcore.AsyncHTTP11Connection = (
+            response.stream._httpcore_stream._stream._connection  # type: ignore[union-attr]
         )
+        # Counted for all network backends, that of encrypted connections included.
+        response.extensions[EARLIER_RESPONSES_COUNT] = connection._request_count - 1
+        # httpcore looks for unsolicited bytes in the network stream only, not in its parser.
+        self._parser: h11.Connection = connection._h11_state
 
     def __aiter__(self) -> AsyncIterator[bytes]:
         chunks = self._stream.__aiter__()  # type: ignore[union-attr]
-        return self._checked(chunks) if self._framing is Framing.CLOSE else chunks
-
-    async def _checked(self, chunks: AsyncGenerator[bytes, None]) -> AsyncIterator[bytes]:
+        match self._framing:
+            case Framing.CLOSE:
+                return self._reporting(without_second_response(chunks))
+            case Framing.LENGTH:
+                return self._reporting(without_restarted_response(chunks, self._bytes_behind))
+            case Framing.CHUNKS:
+                # The bytes that complete a chunk are followed by the end of a line.
+                return chunks
+
+    def _bytes_behind(self) -> bytes:
+        return self._parser.trailing_data[0]
+
+    async def _reporting(self, chunks: AsyncGenerator[bytes, None]) -> AsyncIterator[bytes]:
         try:
-            async for chunk in without_second_response(chunks):
+            async for chunk in chunks:
                 yield chunk
         except SecondResponseError as error:
             self.on_stray(str(error))
@@ -127,7 +143,7 @@
     def _is_reusable(self) -> bool:
         if self._parser.their_state not in (h11.DONE, h11.MUST_CLOSE):
             return False
-        if self._parser.trailing_data[0]:
+        if self._bytes_behind():
             self.on_stray(_EXTRA_BYTES)
             return False
         match self._network_stream:
@@ -250,6 +266,7 @@
 
 
 __all__ = [
+    "EARLIER_RESPONSES_COUNT",
     "FRESH_CONNECTION",
     "UpstreamClient",
     "create_client",
