Ask for the new connection of an order in one place

Cause: fetch opens a new connection for each request; orders asked for it once more. Nothing changes for callers.

Evidence: tests.upstreams.test_orders (4) and tests.controllers.test_orderexecutor (3) pass.

--- a/src/camphorvalve/upstreams/orders.py
+++ b/src/camphorvalve/upstreams/orders.py
@@ -10,7 +10,6 @@
 import msgspec
 
 from camphorvalve.model.upstreams import ChecksFencing, ModelEngine
-from camphorvalve.upstreams.client import FRESH_CONNECTION
 from camphorvalve.upstreams.fetching import FetchLimits, fetch, fetch_ok
 from camphorvalve.upstreams.orderreplies import (
     Accepted,
@@ -88,7 +87,7 @@
             ORDER_LIMITS,
             content=_encode(order),
             headers={"Content-Type": "application/json", **_authorisation(token)},
-            extensions={"trace": check_lease, FRESH_CONNECTION: True},
+            extensions={"trace": check_lease},
         )
     except _LeaseEndedError:
         return Unsent("the lease ended before the order was written")
