Hold back only chunks that may end inside a status line

An event in a body with a length waited for the next one if one of its last bytes was an `H`.

Change: it holds a chunk back whose end may begin a status line, or after one.

--- a/src/camphorvalve/upstreams/framing.py
+++ b/src/camphorvalve/upstreams/framing.py
@@ -134,7 +134,8 @@
             content = last_bytes + chunk
             contains_response = contains_response or bool(_STATUS_LINE.search(content))
             last_bytes = content[-_STATUS_LINE_BYTES + 1 :]
-            held = chunk if contains_response or _VERSION[:1] in last_bytes else b""
+            may_begin = _unfinished_head_start(last_bytes) < len(last_bytes)
+            held = chunk if contains_response or may_begin else b""
             if not held:
                 yield chunk
     if not held:
--- a/tests/upstreams/test_review_37.py
+++ b/tests/upstreams/test_review_37.py
@@ -109,6 +109,19 @@
                     result = anyio.run(self.read_checked, sound, behind, size)
                     self.assertEqual(result, (sound, False))
 
+    def test_pause_in_a_body_with_a_length(self) -> None:
+        """Guards against a delay of the bytes in front of a pause, such as an event."""
+
+        async def first_chunk() -> bytes:
+            async def chunks() -> AsyncGenerator[bytes, None]:
+                yield b"data: How\n\n"
+                await anyio.sleep_forever()
+
+            with anyio.fail_after(2):
+                return await anext(without_restarted_response(chunks(), bytes))
+
+        self.assertEqual(anyio.run(first_chunk), b"data: How\n\n")
+
     def test_time_for_many_status_lines(self) -> None:
         """Guards against a body that holds the event loop while it is searched: a caller may have
         written it, if an upstream returns what it receives."""
