Give the upstream of joined responses a name of its own

tests/rawpeers.py has a repeating_upstream that does something else: it sends the previous response again, not a part of one.

tests.upstreams.test_partial_copy passes (3); format and lint are clean.

--- a/tests/upstreams/test_partial_copy.py
+++ b/tests/upstreams/test_partial_copy.py
@@ -37,7 +37,7 @@
 
 
 @asynccontextmanager
-async def repeating_upstream(repeat: Repeat) -> AsyncIterator[str]:
+async def joining_upstream(repeat: Repeat) -> AsyncIterator[str]:
     """Run an upstream that sends the part on connections that carry a second request."""
 
     first_is_due = True
@@ -65,7 +65,7 @@
 
 async def second_result(repeat: Repeat) -> AttemptResult:
     """Send both requests with one client, and return what the second attempt yields."""
-    async with repeating_upstream(repeat) as url, create_client() as client:
+    async with joining_upstream(repeat) as url, create_client() as client:
         with anyio.fail_after(5):
             is_repeated = repeat.first_id == "id-1"
             for request_id, number in ((repeat.first_id, 1), ("id-1", 2 if is_repeated else 1)):
