Log what follows a failed attempt

`attempt failed` named the reason, but not whether the request was repeated or ended then, so that a response that this router gave up could not be told from one that another upstream continued. It now has the decision, the number of attempts the request may have, and its age.

Checked: tests.filters.test_retry, ruff. No decision has changed.

--- a/src/camphorvalve/filters/retry.py
+++ b/src/camphorvalve/filters/retry.py
@@ -142,8 +142,12 @@
                     yield ready
                 return
             except UpstreamError as error:
-                self._record_failure(exchange, error)
-                match decide(error, exchange, lambda: self._budget.allow(pool, time.monotonic())):
+                _record_failure(exchange, error)
+                decision = decide(
+                    error, exchange, lambda: self._budget.allow(pool, time.monotonic())
+                )
+                _log_failure(exchange, error, decision)
+                match decision:
                     case Fail(request_error):
                         raise request_error from error
                     case ForwardResponse(FailedAnswer(head=head, content=content)):
@@ -158,34 +162,41 @@
                     raise RequestError("upstream_failed", error.message) from error
                 raise
 
-    def _record_failure(self, exchange: Exchange, error: UpstreamError) -> None:
-        ended = ended_connection(error)
-        is_waiting = ended and not exchange.output_started
-        _log.info(
-            "attempt failed",
-            request_id=exchange.request.request_id,
-            attempt=exchange.attempt,
-            upstream_id=exchange.upstream_id,
-            reason=str(error),
-            error=type(error).__name__,
-            repeatable=exchange.parameters.idempotent,
-            output_started=exchange.output_started,
-            connection_ended=ended,
-            parts=shared_part_ids(exchange.request.call) if is_waiting else [],
-            **(exchange.source.log_fields() if exchange.source else {}),
-        )
-        exchange.note(time.monotonic(), f"attempt {exchange.attempt} failed: {error}")
-        if exchange.upstream_id is not None:
-            exchange.failed_upstreams.add(exchange.upstream_id)
-        match error:
-            case NotSent() | Declined():
-                return
-            case Broken(events_count=count, text=text) if count > 0 and exchange.streams:
-                # A response that is not streamed to the caller is repeated from the start.
-                exchange.broken = BrokenStream(count, text)
-            case _:
-                pass
-        exchange.may_have_run = True
+
+def _record_failure(exchange: Exchange, error: UpstreamError) -> None:
+    exchange.note(time.monotonic(), f"attempt {exchange.attempt} failed: {error}")
+    if exchange.upstream_id is not None:
+        exchange.failed_upstreams.add(exchange.upstream_id)
+    match error:
+        case NotSent() | Declined():
+            return
+        case Broken(events_count=count, text=text) if count > 0 and exchange.streams:
+            # A response that is not streamed to the caller is repeated from the start.
+            exchange.broken = BrokenStream(count, text)
+        case _:
+            pass
+    exchange.may_have_run = True
+
+
+def _log_failure(exchange: Exchange, error: UpstreamError, decision: Decision) -> None:
+    ended = ended_connection(error)
+    is_waiting = ended and not exchange.output_started
+    _log.info(
+        "attempt failed",
+        request_id=exchange.request.request_id,
+        attempt=exchange.attempt,
+        attempts_count=_max_attempts_count(exchange),
+        upstream_id=exchange.upstream_id,
+        reason=str(error),
+        error=type(error).__name__,
+        decision=type(decision).__name__,
+        age_s=round(time.monotonic() - exchange.received_s, 3),
+        repeatable=exchange.parameters.idempotent,
+        output_started=exchange.output_started,
+        connection_ended=ended,
+        parts=shared_part_ids(exchange.request.call) if is_waiting else [],
+        **(exchange.source.log_fields() if exchange.source else {}),
+    )
 
 
 class _OutputBuffer:
