Show that a silent upstream's response is cut with nobody to continue it

Callers of resumable streams and safe requests lose a response that has begun when its upstream sends nothing for 1.0 s, also on the last attempt and when no other upstream is there. On this code three process tests and both rows of an attempt's test fail: "peer closed connection without sending complete message body", "ReadTimeout: after 1 events".

--- /dev/null
+++ b/tests/processes/test_silent.py
@@ -0,0 +1,60 @@
+"""Guards against responses that a router ends because a sound upstream is silent for a while."""
+
+from __future__ import annotations
+
+import unittest
+from typing import TYPE_CHECKING
+
+from tests.processes.joinedcase import ROUTES, JoinedFleetCase
+from tests.routebuilders import a_manifest_document
+
+if TYPE_CHECKING:
+    import httpx
+
+SILENCE_S = 1.9
+"""Shorter than the time after which callers leave a stream."""
+EVENTS_COUNT = 4
+
+
+class SilentUpstreamTest(JoinedFleetCase):
+    async def asyncSetUp(self) -> None:
+        await super().asyncSetUp()
+        self.workers.events_count = EVENTS_COUNT
+
+    def document(self, version: int) -> bytes:
+        routes = [{**route, "timeoutMs": 9000} for route in ROUTES]
+        return a_manifest_document(version=version, routes=routes)
+
+    async def read_stream(self) -> httpx.Response:
+        return await self.call("/stream/1", deadline_ms="9000")
+
+    def assert_whole(self, response: httpx.Response) -> None:
+        numbers = [line for line in response.text.splitlines() if line.startswith("id: ")]
+        self.assertEqual(numbers, [f"id: {number + 1}" for number in range(EVENTS_COUNT)])
+        self.assertEqual(response.status_code, 200)
+
+    async def test_last_attempt(self) -> None:
+        """The upstream that continues the stream falls silent as well."""
+        self.workers.silences_s = {1: SILENCE_S, 2: SILENCE_S}
+        self.assert_whole(await self.read_stream())
+
+    async def test_only_upstream(self) -> None:
+        """No other upstream is there to continue the stream."""
+        self.workers.remove("i-2")
+        await self.fleet.wait_until(lambda: self.lists_one_upstream())
+        self.workers.silences_s = {2: SILENCE_S}
+        self.assert_whole(await self.read_stream())
+
+    async def test_before_the_first_event(self) -> None:
+        """No other upstream is there, and the response has begun with its head."""
+        self.workers.remove("i-2")
+        await self.fleet.wait_until(lambda: self.lists_one_upstream())
+        self.workers.silences_s = {0: SILENCE_S}
+        self.assert_whole(await self.read_stream())
+
+    async def lists_one_upstream(self) -> bool:
+        return bool(self.logged("router-1", "upstream gone"))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/upstreams/test_routed.py
+++ b/tests/upstreams/test_routed.py
@@ -385,6 +385,29 @@
                 self.assertEqual(type(result.error), error or type(None), result.error)
                 self.assertEqual(result.content, content)
 
+    def test_silent_last_attempt(self) -> None:
+        """Guards against breaking off a silent response although no attempt is left."""
+        half = EVENTS.index(b"id: 2")
+        stream = chunked_response(EVENTS[:half], end=b"")
+        rest = b"%x\r\n%s\r\n0\r\n\r\n" % (len(EVENTS) - half, EVENTS[half:])
+        rows = [
+            (
+                a_route(streamed=True, resumable=True, idempotent=True, attempts_count=1),
+                Script(stream, "later", 1.2, repeated=rest),
+                EVENTS,
+            ),
+            (
+                a_route(idempotent=True, attempts_count=1),
+                Script(response(b"yes")[:-1], "later", 1.2, repeated=b"s"),
+                b"yes",
+            ),
+        ]
+        for route, script, content in rows:
+            with self.subTest(streamed=route.streamed):
+                result = self.run_script(script, route=route)
+                self.assertIsNone(result.error)
+                self.assertEqual(result.content, content)
+
     def test_request(self) -> None:
         """Guards against a request that is changed when forwarded, and against forged headers."""
         self.run_script(
--- a/tools/standins/karrilane.py
+++ b/tools/standins/karrilane.py
@@ -36,6 +36,8 @@
         self.runs: list[Run] = []
         self.events_count = 3
         self.event_pause_s = 0.01
+        self.silences_s: dict[int, float] = {}
+        """Time for which each worker falls silent after an event, by its number; 0 is the head."""
         self.cut_after: int | None = None
         """Number of the event after which the next stream is cut; later streams are complete."""
         self.leaving_ids: set[str] = set()
@@ -153,6 +155,8 @@
         first_number = int(headers.get("last-event-id", 0)) + 1
         cut_after, self.cut_after = self.cut_after, None
         await _send_head(send, 200, {**own_headers, "content-type": "text/event-stream"})
+        if first_number == 1:
+            await asyncio.sleep(self.silences_s.get(0, 0.0))
         loop = asyncio.get_running_loop()
         next_s = loop.time()
         for number in range(first_number, self.events_count + 1):
@@ -161,7 +165,7 @@
             event = f"id: {number}\ndata: token\n\n".encode()
             await send({"type": "http.response.body", "body": event, "more_body": True})
             # A late event does not delay the ones after it.
-            next_s += self.event_pause_s
+            next_s += self.event_pause_s + self.silences_s.get(number, 0.0)
             await asyncio.sleep(next_s - loop.time())
         await send({"type": "http.response.body", "body": b""})
 
