Repeat a stream that breaks off between its head and its first event

Callers got the head of a stream at once. When the upstream then failed before the first event, nothing of the stream had reached them, but the request was neither repeated nor answered with an error: the response was cut, although the route allowed another attempt. The head now waits for the first event.

tests.filters.test_retry, row "stream, broken after its head", failed before (stream_broken, one attempt) and passes.

--- a/src/camphorvalve/filters/retry.py
+++ b/src/camphorvalve/filters/retry.py
@@ -200,7 +200,11 @@
 
 
 class _OutputBuffer:
-    """Forwards one head, and buffers a response while the whole request can still be retried."""
+    """
+    Forwards one head, and buffers a response while the whole request can still be retried.
+
+    The head of a stream waits for the first event: without it, any attempt may start anew.
+    """
 
     def __init__(self, exchange: Exchange) -> None:
         self._exchange = exchange
@@ -215,11 +219,8 @@
         self._buffered.append(part)
         if isinstance(part, Body):
             self._buffered_bytes += len(part.content)
-        if (
-            self._streams
-            or self._exchange.output_started
-            or self._buffered_bytes > MAX_BUFFERED_BYTES
-        ):
+        limit_bytes = 0 if self._streams else MAX_BUFFERED_BYTES
+        if self._exchange.output_started or self._buffered_bytes > limit_bytes:
             yield from self.flush()
 
     def flush(self) -> Iterator[Part]:
--- a/tests/filters/test_retry.py
+++ b/tests/filters/test_retry.py
@@ -80,6 +80,14 @@
             ),
             "stream, broken": (True, True, [(2, BROKEN), (3, None)], 2, None),
             "stream, broken before an event": (True, True, [(2, BROKEN_EARLY)], 1, "stream_broken"),
+            "stream, broken after its head": (True, True, [(1, BROKEN_EARLY), WHOLE], 2, None),
+            "stream, broken after its head, non-idempotent": (
+                False,
+                True,
+                [(1, BROKEN_EARLY)],
+                1,
+                "stream_broken",
+            ),
             "stream, broken, non-idempotent": (False, True, [(2, BROKEN)], 1, "stream_broken"),
         }
         for name, (idempotent, streamed, attempts, runs_count, code) in cases.items():
