Wait for a silent upstream unless another one can take over

Callers of resumable streams and safe requests lost a response whose sound upstream sent nothing for 1.0 s: the router closed the connection to it without asking whether an attempt was left, whether the retry budget allowed one and whether another upstream had room. Without one of these the response was cut at the caller.

A read that times out now asks (SilenceTimeout): the retry filter for the attempt, the budget and the time left, the pools for another upstream. Only if all agree is the attempt given up; otherwise it is asked again every 0.2 s, until the deadline. In a body the first question comes after 1.5 s instead of 1.0 s, since sound upstreams may be silent for longer.

--- a/src/camphorvalve/controllers/pools.py
+++ b/src/camphorvalve/controllers/pools.py
@@ -207,15 +207,13 @@
         :raises RequestError: no upstream is listed, or those that may serve it are full
         """
         pool = exchange.parameters.pool
-        listed = self._by_pool.get(pool, [])
-        open_ids = self._notices.usable(listed, now_s)
-        usable = self._ejections.usable(open_ids, now_s)
-        usable = [
-            upstream_id for upstream_id in usable if upstream_id not in exchange.failed_upstreams
-        ]
+        usable = self._usable(exchange, now_s)
         if not usable:
+            listed = self._by_pool.get(pool, [])
             message = f"pool {pool!r}: {len(listed)} upstreams are listed and none may be used"
-            left_s = None if open_ids else self._notices.hold_off_left_s(listed, now_s)
+            left_s = None
+            if not self._notices.usable(listed, now_s):
+                left_s = self._notices.hold_off_left_s(listed, now_s)
             raise RequestError("no_upstream", message, retry_after_s=left_s or RETRY_AFTER_S)
         chosen = self._choose(exchange, pool, usable)
         if chosen is None:
@@ -225,6 +223,18 @@
         self._adjust_load(chosen, 1, 1, placement.tokens_count)
         return placement
 
+    def has_alternative(self, exchange: Exchange, now_s: float) -> bool:
+        """
+        Tell whether another upstream has room for a request that runs at one.
+
+        :param exchange: the request
+        :param now_s: monotonic time
+        :return: whether ``begin`` would find an upstream if the current one had failed
+        """
+        usable = self._usable(exchange, now_s)
+        others = [upstream_id for upstream_id in usable if upstream_id != exchange.upstream_id]
+        return bool(others) and self._choose(exchange, exchange.parameters.pool, others) is not None
+
     def end(self, placement: Placement) -> None:
         """
         Count a request as ended.
@@ -321,6 +331,15 @@
         if self._waiters_count:
             self._capacity_freed.set()
 
+    def _usable(self, exchange: Exchange, now_s: float) -> list[str]:
+        listed = self._by_pool.get(exchange.parameters.pool, [])
+        open_ids = self._notices.usable(listed, now_s)
+        return [
+            upstream_id
+            for upstream_id in self._ejections.usable(open_ids, now_s)
+            if upstream_id not in exchange.failed_upstreams
+        ]
+
     def _choose(self, exchange: Exchange, pool: str, usable: Sequence[str]) -> str | None:
         has_room = self._capacity_check(pool, exchange)
         local = [upstream_id for upstream_id in usable if self._is_local(upstream_id)]
--- a/src/camphorvalve/filters/retry.py
+++ b/src/camphorvalve/filters/retry.py
@@ -75,12 +75,7 @@
     idempotent = exchange.parameters.idempotent
     is_safe_to_repeat = idempotent or isinstance(error, NotSent | Declined)
     output_allows_retry = not exchange.output_started or _can_continue(exchange)
-    if (
-        is_safe_to_repeat
-        and output_allows_retry
-        and exchange.attempt < _max_attempts_count(exchange)
-        and take_budget()
-    ):
+    if is_safe_to_repeat and output_allows_retry and _has_attempt_left(exchange) and take_budget():
         return Retry()
     match error:
         case NotSent() | Declined() if exchange.may_have_run:
@@ -98,6 +93,10 @@
             return Fail(RequestError("stream_broken", f"the response was interrupted: {error}"))
 
 
+def _has_attempt_left(exchange: Exchange) -> bool:
+    return exchange.attempt < _max_attempts_count(exchange)
+
+
 def _max_attempts_count(exchange: Exchange) -> int:
     return MAX_ATTEMPTS_COUNT if exchange.route is None else exchange.route.attempts_count
 
@@ -117,6 +116,25 @@
         """
         self._budget = budget
 
+    def may_give_up(self, exchange: Exchange) -> bool:
+        """
+        Tell whether the running attempt may be given up for another one.
+
+        :param exchange: the request, with a deadline
+        :return: whether its failure would be followed by a retry, which has time for an answer
+        """
+        assert exchange.parameters is not None
+        assert exchange.deadline_s is not None
+        parameters, now_s = exchange.parameters, time.monotonic()
+        return (
+            parameters.idempotent
+            # The output of a stream includes an event, after which it can be continued.
+            and (exchange.streams or not exchange.output_started)
+            and _has_attempt_left(exchange)
+            and now_s + parameters.objective_s < exchange.deadline_s
+            and self._budget.has_left(parameters.pool, now_s)
+        )
+
     async def __call__(self, exchange: Exchange, inner: Handler) -> AsyncIterator[Part]:
         """
         Run attempts until one succeeds or the decision is to give up.
--- a/src/camphorvalve/upstreams/network.py
+++ b/src/camphorvalve/upstreams/network.py
@@ -28,10 +28,34 @@
 """Most bytes that one read returns before the body, so that parsing does not hold the loop."""
 
 
+RECHECK_S = 0.2
+"""Time after which a silent connection that was not given up is considered again."""
 _END_TEXTS = ("Server disconnected", "peer closed connection")
 """First words of the texts of httpcore and h11 for a connection that ends inside a response."""
 
 
+class SilenceTimeout(float):
+    """
+    Seconds after which a silent connection is given up, if that is of use then.
+
+    httpcore passes timeouts on to the network backend unchanged; other backends take this one for
+    an ordinary number.
+    """
+
+    gives_up: Callable[[], bool]
+
+    def __new__(cls, timeout_s: float, gives_up: Callable[[], bool]) -> SilenceTimeout:
+        """
+        Create a timeout.
+
+        :param timeout_s: time without a byte
+        :param gives_up: asked after this time, and at intervals from then on, whether the wait ends
+        """
+        timeout = super().__new__(cls, timeout_s)
+        timeout.gives_up = gives_up
+        return timeout
+
+
 class Stream(asyncio.Protocol, httpcore.AsyncNetworkStream):
     """One connection, with at most one reading and one writing task."""
 
@@ -284,16 +308,22 @@
     if timeout_s is None:
         await waiter
         return
-    timer = asyncio.get_running_loop().call_later(timeout_s, _expire, waiter, error_type)
+    timer = asyncio.get_running_loop().call_later(timeout_s, _expire, waiter, timeout_s, error_type)
     try:
         await waiter
     finally:
         timer.cancel()
 
 
-def _expire(waiter: asyncio.Future[None], error_type: type[Exception]) -> None:
-    if not waiter.done():
-        waiter.set_exception(error_type())
+def _expire(waiter: asyncio.Future[None], timeout_s: float, error_type: type[Exception]) -> None:
+    if waiter.done():
+        return
+    match timeout_s:
+        case SilenceTimeout(gives_up=gives_up) if not gives_up():
+            loop = asyncio.get_running_loop()
+            loop.call_later(RECHECK_S, _expire, waiter, timeout_s, error_type)
+        case _:
+            waiter.set_exception(error_type())
 
 
-__all__ = ["ABORTED_HERE", "Backend", "Stream", "is_connection_end"]
+__all__ = ["ABORTED_HERE", "Backend", "SilenceTimeout", "Stream", "is_connection_end"]
--- a/src/camphorvalve/upstreams/routed.py
+++ b/src/camphorvalve/upstreams/routed.py
@@ -5,6 +5,7 @@
 import asyncio
 import time
 from contextlib import aclosing
+from functools import partial
 from typing import TYPE_CHECKING, Any, NamedTuple
 
 import anyio
@@ -31,7 +32,7 @@
 )
 from camphorvalve.upstreams.events import EventError, EventSequencer, OutOfOrderError
 from camphorvalve.upstreams.framing import framing, is_event_stream
-from camphorvalve.upstreams.network import is_connection_end
+from camphorvalve.upstreams.network import SilenceTimeout, is_connection_end
 from camphorvalve.upstreams.opening import (
     SEND_STARTED_EVENT,
     record_source,
@@ -53,14 +54,14 @@
 after a second, so trying another upstream is faster."""
 CONNECT_TURNS_COUNT = 4
 """Turns of the event loop that connecting takes; their lag is not the upstream's."""
-STREAM_READ_TIMEOUT_S = 1.0
-"""Longest wait for more bytes of a response that another upstream may continue or repeat; callers
-give up after 2 s."""
+BODY_SILENCE_S = 1.5
+"""Time without a byte of a body after which another upstream, if there is one, continues or repeats
+the response; callers give up after 2 s."""
 FIRST_BYTE_TIMEOUT_S = 1.0
 FIRST_BYTE_OBJECTIVE_RATIO = 2.0
-"""An attempt that may be repeated waits for the head of the response for this multiple of the
-latency objective, or for ``FIRST_BYTE_TIMEOUT_S`` if that is longer, but at most for half of the
-time left until the deadline. Callers give up after 2 s or four times the objective."""
+"""A request without a response is repeated at another upstream, if there is one, after the longer
+of this multiple of the latency objective and ``FIRST_BYTE_TIMEOUT_S``, but at most half of the time
+left until the deadline. Callers give up after 2 s or four times the objective."""
 TIMER_RESOLUTION_S = 0.002
 """Time by which a timer of the event loop may fire early."""
 
@@ -97,6 +98,7 @@
         names: HeaderNames,
         on_notice: Callable[[str, Notice], None] = lambda upstream_id, notice: None,
         lag_s: Callable[[], float] = lambda: 0.0,
+        has_alternative: Callable[[Exchange], bool] = lambda exchange: False,
     ) -> None:
         """
         Set the HTTP client and the header names for all attempts.
@@ -105,8 +107,11 @@
         :param names: names of the headers exchanged with upstreams
         :param on_notice: called with the id of an upstream and what it said of itself
         :param lag_s: returns the time by which the event loop is late
+        :param has_alternative: tells whether another attempt could be made in place of the running
+            one; a silent upstream is waited for until there is one
         """
         self._lag_s = lag_s
+        self._has_alternative = has_alternative
         self._client = client
         self._names = names
         self._on_notice = on_notice
@@ -163,7 +168,7 @@
                     "trace": trace,
                     # A URL would be normalised, and name another path than the one of the route.
                     "target": call.target.encode("latin-1"),
-                    "timeout": _timeout(exchange, self._lag_s()).as_dict(),
+                    "timeout": self._timeouts(exchange),
                     FRESH_CONNECTION: _needs_new_connection(exchange),
                 },
             )
@@ -179,9 +184,25 @@
             is_timeout = isinstance(error, httpx.ConnectTimeout)
             raise (NotReached if is_timeout else NotSent)(upstream.upstream_id, cause) from error
         # httpcore reads this entry when it starts to read the body.
-        request.extensions["timeout"]["read"] = _body_read_timeout_s(exchange)
+        request.extensions["timeout"]["read"] = self._silence_timeout(exchange, BODY_SILENCE_S)
         return response
 
+    def _timeouts(self, exchange: Exchange) -> dict[str, float]:
+        left_s = _left_s(exchange)
+        objective_s = exchange.parameters.objective_s
+        first_byte_s = max(FIRST_BYTE_TIMEOUT_S, FIRST_BYTE_OBJECTIVE_RATIO * objective_s)
+        silence = self._silence_timeout(exchange, min(left_s / 2, first_byte_s))
+        connect_s = min(CONNECT_TIMEOUT_S + CONNECT_TURNS_COUNT * self._lag_s(), left_s)
+        return {"connect": connect_s, "pool": connect_s, "read": silence, "write": silence}
+
+    def _silence_timeout(self, exchange: Exchange, silence_s: float) -> float:
+        if not exchange.parameters.idempotent:
+            return _left_s(exchange)
+        return SilenceTimeout(silence_s, partial(self._gives_up, exchange))
+
+    def _gives_up(self, exchange: Exchange) -> bool:
+        return _is_past_deadline(exchange) or self._has_alternative(exchange)
+
     def _headers(
         self, upstream: Upstream, exchange: Exchange, call: RoutedCall
     ) -> list[tuple[str, str]]:
@@ -325,23 +346,8 @@
         response.extensions["network_stream"].abort()
 
 
-def _body_read_timeout_s(exchange: Exchange) -> float:
-    if exchange.parameters.idempotent:
-        return STREAM_READ_TIMEOUT_S
-    # Nobody else may continue the response, so a pause is no reason to break it off.
-    return max(STREAM_READ_TIMEOUT_S, exchange.deadline_s - time.monotonic())
-
-
-def _timeout(exchange: Exchange, lag_s: float) -> httpx.Timeout:
-    left_s = max(0.001, exchange.deadline_s - time.monotonic())
-    read_s = left_s
-    if exchange.parameters.idempotent and exchange.attempt < exchange.route.attempts_count:
-        first_byte_timeout_s = max(
-            FIRST_BYTE_TIMEOUT_S, FIRST_BYTE_OBJECTIVE_RATIO * exchange.parameters.objective_s
-        )
-        read_s = min(left_s / 2, first_byte_timeout_s)
-    connect_s = min(CONNECT_TIMEOUT_S + CONNECT_TURNS_COUNT * lag_s, left_s)
-    return httpx.Timeout(read_s, connect=connect_s, pool=connect_s)
+def _left_s(exchange: Exchange) -> float:
+    return max(0.001, exchange.deadline_s - time.monotonic())
 
 
 __all__ = ["HeaderNames", "RoutedAttempts"]
--- a/src/camphorvalve/wiring/joinedrouter.py
+++ b/src/camphorvalve/wiring/joinedrouter.py
@@ -51,7 +51,7 @@
 if TYPE_CHECKING:
     from camphorvalve.filters.chain import Handler
     from camphorvalve.http.refusing import RefusedRequest
-    from camphorvalve.model.requests import Request
+    from camphorvalve.model.requests import Exchange, Request
     from camphorvalve.settings.schema import JoinedRouterSettings
     from camphorvalve.sharing.directory import CallerPlace
     from camphorvalve.sharing.notices import Notice
@@ -173,9 +173,15 @@
         _log.info("router stopped")
 
     def _filter_chain(self) -> Handler:
-        retry_budget = RetryBudget(
-            ratio=self._settings.retry_ratio, floor_count=self._retry_floor_count
+        retry_filter = RetryFilter(
+            RetryBudget(ratio=self._settings.retry_ratio, floor_count=self._retry_floor_count)
         )
+
+        def has_alternative(exchange: Exchange) -> bool:
+            return retry_filter.may_give_up(exchange) and self._pools.has_alternative(
+                exchange, time.monotonic()
+            )
+
         return compose(
             (
                 account([self._exposition.record, self._outcomes.record]),
@@ -183,7 +189,7 @@
                 route(self._manifest.table, self._rng),
                 self._deadline_filter,
                 share(self._shares),
-                RetryFilter(retry_budget),
+                retry_filter,
                 QuarantineFilter(self._suspects, self._pools.upstream, self._runtime.send),
                 PlaceFilter(self._pools, self._intake.is_overloaded),
             ),
@@ -194,6 +200,7 @@
                     self._platform.header_names,
                     self._on_notice,
                     lambda: self._level_reporter.lag_s,
+                    has_alternative,
                 ),
             ),
         )
--- a/tests/controllers/test_pools.py
+++ b/tests/controllers/test_pools.py
@@ -150,6 +150,23 @@
             self.begin_request(prompt=prompt, failed_upstreams={preferred_id}), preferred_id
         )
 
+    def test_alternative(self) -> None:
+        """Guards against giving up a silent upstream although no other one can take its place."""
+        exchange = a_routed_exchange(DESK)
+        exchange.upstream_id = self.pools.begin(exchange, 0.0).upstream.upstream_id
+        self.assertTrue(self.pools.has_alternative(exchange, 0.0))
+        others = [
+            f"desk-{number}" for number in range(4) if f"desk-{number}" != exchange.upstream_id
+        ]
+        exchange.failed_upstreams.update(others[:2])
+        self.assertTrue(self.pools.has_alternative(exchange, 0.0))
+        exchange.failed_upstreams.update(others)
+        self.assertFalse(self.pools.has_alternative(exchange, 0.0))
+        self.pools.apply([service for service in SERVICES if service.upstream_id in others], 0.0)
+        self.assertTrue(self.pools.has_alternative(a_routed_exchange(DESK), 0.0))
+        self.fill(route=DESK)
+        self.assertFalse(self.pools.has_alternative(a_routed_exchange(DESK), 0.0))
+
     def test_end(self) -> None:
         """Guards against requests that count as running after they have ended."""
         exchange = a_routed_exchange(prompt=a_prompt("a", "own", tokens_count=13_000))
--- a/tests/filters/test_retry.py
+++ b/tests/filters/test_retry.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import time
 import unittest
 from typing import TYPE_CHECKING
 
@@ -13,6 +14,7 @@
 from camphorvalve.upstreams.errors import Broken, FailedAnswer, NoAnswer, NotSent, WrongAnswer
 from tests.builders import a_classified_exchange, a_kind, team_parameters
 from tests.filters.harness import run_filter
+from tests.routebuilders import a_route, a_routed_exchange
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
@@ -153,6 +155,26 @@
         )
         self.assertIsNone(error_code)
 
+    def test_which_attempts_may_be_given_up(self) -> None:
+        """Guards against giving up an attempt that no other one would follow."""
+        stream = a_route(streamed=True, resumable=True)
+        plain = a_route(idempotent=True)
+        now_s = time.monotonic()
+        rows: list[tuple[str, bool, Exchange]] = [
+            ("stream", True, a_routed_exchange(stream, output_started=True)),
+            ("plain", True, a_routed_exchange(plain)),
+            ("plain, begun at the caller", False, a_routed_exchange(plain, output_started=True)),
+            ("not repeatable", False, a_routed_exchange(a_route())),
+            ("stream that may not be resumed", False, a_routed_exchange(a_route(streamed=True))),
+            ("last attempt", False, a_routed_exchange(plain._replace(attempts_count=1))),
+            ("no time left", False, a_routed_exchange(plain, deadline_s=now_s + 0.1)),
+        ]
+        for name, may_give_up, exchange in rows:
+            with self.subTest(name):
+                self.assertEqual(RetryFilter(RetryBudget()).may_give_up(exchange), may_give_up)
+        used_up = RetryFilter(RetryBudget(floor_count=lambda: 0))
+        self.assertFalse(used_up.may_give_up(a_routed_exchange(plain)))
+
     async def test_failed_upstreams_are_excluded(self) -> None:
         exchange = _exchange(idempotent=True, streamed=False)
         await self._error_code(exchange, Script((0, NOT_SENT), (0, NOT_SENT), WHOLE))
