Let raw workers fall silent for a while and go on

A sound upstream may send nothing for a second or so and go on, before its head, before the first byte of its body, or inside the body. The raw workers had no such response.

Callers take a deadline and record when a request was sent and ended. The manifest with a route of each kind moves to the builders.

--- a/tests/processes/keptcallers.py
+++ b/tests/processes/keptcallers.py
@@ -30,6 +30,7 @@
     request_id: str
     kind: str
     body: bytes
+    deadline_ms: int = DEADLINE_MS
 
     @property
     def target(self) -> str:
@@ -40,7 +41,7 @@
             f"POST {self.target} HTTP/1.1",
             "Host: desk.example",
             f"Attempt-Id: {self.request_id}",
-            f"Deadline-Ms: {DEADLINE_MS}",
+            f"Deadline-Ms: {self.deadline_ms}",
             "Credential: key-1",
             f"Content-Length: {len(self.body)}",
         )
@@ -59,22 +60,33 @@
     is_whole: bool = False
     error: str = ""
     """Why the response is not whole."""
+    sent_s: float = 0.0
+    """Monotonic time at which the request was sent."""
+    ended_s: float = 0.0
+    """Monotonic time at which the response was whole, or known not to become whole."""
 
 
 class CallerFleet:
     """Runs callers that send one request after another, each with an id of its own."""
 
-    def __init__(self, address: Callable[[str], tuple[str, int]], routers: Sequence[str]) -> None:
+    def __init__(
+        self,
+        address: Callable[[str], tuple[str, int]],
+        routers: Sequence[str],
+        deadline_ms: int = DEADLINE_MS,
+    ) -> None:
         """
         Prepare callers.
 
         :param address: returns the IP address and the port that a router accepts requests on
         :param routers: names of the routers, from which each connection takes one
+        :param deadline_ms: time for which callers wait for a response
         """
         self.received: list[Received] = []
         self.running = True
         self._address = address
         self._routers = routers
+        self._deadline_ms = deadline_ms
 
     async def run_caller(self, name: str, seed: int) -> None:
         """
@@ -84,7 +96,7 @@
         :param seed: seed of its requests, its pauses and its choice of routers
         """
         draw = random.Random(f"{seed} {name}")
-        calls = _calls(name, draw)
+        calls = _calls(name, draw, self._deadline_ms)
         while self.running:
             router = draw.choice(self._routers)
             try:
@@ -107,21 +119,23 @@
                 writer.transport.abort()
 
 
-def _calls(name: str, draw: random.Random) -> Iterator[SentCall]:
+def _calls(name: str, draw: random.Random, deadline_ms: int) -> Iterator[SentCall]:
     number = 0
     while True:
         number += 1
         request_id = f"{name}-{number}"
         body = request_id.encode() + draw.randbytes(draw.choice((0, 20, 3000)))
         # Only requests that may be repeated use kept connections of a router.
-        yield SentCall(request_id, draw.choice(("safe", *KINDS)), body)
+        yield SentCall(request_id, draw.choice(("safe", *KINDS)), body, deadline_ms)
 
 
 async def _exchange(
     reader: asyncio.StreamReader, writer: asyncio.StreamWriter, router: str, call: SentCall
 ) -> Received:
-    received = Received(call, router)
+    loop = asyncio.get_running_loop()
+    received = Received(call, router, sent_s=loop.time())
     content = bytearray()
+    is_whole, cause = False, ""
     try:
         async with asyncio.timeout(GIVE_UP_S):
             writer.write(call.encode())
@@ -129,12 +143,14 @@
             received = _decode_head(received, head)
             async for piece in _body_pieces(reader, received.headers):
                 content += piece
+        is_whole = True
     except TimeoutError:
-        return received._replace(content=bytes(content), error="no whole response in time")
+        cause = "no whole response in time"
     except (OSError, EOFError, asyncio.LimitOverrunError, ValueError) as error:
         cause = f"{type(error).__name__}: {error}"
-        return received._replace(content=bytes(content), error=cause)
-    return received._replace(content=bytes(content), is_whole=True)
+    return received._replace(
+        content=bytes(content), is_whole=is_whole, error=cause, ended_s=loop.time()
+    )
 
 
 def _decode_head(received: Received, head: bytes) -> Received:
--- a/tests/processes/secondresponses.py
+++ b/tests/processes/secondresponses.py
@@ -21,7 +21,7 @@
 from tests.processes.joinedcase import CONTROLLERS, start_fleet
 from tests.processes.keptcallers import CallerFleet, run_callers
 from tests.processes.responsechecks import findings, summary
-from tests.routebuilders import a_manifest_document
+from tests.routebuilders import a_document_of_all_kinds
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Awaitable, Callable, Iterator
@@ -91,7 +91,7 @@
         fleet.grace_s = GRACE_S
         stack.push_async_callback(fleet.close)
         routers = [f"router-{number + 1}" for number in range(trial.routers_count)]
-        await start_fleet(fleet, routers, a_document(FIRST_VERSION))
+        await start_fleet(fleet, routers, a_document_of_all_kinds(FIRST_VERSION))
         callers = CallerFleet(lambda name: (fleet.ip(name), fleet.ports.front), routers)
         faults = ProcessFaults(trial, fleet, workers, routers)
         async with faults.played() if trial.has_process_faults else contextlib.nullcontext():
@@ -103,7 +103,7 @@
         ]
         lines = [*faults.findings, *ended, *findings(callers.received, workers.record)]
         if lines and (kept := os.environ.get("CAMPHORVALVE_KEEP_LOGS")):
-            _keep_logs(folder, Path(kept) / f"seed-{trial.seed}", lines)
+            keep_logs(folder, Path(kept) / f"seed-{trial.seed}", lines)
         whole_count = sum(
             entry.is_whole and "server-stamp" in entry.headers for entry in callers.received
         )
@@ -112,34 +112,6 @@
         )
 
 
-def a_document(version: int) -> bytes:
-    """Build a manifest with one route for each kind of request."""
-    routes = [
-        {
-            "name": name,
-            "host": "desk.example",
-            "pathPrefix": f"/{name}/",
-            "kind": kind,
-            "timeoutMs": 4000,
-            "targetLatencyMs": 400,
-            "gapTargetMs": 300,
-            "service": "engines",
-            "maxAttempts": 2,
-            "resumable": name == "stream",
-        }
-        for name, kind in (
-            ("safe", "safe"),
-            ("once", "unsafe"),
-            ("stream", "streaming"),
-            ("feed", "streaming"),
-        )
-    ]
-    # The routes of other versions differ in one that no caller uses.
-    routes.append({**routes[0], "name": "other", "pathPrefix": f"/other-{version}/"})
-    limits = {"maxBodyBytes": 100_000, "idleTimeoutMs": 15_000, "tokensPerS": 850_000}
-    return a_manifest_document(version=version, routes=routes, limits=limits)
-
-
 class ProcessFaults:
     """Series of faults that overlap each other and the load."""
 
@@ -266,7 +238,8 @@
 
     async def _put_manifest(self, draw: random.Random) -> None:
         self._version += draw.randint(1, 5)
-        status = await self._fleet.put_manifest(draw.choice(CONTROLLERS), a_document(self._version))
+        document = a_document_of_all_kinds(self._version)
+        status = await self._fleet.put_manifest(draw.choice(CONTROLLERS), document)
         self._log(f"manifest {self._version}: {status}")
 
     async def _replace_worker(self, draw: random.Random) -> None:
@@ -286,7 +259,8 @@
         self._workers.listed.remove(old_id)
 
 
-def _keep_logs(folder: Path, target: Path, lines: list[str]) -> None:
+def keep_logs(folder: Path, target: Path, lines: list[str]) -> None:
+    """Copy the logs of all processes and the findings of a trial to a folder."""
     target.mkdir(parents=True, exist_ok=True)
     for path in folder.glob("*.log"):
         (target / path.name).write_bytes(path.read_bytes())
@@ -301,4 +275,4 @@
     yield from result.findings
 
 
-__all__ = ["Trial", "TrialResult", "a_trial", "result_lines", "run_trial"]
+__all__ = ["Trial", "TrialResult", "a_trial", "keep_logs", "result_lines", "run_trial"]
--- a/tests/routebuilders.py
+++ b/tests/routebuilders.py
@@ -89,6 +89,35 @@
     return json.dumps({**document, **fields}).encode()
 
 
+def a_document_of_all_kinds(version: int, **fields: Any) -> bytes:
+    """Build a manifest with one route for each kind of request of the kept callers."""
+    routes = [
+        {
+            "name": name,
+            "host": "desk.example",
+            "pathPrefix": f"/{name}/",
+            "kind": kind,
+            "timeoutMs": 4000,
+            "targetLatencyMs": 400,
+            "gapTargetMs": 300,
+            "service": "engines",
+            "maxAttempts": 2,
+            "resumable": name == "stream",
+            **fields,
+        }
+        for name, kind in (
+            ("safe", "safe"),
+            ("once", "unsafe"),
+            ("stream", "streaming"),
+            ("feed", "streaming"),
+        )
+    ]
+    # The routes of other versions differ in one that no caller uses.
+    routes.append({**routes[0], "name": "other", "pathPrefix": f"/other-{version}/"})
+    limits = {"maxBodyBytes": 100_000, "idleTimeoutMs": 15_000, "tokensPerS": 850_000}
+    return a_manifest_document(version=version, routes=routes, limits=limits)
+
+
 def a_prompt(*part_ids: str, tokens_count: int = 1000) -> Prompt:
     return Prompt(
         tuple(PromptPart(part_id, tokens_count) for part_id in part_ids), tokens_count, 100
--- a/tests/standins/test_stutter.py
+++ b/tests/standins/test_stutter.py
@@ -6,7 +6,16 @@
 import unittest
 from typing import TYPE_CHECKING
 
-from tools.standins.stutter import InPlace, Once, Reset, Shares, StutteringWorkers
+from tools.standins.stutter import (
+    PLACES,
+    SILENCE_S,
+    InPlace,
+    Once,
+    Reset,
+    Shares,
+    Silent,
+    StutteringWorkers,
+)
 
 from tests.responsebuilders import a_call
 
@@ -36,6 +45,24 @@
             writer.transport.abort()
         return received
 
+    async def send_and_time(self, port: int, content: bytes) -> list[tuple[float, bytes]]:
+        """Send a request, and return the pieces received with the time before each."""
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        loop = asyncio.get_running_loop()
+        pieces = []
+        try:
+            async with asyncio.timeout(SILENCE_S[1] + WAIT_S):
+                writer.write(content)
+                last_s = loop.time()
+                while piece := await reader.read(1 << 16):
+                    pieces.append((loop.time() - last_s, piece))
+                    last_s = loop.time()
+        except TimeoutError:
+            pass
+        finally:
+            writer.transport.abort()
+        return pieces
+
     async def play(self, shares: Shares, kind: str = "safe") -> list[tuple[bytes, Reply]]:
         """Return what was received for each request, and the worker's record of its response."""
         workers = StutteringWorkers("engines", SEED, shares)
@@ -75,6 +102,27 @@
             self.assertFalse(reply.is_whole)
             self.assertFalse(reply.content and received.endswith(reply.content), reply)
 
+    async def test_silences(self) -> None:
+        """A silent response stands still once, at its place, and is whole afterwards."""
+        workers = StutteringWorkers("engines", SEED, Shares(0.0, 0.0, refusal=0.0, silent=1.0))
+        self.addAsyncCleanup(workers.close)
+        port = await workers.start("i-1")
+        calls = [
+            a_call(("safe", "feed")[number % 2], request_id=f"id-{number}")
+            for number in range(CALLS_COUNT)
+        ]
+        played = await asyncio.gather(*(self.send_and_time(port, call.encode()) for call in calls))
+        places = set()
+        for call, pieces in zip(calls, played, strict=True):
+            fault = workers.record.replies[call.request_id][0].fault
+            assert isinstance(fault, Silent)
+            whole = b"".join(piece for _, piece in pieces)
+            silent = max(range(len(pieces)), key=lambda number: pieces[number][0])
+            before = b"".join(piece for _, piece in pieces[:silent])
+            self.assertEqual(len(before), fault.offset_bytes(whole), fault)
+            places.add(fault.place)
+        self.assertEqual(places, set(PLACES))
+
     async def test_streams(self) -> None:
         """A stream has each event once, whatever frames it."""
         for received, reply in await self.play(Shares(0.0, 0.0, refusal=0.0), "feed"):
--- a/tools/standins/stutter.py
+++ b/tools/standins/stutter.py
@@ -1,5 +1,5 @@
 """
-Simulated workers on raw sockets that send responses twice, or reset them.
+Simulated workers on raw sockets that send responses twice, reset them, or fall silent for a while.
 
 The faults of a response follow from the seed, the id of its request and how often that request has
 arrived, whatever the order in which requests arrive.
@@ -33,6 +33,10 @@
 MAX_RUN_S = 0.03
 MAX_EVENT_PAUSE_S = 0.01
 MAX_EVENTS_COUNT = 8
+SILENCE_S = (1.0, 1.6)
+"""Shortest and longest time for which a worker falls silent."""
+PLACES = ("head", "first", "body")
+"""Where a worker falls silent: before the head, before the first byte of the body, or inside it."""
 REASONS = {200: "OK", 421: "Misdirected", 429: "Busy", 500: "Oops", 503: "Full"}
 _RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 """``SO_LINGER`` with a timeout of 0 s."""
@@ -51,6 +55,8 @@
     """Requests that are refused without being run."""
     framings: tuple[str, ...] = ("length", "chunks", "close")
     """What may end a body; one of them is drawn for each response."""
+    silent: float = 0.0
+    """Responses that stand still once and go on."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -97,7 +103,35 @@
     pause_s: float
 
 
-Fault = Once | SameWrite | Late | InPlace | FirstPart | Reset
+@dataclass(frozen=True, slots=True)
+class Silent:
+    """The response stands still once and goes on."""
+
+    place: str
+    """One of ``PLACES``."""
+    silence_s: float
+    ratio: float
+    """Part of the body that is sent before a silence inside it."""
+
+    def offset_bytes(self, content: bytes) -> int:
+        """
+        Tell how much of a response is sent before the silence.
+
+        :param content: the encoded response
+        :return: number of bytes
+        """
+        head_bytes = content.index(b"\r\n\r\n") + 4
+        match self.place:
+            case "head":
+                return 0
+            case "first":
+                return head_bytes
+            case _:
+                inner_bytes = len(content) - head_bytes - 2
+                return head_bytes + max(0, 1 + int(inner_bytes * self.ratio))
+
+
+Fault = Once | SameWrite | Late | InPlace | FirstPart | Reset | Silent
 
 
 class ReceivedRequest(NamedTuple):
@@ -473,6 +507,8 @@
                 await self._write_pieces(plan, second)
             case Once():
                 await self._write_pieces(plan)
+            case Silent() as fault:
+                await self._write_with_silence(plan, fault)
             case Late() | FirstPart() as fault:
                 await self._write_pieces(plan)
                 if ends:
@@ -499,6 +535,20 @@
             await asyncio.sleep(plan.pause_s)
         await self._write(last + second)
 
+    async def _write_with_silence(self, plan: _Plan, fault: Silent) -> None:
+        left_bytes = fault.offset_bytes(plan.content)
+        for number, piece in enumerate(plan.pieces):
+            if number:
+                await asyncio.sleep(plan.pause_s)
+            rest = piece
+            if 0 <= left_bytes < len(piece):
+                if left_bytes:
+                    await self._write(piece[:left_bytes])
+                await asyncio.sleep(fault.silence_s)
+                rest = piece[left_bytes:]
+            left_bytes -= len(piece)
+            await self._write(rest)
+
     async def _write_between(self, second: bytes, fault: Late | FirstPart) -> None:
         """Write a late response, or its first part, between two others."""
         await asyncio.sleep(fault.pause_s)
@@ -529,6 +579,8 @@
     number = draw.random()
     if number < shares.reset:
         return Reset(draw.uniform(0, 0.9999), draw.choice((0.0, 0.005)))
+    if number >= 1 - shares.silent:
+        return Silent(draw.choice(PLACES), draw.uniform(*SILENCE_S), draw.random())
     if number >= shares.reset + shares.second:
         return Once()
     pause_s = draw.uniform(0, MAX_PAUSE_S)
@@ -602,6 +654,8 @@
 
 
 __all__ = [
+    "PLACES",
+    "SILENCE_S",
     "FirstPart",
     "InPlace",
     "Late",
@@ -611,6 +665,7 @@
     "Reset",
     "SameWrite",
     "Shares",
+    "Silent",
     "StampedRun",
     "StutteringWorkers",
     "WorkerRecord",
