Show that a request given up for another upstream may find that one full

The check for an alternative and the placement of the next attempt are some turns of the event loop apart, and nothing keeps the room that was found. The place filter then waits for an eighth of the objective from the arrival of the request, which a repeated attempt has always used up, so that it is rejected at once, and the retry filter turns that into a 502.

The test repeats the placement with room that is freed 0.05 s later. Waiting for room while the deadline lasts passes it; keeping the room from the check to the placement would be the other cure.

--- a/tests/filters/test_place.py
+++ b/tests/filters/test_place.py
@@ -77,6 +77,31 @@
 
         self.assertEqual(anyio.run(run)[-1], Body(b"yes"))
 
+    def test_repeated_request_waits_for_capacity(self) -> None:
+        """Guards against a request that is lost because the upstream that it is repeated at filled
+        up after its first attempt was given up."""
+        self.pools.apply([a_listed_upstream("up-1"), a_listed_upstream("up-2")], 0.0)
+        placements = self.fill()
+        exchange = a_routed_exchange(a_route(idempotent=True), prompt=PROMPT)
+        exchange.failed_upstreams.add("up-1")
+        exchange.attempt, exchange.may_have_run = 2, True
+        exchange.received_s -= 1.0
+        other = next(
+            placement for placement in placements if placement.upstream.upstream_id == "up-2"
+        )
+
+        async def run() -> list[Part]:
+            async def end() -> None:
+                await anyio.sleep(0.05)
+                self.pools.end(other)
+
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(end)
+                async with aclosing(self.filter(exchange, answer)) as parts:
+                    return [part async for part in parts]
+
+        self.assertEqual(anyio.run(run)[-1], Body(b"yes"))
+
     def test_is_rejected_early(self) -> None:
         """Guards against a request that is held until its caller has no time for a retry."""
         self.fill()
