--- a/tests/filters/test_place.py
+++ b/tests/filters/test_place.py
@@ -15,6 +15,7 @@
 from camphorvalve.filters.place import WAIT_RATIO, PlaceFilter
 from camphorvalve.model.answers import Body, Head
 from camphorvalve.model.errors import RequestError
+from camphorvalve.sharing.notices import HoldOff
 from camphorvalve.sharing.routing import RouteTable
 from camphorvalve.upstreams.errors import NoAnswer, NotReached, NotSent
 from tests.routebuilders import a_listed_upstream, a_manifest, a_prompt, a_route, a_routed_exchange
@@ -82,9 +83,9 @@
         up after its first attempt was given up."""
         self.pools.apply([a_listed_upstream("up-1"), a_listed_upstream("up-2")], 0.0)
         placements = self.fill()
-        exchange = a_routed_exchange(a_route(idempotent=True), prompt=PROMPT)
+        exchange = a_routed_exchange(a_route(idempotent=True), prompt=PROMPT, attempt=2)
         exchange.failed_upstreams.add("up-1")
-        exchange.attempt, exchange.may_have_run = 2, True
+        exchange.may_have_run = True
         exchange.received_s -= 1.0
         other = next(
             placement for placement in placements if placement.upstream.upstream_id == "up-2"
@@ -102,6 +103,21 @@
 
         self.assertEqual(anyio.run(run)[-1], Body(b"yes"))
 
+    def test_repeated_request_waits_for_an_upstream_that_holds_off(self) -> None:
+        """Guards against a request that is lost because the upstream that was to take over has just
+        asked for a short pause."""
+        self.pools.apply([a_listed_upstream("up-1"), a_listed_upstream("up-2")], 0.0)
+        self.pools.record_notice("up-2", HoldOff(0.05), time.monotonic())
+        exchange = a_routed_exchange(a_route(idempotent=True), prompt=PROMPT, attempt=2)
+        exchange.failed_upstreams.add("up-1")
+        exchange.may_have_run = True
+
+        async def run() -> list[Part]:
+            async with aclosing(self.filter(exchange, answer)) as parts:
+                return [part async for part in parts]
+
+        self.assertEqual(anyio.run(run)[-1], Body(b"yes"))
+
     def test_is_rejected_early(self) -> None:
         """Guards against a request that is held until its caller has no time for a retry."""
         self.fill()
--- a/tests/routebuilders.py
+++ b/tests/routebuilders.py
@@ -151,10 +151,9 @@
     request_fields = (request_values.keys() - {"team"}) & fields.keys()
     request = Request(**{**request_values, **{name: fields.pop(name) for name in request_fields}})
     now_s = time.monotonic()
-    exchange = Exchange(request, now_s, **{"deadline_s": now_s + 5.0, **fields})
+    exchange = Exchange(request, now_s, **{"deadline_s": now_s + 5.0, "attempt": 1, **fields})
     exchange.route = route
     exchange.parameters = route.parameters(route.destinations[0].pool)
-    exchange.attempt = 1
     return exchange
 
 
