Show where a silent upstream is given up for a retry that is not made

A silent attempt is given up when an attempt, a retry and room are left at that moment. Nothing is reserved, and some reasons for which the retry is refused afterwards are not asked, so that a stream of a sound upstream is still cut: when several streams are silent at once, when the other upstream declines or is ejected, when a part of the prompt is suspected, and before the first numbered event.

--- a/tests/controllers/test_pools.py
+++ b/tests/controllers/test_pools.py
@@ -167,6 +167,13 @@
         self.fill(route=DESK)
         self.assertFalse(self.pools.has_alternative(a_routed_exchange(DESK), 0.0))
 
+    def test_ejected_alternative(self) -> None:
+        """Guards against giving up an upstream for one that could not be reached just now."""
+        for service in SERVICES[1:]:
+            self.pools.record_failure(service.upstream_id, 0.0, unreachable=True)
+        exchange = a_routed_exchange(DESK, upstream_id=SERVICES[0].upstream_id)
+        self.assertFalse(self.pools.has_alternative(exchange, 0.1))
+
     def test_end(self) -> None:
         """Guards against requests that count as running after they have ended."""
         exchange = a_routed_exchange(prompt=a_prompt("a", "own", tokens_count=13_000))
--- a/tests/http/test_relayed.py
+++ b/tests/http/test_relayed.py
@@ -4,8 +4,10 @@
 
 import unittest
 from typing import TYPE_CHECKING
+from unittest import mock
 
 from camphorvalve import loop
+from camphorvalve.upstreams import routed
 from tests.http.relaying import CALL, Received, relaying
 from tests.rawpeers import Script
 from tests.routebuilders import a_route
@@ -274,6 +276,20 @@
         received = self.relay(RESUMABLE._replace(attempts_count=1, timeout_s=2.0), silent)
         self.assert_broken_off(received, FIRST)
 
+    def test_silence_without_a_place_to_continue_at(self) -> None:
+        """Guards against giving up a silent stream that no other upstream could continue, since
+        none of its events has a number yet."""
+        rows: list[tuple[str, bytes]] = [
+            ("comment", b": wait\n\n"),
+            ("event without a number", b"data: wait\n\n"),
+        ]
+        rest = b"%x\r\n%s\r\n0\r\n\r\n" % (len(FIRST), FIRST)
+        for name, begin in rows:
+            with self.subTest(name), mock.patch.object(routed, "BODY_SILENCE_S", 0.2):
+                silent = Script(chunked(begin, end=b""), "later", 0.6, repeated=rest)
+                received = self.relay(RESUMABLE, silent, Script(chunked(FIRST)))
+                self.assert_complete(received, begin + FIRST)
+
     def test_error_of_an_upstream_that_is_said_to_be_a_stream(self) -> None:
         """Guards against breaking off the whole error response of an upstream."""
         for status in (b"404 No", b"500 Oops"):
--- a/tests/upstreams/test_network.py
+++ b/tests/upstreams/test_network.py
@@ -13,6 +13,7 @@
 
 from camphorvalve.upstreams import client as client_module
 from camphorvalve.upstreams.client import create_client, keep_connection
+from camphorvalve.upstreams.network import SilenceTimeout
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
@@ -54,6 +55,22 @@
         await asyncio.sleep(SHORT_DELAY_S)
         return [first, await self.get(url)]
 
+    async def test_silence_that_cannot_be_judged(self) -> None:
+        """Guards against a read that never ends because the question whether to give up failed."""
+
+        def gives_up() -> bool:
+            raise KeyError("the pool")
+
+        async def hang(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            await reader.read()
+
+        url = await self.serve(hang, b"")
+        timeouts = {"read": SilenceTimeout(0.05, gives_up)}
+        asyncio.get_running_loop().set_exception_handler(lambda loop, context: None)
+        with self.assertRaises(httpx.ReadTimeout):
+            async with asyncio.timeout(1.0):
+                await self.client.get(url, extensions={"timeout": timeouts})
+
     async def test_a_connection_that_ended_or_has_unsolicited_bytes_is_not_reused(self) -> None:
         async def close(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
             writer.close()
