Start another attempt beside a silent one instead of giving it up

A silent attempt was given up when an attempt, a retry and room elsewhere were there at that moment.

The silent attempt now goes on. Without one, the silence counts as a failure of the upstream, so that a hanging one is still left out. The deadline ends the wait also before the head of a continuation, and an error in the check ends it instead of hanging.

--- a/src/camphorvalve/controllers/pools.py
+++ b/src/camphorvalve/controllers/pools.py
@@ -211,9 +211,7 @@
         if not usable:
             listed = self._by_pool.get(pool, [])
             message = f"pool {pool!r}: {len(listed)} upstreams are listed and none may be used"
-            left_s = None
-            if not self._notices.usable(listed, now_s):
-                left_s = self._notices.hold_off_left_s(listed, now_s)
+            left_s = self.hold_off_left_s(exchange, now_s)
             raise RequestError("no_upstream", message, retry_after_s=left_s or RETRY_AFTER_S)
         chosen = self._choose(exchange, pool, usable)
         if chosen is None:
@@ -291,6 +289,16 @@
         if self._ejections.record_failure(upstream_id, now_s, unreachable=unreachable):
             _log.warning("upstream left out", upstream_id=upstream_id, unreachable=unreachable)
 
+    def record_silence(self, exchange: Exchange, now_s: float) -> None:
+        """
+        Record that an upstream is silent while a request waits for it, which may have ended.
+
+        :param exchange: the request
+        :param now_s: monotonic time
+        """
+        if exchange.upstream_id is not None:
+            self.record_failure(exchange.upstream_id, now_s, unreachable=False)
+
     def record_notice(self, upstream_id: str, notice: Notice, now_s: float) -> None:
         """
         Record what an upstream said of itself in an answer.
@@ -331,14 +339,21 @@
         if self._waiters_count:
             self._capacity_freed.set()
 
+    def hold_off_left_s(self, exchange: Exchange, now_s: float) -> float | None:
+        """
+        Return when an upstream that asked for a pause may be used for a request.
+
+        :param exchange: the request
+        :param now_s: monotonic time
+        :return: time left in seconds, ``None`` if no upstream that it may use asked for one
+        """
+        listed = self._by_pool.get(exchange.parameters.pool, [])
+        return self._notices.hold_off_left_s(_untried(listed, exchange), now_s)
+
     def _usable(self, exchange: Exchange, now_s: float) -> list[str]:
         listed = self._by_pool.get(exchange.parameters.pool, [])
         open_ids = self._notices.usable(listed, now_s)
-        return [
-            upstream_id
-            for upstream_id in self._ejections.usable(open_ids, now_s)
-            if upstream_id not in exchange.failed_upstreams
-        ]
+        return _untried(self._ejections.usable(open_ids, now_s), exchange)
 
     def _choose(self, exchange: Exchange, pool: str, usable: Sequence[str]) -> str | None:
         has_room = self._capacity_check(pool, exchange)
@@ -417,6 +432,12 @@
         )
 
 
+def _untried(upstream_ids: Iterable[str], exchange: Exchange) -> list[str]:
+    return [
+        upstream_id for upstream_id in upstream_ids if upstream_id not in exchange.failed_upstreams
+    ]
+
+
 def _usable_limit_ratio(exchange: Exchange) -> float:
     share_ratio = 1.0 if exchange.within_share else OVER_SHARE_RATIO
     return share_ratio * max(
--- a/src/camphorvalve/filters/place.py
+++ b/src/camphorvalve/filters/place.py
@@ -103,7 +103,8 @@
             try:
                 return self._pools.begin(exchange, now_s)
             except RequestError as error:
-                if error.code != "overloaded" or now_s >= until_s:
+                wait_s = self._wait_s(error, exchange, now_s)
+                if wait_s is None or now_s >= until_s:
                     exchange.note(now_s, f"not placed: {error.message}")
                     _log.info(
                         "request not placed",
@@ -116,8 +117,14 @@
                         **self._pools.inputs(None, now_s)._asdict(),
                     )
                     raise
-            with anyio.move_on_after(until_s - now_s):
+            with anyio.move_on_after(min(wait_s, until_s - now_s)):
                 await self._pools.wait_for_capacity()
 
+    def _wait_s(self, error: RequestError, exchange: Exchange, now_s: float) -> float | None:
+        """Return the longest useful wait for a placement, or nothing if waiting is of no use."""
+        if error.code == "overloaded":
+            return float("inf")
+        return self._pools.hold_off_left_s(exchange, now_s) if exchange.may_have_run else None
+
 
 __all__ = ["PlaceFilter"]
--- a/src/camphorvalve/model/requests.py
+++ b/src/camphorvalve/model/requests.py
@@ -9,6 +9,8 @@
 import xxhash
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from camphorvalve.model.answers import Framing, Head
     from camphorvalve.model.routes import Route
     from camphorvalve.model.teams import KindParameters, TeamParameters
@@ -185,6 +187,10 @@
     """Body chunks received so far, kept for the record, without those of discarded attempts."""
     broken: BrokenStream | None = None
     """Position at which a later attempt continues the stream."""
+    events_count: int = 0
+    """Number of the newest event that the running attempt of a stream has passed on."""
+    gives_up: Callable[[], bool] = lambda: False
+    """Asked now and then while the upstream is silent: whether the attempt ends now."""
     notes: list[tuple[float, str]] = field(default_factory=list)
     """Time and text of each decision, for the trace of the request."""
 
--- a/src/camphorvalve/sharing/budget.py
+++ b/src/camphorvalve/sharing/budget.py
@@ -54,23 +54,13 @@
         :param now_s: monotonic time
         :return: whether the retry may be sent
         """
-        if not self.has_left(pool, now_s):
-            return False
-        self._bucket(pool, now_s)[2] += 1
-        return True
-
-    def has_left(self, pool: str, now_s: float) -> bool:
-        """
-        Tell whether a retry is left, without using it.
-
-        :param pool: name of the pool
-        :param now_s: monotonic time
-        :return: whether ``allow`` would return true now
-        """
-        self._bucket(pool, now_s)
+        bucket = self._bucket(pool, now_s)
         first_count = sum(counts[1] for counts in self._pools[pool])
         retry_count = sum(counts[2] for counts in self._pools[pool])
-        return retry_count < max(self._floor_count(), int(self._ratio * first_count))
+        if retry_count >= max(self._floor_count(), int(self._ratio * first_count)):
+            return False
+        bucket[2] += 1
+        return True
 
     def _bucket(self, pool: str, now_s: float) -> list[int]:
         """Return the current bucket: its number, first attempts, retries."""
--- a/src/camphorvalve/upstreams/network.py
+++ b/src/camphorvalve/upstreams/network.py
@@ -9,10 +9,12 @@
 from __future__ import annotations
 
 import asyncio
+import time
 from typing import TYPE_CHECKING, Any
 
 import httpcore
 import httpx
+import structlog
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
@@ -28,30 +30,38 @@
 """Most bytes that one read returns before the body, so that parsing does not hold the loop."""
 
 
-RECHECK_S = 0.2
+RECHECK_S = 0.05
 """Time after which a silent connection that was not given up is considered again."""
 _END_TEXTS = ("Server disconnected", "peer closed connection")
 """First words of the texts of httpcore and h11 for a connection that ends inside a response."""
 
+_log = structlog.get_logger(__name__)
+
 
 class SilenceTimeout(float):
     """
-    Seconds after which a silent connection is given up, if that is of use then.
+    Seconds after which it is asked whether a silent connection is given up.
 
     httpcore passes timeouts on to the network backend unchanged; other backends take this one for
     an ordinary number.
     """
 
+    latest_s: float
+    """Monotonic time at which it is given up in any case."""
     gives_up: Callable[[], bool]
 
-    def __new__(cls, timeout_s: float, gives_up: Callable[[], bool]) -> SilenceTimeout:
+    def __new__(
+        cls, timeout_s: float, latest_s: float, gives_up: Callable[[], bool]
+    ) -> SilenceTimeout:
         """
         Create a timeout.
 
         :param timeout_s: time without a byte
-        :param gives_up: asked after this time, and at intervals from then on, whether the wait ends
+        :param latest_s: monotonic time at which the wait ends in any case
+        :param gives_up: asked after ``timeout_s``, and at intervals from then on, whether it ends
         """
         timeout = super().__new__(cls, timeout_s)
+        timeout.latest_s = latest_s
         timeout.gives_up = gives_up
         return timeout
 
@@ -319,11 +329,23 @@
     if waiter.done():
         return
     match timeout_s:
-        case SilenceTimeout(gives_up=gives_up) if not gives_up():
+        case SilenceTimeout(latest_s=latest_s) if not _gives_up(timeout_s):
             loop = asyncio.get_running_loop()
-            loop.call_later(RECHECK_S, _expire, waiter, timeout_s, error_type)
+            next_s = min(RECHECK_S, latest_s - time.monotonic())
+            loop.call_later(next_s, _expire, waiter, timeout_s, error_type)
         case _:
             waiter.set_exception(error_type())
 
 
+def _gives_up(timeout: SilenceTimeout) -> bool:
+    if time.monotonic() >= timeout.latest_s:
+        return True
+    try:
+        return timeout.gives_up()
+    except Exception:
+        # Raised into the event loop, it would leave the connection without a timeout.
+        _log.exception("silent connection given up")
+        return True
+
+
 __all__ = ["ABORTED_HERE", "Backend", "SilenceTimeout", "Stream", "is_connection_end"]
--- a/src/camphorvalve/upstreams/routed.py
+++ b/src/camphorvalve/upstreams/routed.py
@@ -5,7 +5,6 @@
 import asyncio
 import time
 from contextlib import aclosing
-from functools import partial
 from typing import TYPE_CHECKING, Any, NamedTuple
 
 import anyio
@@ -54,14 +53,14 @@
 after a second, so trying another upstream is faster."""
 CONNECT_TURNS_COUNT = 4
 """Turns of the event loop that connecting takes; their lag is not the upstream's."""
-BODY_SILENCE_S = 1.5
-"""Time without a byte of a body after which another upstream, if there is one, continues or repeats
-the response; callers give up after 2 s."""
+BODY_SILENCE_S = 1.0
+"""Time without a byte of a body after which another attempt may be started beside this one; callers
+give up after 2 s."""
 FIRST_BYTE_TIMEOUT_S = 1.0
 FIRST_BYTE_OBJECTIVE_RATIO = 2.0
-"""A request without a response is repeated at another upstream, if there is one, after the longer
-of this multiple of the latency objective and ``FIRST_BYTE_TIMEOUT_S``, but at most half of the time
-left until the deadline. Callers give up after 2 s or four times the objective."""
+"""The same without a response: the longer of this multiple of the latency objective and
+``FIRST_BYTE_TIMEOUT_S``, but at most half of the time left until the deadline. Callers give up
+after 2 s or four times the objective."""
 TIMER_RESOLUTION_S = 0.002
 """Time by which a timer of the event loop may fire early."""
 
@@ -98,7 +97,6 @@
         names: HeaderNames,
         on_notice: Callable[[str, Notice], None] = lambda upstream_id, notice: None,
         lag_s: Callable[[], float] = lambda: 0.0,
-        has_alternative: Callable[[Exchange], bool] = lambda exchange: False,
     ) -> None:
         """
         Set the HTTP client and the header names for all attempts.
@@ -107,11 +105,8 @@
         :param names: names of the headers exchanged with upstreams
         :param on_notice: called with the id of an upstream and what it said of itself
         :param lag_s: returns the time by which the event loop is late
-        :param has_alternative: tells whether another attempt could be made in place of the running
-            one; a silent upstream is waited for until there is one
         """
         self._lag_s = lag_s
-        self._has_alternative = has_alternative
         self._client = client
         self._names = names
         self._on_notice = on_notice
@@ -184,25 +179,17 @@
             is_timeout = isinstance(error, httpx.ConnectTimeout)
             raise (NotReached if is_timeout else NotSent)(upstream.upstream_id, cause) from error
         # httpcore reads this entry when it starts to read the body.
-        request.extensions["timeout"]["read"] = self._silence_timeout(exchange, BODY_SILENCE_S)
+        request.extensions["timeout"]["read"] = _silence_timeout(exchange, BODY_SILENCE_S)
         return response
 
     def _timeouts(self, exchange: Exchange) -> dict[str, float]:
         left_s = _left_s(exchange)
         objective_s = exchange.parameters.objective_s
         first_byte_s = max(FIRST_BYTE_TIMEOUT_S, FIRST_BYTE_OBJECTIVE_RATIO * objective_s)
-        silence = self._silence_timeout(exchange, min(left_s / 2, first_byte_s))
+        silence = _silence_timeout(exchange, min(left_s / 2, first_byte_s))
         connect_s = min(CONNECT_TIMEOUT_S + CONNECT_TURNS_COUNT * self._lag_s(), left_s)
         return {"connect": connect_s, "pool": connect_s, "read": silence, "write": silence}
 
-    def _silence_timeout(self, exchange: Exchange, silence_s: float) -> float:
-        if not exchange.parameters.idempotent:
-            return _left_s(exchange)
-        return SilenceTimeout(silence_s, partial(self._gives_up, exchange))
-
-    def _gives_up(self, exchange: Exchange) -> bool:
-        return _is_past_deadline(exchange) or self._has_alternative(exchange)
-
     def _headers(
         self, upstream: Upstream, exchange: Exchange, call: RoutedCall
     ) -> list[tuple[str, str]]:
@@ -287,12 +274,14 @@
         sequencer = EventSequencer(
             self._last_event_number(exchange), continues=exchange.broken is not None
         )
+        exchange.events_count = sequencer.last_number or 0
         connection_ended = framing(response) is Framing.CLOSE
         try:
             with self._client.responses.reserve(response) as reservation:
                 async with coalesced(body_chunks(response)) as chunks:
                     async for chunk in chunks:
                         events = sequencer.add(chunk)
+                        exchange.events_count = sequencer.last_number or 0
                         reservation.resize(sequencer.held_bytes)
                         if events:
                             yield Body(events)
@@ -346,6 +335,12 @@
         response.extensions["network_stream"].abort()
 
 
+def _silence_timeout(exchange: Exchange, silence_s: float) -> float:
+    if not exchange.parameters.idempotent:
+        return _left_s(exchange)
+    return SilenceTimeout(silence_s, exchange.deadline_s, lambda: exchange.gives_up())
+
+
 def _left_s(exchange: Exchange) -> float:
     return max(0.001, exchange.deadline_s - time.monotonic())
 
--- a/src/camphorvalve/wiring/joinedrouter.py
+++ b/src/camphorvalve/wiring/joinedrouter.py
@@ -51,7 +51,7 @@
 if TYPE_CHECKING:
     from camphorvalve.filters.chain import Handler
     from camphorvalve.http.refusing import RefusedRequest
-    from camphorvalve.model.requests import Exchange, Request
+    from camphorvalve.model.requests import Request
     from camphorvalve.settings.schema import JoinedRouterSettings
     from camphorvalve.sharing.directory import CallerPlace
     from camphorvalve.sharing.notices import Notice
@@ -174,14 +174,10 @@
 
     def _filter_chain(self) -> Handler:
         retry_filter = RetryFilter(
-            RetryBudget(ratio=self._settings.retry_ratio, floor_count=self._retry_floor_count)
+            RetryBudget(ratio=self._settings.retry_ratio, floor_count=self._retry_floor_count),
+            lambda exchange: self._pools.has_alternative(exchange, time.monotonic()),
+            lambda exchange: self._pools.record_silence(exchange, time.monotonic()),
         )
-
-        def has_alternative(exchange: Exchange) -> bool:
-            return retry_filter.may_give_up(exchange) and self._pools.has_alternative(
-                exchange, time.monotonic()
-            )
-
         return compose(
             (
                 account([self._exposition.record, self._outcomes.record]),
@@ -200,7 +196,6 @@
                     self._platform.header_names,
                     self._on_notice,
                     lambda: self._level_reporter.lag_s,
-                    has_alternative,
                 ),
             ),
         )
