Wait for a connection that nobody else can replace until its packet is resent

A stream that had begun and broke off was cut at the caller when the first packet of the connection for its last attempt was lost: connecting ended after 0.3 s, and the packet is sent again after 1 s. Where another upstream may still be tried, or a refusal is true ("not run"), 0.3 s stay.

test_lost_packet_of_the_last_attempt failed before and passes.

--- a/src/camphorvalve/upstreams/routed.py
+++ b/src/camphorvalve/upstreams/routed.py
@@ -51,6 +51,8 @@
 CONNECT_TIMEOUT_S = 0.3
 """Connecting takes one round trip and 1 ms at the upstream. A lost first packet is only sent again
 after a second, so trying another upstream is faster."""
+RESENT_CONNECT_TIMEOUT_S = 1.5
+"""The same where no other upstream may be tried: the first packet is sent again once."""
 CONNECT_TURNS_COUNT = 4
 """Turns of the event loop that connecting takes; their lag is not the upstream's."""
 BODY_SILENCE_S = 1.0
@@ -187,7 +189,9 @@
         objective_s = exchange.parameters.objective_s
         first_byte_s = max(FIRST_BYTE_TIMEOUT_S, FIRST_BYTE_OBJECTIVE_RATIO * objective_s)
         silence = _silence_timeout(exchange, min(left_s / 2, first_byte_s))
-        connect_s = min(CONNECT_TIMEOUT_S + CONNECT_TURNS_COUNT * self._lag_s(), left_s)
+        is_last = exchange.may_have_run and exchange.attempt >= exchange.route.attempts_count
+        connect_s = RESENT_CONNECT_TIMEOUT_S if is_last else CONNECT_TIMEOUT_S
+        connect_s = min(connect_s + CONNECT_TURNS_COUNT * self._lag_s(), left_s)
         return {"connect": connect_s, "pool": connect_s, "read": silence, "write": silence}
 
     def _headers(
