Show streams that real processes cut when both upstreams are silent

Twelve streams at two upstreams that fall silent in all of them for 1.9 s: 1 to 3 are cut in 4 of 4 runs. The log of a run with six has both causes: the retry went to another stream, and the alternative was ejected by the give-ups of its own streams between the question and the placement ("2 upstreams are listed and none may be used").

--- a/tests/processes/test_silent.py
+++ b/tests/processes/test_silent.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import unittest
 from typing import TYPE_CHECKING
 
@@ -14,6 +15,7 @@
 SILENCE_S = 1.9
 """Shorter than the time after which callers leave a stream."""
 EVENTS_COUNT = 4
+STREAMS_COUNT = 12
 
 
 class SilentUpstreamTest(JoinedFleetCase):
@@ -52,6 +54,19 @@
         self.workers.silences_s = {0: SILENCE_S}
         self.assert_whole(await self.read_stream())
 
+    async def test_streams_that_are_silent_together(self) -> None:
+        """Both upstreams fall silent in all of their streams, more than there are retries."""
+        self.workers.silences_s = {1: SILENCE_S}
+        calls = [
+            self.call(f"/stream/{number}", deadline_ms="9000", attempt_id=f"id-{number}")
+            for number in range(STREAMS_COUNT)
+        ]
+        results = await asyncio.gather(*calls, return_exceptions=True)
+        cut = [result for result in results if isinstance(result, Exception)]
+        self.assertEqual(cut, [])
+        for response in results:
+            self.assert_whole(response)
+
     async def lists_one_upstream(self) -> bool:
         return bool(self.logged("router-1", "upstream gone"))
 
