--- a/src/camphorvalve/filters/standby.py
+++ b/src/camphorvalve/filters/standby.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import time
 from contextlib import aclosing
 from dataclasses import replace
 from typing import TYPE_CHECKING
@@ -22,6 +23,10 @@
     from camphorvalve.model.answers import Part
     from camphorvalve.model.requests import Exchange
 
+START_INTERVAL_S = 0.2
+"""Time after which a standby that could not be started is considered again; the search for an
+upstream with room takes time in proportion to their number."""
+
 _log = structlog.get_logger(__name__)
 
 
@@ -119,12 +124,17 @@
         """Whether ``on_alone`` was called for the running attempt."""
         self._is_refused = False
         """Whether a standby was refused by this router, for a reason that stays."""
+        self._next_start_s = 0.0
+        """Monotonic time before which no standby is considered."""
 
     def gives_up(self) -> bool:
         """:return: whether the running attempt is given up, for a standby that has responded"""
         standby = self.standby
         if standby is None:
-            self._start()
+            now_s = time.monotonic()
+            if now_s >= self._next_start_s:
+                self._next_start_s = now_s + START_INTERVAL_S
+                self._start()
             return False
         if standby.error is not None:
             self._drop_failed(standby)
