Show that callers are refused beside crashes while an upstream is free

Callers get 503 although an upstream is up and has room, if more than half of the listed ones have ended, or others listen on their addresses.

--- a/tests/controllers/test_pools.py
+++ b/tests/controllers/test_pools.py
@@ -6,7 +6,7 @@
 import unittest
 from typing import Any
 
-from camphorvalve.controllers.pools import LOCAL_FIRST_COUNT, Pools
+from camphorvalve.controllers.pools import LOCAL_FIRST_COUNT, MAX_SERVICE_REQUESTS_COUNT, Pools
 from camphorvalve.model.errors import RequestError, Run
 from camphorvalve.model.hosts import HostState
 from camphorvalve.model.routes import Destination
@@ -150,6 +150,13 @@
             self.begin_request(prompt=prompt, failed_upstreams={preferred_id}), preferred_id
         )
 
+    def test_one_upstream_is_left(self) -> None:
+        """Guards against requests to upstreams that have ended while another one has room."""
+        for upstream in SERVICES[1:]:
+            self.pools.record_failure(upstream.upstream_id, 0.0, unreachable=True)
+        placed = {self.begin_request(route=DESK) for _ in range(MAX_SERVICE_REQUESTS_COUNT)}
+        self.assertEqual(placed, {"desk-0"})
+
     def test_end(self) -> None:
         """Guards against requests that count as running after they have ended."""
         exchange = a_routed_exchange(prompt=a_prompt("a", "own", tokens_count=13_000))
--- a/tests/sharing/test_ejection.py
+++ b/tests/sharing/test_ejection.py
@@ -37,6 +37,20 @@
             self.ejections.record_failure(upstream_id, float(number) / 10, unreachable=True)
         self.assertEqual(self.ejections.usable(UPSTREAMS, 0.5), ["a", "b"])
 
+    def test_most_are_unreachable(self) -> None:
+        """Guards against requests to upstreams that are down while another one can be reached."""
+        for upstream_id in UPSTREAMS[:3]:
+            self.ejections.record_failure(upstream_id, 0.0, unreachable=True)
+        self.assertEqual(self.ejections.usable(UPSTREAMS, 0.5), ["d"])
+
+    def test_most_are_failing(self) -> None:
+        """Guards against sending the requests of a whole pool to a small part of it, when most of
+        the upstreams that can be reached fail."""
+        for upstream_id in UPSTREAMS[:3]:
+            for _ in range(2):
+                self.ejections.record_failure(upstream_id, 0.0, unreachable=False)
+        self.assertEqual(len(self.ejections.usable(UPSTREAMS, 0.5)), 2)
+
     def test_longer_each_time(self) -> None:
         """Guards against one failed request every second while an upstream is down for long."""
         now_s = 0.0
