Keep unreachable upstreams out of use when most are unreachable

Callers got 503 while an upstream was up and had room, if more than half of the listed ones had ended. Half of a pool stayed in use whatever the reason of the failures; refused connections fail at once, so that the ended upstreams had the fewest requests, got most attempts and used up the retry budget. The share that stays in use is now taken of the upstreams that can be reached; if none can, it is taken of all as before.

--- a/src/camphorvalve/sharing/ejection.py
+++ b/src/camphorvalve/sharing/ejection.py
@@ -18,13 +18,16 @@
 further one up to ``MAX_EJECTION_S``."""
 MAX_EJECTION_S = 8.0
 MIN_USABLE_RATIO = 0.5
-"""Part of a pool that is never ejected: when all upstreams fail, the cause lies elsewhere."""
+"""Part of the upstreams that can be reached that is never ejected: when all of them fail, the cause
+lies elsewhere."""
 
 
 @dataclass(slots=True)
 class _FailureRecord:
     failure_ratio: float = 0.0
     ejected_until_s: float = 0.0
+    unreachable: bool = False
+    """Whether no connection could be established since the last ejection began."""
     next_ejection_s: float = INITIAL_EJECTION_S
 
 
@@ -58,9 +61,11 @@
         :return: whether this failure ejected the upstream
         """
         record = self._records.setdefault(upstream_id, _FailureRecord())
+        is_ejected = record.ejected_until_s > now_s
+        record.unreachable = unreachable or (is_ejected and record.unreachable)
         weight = 1.0 if unreachable else FAILURE_WEIGHT
         record.failure_ratio += weight * (1 - record.failure_ratio)
-        if record.failure_ratio < EJECTION_RATIO or record.ejected_until_s > now_s:
+        if record.failure_ratio < EJECTION_RATIO or is_ejected:
             return False
         record.ejected_until_s = now_s + record.next_ejection_s
         record.next_ejection_s = min(MAX_EJECTION_S, 2 * record.next_ejection_s)
@@ -70,22 +75,32 @@
 
     def usable(self, upstream_ids: Sequence[str], now_s: float) -> list[str]:
         """
-        Filter out ejected upstreams, but keep at least ``MIN_USABLE_RATIO`` of the pool.
+        Filter out ejected upstreams, but keep ``MIN_USABLE_RATIO`` of those that can be reached.
 
         :param upstream_ids: upstreams of one pool
         :param now_s: monotonic time
         :return: upstreams that may get requests
         """
-        records = self._records
-        kept = [
+        ejected = {
+            upstream_id: record
+            for upstream_id, record in self._records.items()
+            if record.ejected_until_s > now_s
+        }
+        kept = [upstream_id for upstream_id in upstream_ids if upstream_id not in ejected]
+        if len(kept) == len(upstream_ids):
+            return kept
+        # Attempts at unreachable upstreams fail at once, so that these always have the fewest
+        # requests and would get most of the next ones.
+        reachable = [
             upstream_id
             for upstream_id in upstream_ids
-            if upstream_id not in records or records[upstream_id].ejected_until_s <= now_s
+            if upstream_id not in ejected or not ejected[upstream_id].unreachable
         ]
-        if len(kept) >= MIN_USABLE_RATIO * len(upstream_ids):
+        candidates = reachable or upstream_ids
+        if len(kept) >= MIN_USABLE_RATIO * len(candidates):
             return kept
-        by_end = sorted(upstream_ids, key=lambda upstream_id: self._ejected_until_s(upstream_id))
-        return by_end[: max(1, round(MIN_USABLE_RATIO * len(upstream_ids)))]
+        by_end = sorted(candidates, key=self._ejected_until_s)
+        return by_end[: max(1, round(MIN_USABLE_RATIO * len(candidates)))]
 
     def keep_only(self, upstream_ids: set[str]) -> None:
         """
--- a/tests/sharing/test_ejection.py
+++ b/tests/sharing/test_ejection.py
@@ -43,6 +43,14 @@
             self.ejections.record_failure(upstream_id, 0.0, unreachable=True)
         self.assertEqual(self.ejections.usable(UPSTREAMS, 0.5), ["d"])
 
+    def test_late_failures_of_an_unreachable_upstream(self) -> None:
+        """Guards against using an upstream that is down because a request that it still had failed
+        later."""
+        for upstream_id in UPSTREAMS[:3]:
+            self.ejections.record_failure(upstream_id, 0.0, unreachable=True)
+            self.ejections.record_failure(upstream_id, 0.4, unreachable=False)
+        self.assertEqual(self.ejections.usable(UPSTREAMS, 0.5), ["d"])
+
     def test_most_are_failing(self) -> None:
         """Guards against sending the requests of a whole pool to a small part of it, when most of
         the upstreams that can be reached fail."""
