Send repeats to upstreams that were not found unreachable before

Callers with two attempts were refused when both met upstreams that had ended and whose time out of use was over, while another one had room. First attempts find out whether such an upstream is back; later ones now use it only if no other is left. Upstreams that a request has tried are left out before the share that stays in use is taken, so that a repeat is not refused while one is left that it has not tried.

--- a/src/camphorvalve/controllers/pools.py
+++ b/src/camphorvalve/controllers/pools.py
@@ -209,10 +209,9 @@
         pool = exchange.parameters.pool
         listed = self._by_pool.get(pool, [])
         open_ids = self._notices.usable(listed, now_s)
-        usable = self._ejections.usable(open_ids, now_s)
-        usable = [
-            upstream_id for upstream_id in usable if upstream_id not in exchange.failed_upstreams
-        ]
+        tried = exchange.failed_upstreams
+        untried = [upstream_id for upstream_id in open_ids if upstream_id not in tried]
+        usable = self._ejections.usable(untried, now_s, may_probe=not tried)
         if not usable:
             message = f"pool {pool!r}: {len(listed)} upstreams are listed and none may be used"
             left_s = None if open_ids else self._notices.hold_off_left_s(listed, now_s)
--- a/src/camphorvalve/sharing/ejection.py
+++ b/src/camphorvalve/sharing/ejection.py
@@ -27,7 +27,7 @@
     failure_ratio: float = 0.0
     ejected_until_s: float = 0.0
     unreachable: bool = False
-    """Whether no connection could be established since the last ejection began."""
+    """Whether no connection could be established since the last ejection or success."""
     next_ejection_s: float = INITIAL_EJECTION_S
 
 
@@ -47,6 +47,7 @@
         record = self._records.get(upstream_id)
         if record is None:
             return
+        record.unreachable = False
         record.failure_ratio *= 1 - FAILURE_WEIGHT
         if record.failure_ratio < EJECTION_RATIO / 2:
             del self._records[upstream_id]
@@ -73,18 +74,21 @@
         record.failure_ratio = EJECTION_RATIO
         return True
 
-    def usable(self, upstream_ids: Sequence[str], now_s: float) -> list[str]:
+    def usable(
+        self, upstream_ids: Sequence[str], now_s: float, *, may_probe: bool = True
+    ) -> Sequence[str]:
         """
         Filter out ejected upstreams, but keep ``MIN_USABLE_RATIO`` of those that can be reached.
 
         :param upstream_ids: upstreams of one pool
         :param now_s: monotonic time
-        :return: upstreams that may get requests
+        :param may_probe: whether upstreams that could not be reached last may be tried again
+        :return: upstreams that may get requests; empty only if there are none
         """
         ejected = {
             upstream_id: record
             for upstream_id, record in self._records.items()
-            if record.ejected_until_s > now_s
+            if record.ejected_until_s > now_s or (record.unreachable and not may_probe)
         }
         kept = [upstream_id for upstream_id in upstream_ids if upstream_id not in ejected]
         if len(kept) == len(upstream_ids):
--- a/tests/controllers/test_pools.py
+++ b/tests/controllers/test_pools.py
@@ -157,6 +157,24 @@
         placed = {self.begin_request(route=DESK) for _ in range(MAX_SERVICE_REQUESTS_COUNT)}
         self.assertEqual(placed, {"desk-0"})
 
+    def test_repeat_does_not_probe(self) -> None:
+        """Guards against the last attempt at an upstream that could not be reached before, while
+        another one has room."""
+        for upstream in SERVICES[1:]:
+            self.pools.record_failure(upstream.upstream_id, 0.0, unreachable=True)
+        for number in range(2, MAX_SERVICE_REQUESTS_COUNT):
+            exchange = a_routed_exchange(route=DESK, failed_upstreams={"desk-1"})
+            placement = self.pools.begin(exchange, float(number))
+            self.assertEqual(placement.upstream.upstream_id, "desk-0")
+
+    def test_repeat_when_all_fail(self) -> None:
+        """Guards against refusing a repeat while an upstream is left that it has not tried."""
+        for upstream in SERVICES:
+            self.pools.record_failure(upstream.upstream_id, 0.0, unreachable=True)
+        tried = {f"desk-{number}" for number in range(3)}
+        exchange = a_routed_exchange(route=DESK, failed_upstreams=tried)
+        self.assertEqual(self.pools.begin(exchange, 0.1).upstream.upstream_id, "desk-3")
+
     def test_end(self) -> None:
         """Guards against requests that count as running after they have ended."""
         exchange = a_routed_exchange(prompt=a_prompt("a", "own", tokens_count=13_000))
