Place an attempt again when an upstream refuses the connection

Callers of routes with two attempts were refused when two upstreams had just ended and another one had room, and each refused connection took one retry of the budget. No upstream gets the request then, so that it is now placed again in the same attempt, at up to four upstreams, as long as one is left that was not found unreachable. Connections that time out take an attempt as before, so that no request waits for one after the other.

--- a/src/camphorvalve/controllers/pools.py
+++ b/src/camphorvalve/controllers/pools.py
@@ -224,6 +224,19 @@
         self._adjust_load(chosen, 1, 1, placement.tokens_count)
         return placement
 
+    def has_reachable(self, exchange: Exchange) -> bool:
+        """
+        Tell whether a request has not yet tried an upstream that may be reached.
+
+        :param exchange: the request
+        :return: whether one is listed to which the last connection did not fail
+        """
+        return any(
+            upstream_id not in exchange.failed_upstreams
+            and not self._ejections.is_unreachable(upstream_id)
+            for upstream_id in self._by_pool.get(exchange.parameters.pool, [])
+        )
+
     def end(self, placement: Placement) -> None:
         """
         Count a request as ended.
--- a/src/camphorvalve/filters/place.py
+++ b/src/camphorvalve/filters/place.py
@@ -27,6 +27,8 @@
 WAIT_RATIO = 1 / 8
 """Fraction of its objective that a request waits for an upstream before it is rejected; the
 platform counts later rejections as late."""
+MAX_CONNECTIONS_COUNT = 4
+"""Upstreams at which one attempt is placed while they refuse the connection."""
 
 
 class PlaceFilter:
@@ -53,7 +55,32 @@
         :raises RequestError: no upstream can take the request now
         :raises UpstreamError: the attempt failed
         """
-        placement = await self._wait_for_placement(exchange)
+        for connections_left_count in reversed(range(MAX_CONNECTIONS_COUNT)):
+            placement = await self._wait_for_placement(exchange)
+            try:
+                async with aclosing(self._run(exchange, placement, inner)) as parts:
+                    async for part in parts:
+                        yield part
+                return
+            except NotReached:
+                raise
+            except NotSent as error:
+                # No upstream got the request, so that it takes no attempt of its route.
+                exchange.failed_upstreams.add(error.upstream_id)
+                if not connections_left_count or not self._pools.has_reachable(exchange):
+                    raise
+                _log.info(
+                    "upstream refused the connection",
+                    request_id=exchange.request.request_id,
+                    attempt=exchange.attempt,
+                    upstream_id=error.upstream_id,
+                    reason=str(error),
+                )
+
+    async def _run(
+        self, exchange: Exchange, placement: Placement, inner: Handler
+    ) -> AsyncIterator[Part]:
+        """Run the attempt at one upstream, and record how it ended."""
         upstream_id = placement.upstream.upstream_id
         exchange.upstream_id = upstream_id
         exchange.stage = Stage.RUNNING
--- a/src/camphorvalve/sharing/ejection.py
+++ b/src/camphorvalve/sharing/ejection.py
@@ -106,6 +106,16 @@
         by_end = sorted(candidates, key=self._ejected_until_s)
         return by_end[: max(1, round(MIN_USABLE_RATIO * len(candidates)))]
 
+    def is_unreachable(self, upstream_id: str) -> bool:
+        """
+        Tell whether no connection to an upstream could be established since its last success.
+
+        :param upstream_id: the upstream
+        :return: false as well for an upstream without failures
+        """
+        record = self._records.get(upstream_id)
+        return record is not None and record.unreachable
+
     def keep_only(self, upstream_ids: set[str]) -> None:
         """
         Forget upstreams that no longer exist.
--- a/tests/filters/test_place.py
+++ b/tests/filters/test_place.py
@@ -12,7 +12,7 @@
 from structlog.testing import capture_logs
 
 from camphorvalve.controllers.pools import Pools
-from camphorvalve.filters.place import WAIT_RATIO, PlaceFilter
+from camphorvalve.filters.place import MAX_CONNECTIONS_COUNT, WAIT_RATIO, PlaceFilter
 from camphorvalve.model.answers import Body, Head
 from camphorvalve.model.errors import RequestError
 from camphorvalve.sharing.routing import RouteTable
@@ -117,6 +117,51 @@
                 ejected = [line for line in lines if line["event"] == "upstream left out"]
                 self.assertEqual(len(ejected), expected_count)
 
+    def place_among(self, count: int, reachable_ids: set[str], error_type: type[NotSent]) -> None:
+        """Run a request among some upstreams, and count those that it tried."""
+        self.pools.apply([a_listed_upstream(f"up-{number}") for number in range(count)], 0.0)
+        tried_ids: list[str] = []
+
+        async def connect(exchange: Exchange) -> AsyncIterator[Part]:
+            tried_ids.append(exchange.upstream_id)
+            if exchange.upstream_id not in reachable_ids:
+                raise error_type(exchange.upstream_id, "no connection")
+            yield Body(b"yes")
+
+        try:
+            anyio.run(self.run_request, connect)
+        finally:
+            self.assertEqual(len(set(tried_ids)), len(tried_ids))
+            self.tried_count = len(tried_ids)
+
+    def test_refused_connections(self) -> None:
+        """Guards against refusing a request whose route has one attempt because an upstream has
+        ended, while another one is up."""
+        for number in range(3):
+            with self.subTest(number=number):
+                self.setUp()
+                self.place_among(3, {f"up-{number}"}, NotSent)
+
+    def test_refused_connections_are_limited(self) -> None:
+        """Guards against one request that tries every upstream of a pool that has ended."""
+        with self.assertRaises(NotSent):
+            self.place_among(20, set(), NotSent)
+        self.assertEqual(self.tried_count, MAX_CONNECTIONS_COUNT)
+
+    def test_all_are_known_to_refuse(self) -> None:
+        """Guards against several connections a request to a pool that has ended."""
+        with self.assertRaises(NotSent):
+            self.place_among(2, set(), NotSent)
+        with self.assertRaises(NotSent):
+            self.place_among(2, set(), NotSent)
+        self.assertEqual(self.tried_count, 1)
+
+    def test_timeouts_take_an_attempt(self) -> None:
+        """Guards against a request that waits for one connection after the other."""
+        with self.assertRaises(NotReached):
+            self.place_among(3, set(), NotReached)
+        self.assertEqual(self.tried_count, 1)
+
 
 if __name__ == "__main__":
     unittest.main()
