Leave out an upstream whose address another one has taken

Callers got 503 with status 421 in the message for as long as the list named an upstream whose address another one had taken: such a refusal left the upstream in use, and as it comes at once, most attempts went there and used up the retry budget. Status 421 now counts as unreachable.

The row of test_responses for status 421 names the new error, a subclass of the one before, so that it is stricter than it was.

--- a/src/camphorvalve/filters/place.py
+++ b/src/camphorvalve/filters/place.py
@@ -12,7 +12,7 @@
 from camphorvalve.model.answers import Body
 from camphorvalve.model.errors import RequestError
 from camphorvalve.model.requests import Stage
-from camphorvalve.upstreams.errors import Declined, NotReached, NotSent, UpstreamError
+from camphorvalve.upstreams.errors import Declined, Misdirected, NotReached, NotSent, UpstreamError
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Callable
@@ -106,6 +106,9 @@
                         )
                     yield part
             self._pools.record_success(upstream_id)
+        except Misdirected:
+            self._pools.record_failure(upstream_id, time.monotonic(), unreachable=True)
+            raise
         except Declined:
             # An upstream that is full has not failed.
             raise
--- a/src/camphorvalve/upstreams/errors.py
+++ b/src/camphorvalve/upstreams/errors.py
@@ -34,6 +34,10 @@
     """The upstream reports that it did not and will not run the request."""
 
 
+class Misdirected(Declined):
+    """Another upstream listens on the address now, and did not run the request."""
+
+
 class NoAnswer(UpstreamError):  # noqa: N818 -- see NotSent
     """The request may have arrived, but no usable response started."""
 
@@ -114,6 +118,7 @@
     "Broken",
     "Declined",
     "FailedAnswer",
+    "Misdirected",
     "NoAnswer",
     "NotReached",
     "NotSent",
--- a/src/camphorvalve/upstreams/routed.py
+++ b/src/camphorvalve/upstreams/routed.py
@@ -24,6 +24,7 @@
     Broken,
     Declined,
     FailedAnswer,
+    Misdirected,
     NoAnswer,
     NotReached,
     NotSent,
@@ -248,7 +249,8 @@
             for notice in self._notices(response):
                 self._on_notice(upstream.upstream_id, notice)
         if is_refusal:
-            raise Declined(upstream.upstream_id, f"status {response.status_code}, not run")
+            refusal = Misdirected if response.status_code == 421 else Declined
+            raise refusal(upstream.upstream_id, f"status {response.status_code}, not run")
         if names.proof not in headers or "content-encoding" in headers:
             raise WrongAnswer(upstream.upstream_id, "the response was not produced by the upstream")
 
--- a/tests/filters/test_place.py
+++ b/tests/filters/test_place.py
@@ -16,7 +16,7 @@
 from camphorvalve.model.answers import Body, Head
 from camphorvalve.model.errors import RequestError
 from camphorvalve.sharing.routing import RouteTable
-from camphorvalve.upstreams.errors import NoAnswer, NotReached, NotSent
+from camphorvalve.upstreams.errors import Declined, Misdirected, NoAnswer, NotReached, NotSent
 from tests.routebuilders import a_listed_upstream, a_manifest, a_prompt, a_route, a_routed_exchange
 
 if TYPE_CHECKING:
@@ -134,6 +134,25 @@
             self.assertEqual(len(set(tried_ids)), len(tried_ids))
             self.tried_count = len(tried_ids)
 
+    def test_refusals(self) -> None:
+        """Guards against more requests to an address that another upstream has taken, and against
+        leaving out an upstream that is full."""
+        rows = [(Misdirected("up-1", "status 421"), 1), (Declined("up-1", "status 503"), 0)]
+        for refusal, expected_count in rows:
+            with self.subTest(refusal=refusal):
+                self.setUp()
+
+                async def refuse(
+                    exchange: Exchange, refusal: Declined = refusal
+                ) -> AsyncIterator[Part]:
+                    raise refusal
+                    yield
+
+                with capture_logs() as lines, self.assertRaises(Declined):
+                    anyio.run(self.run_request, refuse)
+                ejected = [line for line in lines if line["event"] == "upstream left out"]
+                self.assertEqual(len(ejected), expected_count)
+
     def test_refused_connections(self) -> None:
         """Guards against refusing a request whose route has one attempt because an upstream has
         ended, while another one is up."""
--- a/tests/upstreams/test_routed.py
+++ b/tests/upstreams/test_routed.py
@@ -24,6 +24,7 @@
     Broken,
     Declined,
     FailedAnswer,
+    Misdirected,
     NoAnswer,
     NotSent,
     UpstreamError,
@@ -134,7 +135,7 @@
                 "another upstream",
                 non_idempotent,
                 Script(response(b"", b"421 No", b"")),
-                Declined,
+                Misdirected,
                 b"",
             ),
             (
