Send no repeat to an upstream that has not succeeded since it was left out

A caller was refused with status 421 on both attempts, 1 s after others had taken two of three addresses: both upstreams had first been left out for reset connections, so that they were not known as unreachable when their time ended. Repeats now use no upstream that was left out for any reason and has not succeeded since, unless no other is left.

Without the change the row unreachable=False of test_repeat_does_not_probe fails.

--- a/src/camphorvalve/sharing/ejection.py
+++ b/src/camphorvalve/sharing/ejection.py
@@ -28,6 +28,8 @@
     ejected_until_s: float = 0.0
     unreachable: bool = False
     """Whether no connection could be established since the last ejection or success."""
+    needs_probe: bool = False
+    """Whether no request has succeeded since the last ejection began."""
     next_ejection_s: float = INITIAL_EJECTION_S
 
 
@@ -47,7 +49,7 @@
         record = self._records.get(upstream_id)
         if record is None:
             return
-        record.unreachable = False
+        record.unreachable = record.needs_probe = False
         record.failure_ratio *= 1 - FAILURE_WEIGHT
         if record.failure_ratio < EJECTION_RATIO / 2:
             del self._records[upstream_id]
@@ -68,6 +70,7 @@
         record.failure_ratio += weight * (1 - record.failure_ratio)
         if record.failure_ratio < EJECTION_RATIO or is_ejected:
             return False
+        record.needs_probe = True
         record.ejected_until_s = now_s + record.next_ejection_s
         record.next_ejection_s = min(MAX_EJECTION_S, 2 * record.next_ejection_s)
         # After the ejection, one more failure ejects again; a success lowers the ratio.
@@ -82,13 +85,14 @@
 
         :param upstream_ids: upstreams of one pool
         :param now_s: monotonic time
-        :param may_probe: whether upstreams that could not be reached last may be tried again
+        :param may_probe: whether the request may find out if an upstream whose ejection has ended
+            can be used again
         :return: upstreams that may get requests; empty only if there are none
         """
         ejected = {
             upstream_id: record
             for upstream_id, record in self._records.items()
-            if record.ejected_until_s > now_s or (record.unreachable and not may_probe)
+            if record.ejected_until_s > now_s or (record.needs_probe and not may_probe)
         }
         kept = [upstream_id for upstream_id in upstream_ids if upstream_id not in ejected]
         if len(kept) == len(upstream_ids):
--- a/tests/controllers/test_pools.py
+++ b/tests/controllers/test_pools.py
@@ -158,14 +158,21 @@
         self.assertEqual(placed, {"desk-0"})
 
     def test_repeat_does_not_probe(self) -> None:
-        """Guards against the last attempt at an upstream that could not be reached before, while
-        another one has room."""
-        for upstream in SERVICES[1:]:
-            self.pools.record_failure(upstream.upstream_id, 0.0, unreachable=True)
-        for number in range(2, MAX_SERVICE_REQUESTS_COUNT):
-            exchange = a_routed_exchange(route=DESK, failed_upstreams={"desk-1"})
-            placement = self.pools.begin(exchange, float(number))
-            self.assertEqual(placement.upstream.upstream_id, "desk-0")
+        """Guards against the last attempt at an upstream that failed before and has not succeeded
+        since, while another one has room."""
+        for unreachable in (False, True):
+            with self.subTest(unreachable=unreachable):
+                self.setUp()
+                for upstream in SERVICES[1:]:
+                    for _ in range(2):
+                        self.pools.record_failure(
+                            upstream.upstream_id, 0.0, unreachable=unreachable
+                        )
+                for number in range(2, MAX_SERVICE_REQUESTS_COUNT):
+                    tried = {"desk-1", "desk-2"}
+                    exchange = a_routed_exchange(route=DESK, failed_upstreams=tried)
+                    placement = self.pools.begin(exchange, float(number))
+                    self.assertEqual(placement.upstream.upstream_id, "desk-0")
 
     def test_repeat_when_all_fail(self) -> None:
         """Guards against refusing a repeat while an upstream is left that it has not tried."""
