Forget the failures of an upstream that has started again

Callers were kept from an upstream for up to 8 s after its start if it started again under its id, as failures were known by the id only. They are now forgotten like its notices once the list has the new time of its start. test_upstream_starts_again failed before.

--- a/src/camphorvalve/controllers/pools.py
+++ b/src/camphorvalve/controllers/pools.py
@@ -22,7 +22,7 @@
     prefix_key,
 )
 from camphorvalve.sharing.limits import AdaptiveLimits
-from camphorvalve.sharing.notices import Notices
+from camphorvalve.sharing.notices import Notices, has_restarted
 from camphorvalve.sharing.placement import ranked
 
 if TYPE_CHECKING:
@@ -149,7 +149,13 @@
             if upstream.state is HostState.LIVE:
                 self._by_pool.setdefault(upstream.pool, []).append(upstream.upstream_id)
         self._notices.apply_list(previous, self._upstreams, now_s)
-        self._ejections.keep_only(set(self._upstreams))
+        self._ejections.keep_only(
+            {
+                upstream_id
+                for upstream_id in self._upstreams
+                if not has_restarted(upstream_id, previous, self._upstreams)
+            }
+        )
         self._limits.keep_only(set(self._upstreams))
         for upstream in self._upstreams.values():
             if previous.get(upstream.upstream_id) != upstream:
--- a/src/camphorvalve/sharing/notices.py
+++ b/src/camphorvalve/sharing/notices.py
@@ -158,7 +158,7 @@
         self._held_until_s = {
             upstream_id: until_s
             for upstream_id, until_s in self._held_until_s.items()
-            if until_s > now_s and not _has_restarted(upstream_id, previous, current)
+            if until_s > now_s and not has_restarted(upstream_id, previous, current)
         }
 
     def usable(self, upstream_ids: Sequence[str], now_s: float) -> Sequence[str]:
@@ -212,11 +212,27 @@
         return upstream_id in self._leaving
 
 
-def _has_restarted(
+def has_restarted(
     upstream_id: str, previous: dict[str, Upstream], current: dict[str, Upstream]
 ) -> bool:
+    """
+    Tell whether an upstream has started again under its id.
+
+    :param upstream_id: the upstream
+    :param previous: the list used before, by id
+    :param current: the new list, by id
+    :return: false as well if it is missing in one of them
+    """
     before, now = previous.get(upstream_id), current.get(upstream_id)
     return before is not None and now is not None and before.started_ms != now.started_ms
 
 
-__all__ = ["HoldOff", "Leaving", "LeavingMarks", "Notice", "Notices", "parse_hold_off"]
+__all__ = [
+    "HoldOff",
+    "Leaving",
+    "LeavingMarks",
+    "Notice",
+    "Notices",
+    "has_restarted",
+    "parse_hold_off",
+]
--- a/tests/controllers/test_pools.py
+++ b/tests/controllers/test_pools.py
@@ -182,6 +182,19 @@
         exchange = a_routed_exchange(route=DESK, failed_upstreams=tried)
         self.assertEqual(self.pools.begin(exchange, 0.1).upstream.upstream_id, "desk-3")
 
+    def test_upstream_starts_again(self) -> None:
+        """Guards against leaving out an upstream for what happened before it started again."""
+        for number in range(4):
+            self.pools.record_failure("desk-1", 8.0 * number, unreachable=True)
+        others = [upstream for upstream in SERVICES if upstream.upstream_id != "desk-1"]
+        started = SERVICES[1]._replace(started_ms=1_790_000_000_000)
+        self.pools.apply([*UPSTREAMS, *others, started], 25.0)
+        placed = {
+            self.pools.begin(a_routed_exchange(route=DESK), 25.0).upstream.upstream_id
+            for _ in SERVICES
+        }
+        self.assertIn("desk-1", placed)
+
     def test_end(self) -> None:
         """Guards against requests that count as running after they have ended."""
         exchange = a_routed_exchange(prompt=a_prompt("a", "own", tokens_count=13_000))
