--- a/src/camphorvalve/controllers/pools.py
+++ b/src/camphorvalve/controllers/pools.py
@@ -22,12 +22,12 @@
     prefix_key,
 )
 from camphorvalve.sharing.limits import AdaptiveLimits
-from camphorvalve.sharing.notices import Notices
+from camphorvalve.sharing.notices import Notices, has_restarted
 from camphorvalve.sharing.placement import ranked
 
 if TYPE_CHECKING:
     import random
-    from collections.abc import Callable, Iterable, Sequence
+    from collections.abc import Callable, Iterable, Sequence, Set
 
     from camphorvalve.model.requests import Exchange
     from camphorvalve.model.upstreams import Upstream
@@ -149,7 +149,13 @@
             if upstream.state is HostState.LIVE:
                 self._by_pool.setdefault(upstream.pool, []).append(upstream.upstream_id)
         self._notices.apply_list(previous, self._upstreams, now_s)
-        self._ejections.keep_only(set(self._upstreams))
+        self._ejections.keep_only(
+            {
+                upstream_id
+                for upstream_id in self._upstreams
+                if not has_restarted(upstream_id, previous, self._upstreams)
+            }
+        )
         self._limits.keep_only(set(self._upstreams))
         for upstream in self._upstreams.values():
             if previous.get(upstream.upstream_id) != upstream:
@@ -207,7 +213,7 @@
         :raises RequestError: no upstream is listed, or those that may serve it are full
         """
         pool = exchange.parameters.pool
-        usable = self._usable(exchange, now_s)
+        usable = self._usable(exchange, exchange.failed_upstreams, now_s)
         if not usable:
             listed = self._by_pool.get(pool, [])
             message = f"pool {pool!r}: {len(listed)} upstreams are listed and none may be used"
@@ -229,10 +235,27 @@
         :param now_s: monotonic time
         :return: whether ``begin`` would find an upstream if the current one had failed
         """
-        usable = self._usable(exchange, now_s)
-        others = [upstream_id for upstream_id in usable if upstream_id != exchange.upstream_id]
+        tried = {*exchange.failed_upstreams, exchange.upstream_id or ""}
+        others = [
+            upstream_id
+            for upstream_id in self._usable(exchange, tried, now_s)
+            if not self._ejections.is_unreachable(upstream_id)
+        ]
         return bool(others) and self._choose(exchange, exchange.parameters.pool, others) is not None
 
+    def has_reachable(self, exchange: Exchange) -> bool:
+        """
+        Tell whether a request has not yet tried an upstream that may be reached.
+
+        :param exchange: the request
+        :return: whether one is listed to which the last connection did not fail
+        """
+        return any(
+            upstream_id not in exchange.failed_upstreams
+            and not self._ejections.is_unreachable(upstream_id)
+            for upstream_id in self._by_pool.get(exchange.parameters.pool, [])
+        )
+
     def end(self, placement: Placement) -> None:
         """
         Count a request as ended.
@@ -348,12 +371,16 @@
         :return: time left in seconds, ``None`` if no upstream that it may use asked for one
         """
         listed = self._by_pool.get(exchange.parameters.pool, [])
-        return self._notices.hold_off_left_s(_untried(listed, exchange), now_s)
+        untried = [
+            upstream_id for upstream_id in listed if upstream_id not in exchange.failed_upstreams
+        ]
+        return self._notices.hold_off_left_s(untried, now_s)
 
-    def _usable(self, exchange: Exchange, now_s: float) -> list[str]:
+    def _usable(self, exchange: Exchange, tried: Set[str], now_s: float) -> Sequence[str]:
         listed = self._by_pool.get(exchange.parameters.pool, [])
         open_ids = self._notices.usable(listed, now_s)
-        return _untried(self._ejections.usable(open_ids, now_s), exchange)
+        untried = [upstream_id for upstream_id in open_ids if upstream_id not in tried]
+        return self._ejections.usable(untried, now_s, may_probe=not tried)
 
     def _choose(self, exchange: Exchange, pool: str, usable: Sequence[str]) -> str | None:
         has_room = self._capacity_check(pool, exchange)
@@ -432,12 +459,6 @@
         )
 
 
-def _untried(upstream_ids: Iterable[str], exchange: Exchange) -> list[str]:
-    return [
-        upstream_id for upstream_id in upstream_ids if upstream_id not in exchange.failed_upstreams
-    ]
-
-
 def _usable_limit_ratio(exchange: Exchange) -> float:
     share_ratio = 1.0 if exchange.within_share else OVER_SHARE_RATIO
     return share_ratio * max(
