Log which request waited as an upstream closed its connection

A request without a prompt has no parts, so that nothing in the log told whether the same one came again. attempt failed now has a request_key, which is the same for the same caller, path and body at every router. No decision changes.

--- a/src/camphorvalve/filters/retry.py
+++ b/src/camphorvalve/filters/retry.py
@@ -195,6 +195,7 @@
         output_started=exchange.output_started,
         connection_ended=ended,
         parts=shared_part_ids(exchange.request.call) if is_waiting else [],
+        request_key=exchange.identify() if is_waiting else None,
         **(exchange.source.log_fields() if exchange.source else {}),
     )
 
--- a/src/camphorvalve/model/requests.py
+++ b/src/camphorvalve/model/requests.py
@@ -63,6 +63,8 @@
 
 Call = Completion | ServiceCall | RoutedCall
 
+REQUEST_KEY_PREFIX = "request/"
+"""Begins the key of a whole request, and of no part of a prompt."""
 MAX_SHARED_PARTS_COUNT = 64
 """Most parts of one prompt that are looked at."""
 MAX_PART_ID_LENGTH = 64
@@ -87,11 +89,30 @@
 
 
 def _shortened(part_id: str) -> str:
+    if part_id.startswith(REQUEST_KEY_PREFIX):
+        return xxhash.xxh64_hexdigest(part_id.encode())
     if len(part_id) <= MAX_PART_ID_LENGTH:
         return part_id
     return part_id[:PART_ID_HEAD_LENGTH] + xxhash.xxh64_hexdigest(part_id.encode())
 
 
+def request_key(caller: str, target: str, body: bytes) -> str:
+    """
+    Identify a whole request, however often and at whichever router it comes.
+
+    :param caller: name of its team, or its key if there is none
+    :param target: path and query
+    :param body: complete body
+    :return: the same text for the same caller, target and body; it begins with
+        ``REQUEST_KEY_PREFIX``, and does not contain the caller's key
+    """
+    # The caller is hashed apart, so that callers find collisions among their own requests only.
+    content = xxhash.xxh3_128(target.encode())
+    content.update(b"\n")
+    content.update(body)
+    return f"{REQUEST_KEY_PREFIX}{xxhash.xxh3_64_hexdigest(caller.encode())}/{content.hexdigest()}"
+
+
 class Request(NamedTuple):
     """A decoded request."""
 
@@ -175,6 +196,8 @@
     failed_upstreams: set[str] = field(default_factory=set)
     """Upstreams at which an attempt failed: a routed call is not sent to them again, another call
     only when every live upstream of the pool is among them."""
+    key: str | None = None
+    """Key of the whole request, once it was asked for; see ``identify``."""
     source: ResponseSource | None = None
     """How the response of the current attempt arrived, ``None`` before its head."""
     output_started: bool = False
@@ -199,6 +222,20 @@
             case ServiceCall():
                 return False
 
+    def identify(self) -> str | None:
+        """
+        Identify the whole request, by the caller that the filters found.
+
+        :return: its key; ``None`` for a call that is not routed
+        """
+        match self.request.call:
+            case RoutedCall(target=target) if self.key is None:
+                caller = self.request.token if self.team is None else self.team.name
+                self.key = request_key(caller, target, self.request.body)
+            case _:
+                pass
+        return self.key
+
     @property
     def run_attempt(self) -> int:
         """:return: attempt number for records and upstreams; reassigned work continues its count"""
@@ -222,10 +259,12 @@
     "MAX_SHARED_PARTS_COUNT",
     "Prompt",
     "PromptPart",
+    "REQUEST_KEY_PREFIX",
     "Request",
     "ResponseSource",
     "RoutedCall",
     "ServiceCall",
     "Stage",
+    "request_key",
     "shared_part_ids",
 ]
