--- a/tests/controllers/enginefleet.py
+++ b/tests/controllers/enginefleet.py
@@ -34,6 +34,8 @@
 """First part of all prompts."""
 DOWN_S = 3.0
 TRANSIT_S = 0.002
+REPEAT_S = 0.3
+"""Time until a caller repeats a request that was not refused with a delay."""
 UNKNOWN_DOWN_RATIO = 0.1
 """Part of the choices in which an engine that is down is taken for usable."""
 
@@ -89,7 +91,7 @@
 
 
 class Engine:
-    """Answers requests with streams; a crash breaks all of them."""
+    """Answers requests with streams, or plainly; a crash breaks all of them."""
 
     def __init__(self, fleet: EngineFleet, number: int) -> None:
         self.fleet = fleet
@@ -133,7 +135,12 @@
         if fleet.is_deadly(parts):
             fleet.crashes_s.append(fleet.now_s())
             self.crash()
+            if not exchange.streams:
+                raise NoAnswer(upstream_id, "Server disconnected", connection_ended=True)
         yield Head(200, ())
+        if not exchange.streams:
+            yield Body(b"answer")
+            return
         for number in range(1, fleet.rng.randint(2, 20)):
             if not await self._stays_open(0.1 * (number > 1)):
                 raise Broken(upstream_id, "closed", number - 1, connection_ended=True)
@@ -194,6 +201,13 @@
         self.deadly_ratio = 0.05
         self.requests_per_s = 40.0
         self.middle_parts = tuple(f"middle-{number}" for number in range(30))
+        self.route = a_route(idempotent=True, streamed=True, resumable=True, attempts_count=3)
+        self.random_parts: Callable[[], tuple[str, ...]] = self._random_parts
+        """Draws the parts of the next request."""
+        self.has_prompts = True
+        """Whether upstreams and routers are told the parts, or get them in the body only."""
+        self.sound_repeats_count = 0
+        """How often callers send a sound request again after it has failed."""
         self.loss_ratio = 0.0
         self.delay_factor = 2.0
         self.messages_count = 0
@@ -245,7 +259,7 @@
         async with asyncio.TaskGroup() as callers:
             while self.now_s() < end_s:
                 await asyncio.sleep(self.rng.expovariate(self.requests_per_s))
-                callers.create_task(self._call(self._random_parts()))
+                callers.create_task(self._call(self.random_parts()))
 
     def at(self, after_s: float, action: Callable[[], Any]) -> None:
         """Run an action some time after the start."""
@@ -257,9 +271,17 @@
         return FIRST, middle, f"last-{self.rng.random()}"
 
     async def _call(self, parts: tuple[str, ...]) -> None:
+        outcome = await self._send(parts)
+        for _ in range(0 if DEADLY in parts else self.sound_repeats_count):
+            if outcome.code is None:
+                break
+            await asyncio.sleep(outcome.retry_after_s or REPEAT_S)
+            outcome = await self._send(parts)
+
+    async def _send(self, parts: tuple[str, ...]) -> Outcome:
         sent_s, code, retry_after_s = self.now_s(), None, None
-        route = a_route(idempotent=True, streamed=True, resumable=True, attempts_count=3)
-        exchange = a_routed_exchange(route, prompt=a_prompt(*parts))
+        prompt = a_prompt(*parts) if self.has_prompts else None
+        exchange = a_routed_exchange(self.route, prompt=prompt, body=" ".join(parts).encode())
         exchange.attempt = 0
         handler = self.handlers[self.rng.choice(self.router_ids)]
         try:
@@ -268,7 +290,9 @@
                     pass
         except RequestError as error:
             code, retry_after_s = error.code, error.retry_after_s
-        self.outcomes.append(Outcome(sent_s, parts, code, exchange.attempt, retry_after_s))
+        outcome = Outcome(sent_s, parts, code, exchange.attempt, retry_after_s)
+        self.outcomes.append(outcome)
+        return outcome
 
     def _upstream_of(self, upstream_id: str) -> Upstream | None:
         return a_listed_upstream(upstream_id)
@@ -290,7 +314,7 @@
 
 
 def _part_ids(exchange: Exchange) -> tuple[str, ...]:
-    return tuple(part.part_id for part in exchange.request.call.prompt.parts)
+    return tuple(exchange.request.body.decode().split(" "))
 
 
 __all__ = ["DEADLY", "FIRST", "EngineFleet", "Outcome", "Run", "run_simulated"]
--- a/tools/standins/karrilane.py
+++ b/tools/standins/karrilane.py
@@ -49,6 +49,8 @@
         self.deadly_part: str | None = None
         """Id of a part of prompts; a worker that runs a request with it crashes, and starts again
         under a new id."""
+        self.deadly_body: bytes | None = None
+        """Body of requests under which a worker crashes in the same way."""
         self.crashes_count = 0
         self._service = service
         self._entries: dict[str, dict[str, Any]] = {}
@@ -142,7 +144,10 @@
         target = scope["raw_path"].decode()
         self.runs.append(Run(worker_id, request_id, headers, target, body))
         own_headers = {"attempt-id": request_id, "server-stamp": f"stamp of {worker_id}"}
-        if self.deadly_part is not None and self.deadly_part in headers.get("prompt-prefix", ""):
+        has_deadly_part = self.deadly_part is not None and (
+            self.deadly_part in headers.get("prompt-prefix", "")
+        )
+        if has_deadly_part or body == self.deadly_body:
             # The server would answer an error before the head with a response of its own.
             await _send_head(send, 200, {**own_headers, "content-length": "100"})
             raise WorkerCrashError("the worker crashes as it begins to answer")
