Quarantine whole requests that crash one upstream after another

The quarantine recorded and judged shared parts of prompts only.

Each routed call now has a key of its caller, path and body, which is recorded and judged beside the parts of its prompt; so is a prompt that is deadly as a whole. Such an exact identity needs less evidence than a part: three ends make it a suspect even in one moment, as the three upstreams of a service may end together, and another end a second later in which no other upstream ended condemns it, or three moments that span a second. A request that was answered before needs two such moments. A suspect is not repeated, runs alone at each router, and is tried one time in eight, as all that run at eight routers until the first crash are late. Routers learn of suspects with their polls, of condemned requests at once. A condemned one explains the ends of what waited beside it only with as many ends.

Ruled out: two ends (a request with two attempts has them in one power failure); running alone without the draw (4 to 8 late runs with 15 requests a second); the verdict at the first series (a sound request with three attempts waits at three upstreams that lose power).

sharing/suspects is split: sharing/suspectends holds what ends show.

Tests: an_exchange of test_quarantine gives prompts bodies of their own; all had the same one, which now means the same request.

--- a/src/camphorvalve/controllers/suspects.py
+++ b/src/camphorvalve/controllers/suspects.py
@@ -1,4 +1,4 @@
-"""Exchange of the parts of prompts that may crash upstreams: two controllers merge what is seen."""
+"""Exchange of what may crash upstreams: two controllers merge what the routers see."""
 
 from __future__ import annotations
 
@@ -8,15 +8,15 @@
 
 from camphorvalve.controllers.runtime import Outgoing
 from camphorvalve.sharing.placement import ranked
-from camphorvalve.sharing.suspects import (
+from camphorvalve.sharing.suspectends import (
     SUSPECTED_COUNT,
-    Condemned,
     End,
     Ended,
-    Sound,
-    Suspected,
-    SuspectParts,
+    SharedPart,
+    WholeRequest,
+    kind_of,
 )
+from camphorvalve.sharing.suspects import Condemned, Sound, Suspected, SuspectRecord
 from camphorvalve.wire.messages import (
     EndedUpstream,
     SuspectEnd,
@@ -31,7 +31,8 @@
     from collections.abc import Callable, Iterable, Iterator, Sequence
 
     from camphorvalve.controllers.runtime import Sender
-    from camphorvalve.sharing.suspects import Ends, Verdict
+    from camphorvalve.sharing.suspectends import Ends
+    from camphorvalve.sharing.suspects import Verdict
 
 SUSPECTS_KEY = "suspected parts"
 """Key by which rendezvous hashing selects the controllers that merge the ends."""
@@ -48,7 +49,7 @@
 
 
 class SuspectsFollower:
-    """Owns the suspected parts that a router knows, and reports what its requests show of them."""
+    """Owns the suspects that a router knows, and reports what its requests show of them."""
 
     name = "suspects"
     accepts = (SuspectUpdate, SuspectRecall)
@@ -60,8 +61,8 @@
         :param controller_ids: returns the controllers that answered recently
         """
         self._controller_ids = controller_ids
-        self._parts = SuspectParts()
-        self._levels = _LevelLog(self._parts)
+        self._record = SuspectRecord()
+        self._levels = _LevelLog(self._record)
         self._was_answered = False
 
     @property
@@ -69,53 +70,60 @@
         """:return: time until the next poll"""
         return POLL_S if self._was_answered else INITIAL_POLL_S
 
-    def judge(self, part_ids: Sequence[str]) -> Verdict:
+    def judge(self, keys: Sequence[str]) -> Verdict:
         """
-        Judge the parts of a prompt.
+        Judge a request.
 
-        :param part_ids: its shared parts
+        :param keys: its shared parts, and its own key
         :return: the gravest verdict
         """
-        return self._parts.judge(part_ids)
+        return self._record.judge(keys)
+
+    def condemned_between_s(self, key: str) -> tuple[float, float]:
+        """
+        Tell for how long the ends of a condemned suspect condemn it.
+
+        :param key: the suspect
+        :return: monotonic times of its newest end, and at which they are forgotten
+        """
+        return self._record.condemned_between_s(key)
 
     def condemned_count(self) -> int:
-        """:return: number of condemned parts"""
-        return self._parts.condemned_count()
+        """:return: number of condemned parts and requests"""
+        return self._record.condemned_count()
 
-    def record_end(
-        self, part_ids: Iterable[str], upstream: str, now_s: float
-    ) -> Iterator[Outgoing]:
+    def record_end(self, keys: Iterable[str], upstream: str, now_s: float) -> Iterator[Outgoing]:
         """
         Record and report that an upstream ended during a request.
 
-        :param part_ids: shared parts of the request, none if its answer was under way
+        :param keys: shared parts and key of the request, none if its answer was under way
         :param upstream: identifies the start of the upstream
         :param now_s: monotonic time
         :return: reports to the controllers
         """
-        is_new = self._parts.merge_ended(upstream, Ended(now_s, survived=False), now_s)
-        changed_ids = self._parts.record_end(part_ids, upstream, now_s)
-        yield from self._report(changed_ids, now_s, (upstream,) if is_new else ())
+        is_new = self._record.merge_ended(upstream, Ended(now_s, survived=False), now_s)
+        changed_keys = self._record.record_end(keys, upstream, now_s)
+        yield from self._report(changed_keys, now_s, (upstream,) if is_new else ())
 
     def record_answer(
-        self, part_ids: Iterable[str], upstream: str, begun_s: float, now_s: float
+        self, keys: Iterable[str], upstream: str, begun_s: float, now_s: float
     ) -> Iterator[Outgoing]:
         """
         Record an answer whose beginning the upstream has outlived; report it if that matters.
 
-        :param part_ids: shared parts of the request
+        :param keys: shared parts and key of the request
         :param upstream: identifies the start of the upstream
         :param begun_s: monotonic time at which the answer began
         :param now_s: monotonic time
         :return: reports to the controllers
         """
-        has_survived = self._parts.record_survival(upstream, begun_s)
-        changed_ids = self._parts.record_answer(part_ids, begun_s)
-        yield from self._report(changed_ids, now_s, (upstream,) if has_survived else ())
+        has_survived = self._record.record_survival(upstream, begun_s)
+        changed_keys = self._record.record_answer(keys, begun_s)
+        yield from self._report(changed_keys, now_s, (upstream,) if has_survived else ())
 
     def handle(self, sender: Sender, message: Any, now_s: float) -> Iterator[Outgoing]:
         """
-        Merge suspected parts, or report all ends to a controller that lacks them.
+        Merge suspects, or report all ends to a controller that lacks them.
 
         :param sender: the controller
         :param message: ``SuspectUpdate`` or ``SuspectRecall``
@@ -125,18 +133,18 @@
         match message:
             case SuspectUpdate(parts, ended):
                 self._was_answered = True
-                _merge_ended(self._parts, ended, now_s)
-                _merge(self._parts, parts, now_s)
+                _merge_ended(self._record, ended, now_s)
+                _merge(self._record, parts, now_s)
                 self._levels.write(part.part_id for part in parts)
-                corrected_ids = _cleared_more(self._parts, parts)
-                if corrected_ids:
-                    report = SuspectReport(_encode(self._parts, corrected_ids, now_s), ())
+                corrected_keys = _cleared_more(self._record, parts)
+                if corrected_keys:
+                    report = SuspectReport(_encode(self._record, corrected_keys, now_s), ())
                     yield Outgoing(sender.host_id, report)
             case SuspectRecall():
-                unsuspected = self._parts.unsuspected()
-                held_ids = [*self._parts.suspected().part_ids, *unsuspected.part_ids]
-                encoded = _encode(self._parts, held_ids, now_s)
-                ended = _encode_ended(self._parts.newest_ended(), now_s)
+                unsuspected = self._record.unsuspected()
+                held_keys = [*self._record.suspected().keys, *unsuspected.keys]
+                encoded = _encode(self._record, held_keys, now_s)
+                ended = _encode_ended(self._record.newest_ended(), now_s)
                 report = SuspectReport(encoded, ended, unsuspected.version)
                 yield Outgoing(sender.host_id, report)
 
@@ -147,23 +155,23 @@
         :param now_s: monotonic time
         :return: polls
         """
-        self._levels.write(self._parts.expire(now_s))
+        self._levels.write(self._record.expire(now_s))
         poll = SuspectPoll(
-            self._parts.suspected().version,
-            self._parts.unsuspected().version,
+            self._record.suspected().version,
+            self._record.unsuspected().version,
             not self._was_answered,
         )
         for controller_id in self._merging_ids():
             yield Outgoing(controller_id, poll)
 
     def _report(
-        self, part_ids: list[str], now_s: float, ended_ids: tuple[str, ...] = ()
+        self, keys: list[str], now_s: float, ended_ids: tuple[str, ...] = ()
     ) -> Iterator[Outgoing]:
-        if not part_ids and not ended_ids:
+        if not keys and not ended_ids:
             return
-        self._levels.write(part_ids)
-        ended = _encode_ended(self._parts.ended(ended_ids), now_s)
-        report = SuspectReport(_encode(self._parts, part_ids, now_s), ended)
+        self._levels.write(keys)
+        ended = _encode_ended(self._record.ended(ended_ids), now_s)
+        report = SuspectReport(_encode(self._record, keys, now_s), ended)
         for controller_id in self._merging_ids():
             yield Outgoing(controller_id, report)
 
@@ -172,7 +180,7 @@
 
 
 class SuspectsPublisher:
-    """Owns the merged ends of a controller, and tells its routers which parts are suspected."""
+    """Owns the merged ends of a controller, and tells its routers of suspects."""
 
     name = "suspects"
     tick_s = 1.0
@@ -180,15 +188,15 @@
 
     def __init__(self) -> None:
         """Start without ends and routers."""
-        self._parts = SuspectParts()
-        self._levels = _LevelLog(self._parts)
+        self._record = SuspectRecord()
+        self._levels = _LevelLog(self._record)
         self._polled_s: dict[str, float] = {}
         self._reported_versions: dict[str, int] = {}
-        """Version of the unsuspected parts in the newest complete report of each router."""
+        """Version of what is not suspected in the newest complete report of each router."""
 
     def condemned_count(self) -> int:
-        """:return: number of condemned parts"""
-        return self._parts.condemned_count()
+        """:return: number of condemned parts and requests"""
+        return self._record.condemned_count()
 
     def handle(self, sender: Sender, message: Any, now_s: float) -> Iterator[Outgoing]:
         """
@@ -197,26 +205,26 @@
         :param sender: the router
         :param message: ``SuspectPoll`` or ``SuspectReport``
         :param now_s: monotonic time
-        :return: suspected parts, and requests for complete reports
+        :return: suspects, and requests for complete reports
         """
         router_id = sender.host_id
         match message:
             case SuspectPoll(version, unsuspected_version, is_first):
                 self._polled_s[router_id] = now_s
-                suspected = self._parts.suspected()
+                suspected = self._record.suspected()
                 is_different = version != suspected.version
                 has_more = unsuspected_version not in (0, self._reported_versions.get(router_id))
                 if has_more or (version and is_different):
                     yield Outgoing(router_id, SuspectRecall())
-                if is_first or (suspected.part_ids and is_different):
-                    yield Outgoing(router_id, self._update(suspected.part_ids, now_s))
+                if is_first or (suspected.keys and is_different):
+                    yield Outgoing(router_id, self._update(suspected.keys, now_s))
             case SuspectReport(unsuspected_version=unsuspected_version):
                 if unsuspected_version:
                     self._reported_versions[router_id] = unsuspected_version
                 yield from self._merge_report(message, now_s)
-                corrected_ids = _cleared_more(self._parts, message.parts)
-                if corrected_ids:
-                    yield Outgoing(router_id, self._update(corrected_ids, now_s))
+                corrected_keys = _cleared_more(self._record, message.parts)
+                if corrected_keys:
+                    yield Outgoing(router_id, self._update(corrected_keys, now_s))
 
     def tick(self, now_s: float) -> Iterator[Outgoing]:
         """
@@ -225,7 +233,7 @@
         :param now_s: monotonic time
         :return: nothing
         """
-        self._levels.write(self._parts.expire(now_s))
+        self._levels.write(self._record.expire(now_s))
         self._polled_s = {
             router_id: polled_s
             for router_id, polled_s in self._polled_s.items()
@@ -239,82 +247,98 @@
         yield from ()
 
     def _merge_report(self, report: SuspectReport, now_s: float) -> Iterator[Outgoing]:
-        has_new_ended = _merge_ended(self._parts, report.ended, now_s)
-        were_suspected = {part.part_id for part in report.parts if self._is_suspected(part.part_id)}
-        changed_ids = _merge(self._parts, report.parts, now_s)
-        self._levels.write(changed_ids)
-        told_ids = [
-            part_id
-            for part_id in changed_ids
-            if part_id in were_suspected or self._is_suspected(part_id)
-        ]
-        if told_ids or (has_new_ended and self._parts.suspected().part_ids):
-            update = self._update(told_ids, now_s)
+        has_new_ended = _merge_ended(self._record, report.ended, now_s)
+        were_urgent = {part.part_id for part in report.parts if self._is_urgent(part.part_id)}
+        changed_keys = _merge(self._record, report.parts, now_s)
+        self._levels.write(changed_keys)
+        told_keys = [key for key in changed_keys if key in were_urgent or self._is_urgent(key)]
+        if told_keys or (has_new_ended and self._has_suspected_part()):
+            update = self._update(told_keys, now_s)
             for router_id in self._polled_s:
                 yield Outgoing(router_id, update)
 
-    def _is_suspected(self, part_id: str) -> bool:
-        return self._parts.count(part_id) >= SUSPECTED_COUNT
+    def _is_urgent(self, key: str) -> bool:
+        """Tell whether routers have to know of a change before their next poll."""
+        match kind_of(key):
+            case SharedPart():
+                return self._record.count(key) >= SUSPECTED_COUNT
+            case WholeRequest():
+                # A power failure leaves many suspected requests that don't come again.
+                return self._record.has_condemned(key)
+
+    def _has_suspected_part(self) -> bool:
+        """Tell whether a verdict depends on which upstreams ended."""
+        return any(kind_of(key) == SharedPart() for key in self._record.suspected().keys)
 
-    def _update(self, part_ids: Iterable[str], now_s: float) -> SuspectUpdate:
-        ended = _encode_ended(self._parts.newest_ended(), now_s)
-        return SuspectUpdate(_encode(self._parts, part_ids, now_s), ended)
+    def _update(self, keys: Iterable[str], now_s: float) -> SuspectUpdate:
+        ended = _encode_ended(self._record.newest_ended(), now_s)
+        return SuspectUpdate(_encode(self._record, keys, now_s), ended)
 
 
 class _LevelLog:
-    """Logs each part that becomes suspected, condemned or sound again."""
+    """Logs each part and request that becomes suspected, condemned or sound again."""
 
-    def __init__(self, parts: SuspectParts) -> None:
-        self._parts = parts
+    def __init__(self, record: SuspectRecord) -> None:
+        self._record = record
         self._verdicts: dict[str, Verdict] = {}
-        """The verdicts of parts that are not sound."""
+        """The verdicts on suspects that are not sound."""
 
-    def write(self, part_ids: Iterable[str]) -> None:
-        for part_id in part_ids:
-            verdict = self._parts.judge((part_id,))
-            if verdict == self._verdicts.get(part_id, Sound()):
+    def write(self, keys: Iterable[str]) -> None:
+        for key in keys:
+            verdict = self._record.judge((key,))
+            if verdict == self._verdicts.get(key, Sound()):
                 continue
-            upstreams = list(self._parts.ends(part_id))
-            match verdict:
-                case Sound():
-                    del self._verdicts[part_id]
-                    _log.info("part cleared", part=part_id, upstreams=upstreams)
-                case Suspected():
-                    self._verdicts[part_id] = verdict
-                    _log.info("part suspected", part=part_id, upstreams=upstreams)
-                case Condemned():
-                    self._verdicts[part_id] = verdict
-                    _log.warning("part condemned", part=part_id, upstreams=upstreams)
-
-
-def _merge(parts: SuspectParts, received: Iterable[SuspectPart], now_s: float) -> list[str]:
+            if verdict == Sound():
+                del self._verdicts[key]
+            else:
+                self._verdicts[key] = verdict
+            self._log(key, verdict)
+
+    def _log(self, key: str, verdict: Verdict) -> None:
+        upstreams = list(self._record.ends(key))
+        match kind_of(key), verdict:
+            case SharedPart(), Sound():
+                _log.info("part cleared", part=key, upstreams=upstreams)
+            case SharedPart(), Suspected():
+                _log.info("part suspected", part=key, upstreams=upstreams)
+            case SharedPart(), Condemned():
+                _log.warning("part condemned", part=key, upstreams=upstreams)
+            case WholeRequest(), Sound():
+                _log.info("request cleared", request_key=key, upstreams=upstreams)
+            case WholeRequest(), Suspected():
+                _log.info("request suspected", request_key=key, upstreams=upstreams)
+            case WholeRequest(), Condemned():
+                _log.warning("request condemned", request_key=key, upstreams=upstreams)
+
+
+def _merge(record: SuspectRecord, received: Iterable[SuspectPart], now_s: float) -> list[str]:
     return [
         part.part_id
         for part in received
-        if parts.merge(part.part_id, _decode_ends(part, now_s), now_s)
+        if record.merge(part.part_id, _decode_ends(part, now_s), now_s)
     ]
 
 
-def _cleared_more(parts: SuspectParts, received: Iterable[SuspectPart]) -> list[str]:
+def _cleared_more(record: SuspectRecord, received: Iterable[SuspectPart]) -> list[str]:
     """List the parts of which the sender counts ends that are known to be cleared."""
     return [
         part.part_id
         for part in received
         if any(
             not end.cleared
-            and end.upstream in parts.ends(part.part_id)
-            and parts.ends(part.part_id)[end.upstream].cleared
+            and end.upstream in record.ends(part.part_id)
+            and record.ends(part.part_id)[end.upstream].cleared
             for end in part.ends
         )
     ]
 
 
-def _merge_ended(parts: SuspectParts, received: Iterable[EndedUpstream], now_s: float) -> bool:
+def _merge_ended(record: SuspectRecord, received: Iterable[EndedUpstream], now_s: float) -> bool:
     """Merge ends of upstreams, and return whether that may change a verdict."""
     is_new = False
     for upstream, age_ms, survived in received:
         ended = Ended(now_s - max(0, age_ms) / 1000, survived)
-        is_new |= parts.merge_ended(upstream, ended, now_s)
+        is_new |= record.merge_ended(upstream, ended, now_s)
     return is_new
 
 
@@ -325,16 +349,16 @@
     }
 
 
-def _encode(parts: SuspectParts, part_ids: Iterable[str], now_s: float) -> tuple[SuspectPart, ...]:
+def _encode(record: SuspectRecord, keys: Iterable[str], now_s: float) -> tuple[SuspectPart, ...]:
     return tuple(
         SuspectPart(
-            part_id,
+            key,
             tuple(
                 SuspectEnd(upstream, _age_ms(end.at_s, now_s), end.cleared)
-                for upstream, end in parts.ends(part_id).items()
+                for upstream, end in record.ends(key).items()
             ),
         )
-        for part_id in part_ids
+        for key in keys
     )
 
 
