--- a/tests/filters/test_place.py
+++ b/tests/filters/test_place.py
@@ -12,12 +12,15 @@
 from structlog.testing import capture_logs
 
 from camphorvalve.controllers.pools import Pools
+from camphorvalve.filters.chain import compose
 from camphorvalve.filters.place import WAIT_RATIO, PlaceFilter
+from camphorvalve.filters.retry import RetryFilter
 from camphorvalve.model.answers import Body, Head
 from camphorvalve.model.errors import RequestError
+from camphorvalve.sharing.budget import RetryBudget
 from camphorvalve.sharing.notices import HoldOff
 from camphorvalve.sharing.routing import RouteTable
-from camphorvalve.upstreams.errors import NoAnswer, NotReached, NotSent
+from camphorvalve.upstreams.errors import Declined, NoAnswer, NotReached, NotSent
 from tests.routebuilders import a_listed_upstream, a_manifest, a_prompt, a_route, a_routed_exchange
 
 if TYPE_CHECKING:
@@ -118,6 +121,28 @@
 
         self.assertEqual(anyio.run(run)[-1], Body(b"yes"))
 
+    def test_repeated_request_returns_to_an_upstream_that_refused_it(self) -> None:
+        """Guards against a request that is lost with an attempt left, because one upstream was
+        given up and the only other one has refused it once."""
+        self.pools.apply([a_listed_upstream("up-1"), a_listed_upstream("up-2")], 0.0)
+        errors = [NoAnswer("up-1", "ReadTimeout"), Declined("up-2", "status 429, not run")]
+
+        async def run_attempt(exchange: Exchange) -> AsyncIterator[Part]:
+            if errors:
+                raise errors.pop(0)
+            async for part in answer(exchange):
+                yield part
+
+        route = a_route(idempotent=True, attempts_count=3)
+        exchange = a_routed_exchange(route, prompt=PROMPT, attempt=0)
+        handler = compose([RetryFilter(RetryBudget()), self.filter], run_attempt)
+
+        async def run() -> list[Part]:
+            async with aclosing(handler(exchange)) as parts:
+                return [part async for part in parts]
+
+        self.assertEqual(anyio.run(run)[-1], Body(b"yes"))
+
     def test_is_rejected_early(self) -> None:
         """Guards against a request that is held until its caller has no time for a retry."""
         self.fill()
