--- a/tests/controllers/test_pools.py
+++ b/tests/controllers/test_pools.py
@@ -6,7 +6,7 @@
 import unittest
 from typing import Any
 
-from camphorvalve.controllers.pools import LOCAL_FIRST_COUNT, Pools
+from camphorvalve.controllers.pools import LOCAL_FIRST_COUNT, MAX_SERVICE_REQUESTS_COUNT, Pools
 from camphorvalve.model.errors import RequestError, Run
 from camphorvalve.model.hosts import HostState
 from camphorvalve.model.routes import Destination
@@ -174,6 +174,51 @@
         exchange = a_routed_exchange(DESK, upstream_id=SERVICES[0].upstream_id)
         self.assertFalse(self.pools.has_alternative(exchange, 0.1))
 
+    def test_one_upstream_is_left(self) -> None:
+        """Guards against requests to upstreams that have ended while another one has room."""
+        for upstream in SERVICES[1:]:
+            self.pools.record_failure(upstream.upstream_id, 0.0, unreachable=True)
+        placed = {self.begin_request(route=DESK) for _ in range(MAX_SERVICE_REQUESTS_COUNT)}
+        self.assertEqual(placed, {"desk-0"})
+
+    def test_repeat_does_not_probe(self) -> None:
+        """Guards against the last attempt at an upstream that failed before and has not succeeded
+        since, while another one has room."""
+        for unreachable in (False, True):
+            with self.subTest(unreachable=unreachable):
+                self.setUp()
+                for upstream in SERVICES[1:]:
+                    for _ in range(2):
+                        self.pools.record_failure(
+                            upstream.upstream_id, 0.0, unreachable=unreachable
+                        )
+                for number in range(2, MAX_SERVICE_REQUESTS_COUNT):
+                    tried = {"desk-1", "desk-2"}
+                    exchange = a_routed_exchange(route=DESK, failed_upstreams=tried)
+                    placement = self.pools.begin(exchange, float(number))
+                    self.assertEqual(placement.upstream.upstream_id, "desk-0")
+
+    def test_repeat_when_all_fail(self) -> None:
+        """Guards against refusing a repeat while an upstream is left that it has not tried."""
+        for upstream in SERVICES:
+            self.pools.record_failure(upstream.upstream_id, 0.0, unreachable=True)
+        tried = {f"desk-{number}" for number in range(3)}
+        exchange = a_routed_exchange(route=DESK, failed_upstreams=tried)
+        self.assertEqual(self.pools.begin(exchange, 0.1).upstream.upstream_id, "desk-3")
+
+    def test_upstream_starts_again(self) -> None:
+        """Guards against leaving out an upstream for what happened before it started again."""
+        for number in range(4):
+            self.pools.record_failure("desk-1", 8.0 * number, unreachable=True)
+        others = [upstream for upstream in SERVICES if upstream.upstream_id != "desk-1"]
+        started = SERVICES[1]._replace(started_ms=1_790_000_000_000)
+        self.pools.apply([*UPSTREAMS, *others, started], 25.0)
+        placed = {
+            self.pools.begin(a_routed_exchange(route=DESK), 25.0).upstream.upstream_id
+            for _ in SERVICES
+        }
+        self.assertIn("desk-1", placed)
+
     def test_end(self) -> None:
         """Guards against requests that count as running after they have ended."""
         exchange = a_routed_exchange(prompt=a_prompt("a", "own", tokens_count=13_000))
