--- a/tests/processes/test_crashes.py
+++ b/tests/processes/test_crashes.py
@@ -17,7 +17,7 @@
 
 from tests.processes.joinedcase import ROUTERS, start_fleet
 from tests.processes.keptcallers import CallerFleet, run_callers
-from tests.processes.secondresponses import a_document
+from tests.routebuilders import a_document_of_all_kinds
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
@@ -43,7 +43,7 @@
             await self.workers.start(worker_id)
         self.fleet = JoinedFleet(folder, list_url)
         self.stack.push_async_callback(self.fleet.close)
-        await start_fleet(self.fleet, ROUTERS, a_document(5))
+        await start_fleet(self.fleet, ROUTERS, a_document_of_all_kinds(5))
 
     async def assert_no_refusals(self, fault: Callable[[], Awaitable[None]]) -> None:
         """Run callers beside a fault, and check that none is asked to come back."""
