--- a/src/camphorvalve/filters/standby.py
+++ b/src/camphorvalve/filters/standby.py
@@ -103,7 +103,7 @@
         exchange: Exchange,
         inner: Handler,
         take_retry: Callable[[Exchange], bool],
-        on_alone: Callable[[Exchange], None],
+        on_silence: Callable[[Exchange], None],
     ) -> None:
         """
         Watch a request.
@@ -111,7 +111,7 @@
         :param exchange: the request
         :param inner: the filters behind the retries
         :param take_retry: takes a retry for the request if it may have one now
-        :param on_alone: called once for each attempt whose upstream is silent without a standby
+        :param on_silence: called once for each attempt whose upstream is silent and gets no standby
         """
         self.standby: Standby | None = None
         self._exchange = exchange
@@ -119,11 +119,11 @@
         """State of the attempt that runs, which may have been a standby."""
         self._inner = inner
         self._take_retry = take_retry
-        self._on_alone = on_alone
+        self._on_silence = on_silence
         self._is_reported = False
-        """Whether ``on_alone`` was called for the running attempt."""
+        """Whether ``on_silence`` was called for the running attempt."""
         self._is_refused = False
-        """Whether a standby was refused by this router, for a reason that stays."""
+        """Whether this router has refused a standby of the running attempt."""
         self._next_start_s = 0.0
         """Monotonic time before which no standby is considered."""
 
@@ -188,7 +188,7 @@
         if self._is_refused or not can_continue or not self._take_retry(exchange):
             if not self._is_reported:
                 self._is_reported = True
-                self._on_alone(exchange)
+                self._on_silence(exchange)
             return
         _log.info(
             "standby attempt started",
