Share the check for processes that end by themselves between two trials

The trials of silent upstreams and of second responses held the same check. Both call own_ends now; what they find stays the same.

tests.processes: test_silence_beside_faults, test_second_responses, test_silencechecks and test_responsechecks pass (11 tests), ruff passes.

--- a/tests/processes/secondresponses.py
+++ b/tests/processes/secondresponses.py
@@ -24,7 +24,7 @@
 from tests.routebuilders import a_document_of_all_kinds
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator, Awaitable, Callable, Iterator
+    from collections.abc import AsyncIterator, Awaitable, Callable, Iterator, Sequence
 
 CODE_FOLDER = Path(os.environ.get("CAMPHORVALVE_CODE", ROOT))
 """Checkout whose code the processes of the fleet run."""
@@ -96,11 +96,7 @@
         faults = ProcessFaults(trial, fleet, workers, routers)
         async with faults.played() if trial.has_process_faults else contextlib.nullcontext():
             await run_callers(callers, trial.callers_count, trial.seed, trial.duration_s)
-        ended = [
-            f"LOST: {name} ended by itself with code {fleet.process(name).returncode}"
-            for name in [*routers, *CONTROLLERS]
-            if fleet.process(name).returncode is not None
-        ]
+        ended = own_ends(fleet, [*routers, *CONTROLLERS])
         lines = [*faults.findings, *ended, *findings(callers.received, workers.record)]
         if lines and (kept := os.environ.get("CAMPHORVALVE_KEEP_LOGS")):
             keep_logs(folder, Path(kept) / f"seed-{trial.seed}", lines)
@@ -112,6 +108,15 @@
         )
 
 
+def own_ends(fleet: JoinedFleet, names: Sequence[str]) -> list[str]:
+    """Return a finding for each process that has ended although nobody ended it."""
+    return [
+        f"LOST: {name} ended by itself with code {fleet.process(name).returncode}"
+        for name in names
+        if fleet.process(name).returncode is not None
+    ]
+
+
 class ProcessFaults:
     """Series of faults that overlap each other and the load."""
 
@@ -275,4 +280,4 @@
     yield from result.findings
 
 
-__all__ = ["Trial", "TrialResult", "a_trial", "keep_logs", "result_lines", "run_trial"]
+__all__ = ["Trial", "TrialResult", "a_trial", "keep_logs", "own_ends", "result_lines", "run_trial"]
--- a/tests/processes/silentupstreams.py
+++ b/tests/processes/silentupstreams.py
@@ -18,7 +18,7 @@
 
 from tests.processes.joinedcase import CONTROLLERS, start_fleet
 from tests.processes.keptcallers import CallerFleet, run_callers
-from tests.processes.secondresponses import CODE_FOLDER, keep_logs
+from tests.processes.secondresponses import CODE_FOLDER, keep_logs, own_ends
 from tests.processes.silencechecks import Bounds, Stop, silence_findings, silence_summary
 from tests.routebuilders import a_document_of_all_kinds
 
@@ -98,11 +98,7 @@
         )
         await planned.play_beside(callers)
         bounds = Bounds(trial.timeout_ms / 1000, trial.attempts_count, tuple(planned.stops))
-        ended = [
-            f"LOST: {name} ended by itself with code {fleet.process(name).returncode}"
-            for name in [*routers, *CONTROLLERS]
-            if fleet.process(name).returncode is not None
-        ]
+        ended = own_ends(fleet, [*routers, *CONTROLLERS])
         found = silence_findings(callers.received, workers.record, bounds)
         lines = [*planned.findings, *ended, *found]
         counts = silence_summary(callers.received, workers.record)
