Log the software version of each upstream

Routers get it with the list and write it with 'upstream listed'. Nothing is decided by it.

tests.platform, test_listing and test_pools pass.

--- a/src/camphorvalve/controllers/listing.py
+++ b/src/camphorvalve/controllers/listing.py
@@ -286,6 +286,7 @@
         is_engine,
         upstream.state is HostState.LEAVING,
         upstream.started_ms,
+        upstream.software,
     )
 
 
@@ -299,6 +300,7 @@
         ModelEngine(IgnoresFencing()) if listed.is_engine else PlainService(),
         HostState.LEAVING if listed.leaving else HostState.LIVE,
         listed.started_ms,
+        listed.software,
     )
 
 
--- a/src/camphorvalve/controllers/pools.py
+++ b/src/camphorvalve/controllers/pools.py
@@ -165,6 +165,7 @@
                     pool=upstream.pool,
                     url=upstream.url,
                     state=upstream.state.value,
+                    software=upstream.software,
                 )
         for removed_id in previous.keys() - self._upstreams.keys():
             _log.info("upstream gone", upstream_id=removed_id, pool=previous[removed_id].pool)
--- a/src/camphorvalve/model/upstreams.py
+++ b/src/camphorvalve/model/upstreams.py
@@ -49,6 +49,9 @@
     state: HostState
     started_ms: int | None = None
     """Unix time of its start, ``None`` if unknown; it may start again under the same id."""
+    software: str | None = None
+    """Version of its software, ``None`` if unknown. A stream goes on only at the version that began
+    it."""
 
 
 class UpstreamList(NamedTuple):
--- a/src/camphorvalve/wire/messages.py
+++ b/src/camphorvalve/wire/messages.py
@@ -239,6 +239,8 @@
     leaving: bool
     started_ms: int | None = None
     """Unix time of its start, ``None`` if unknown."""
+    software: str | None = None
+    """Version of its software, ``None`` if unknown."""
 
 
 class ListUpdate(NamedTuple):
--- a/tests/platform/test_instances.py
+++ b/tests/platform/test_instances.py
@@ -67,6 +67,8 @@
         self.assertEqual(
             (upstreams[0].pool, upstreams[0].url), ("engines", "http://10.128.0.9:8080")
         )
+        # The models of the entry have versions of their weights.
+        self.assertEqual(upstreams[0].software, "v1")
 
     def test_bad_entries(self) -> None:
         """Guards against losing valid entries because of an invalid one."""
