--- /dev/null
+++ b/tests/processes/test_versions.py
@@ -0,0 +1,120 @@
+"""Guards against streams that are joined from workers of two software versions."""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+from typing import TYPE_CHECKING
+
+import httpx
+
+from tests.processes.joinedcase import ROUTERS, JoinedFleetCase
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+STREAMS_COUNT = 8
+EVENTS_COUNT = 6
+EVENT_PAUSE_S = 0.05
+HEADERS = {
+    "deadline_ms": "4000",
+    "token_count": "100,10",
+    "prompt_prefix": "a:50,b:50",
+}
+
+
+class VersionsTest(JoinedFleetCase):
+    async def asyncSetUp(self) -> None:
+        await super().asyncSetUp()
+        self.workers.events_count = EVENTS_COUNT
+        self.workers.event_pause_s = EVENT_PAUSE_S
+        self.workers.set_version("i-2", "v2")
+        for router in ROUTERS:
+            await self.fleet.wait_until(lambda router=router: self.lists_version(router, "v2"))
+
+    async def lists_version(self, router: str, version: str) -> bool:
+        return any(line["software"] == version for line in self.logged(router, "upstream listed"))
+
+    def ran_by(self, request_id: str) -> list[str]:
+        return [run.worker_id for run in self.workers.runs if run.request_id == request_id]
+
+    async def begin_streams(self, router: str) -> dict[str, str]:
+        """Read some streams at once; returns the worker of each by the id of its request."""
+        ids = [f"first-{number}" for number in range(STREAMS_COUNT)]
+        answers = await asyncio.gather(
+            *(self.call(f"/stream/{id_}", router, attempt_id=id_, **HEADERS) for id_ in ids)
+        )
+        self.assertEqual({answer.status_code for answer in answers}, {200})
+        begun = {id_: self.ran_by(id_)[0] for id_ in ids}
+        self.assertEqual(set(begun.values()), {"i-1", "i-2"})
+        return begun
+
+    async def take_up(self, first_id: str, router: str) -> str:
+        """Take a stream up after its second event; returns the id of the request."""
+        request_id = f"again-{first_id}-{router}"
+        answer = await self.call(
+            f"/stream/{first_id}",
+            router,
+            attempt_id=request_id,
+            resumes=first_id,
+            last_event_id="2",
+            **HEADERS,
+        )
+        self.assertEqual(answer.status_code, 200, answer.text)
+        numbers = [line for line in answer.text.splitlines() if line.startswith("id: ")]
+        self.assertEqual(numbers, [f"id: {number}" for number in range(3, EVENTS_COUNT + 1)])
+        return request_id
+
+    async def assert_go_on(self, begun: dict[str, str], routers: Iterable[str]) -> None:
+        for router in routers:
+            for first_id, worker_id in begun.items():
+                request_id = await self.take_up(first_id, router)
+                self.assertEqual(self.ran_by(request_id), [worker_id])
+
+    async def test_break_inside_one_answer(self) -> None:
+        """Guards against a stream that another version goes on with in the same answer."""
+        for number in range(4):
+            self.workers.cut_after = 1
+            with self.assertRaises(httpx.RemoteProtocolError):
+                await self.call(f"/stream/{number}", attempt_id=f"cut-{number}", **HEADERS)
+            self.assertEqual(len(self.ran_by(f"cut-{number}")), 1)
+
+    async def test_taken_up_at_another_router(self) -> None:
+        """Guards against a take-up at a router that did not begin the stream."""
+        await self.assert_go_on(await self.begin_streams("router-1"), ROUTERS)
+
+    async def test_all_routers_lost(self) -> None:
+        """Guards against versions that are forgotten when all routers are killed at once."""
+        begun = await self.begin_streams("router-1")
+        await asyncio.gather(*(self.fleet.stop(router) for router in ROUTERS))
+        for router in ROUTERS:
+            await self.fleet.start(router)
+        for router in ROUTERS:
+            await self.fleet.wait_until(lambda router=router: self.fleet.is_ready(router))
+        await self.assert_go_on(begun, ROUTERS)
+
+    async def test_version_gone(self) -> None:
+        """Guards against a version that goes on with a stream because the first one has left."""
+        begun = await self.begin_streams("router-1")
+        first_id = next(id_ for id_, worker_id in begun.items() if worker_id == "i-1")
+        self.workers.remove("i-1")
+        for router in ROUTERS:
+            await self.fleet.wait_until(lambda router=router: self.lost_a_worker(router))
+            answer = await self.call(
+                f"/stream/{first_id}",
+                router,
+                attempt_id=f"again-{router}",
+                resumes=first_id,
+                last_event_id="2",
+                **HEADERS,
+            )
+            self.assertEqual(answer.status_code, 503)
+            self.assertLess(float(answer.headers["retry-after"]), 1.0)
+            self.assertEqual(self.ran_by(f"again-{router}"), [])
+
+    async def lost_a_worker(self, router: str) -> bool:
+        return bool(self.logged(router, "upstream gone"))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tools/standins/karrilane.py
+++ b/tools/standins/karrilane.py
@@ -75,6 +75,15 @@
             "models": [{"name": "m"}],
         }
 
+    def set_version(self, worker_id: str, version: str) -> None:
+        """
+        List a worker with another version of its software.
+
+        :param worker_id: id of the worker
+        :param version: the version
+        """
+        self._entries[worker_id]["version"] = version
+
     def remove(self, worker_id: str) -> None:
         """
         Remove a worker from the list.
