--- a/src/camphorvalve/controllers/listing.py
+++ b/src/camphorvalve/controllers/listing.py
@@ -14,6 +14,7 @@
 from camphorvalve.model.upstreams import IgnoresFencing, ModelEngine, PlainService, Upstream
 from camphorvalve.sharing.notices import LeavingMarks
 from camphorvalve.sharing.placement import ranked
+from camphorvalve.sharing.versions import VersionHistory
 from camphorvalve.wire.messages import ListedUpstream, ListPoll, ListUnchanged, ListUpdate
 
 if TYPE_CHECKING:
@@ -22,6 +23,7 @@
 
     from camphorvalve.controllers.runtime import Sender
     from camphorvalve.model.upstreams import UpstreamList
+    from camphorvalve.wire.messages import VersionReport
 
 LIST_KEY = "list of upstreams"
 """Key by which rendezvous hashing selects the controllers that read the list."""
@@ -82,6 +84,7 @@
         self._rng = rng
         self._version = 0
         self._read_s = now_s
+        self.versions = VersionHistory()
         self._self_read_age_s = SELF_READ_AGE_S + SELF_READ_JITTER_S * rng.random()
 
     @property
@@ -125,10 +128,13 @@
         :return: nothing
         """
         match message:
-            case ListUpdate(version, age_s, upstreams) if self._is_current(now_s - age_s):
+            case ListUpdate(version, age_s, upstreams, history) if self._is_current(now_s - age_s):
                 self._use_list(version, upstreams, max(self._read_s, now_s - age_s))
-            case ListUnchanged(version, age_s) if version == self._version:
+                self._merge_history(history, now_s)
+            case ListUnchanged(version, age_s, history) if version == self._version:
                 self._read_s = max(self._read_s, now_s - age_s)
+                self.versions.confirm(self._read_s)
+                self._merge_history(history, now_s)
                 self._on_confirmation(self._read_s)
         yield from ()
 
@@ -142,7 +148,8 @@
         count = 2 if now_s - self._read_s > SECOND_CONTROLLER_AGE_S else 1
         leaving = tuple(islice(self._leaving_ids(), MAX_LEAVING_COUNT))
         for controller_id in ranked(LIST_KEY, self._controller_ids())[:count]:
-            yield Outgoing(controller_id, ListPoll(self._version, leaving))
+            history = self.versions.report(now_s) if self._version else None
+            yield Outgoing(controller_id, ListPoll(self._version, leaving, history))
 
     def _is_current(self, read_s: float) -> bool:
         # The same list is sent again when an upstream is found to be leaving.
@@ -151,8 +158,13 @@
     def _use_list(self, version: int, listed: tuple[ListedUpstream, ...], read_s: float) -> None:
         self._version = version
         self._read_s = read_s
+        self.versions.apply(listed, read_s)
         self._on_list(map(_decode, listed), read_s)
 
+    def _merge_history(self, history: VersionReport | None, now_s: float) -> None:
+        if history is not None:
+            self.versions.merge(history, now_s)
+
 
 class ListPublisher:
     """Owns the list that a controller has read, and tracks the routers that poll for it."""
@@ -174,6 +186,7 @@
         """The list as it is sent, with these upstreams as leaving."""
         self._version = 0
         self._read_s = 0.0
+        self._versions = VersionHistory()
         self.skipped_count = 0
         """Entries of the list read last that could not be used."""
 
@@ -197,6 +210,7 @@
         self.skipped_count = upstream_list.skipped_count
         self._read = tuple(map(_encode, upstream_list.upstreams))
         self._read_s = now_s
+        self._versions.apply(self._read, now_s)
         self._leaving.apply_list(self._read, now_s)
         self._mark_leaving()
         for router_id in self._polled_s:
@@ -214,6 +228,8 @@
         is_new = sender.host_id not in self._polled_s
         self._polled_s[sender.host_id] = now_s
         self._router_versions[sender.host_id] = message.version
+        if message.history is not None and message.version == self._version:
+            self._versions.merge(message.history, now_s)
         if message.leaving:
             self._record_leaving(sender.host_id, message.leaving, now_s)
         is_outdated = message.version != self._version
@@ -260,9 +276,10 @@
 
     def _answer(self, router_id: str, now_s: float) -> Outgoing:
         age_s = now_s - self._read_s
+        history = self._versions.report(now_s)
         if self._router_versions.get(router_id) == self._version:
-            return Outgoing(router_id, ListUnchanged(self._version, age_s))
-        return Outgoing(router_id, ListUpdate(self._version, age_s, self._listed))
+            return Outgoing(router_id, ListUnchanged(self._version, age_s, history))
+        return Outgoing(router_id, ListUpdate(self._version, age_s, self._listed, history))
 
 
 def _content_version(listed: tuple[ListedUpstream, ...]) -> int:
--- /dev/null
+++ b/src/camphorvalve/controllers/origins.py
@@ -0,0 +1,300 @@
+"""Where streams began: routers keep it, and tell controllers while a pool has two versions."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+import anyio
+import structlog
+
+from camphorvalve.controllers.runtime import Outgoing
+from camphorvalve.model.requests import StreamOrigin
+from camphorvalve.sharing.origins import MAX_KEPT_S, OriginRecord
+from camphorvalve.sharing.placement import ranked
+from camphorvalve.wire.messages import (
+    OriginGroup,
+    OriginQuery,
+    OriginRecall,
+    OriginReply,
+    OriginReport,
+)
+
+if TYPE_CHECKING:
+    import random
+    from collections.abc import Callable, Iterable, Iterator
+
+    from camphorvalve.controllers.runtime import Sender
+    from camphorvalve.sharing.origins import KeptOrigin
+
+KEEPERS_COUNT = 2
+"""Controllers that keep the streams of one router."""
+MAX_GROUP_COUNT = 1000
+"""Most streams in one report."""
+
+_log = structlog.get_logger(__name__)
+
+
+class OriginQuestion:
+    """A question to all controllers where a stream began, until it is closed."""
+
+    def __init__(self, query: OriginQuery, controller_ids: Iterable[str]) -> None:
+        """
+        Open a question.
+
+        :param query: sent to each controller
+        :param controller_ids: the controllers that are asked
+        """
+        self.query = query
+        self.origin: StreamOrigin | None = None
+        """Where the stream began, by the first controller that knows it."""
+        self.settled = anyio.Event()
+        """Set when a controller knows the stream, or none of them does."""
+        self._unanswered = set(controller_ids)
+        self._has_answer = False
+
+    @property
+    def is_denied(self) -> bool:
+        """:return: whether a controller that keeps the stream has answered that it isn't known"""
+        return self.origin is None and self._has_answer and len(self._unanswered) < KEEPERS_COUNT
+
+    def queries(self) -> list[Outgoing]:
+        """:return: the query for each controller that has not answered"""
+        return [Outgoing(controller_id, self.query) for controller_id in self._unanswered]
+
+    def add(self, controller_id: str, origin: StreamOrigin | None) -> None:
+        """
+        Add an answer.
+
+        :param controller_id: the controller
+        :param origin: where the stream began, if the controller knows it
+        """
+        self._has_answer = True
+        self._unanswered.discard(controller_id)
+        self.origin = self.origin or origin
+        if origin is not None or not self._unanswered:
+            self.settled.set()
+
+
+class OriginsFollower:
+    """Owns where the streams of a router began, and asks the controllers about those of others."""
+
+    name = "origins"
+    tick_s = 0.5
+    accepts = (OriginReply, OriginRecall)
+
+    def __init__(
+        self,
+        router_id: str,
+        controller_ids: Callable[[], Iterable[str]],
+        is_in_doubt: Callable[[str, float], bool],
+        rng: random.Random,
+    ) -> None:
+        """
+        Start without streams.
+
+        :param router_id: id of this router
+        :param controller_ids: returns the controllers that answered recently
+        :param is_in_doubt: tells whether a pool may have had two versions lately, at a time
+        :param rng: source of the first id of the queries
+        """
+        self._router_id = router_id
+        self._controller_ids = controller_ids
+        self._is_in_doubt = is_in_doubt
+        self._record = OriginRecord()
+        self._told_pools: dict[str, frozenset[str]] = {}
+        """Pools whose streams each controller has been told."""
+        # Answers to a former process under this id must not match.
+        self._next_query_id = rng.getrandbits(48)
+        self._questions: dict[int, OriginQuestion] = {}
+
+    def record(
+        self,
+        key: int,
+        origin: StreamOrigin,
+        until_s: float,
+        now_s: float,
+        *,
+        is_split: bool = False,
+    ) -> Iterator[Outgoing]:
+        """
+        Record where a stream began, once the caller gets a part of it.
+
+        :param key: from ``stream_key``
+        :param origin: where it began
+        :param until_s: monotonic time until which it may be taken up
+        :param now_s: monotonic time
+        :param is_split: whether streams of its route begin at several pools
+        :return: reports, if another router could not tell where it began
+        """
+        self._record.add(key, origin, until_s, now_s)
+        kept = self._record.find(key, now_s)
+        if kept is not None and (is_split or self._is_in_doubt(origin.pool, now_s)):
+            for report in _reports([(key, kept)], now_s):
+                for controller_id in self._keeper_ids():
+                    yield Outgoing(controller_id, report)
+
+    def find(self, key: int, now_s: float) -> KeptOrigin | None:
+        """
+        Look a stream up among those that this router knows.
+
+        :param key: from ``stream_key``
+        :param now_s: monotonic time
+        :return: where it began, ``None`` if this router does not know
+        """
+        return self._record.find(key, now_s)
+
+    def ask(self, key: int) -> OriginQuestion:
+        """
+        Open a question about a stream to all controllers.
+
+        :param key: from ``stream_key``
+        :return: the question, whose queries have to be sent; passed to ``close`` in the end
+        """
+        query = OriginQuery(self._next_query_id, key)
+        self._next_query_id += 1
+        question = OriginQuestion(query, self._controller_ids())
+        self._questions[query.query_id] = question
+        return question
+
+    def close(self, question: OriginQuestion) -> None:
+        """
+        Ignore further answers.
+
+        :param question: from ``ask``
+        """
+        self._questions.pop(question.query.query_id, None)
+
+    def streams_count(self) -> int:
+        """:return: number of streams that this router knows"""
+        return len(self._record)
+
+    def handle(self, sender: Sender, message: Any, now_s: float) -> Iterator[Outgoing]:
+        """
+        Pass an answer to the question that waits for it, or tell a controller all streams again.
+
+        :param sender: the controller
+        :param message: ``OriginReply`` or ``OriginRecall``
+        :param now_s: monotonic time
+        :return: nothing; reports follow with the next tick
+        """
+        match message:
+            case OriginReply(query_id, is_known, pool, software):
+                question = self._questions.get(query_id)
+                if question is not None:
+                    question.add(sender.host_id, StreamOrigin(pool, software) if is_known else None)
+            case OriginRecall():
+                self._told_pools.pop(sender.host_id, None)
+        yield from ()
+
+    def tick(self, now_s: float) -> Iterator[Outgoing]:
+        """
+        Forget ended streams, and tell those of pools in doubt to controllers that lack them.
+
+        :param now_s: monotonic time
+        :return: reports
+        """
+        self._record.expire(now_s)
+        kept = list(self._record.all(now_s))
+        pools = {stream.origin.pool for _, stream in kept if stream.origin is not None}
+        in_doubt = frozenset(pool for pool in pools if self._is_in_doubt(pool, now_s))
+        told_pools = self._told_pools
+        self._told_pools = dict.fromkeys(self._keeper_ids(), in_doubt)
+        for controller_id in list(self._told_pools):
+            untold = in_doubt - told_pools.get(controller_id, frozenset())
+            streams = [
+                (key, stream)
+                for key, stream in kept
+                if stream.origin is not None and stream.origin.pool in untold
+            ]
+            if streams:
+                _log.info(
+                    "streams told to a controller",
+                    controller_id=controller_id,
+                    pools=sorted(untold),
+                    streams_count=len(streams),
+                )
+            for report in _reports(streams, now_s, is_whole=True):
+                yield Outgoing(controller_id, report)
+
+    def _keeper_ids(self) -> list[str]:
+        # Ranked for each router, so that all controllers bear a part.
+        key = f"streams of {self._router_id}"
+        return ranked(key, self._controller_ids())[:KEEPERS_COUNT]
+
+
+class OriginsKeeper:
+    """Owns where streams of the routers began, for routers at which callers take them up."""
+
+    name = "origins"
+    tick_s = 1.0
+    accepts = (OriginReport, OriginQuery)
+
+    def __init__(self) -> None:
+        """Start without streams."""
+        self._record = OriginRecord()
+        self._heard_s: dict[str, float] = {}
+        """When each router has reported last."""
+
+    def streams_count(self) -> int:
+        """:return: number of streams that may be taken up"""
+        return len(self._record)
+
+    def handle(self, sender: Sender, message: Any, now_s: float) -> Iterator[Outgoing]:
+        """
+        Keep the streams of a report, or answer a query.
+
+        :param sender: the router
+        :param message: ``OriginReport`` or ``OriginQuery``
+        :param now_s: monotonic time
+        :return: the answer to a query; a recall to a router whose earlier streams may be missing
+        """
+        match message:
+            case OriginReport(groups):
+                if sender.host_id not in self._heard_s and not message.is_whole:
+                    yield Outgoing(sender.host_id, OriginRecall())
+                self._heard_s[sender.host_id] = now_s
+                for pool, software, streams in groups:
+                    origin = StreamOrigin(pool, software)
+                    for key, left_ms in streams:
+                        self._record.add(key, origin, now_s + left_ms / 1000, now_s)
+            case OriginQuery(query_id, key):
+                kept = self._record.find(key, now_s)
+                if kept is None or kept.origin is None:
+                    yield Outgoing(sender.host_id, OriginReply(query_id, is_known=False))
+                else:
+                    pool, software = kept.origin
+                    reply = OriginReply(query_id, is_known=True, pool=pool, software=software)
+                    yield Outgoing(sender.host_id, reply)
+
+    def tick(self, now_s: float) -> Iterator[Outgoing]:
+        """
+        Forget streams that can't be taken up any more.
+
+        :param now_s: monotonic time
+        :return: nothing
+        """
+        self._record.expire(now_s)
+        self._heard_s = {
+            router_id: heard_s
+            for router_id, heard_s in self._heard_s.items()
+            if now_s - heard_s <= MAX_KEPT_S
+        }
+        yield from ()
+
+
+def _reports(
+    streams: Iterable[tuple[int, KeptOrigin]], now_s: float, *, is_whole: bool = False
+) -> Iterator[OriginReport]:
+    """Encode streams as reports of bounded size."""
+    by_origin: dict[StreamOrigin, list[tuple[int, int]]] = {}
+    for key, (origin, until_s) in streams:
+        if origin is not None:
+            left_ms = int(1000 * (until_s - now_s))
+            by_origin.setdefault(origin, []).append((key, left_ms))
+    for (pool, software), entries in by_origin.items():
+        for start in range(0, len(entries), MAX_GROUP_COUNT):
+            part = tuple(entries[start : start + MAX_GROUP_COUNT])
+            yield OriginReport((OriginGroup(pool, software, part),), is_whole)
+
+
+__all__ = ["OriginQuestion", "OriginsFollower", "OriginsKeeper"]
--- a/src/camphorvalve/controllers/pools.py
+++ b/src/camphorvalve/controllers/pools.py
@@ -29,7 +29,7 @@
     import random
     from collections.abc import Callable, Iterable, Sequence, Set
 
-    from camphorvalve.model.requests import Exchange
+    from camphorvalve.model.requests import Exchange, StreamOrigin
     from camphorvalve.model.upstreams import Upstream
     from camphorvalve.sharing.notices import Notice
     from camphorvalve.sharing.routing import RouteTable
@@ -216,7 +216,7 @@
         pool = exchange.parameters.pool
         usable = self._usable(exchange, exchange.failed_upstreams, now_s)
         if not usable:
-            listed = self._by_pool.get(pool, [])
+            listed = self._listed(exchange)
             message = f"pool {pool!r}: {len(listed)} upstreams are listed and none may be used"
             left_s = self.hold_off_left_s(exchange, now_s)
             raise RequestError("no_upstream", message, retry_after_s=left_s or RETRY_AFTER_S)
@@ -244,6 +244,18 @@
         ]
         return bool(others) and self._choose(exchange, exchange.parameters.pool, others) is not None
 
+    def has_version(self, origin: StreamOrigin) -> bool:
+        """
+        Tell whether a stream can go on.
+
+        :param origin: where it began
+        :return: whether an upstream of that version is listed that is not leaving
+        """
+        return any(
+            self._upstreams[upstream_id].software == origin.software
+            for upstream_id in self._by_pool.get(origin.pool, [])
+        )
+
     def has_reachable(self, exchange: Exchange) -> bool:
         """
         Tell whether a request has not yet tried an upstream that may be reached.
@@ -254,7 +266,7 @@
         return any(
             upstream_id not in exchange.failed_upstreams
             and not self._ejections.is_unreachable(upstream_id)
-            for upstream_id in self._by_pool.get(exchange.parameters.pool, [])
+            for upstream_id in self._listed(exchange)
         )
 
     def end(self, placement: Placement) -> None:
@@ -371,14 +383,26 @@
         :param now_s: monotonic time
         :return: time left in seconds, ``None`` if no upstream that it may use asked for one
         """
-        listed = self._by_pool.get(exchange.parameters.pool, [])
+        listed = self._listed(exchange)
         untried = [
             upstream_id for upstream_id in listed if upstream_id not in exchange.failed_upstreams
         ]
         return self._notices.hold_off_left_s(untried, now_s)
 
-    def _usable(self, exchange: Exchange, tried: Set[str], now_s: float) -> Sequence[str]:
+    def _listed(self, exchange: Exchange) -> Sequence[str]:
+        """Return the upstreams of a request's pool; those that began its stream, if it has one."""
         listed = self._by_pool.get(exchange.parameters.pool, [])
+        origin = exchange.origin
+        if origin is None:
+            return listed
+        return [
+            upstream_id
+            for upstream_id in listed
+            if self._upstreams[upstream_id].software == origin.software
+        ]
+
+    def _usable(self, exchange: Exchange, tried: Set[str], now_s: float) -> Sequence[str]:
+        listed = self._listed(exchange)
         open_ids = self._notices.usable(listed, now_s)
         untried = [upstream_id for upstream_id in open_ids if upstream_id not in tried]
         return self._ejections.usable(untried, now_s, may_probe=not tried)
--- a/src/camphorvalve/filters/place.py
+++ b/src/camphorvalve/filters/place.py
@@ -11,7 +11,7 @@
 
 from camphorvalve.model.answers import Body
 from camphorvalve.model.errors import RequestError
-from camphorvalve.model.requests import Stage
+from camphorvalve.model.requests import Stage, StreamOrigin
 from camphorvalve.upstreams.errors import Declined, Misdirected, NotReached, NotSent, UpstreamError
 
 if TYPE_CHECKING:
@@ -21,6 +21,7 @@
     from camphorvalve.filters.chain import Handler
     from camphorvalve.model.answers import Part
     from camphorvalve.model.requests import Exchange
+    from camphorvalve.model.upstreams import Upstream
 
 _log = structlog.get_logger(__name__)
 
@@ -100,6 +101,9 @@
                 async for part in parts:
                     if not placement.has_started and isinstance(part, Body):
                         now_s = time.monotonic()
+                        if exchange.streams and exchange.origin is None:
+                            # Set before the caller has the part, so that nothing else goes on.
+                            exchange.origin = origin_of(placement.upstream)
                         objective_s = exchange.parameters.objective_s
                         self._pools.record_answer_start(
                             placement, objective_s, now_s - sent_s, now_s
@@ -157,4 +161,14 @@
         return self._pools.hold_off_left_s(exchange, now_s) if exchange.may_have_run else None
 
 
-__all__ = ["PlaceFilter"]
+def origin_of(upstream: Upstream) -> StreamOrigin:
+    """
+    Return the origin of streams that begin at an upstream.
+
+    :param upstream: the upstream
+    :return: its pool and software version
+    """
+    return StreamOrigin(upstream.pool, upstream.software)
+
+
+__all__ = ["PlaceFilter", "origin_of"]
--- /dev/null
+++ b/src/camphorvalve/filters/resume.py
@@ -0,0 +1,216 @@
+"""Filter that lets a stream go on only at the pool and software version that began it."""
+
+from __future__ import annotations
+
+import time
+from contextlib import aclosing
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+import anyio
+import structlog
+
+from camphorvalve.model.answers import Body
+from camphorvalve.model.errors import RequestError
+from camphorvalve.model.requests import RoutedCall, StreamOrigin, TakeUp
+from camphorvalve.sharing.origins import TAKE_UP_S, stream_key
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator, Callable, Iterable
+
+    from camphorvalve.controllers.origins import OriginQuestion, OriginsFollower
+    from camphorvalve.controllers.pools import Pools
+    from camphorvalve.controllers.runtime import Outgoing
+    from camphorvalve.filters.chain import Handler
+    from camphorvalve.model.answers import Part
+    from camphorvalve.model.requests import Exchange
+
+QUERY_INTERVAL_S = 0.15
+"""Time after which controllers are asked again that have not answered: a connection that was reset
+is back by then."""
+QUERIES_COUNT = 4
+BEGIN_ANEW_S = 0.05
+"""Delay after which a caller whose stream cannot go on may send the request anew."""
+
+_log = structlog.get_logger(__name__)
+
+
+@dataclass(frozen=True, slots=True)
+class Known:
+    """The stream began there."""
+
+    origin: StreamOrigin
+    source: str
+    """Who says so: ``router``, ``controllers`` or ``list``."""
+
+
+@dataclass(frozen=True, slots=True)
+class Unknown:
+    """Nothing tells where the stream began."""
+
+    reason: str
+
+
+Finding = Known | Unknown
+
+
+class ResumeFilter:
+    """Finds where a stream began that a caller takes up, and records where each stream begins."""
+
+    def __init__(
+        self,
+        origins: OriginsFollower,
+        pools: Pools,
+        alone: Callable[[str, float], StreamOrigin | None],
+        send: Callable[[Iterable[Outgoing]], None],
+        assign_pool: Callable[[Exchange, str], None],
+    ) -> None:
+        """
+        Prepare the filter.
+
+        :param origins: where streams began
+        :param pools: tells which versions serve
+        :param alone: returns the only origin that streams of a pool may have, at a time
+        :param send: sends messages to the controllers
+        :param assign_pool: changes the pool of a request
+        """
+        self._origins = origins
+        self._pools = pools
+        self._alone = alone
+        self._send = send
+        self._assign_pool = assign_pool
+        self.resumed_count = 0
+        """Streams that went on."""
+        self.not_resumed_count = 0
+        """Streams that were refused because nothing could go on with them."""
+
+    async def __call__(self, exchange: Exchange, inner: Handler) -> AsyncIterator[Part]:
+        """
+        Run a request; one that takes up a stream runs only where that began.
+
+        :param exchange: the request, with its route
+        :param inner: the rest of the chain
+        :return: parts of the response
+        :raises RequestError: ``not_resumed``, if the stream has to begin anew
+        """
+        take_up = _take_up(exchange)
+        if take_up is not None:
+            await self._bind(exchange, take_up)
+        recorded = not exchange.streams
+        async with aclosing(inner(exchange)) as parts:
+            async for part in parts:
+                if not recorded and isinstance(part, Body):
+                    recorded = True
+                    self._record(exchange, take_up)
+                yield part
+
+    async def _bind(self, exchange: Exchange, take_up: TakeUp) -> None:
+        """Bind a request to the origin of the stream that it takes up, or refuse it."""
+        match await self._find(exchange, take_up):
+            case Known(origin, source):
+                pools = {destination.pool for destination in exchange.route.destinations}
+                if origin.pool not in pools:
+                    raise self._refusal(exchange, take_up, f"its route left {origin.pool!r}")
+                if not self._pools.has_version(origin):
+                    message = f"no upstream of {_described(origin)} is left"
+                    raise self._refusal(exchange, take_up, message)
+            case Unknown(reason):
+                raise self._refusal(exchange, take_up, reason)
+        if origin.pool != exchange.parameters.pool:
+            self._assign_pool(exchange, origin.pool)
+        exchange.origin = origin
+        self.resumed_count += 1
+        exchange.note(time.monotonic(), f"the stream began at {_described(origin)}: {source}")
+        _log.info(
+            "stream taken up",
+            request_id=exchange.request.request_id,
+            first_request_id=take_up.first_request_id,
+            events_count=take_up.events_count,
+            pool=origin.pool,
+            software=origin.software,
+            source=source,
+        )
+
+    async def _find(self, exchange: Exchange, take_up: TakeUp) -> Finding:
+        if take_up.first_request_id is not None:
+            key = stream_key(exchange, take_up.first_request_id)
+            kept = self._origins.find(key, time.monotonic())
+            if kept is not None:
+                if kept.origin is None:
+                    return Unknown("two streams have the id that it names")
+                return Known(kept.origin, "router")
+            question = await self._ask(key)
+            if question.origin is not None:
+                return Known(question.origin, "controllers")
+            if not question.is_denied:
+                return Unknown("the controllers did not answer where it began")
+        return self._conclude(exchange)
+
+    async def _ask(self, key: int) -> OriginQuestion:
+        """Ask the controllers about a stream, and wait for their answers."""
+        question = self._origins.ask(key)
+        try:
+            for _ in range(QUERIES_COUNT):
+                queries = question.queries()
+                if not queries:
+                    break
+                self._send(queries)
+                with anyio.move_on_after(QUERY_INTERVAL_S):
+                    await question.settled.wait()
+                    break
+        finally:
+            self._origins.close(question)
+        return question
+
+    def _conclude(self, exchange: Exchange) -> Finding:
+        """Conclude from the list alone where a stream began that no controller was told of."""
+        if len(exchange.route.destinations) > 1:
+            return Unknown("its route leads to several pools")
+        pool = exchange.parameters.pool
+        origin = self._alone(pool, time.monotonic())
+        if origin is None:
+            return Unknown(f"pool {pool!r} had several versions lately")
+        return Known(origin, "list")
+
+    def _record(self, exchange: Exchange, take_up: TakeUp | None) -> None:
+        if exchange.origin is None:
+            return
+        request_ids = [exchange.request.request_id]
+        if take_up is not None and take_up.first_request_id is not None:
+            request_ids.append(take_up.first_request_id)
+        now_s = time.monotonic()
+        until_s = max(now_s, exchange.deadline_s or now_s) + TAKE_UP_S
+        is_split = exchange.route is not None and len(exchange.route.destinations) > 1
+        for request_id in request_ids:
+            key = stream_key(exchange, request_id)
+            self._send(
+                self._origins.record(key, exchange.origin, until_s, now_s, is_split=is_split)
+            )
+
+    def _refusal(self, exchange: Exchange, take_up: TakeUp, reason: str) -> RequestError:
+        self.not_resumed_count += 1
+        message = f"the stream can't go on and has to begin anew: {reason}"
+        exchange.note(time.monotonic(), message)
+        _log.info(
+            "stream not taken up",
+            request_id=exchange.request.request_id,
+            first_request_id=take_up.first_request_id,
+            events_count=take_up.events_count,
+            reason=reason,
+        )
+        return RequestError("not_resumed", message, retry_after_s=BEGIN_ANEW_S)
+
+
+def _take_up(exchange: Exchange) -> TakeUp | None:
+    match exchange.request.call:
+        case RoutedCall(take_up=TakeUp() as take_up) if exchange.streams:
+            return take_up
+        case _:
+            return None
+
+
+def _described(origin: StreamOrigin) -> str:
+    return f"version {origin.software!r} of pool {origin.pool!r}"
+
+
+__all__ = ["ResumeFilter"]
--- a/src/camphorvalve/filters/retry.py
+++ b/src/camphorvalve/filters/retry.py
@@ -162,6 +162,8 @@
                         async for part in parts:
                             if watch.standby is not None:
                                 await watch.withdraw()
+                            if standby is not None:
+                                watch.update_request()
                             for ready in output.add(part):
                                 yield ready
                     for ready in output.flush():
--- a/src/camphorvalve/filters/route.py
+++ b/src/camphorvalve/filters/route.py
@@ -55,17 +55,28 @@
     if len(exchange.request.body) > table.manifest.bounds.body_bytes:
         limit = table.manifest.bounds.body_bytes
         raise RequestError("too_large", f"the body is larger than {limit} bytes")
-    pool = split(matched, rng.random())
     exchange.route = matched
     exchange.kind = matched.name
-    exchange.parameters = matched.parameters(pool)
-    team = None if exchange.team is None else exchange.team.name
-    exchange.more_urgent_ranks_count = table.more_urgent_ranks_count(matched, team, pool)
-    exchange.request = exchange.request._replace(pool=pool)
+    assign_pool(exchange, table, split(matched, rng.random()))
     timeout_s = matched.timeout_s
     if call.caller_timeout_s is not None:
         timeout_s = min(timeout_s, call.caller_timeout_s)
     exchange.deadline_s = exchange.received_s + timeout_s
 
 
-__all__ = ["route"]
+def assign_pool(exchange: Exchange, table: RouteTable, pool: str) -> None:
+    """
+    Assign a pool to a request that has its route and team.
+
+    :param exchange: the request
+    :param table: the current routes
+    :param pool: one of the destinations of its route
+    """
+    matched = exchange.route
+    exchange.parameters = matched.parameters(pool)
+    team = None if exchange.team is None else exchange.team.name
+    exchange.more_urgent_ranks_count = table.more_urgent_ranks_count(matched, team, pool)
+    exchange.request = exchange.request._replace(pool=pool)
+
+
+__all__ = ["assign_pool", "route"]
--- a/src/camphorvalve/filters/standby.py
+++ b/src/camphorvalve/filters/standby.py
@@ -171,6 +171,7 @@
         exchange, running = self._exchange, self._running
         exchange.attempt = max(exchange.attempt, running.attempt)
         exchange.upstream_id = running.upstream_id
+        exchange.origin = running.origin
         exchange.source = running.source
 
     async def withdraw(self) -> None:
--- a/src/camphorvalve/model/errors.py
+++ b/src/camphorvalve/model/errors.py
@@ -58,6 +58,7 @@
     "no_upstream": _Code(503, Run.NO),
     "overloaded": _Code(503, Run.NO),
     "quarantined": _Code(503, Run.NO),
+    "not_resumed": _Code(503, Run.NO),
     "timed_out": _Code(504, Run.UNKNOWN),
     "no_quorum": _Code(503, Run.NO),
     "leaving": _Code(503, Run.NO),
--- a/src/camphorvalve/model/requests.py
+++ b/src/camphorvalve/model/requests.py
@@ -48,6 +48,15 @@
     """Maximum number of tokens in the response."""
 
 
+class TakeUp(NamedTuple):
+    """A stream that broke off at its caller, who has its first events."""
+
+    first_request_id: str | None
+    """Id of the request that brought the first event, ``None`` if the caller does not name it."""
+    events_count: int
+    """Number of the last event that the caller has."""
+
+
 @dataclass(frozen=True, slots=True)
 class RoutedCall:
     """A call that is matched by a route of the manifest and forwarded unchanged."""
@@ -61,6 +70,8 @@
     caller_timeout_s: float | None
     """Time that the caller allows for the complete response, if it sent one."""
     prompt: Prompt | None
+    take_up: TakeUp | None = None
+    """The stream that this call goes on with, if the caller has a part of it."""
 
 
 Call = Completion | ServiceCall | RoutedCall
@@ -151,6 +162,14 @@
     text: str
 
 
+class StreamOrigin(NamedTuple):
+    """What began a stream; what other pools and versions send does not fit to it."""
+
+    pool: str
+    software: str | None
+    """Version of the software of its upstreams, ``None`` if unknown."""
+
+
 class ResponseSource(NamedTuple):
     """How a response of an upstream arrived."""
 
@@ -210,6 +229,8 @@
     """Body chunks received so far, kept for the record, without those of discarded attempts."""
     broken: BrokenStream | None = None
     """Position at which a later attempt continues the stream."""
+    origin: StreamOrigin | None = None
+    """Where the stream began that the caller has a part of; it goes on only there."""
     events_count: int = 0
     """Number of the newest event that the running attempt of a stream has passed on."""
     gives_up: Callable[[], bool] = lambda: False
@@ -271,6 +292,8 @@
     "RoutedCall",
     "ServiceCall",
     "Stage",
+    "StreamOrigin",
+    "TakeUp",
     "request_key",
     "shared_part_ids",
 ]
--- a/src/camphorvalve/sharing/routing.py
+++ b/src/camphorvalve/sharing/routing.py
@@ -32,6 +32,11 @@
         }
         self._priorities = {tenant.name: tenant.priority for tenant in manifest.tenants}
         self._ranks = {pool: self._ranks_at(pool) for pool in self.pools}
+        self._longest_streams_s: dict[str, float] = {}
+        for route in manifest.routes:
+            for pool in (destination.pool for destination in route.destinations if route.streamed):
+                longest_s = self._longest_streams_s.get(pool, 0.0)
+                self._longest_streams_s[pool] = max(longest_s, route.timeout_s)
 
     def find(self, host: str, target: str) -> Route | None:
         """
@@ -61,6 +66,15 @@
         """
         return self._teams.get(key)
 
+    def longest_stream_s(self, pool: str) -> float:
+        """
+        Return how long a stream of a pool may last.
+
+        :param pool: name of the pool
+        :return: the longest timeout of its routes with streams, 0 without any
+        """
+        return self._longest_streams_s.get(pool, 0.0)
+
     def more_urgent_ranks_count(self, route: Route, team: str | None, pool: str) -> int:
         """
         Count the priority ranks at a pool that are more urgent than a request's.
--- a/src/camphorvalve/wire/messages.py
+++ b/src/camphorvalve/wire/messages.py
@@ -217,6 +217,25 @@
     """Ids of routers that have too much to do to take more callers."""
 
 
+class GoneVersion(NamedTuple):
+    """A software version that served a pool and is no longer listed."""
+
+    pool: str
+    software: str | None
+    """``None`` if unknown."""
+    age_ms: int
+    """Time since it was last listed."""
+
+
+class VersionReport(NamedTuple):
+    """The software versions that a process has seen in the list, besides those that it has now."""
+
+    observed_ms: int
+    """Time for which it has read the list without a gap."""
+    gone: tuple[GoneVersion, ...]
+    """Versions that left in that time."""
+
+
 class ListPoll(NamedTuple):
     """Subscribes a router to a controller's list of upstreams for the next seconds."""
 
@@ -225,6 +244,8 @@
     leaving: tuple[str, ...] = ()
     """Ids of upstreams that told the router that they are leaving, and that its list has as
     live."""
+    history: VersionReport | None = None
+    """What the router knows of the versions in its list."""
 
 
 class ListedUpstream(NamedTuple):
@@ -251,6 +272,7 @@
     age_s: float
     """Time since the list was read."""
     upstreams: tuple[ListedUpstream, ...]
+    history: VersionReport | None = None
 
 
 class ListUnchanged(NamedTuple):
@@ -259,6 +281,45 @@
     version: int
     age_s: float
     """Time since the list was read."""
+    history: VersionReport | None = None
+
+
+class OriginGroup(NamedTuple):
+    """Streams that began at the same software version of a pool."""
+
+    pool: str
+    software: str | None
+    """``None`` if unknown."""
+    streams: tuple[tuple[int, int], ...]
+    """Key of each stream, and the time in milliseconds for which it may be taken up."""
+
+
+class OriginReport(NamedTuple):
+    """Where streams of a router began, for the controllers that keep it for other routers."""
+
+    groups: tuple[OriginGroup, ...]
+    is_whole: bool = False
+    """Whether it belongs to a report of all streams that the controller has not been told."""
+
+
+class OriginRecall(NamedTuple):
+    """Asks a router to report all of its streams: the controller has not heard of it before."""
+
+
+class OriginQuery(NamedTuple):
+    """Asks a controller where a stream began that a caller takes up."""
+
+    query_id: int
+    key: int
+
+
+class OriginReply(NamedTuple):
+    """Answer to an ``OriginQuery``."""
+
+    query_id: int
+    is_known: bool
+    pool: str = ""
+    software: str | None = None
 
 
 class SuspectEnd(NamedTuple):
@@ -398,6 +459,10 @@
     ListPoll,
     ListUpdate,
     ListUnchanged,
+    OriginReport,
+    OriginRecall,
+    OriginQuery,
+    OriginReply,
     SuspectReport,
     SuspectPoll,
     SuspectRecall,
@@ -420,6 +485,7 @@
     "Demand",
     "EndedUpstream",
     "FreeSlots",
+    "GoneVersion",
     "Grant",
     "GrantProgress",
     "GrantReturn",
@@ -428,6 +494,11 @@
     "ListUpdate",
     "ListedUpstream",
     "Lookup",
+    "OriginGroup",
+    "OriginQuery",
+    "OriginRecall",
+    "OriginReply",
+    "OriginReport",
     "Ping",
     "Pong",
     "Progress",
@@ -449,6 +520,7 @@
     "SuspectReport",
     "SuspectUpdate",
     "TeamTokens",
+    "VersionReport",
     "whole_tokens",
     "TotalEntry",
 ]
--- a/src/camphorvalve/wiring/joinedcontroller.py
+++ b/src/camphorvalve/wiring/joinedcontroller.py
@@ -13,6 +13,7 @@
 from camphorvalve.consensus.storage import SyncStats, bootstrap, open_storage
 from camphorvalve.controllers.listing import ListPublisher
 from camphorvalve.controllers.manifests import ManifestStore
+from camphorvalve.controllers.origins import OriginsKeeper
 from camphorvalve.controllers.replication import ReplicationController
 from camphorvalve.controllers.runtime import Runtime
 from camphorvalve.controllers.stopping import wait_for_signal
@@ -45,8 +46,8 @@
     storage = open_storage(settings.data_folder, settings.host_id)
     replication = ReplicationController(settings, storage, random.Random(incarnation))
     link = create_joined_link(settings, incarnation)
-    listing, suspects = ListPublisher(), SuspectsPublisher()
-    controllers = (replication, TotalsController(), listing, suspects)
+    listing, suspects, origins = ListPublisher(), SuspectsPublisher(), OriginsKeeper()
+    controllers = (replication, TotalsController(), listing, suspects, origins)
     runtime = Runtime(link, controllers, durable=(replication,))
     link.open()
     shutdown = anyio.Event()
@@ -71,6 +72,11 @@
                 "parts of prompts that routers refuse because they crash upstreams",
                 suspects.condemned_count,
             )
+            metrics.add_gauge(
+                "stream_origins_count",
+                "streams of routers whose software version is known here",
+                origins.streams_count,
+            )
             for port in platform.ports(ManifestStore(replication), metrics.app()):
                 serve_port = partial(serve, graceful_timeout_s=settings.stop_timeout_s)
                 servers.start_soon(serve_port, port.app, port.bind, shutdown)
--- a/src/camphorvalve/wiring/joinedrouter.py
+++ b/src/camphorvalve/wiring/joinedrouter.py
@@ -12,6 +12,7 @@
 from camphorvalve.controllers.following import ConfigurationFollower, Contact, Load
 from camphorvalve.controllers.inforce import ManifestInForce
 from camphorvalve.controllers.listing import ListFollower
+from camphorvalve.controllers.origins import OriginsFollower
 from camphorvalve.controllers.pools import Pools
 from camphorvalve.controllers.roster import RosterController
 from camphorvalve.controllers.runtime import Runtime
@@ -25,13 +26,15 @@
 from camphorvalve.filters.observe import ObserveFilter
 from camphorvalve.filters.place import PlaceFilter
 from camphorvalve.filters.quarantine import QuarantineFilter
+from camphorvalve.filters.resume import ResumeFilter
 from camphorvalve.filters.retry import RetryFilter
-from camphorvalve.filters.route import route
+from camphorvalve.filters.route import assign_pool, route
 from camphorvalve.filters.share import share
 from camphorvalve.http.connections import ConnectionTracker
 from camphorvalve.http.refusing import ConnectionGuard
 from camphorvalve.http.routed import RoutedApp
 from camphorvalve.http.server import DRAIN_S, serve
+from camphorvalve.model.requests import StreamOrigin
 from camphorvalve.reports.exposition import Exposition
 from camphorvalve.reports.levels import LevelReporter
 from camphorvalve.reports.outcomes import OutcomeCounts
@@ -41,6 +44,7 @@
 from camphorvalve.sharing.directory import NamedRouter, choose_routers
 from camphorvalve.sharing.homes import cost_tokens
 from camphorvalve.sharing.intake import Intake
+from camphorvalve.sharing.origins import longest_doubt_s
 from camphorvalve.sharing.parts import limit_engine_part, retry_floor_count
 from camphorvalve.sharing.pressure import Pressure
 from camphorvalve.upstreams.client import create_client
@@ -49,9 +53,12 @@
 from camphorvalve.wiring.platforms import RouterView, close_stale_connections, follow_seeds
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from camphorvalve.controllers.runtime import Outgoing
     from camphorvalve.filters.chain import Handler
     from camphorvalve.http.refusing import RefusedRequest
-    from camphorvalve.model.requests import Request
+    from camphorvalve.model.requests import Exchange, Request
     from camphorvalve.settings.schema import JoinedRouterSettings
     from camphorvalve.sharing.directory import CallerPlace
     from camphorvalve.sharing.notices import Notice
@@ -107,12 +114,22 @@
         )
         link = create_joined_link(settings, self.incarnation)
         self._suspects = SuspectsFollower(self._roster.live_controller_ids)
+        self._origins = OriginsFollower(
+            settings.host_id,
+            self._roster.live_controller_ids,
+            lambda pool, now_s: self._only_origin(pool, now_s) is None,
+            self._rng,
+        )
+        self._resume_filter = ResumeFilter(
+            self._origins, self._pools, self._only_origin, self._send, self._assign_pool
+        )
         controllers = (
             self._roster,
             self._config_follower,
             self._shares,
             self._list_follower,
             self._suspects,
+            self._origins,
         )
         self._runtime = Runtime(link, controllers)
         self._client = create_client(keepalive_s=settings.upstream_idle_s)
@@ -184,6 +201,7 @@
                 self._observe_filter,
                 route(self._manifest.table, self._rng),
                 self._deadline_filter,
+                self._resume_filter,
                 share(self._shares),
                 retry_filter,
                 QuarantineFilter(self._suspects, self._pools.upstream, self._runtime.send),
@@ -200,6 +218,21 @@
             ),
         )
 
+    def _send(self, outgoing: Iterable[Outgoing]) -> None:
+        self._runtime.send(outgoing)
+
+    def _assign_pool(self, exchange: Exchange, pool: str) -> None:
+        table = self._manifest.table()
+        if table is not None:
+            assign_pool(exchange, table, pool)
+
+    def _only_origin(self, pool: str, now_s: float) -> StreamOrigin | None:
+        """Return the only origin that the streams of a pool may have that are not yet complete."""
+        table, versions = self._manifest.table(), self._list_follower.versions
+        if table is None or not versions.is_alone(pool, longest_doubt_s(table, pool), now_s):
+            return None
+        return StreamOrigin(pool, next(iter(versions.listed(pool))))
+
     def _on_notice(self, upstream_id: str, notice: Notice) -> None:
         self._pools.record_notice(upstream_id, notice, time.monotonic())
 
@@ -287,6 +320,21 @@
             "parts of prompts that are refused because they crash upstreams",
             self._suspects.condemned_count,
         )
+        add_gauge(
+            "streams_taken_up_count",
+            "streams of earlier requests that could go on",
+            lambda: self._resume_filter.resumed_count,
+        )
+        add_gauge(
+            "streams_not_taken_up_count",
+            "streams of earlier requests that had to begin anew",
+            lambda: self._resume_filter.not_resumed_count,
+        )
+        add_gauge(
+            "stream_origins_count",
+            "streams whose software version is known here",
+            self._origins.streams_count,
+        )
         add_gauge("pressed", "whether callers are sent elsewhere (0 or 1)", self._is_pressed_level)
         reporter = self._level_reporter
         reporter.add_counter("connections_count", lambda: self._connections.opened_count)
--- a/tests/controllers/test_listing.py
+++ b/tests/controllers/test_listing.py
@@ -18,7 +18,7 @@
 from camphorvalve.controllers.runtime import Sender
 from camphorvalve.model.hosts import HostState
 from camphorvalve.model.upstreams import UpstreamList
-from tests.routebuilders import a_listed_upstream
+from tests.routebuilders import a_listed_upstream, some_versions
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -162,6 +162,43 @@
         self.deliver("c-1", [outdated])
         self.assertEqual(self.applied[-1][0], LEAVING)
 
+    def start_router(self, upstreams: list[Upstream], now_s: float) -> ListFollower:
+        """Start another router, and read the list for it."""
+        started = ListFollower(
+            lambda: self.publishers,
+            lambda upstreams, read_s: None,
+            lambda read_s: None,
+            random.Random(2),
+            now_s,
+        )
+        for controller_id, poll in started.tick(now_s):
+            publisher = self.publishers[controller_id]
+            list(publisher.handle(Sender("r-2", 1), poll, now_s))
+            read_s = now_s + 0.1
+            for peer_id, answer in publisher.accept_list(UpstreamList(upstreams, 0), read_s):
+                if peer_id == "r-2":
+                    list(started.handle(Sender(controller_id, 1), answer, read_s))
+        return started
+
+    def test_versions_survive_a_restart(self) -> None:
+        """Guards against a router that can't tell which versions served before it started, and
+        against a controller that knows nothing when it begins to read the list."""
+        old, new = some_versions("v1"), some_versions("v2")
+        for second in range(20):
+            self.poll(float(second))
+            self.read(old if second < 5 else new, float(second))
+        started = self.start_router(new, 20.0)
+        self.assertTrue(started.versions.is_alone("engines", 10.0, 20.1))
+        self.assertFalse(started.versions.is_alone("engines", 18.0, 20.1))
+        self.publishers = {name: ListPublisher() for name in self.publishers}
+        for now_s in (20.5, 21.0):
+            self.poll(now_s)
+            self.read(new, now_s + 0.1)
+        self.poll(21.5)
+        started = self.start_router(new, 22.0)
+        self.assertTrue(started.versions.is_alone("engines", 10.0, 22.1))
+        self.assertFalse(started.versions.is_alone("engines", 20.0, 22.1))
+
 
 if __name__ == "__main__":
     unittest.main()
--- /dev/null
+++ b/tests/controllers/test_origins.py
@@ -0,0 +1,153 @@
+"""Guards against streams whose version is lost with a router, and against wrong answers."""
+
+from __future__ import annotations
+
+import random
+import unittest
+from typing import TYPE_CHECKING
+
+from camphorvalve.controllers.origins import KEEPERS_COUNT, OriginsFollower, OriginsKeeper
+from camphorvalve.controllers.runtime import Sender
+from camphorvalve.model.requests import StreamOrigin
+from camphorvalve.wire.messages import OriginReply, OriginReport
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from camphorvalve.controllers.origins import OriginQuestion
+    from camphorvalve.controllers.runtime import Outgoing
+
+V1, V2 = StreamOrigin("engines", "v1"), StreamOrigin("engines", "v2")
+
+
+class OriginsTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.now_s = 100.0
+        self.keepers = {f"c-{number}": OriginsKeeper() for number in range(5)}
+        self.reachable = set(self.keepers)
+        self.in_doubt = True
+        self.reports_count = 0
+
+    def router(self, router_id: str) -> OriginsFollower:
+        return OriginsFollower(
+            router_id,
+            lambda: [name for name in self.keepers if name in self.reachable],
+            lambda pool, now_s: self.in_doubt,
+            random.Random(router_id),
+        )
+
+    def deliver(self, router: OriginsFollower, outgoing: Iterable[Outgoing]) -> None:
+        for controller_id, message in outgoing:
+            self.reports_count += isinstance(message, OriginReport)
+            if controller_id not in self.reachable:
+                continue
+            keeper = self.keepers[controller_id]
+            for reply in keeper.handle(Sender("r", 1), message, self.now_s):
+                list(router.handle(Sender(controller_id, 1), reply.message, self.now_s))
+
+    def begin(self, router: OriginsFollower, key: int, origin: StreamOrigin) -> None:
+        until_s = self.now_s + 10.0
+        self.deliver(router, router.record(key, origin, until_s, self.now_s))
+
+    def ask(self, router: OriginsFollower, key: int) -> OriginQuestion:
+        question = router.ask(key)
+        self.deliver(router, question.queries())
+        router.close(question)
+        return question
+
+    def test_all_routers_lost(self) -> None:
+        """Guards against streams that nobody knows after all routers lost power at once."""
+        for number in range(20):
+            self.begin(self.router(f"r-{number}"), number, V1 if number % 2 else V2)
+        started = self.router("r-1")
+        for number in range(20):
+            question = self.ask(started, number)
+            self.assertEqual(question.origin, V1 if number % 2 else V2)
+        self.assertTrue(self.ask(started, 99).is_denied)
+
+    def test_lost_controller(self) -> None:
+        """Guards against streams that are lost with one controller, or one that joins late."""
+        router = self.router("r-1")
+        self.begin(router, 1, V1)
+        for name in self.keepers:
+            self.reachable = set(self.keepers) - {name}
+            self.assertEqual(self.ask(self.router("r-2"), 1).origin, V1)
+        self.reachable = {"c-0"}
+        self.deliver(router, router.tick(self.now_s))
+        self.assertEqual(self.ask(self.router("r-2"), 1).origin, V1)
+
+    def test_restarted_controllers(self) -> None:
+        """Guards against streams that are lost because all controllers restarted before the
+        routers."""
+        router = self.router("r-1")
+        self.begin(router, 1, V1)
+        self.deliver(router, router.tick(self.now_s))
+        self.keepers = {name: OriginsKeeper() for name in self.keepers}
+        self.begin(router, 2, V1)
+        self.deliver(router, router.tick(self.now_s))
+        for key in (1, 2):
+            self.assertEqual(self.ask(self.router("r-2"), key).origin, V1)
+        reports_count = self.reports_count
+        self.deliver(router, router.tick(self.now_s))
+        self.assertEqual(self.reports_count, reports_count)
+
+    def test_one_version(self) -> None:
+        """Guards against messages for each stream while a pool has one version only."""
+        self.in_doubt = False
+        router = self.router("r-1")
+        for key in range(100):
+            self.begin(router, key, V1)
+        self.deliver(router, router.tick(self.now_s))
+        self.assertEqual(self.reports_count, 0)
+        self.in_doubt = True
+        self.deliver(router, router.tick(self.now_s))
+        self.deliver(router, router.tick(self.now_s))
+        self.assertEqual(self.reports_count, KEEPERS_COUNT)
+        self.assertEqual(self.ask(self.router("r-2"), 50).origin, V1)
+
+    def test_split_route(self) -> None:
+        """Guards against streams of a route with several pools that are known at one router only
+        because each pool has one version."""
+        self.in_doubt = False
+        router = self.router("r-1")
+        until_s = self.now_s + 10.0
+        self.deliver(router, router.record(1, V1, until_s, self.now_s, is_split=True))
+        self.assertEqual(self.ask(self.router("r-2"), 1).origin, V1)
+
+    def test_missing_answers(self) -> None:
+        """Guards against the conclusion that nobody knows a stream, drawn from few answers."""
+        router = self.router("r-1")
+        question = router.ask(1)
+        queries = question.queries()
+        self.assertFalse(question.is_denied)
+        self.deliver(router, queries[:3])
+        self.assertFalse(question.is_denied)
+        self.assertFalse(question.settled.is_set())
+        self.deliver(router, queries[3:4])
+        self.assertTrue(question.is_denied)
+        self.assertEqual(question.queries(), queries[4:])
+        self.reachable = set()
+        self.assertFalse(self.ask(router, 1).is_denied)
+
+    def test_answers_to_another_question(self) -> None:
+        """Guards against an answer that reaches a router after its restart, or twice."""
+        before, after = self.router("r-1"), self.router("r-1 again")
+        question, old_question = after.ask(1), before.ask(2)
+        known = OriginReply(
+            old_question.query.query_id, is_known=True, pool="engines", software="v1"
+        )
+        list(after.handle(Sender("c-1", 1), known, self.now_s))
+        self.assertIsNone(question.origin)
+
+    def test_time(self) -> None:
+        """Guards against controllers that keep streams for good."""
+        self.begin(self.router("r-1"), 1, V1)
+        self.now_s += 11.0
+        self.assertTrue(self.ask(self.router("r-2"), 1).is_denied)
+        for keeper in self.keepers.values():
+            list(keeper.tick(self.now_s))
+            self.assertEqual(keeper.streams_count(), 0)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/controllers/test_pools.py
+++ b/tests/controllers/test_pools.py
@@ -9,11 +9,19 @@
 from camphorvalve.controllers.pools import LOCAL_FIRST_COUNT, MAX_SERVICE_REQUESTS_COUNT, Pools
 from camphorvalve.model.errors import RequestError, Run
 from camphorvalve.model.hosts import HostState
+from camphorvalve.model.requests import StreamOrigin
 from camphorvalve.model.routes import Destination
 from camphorvalve.sharing.homes import HOMES_COUNT
 from camphorvalve.sharing.notices import HoldOff, Leaving
 from camphorvalve.sharing.routing import RouteTable
-from tests.routebuilders import a_listed_upstream, a_manifest, a_prompt, a_route, a_routed_exchange
+from tests.routebuilders import (
+    a_listed_upstream,
+    a_manifest,
+    a_prompt,
+    a_route,
+    a_routed_exchange,
+    some_versions,
+)
 
 UPSTREAMS = [
     a_listed_upstream(f"up-{number}", data_centre=f"perth-{zone}")
@@ -116,6 +124,23 @@
         self.assertGreater(self.fill(prompt=prompt, more_urgent_ranks_count=1), 0)
         self.assertGreater(self.fill(prompt=prompt), 0)
 
+    def test_stream_goes_on_at_its_version(self) -> None:
+        """Guards against streams that are joined from two software versions."""
+        self.pools.apply(some_versions(*("v1", "v2") * 4), 0.0)
+        origin = StreamOrigin("engines", "v2")
+        prompt = a_prompt("a", "own", tokens_count=13_000)
+        for _ in range(30):
+            placement = self.pools.begin(a_routed_exchange(prompt=prompt, origin=origin), 0.0)
+            self.assertEqual(placement.upstream.software, "v2")
+            self.pools.end(placement)
+        with self.assertRaises(RequestError) as caught:
+            self.begin_request(origin=StreamOrigin("engines", "v3"))
+        self.assertEqual(caught.exception.code, "no_upstream")
+        self.assertTrue(self.pools.has_version(origin))
+        leaving = [upstream._replace(state=HostState.LEAVING) for upstream in some_versions("v2")]
+        self.pools.apply(leaving, 0.0)
+        self.assertFalse(self.pools.has_version(origin))
+
     def test_ranking_follows_the_list(self) -> None:
         """Guards against a cached ranking that is kept after the list of upstreams has changed."""
         prompt = a_prompt("a", "own", tokens_count=13_000)
--- /dev/null
+++ b/tests/filters/test_resume.py
@@ -0,0 +1,259 @@
+"""Guards against streams that are joined from two software versions."""
+
+from __future__ import annotations
+
+import random
+import unittest
+from contextlib import aclosing
+from typing import TYPE_CHECKING
+
+import anyio
+
+from camphorvalve.controllers.origins import OriginsFollower, OriginsKeeper
+from camphorvalve.controllers.pools import Pools
+from camphorvalve.controllers.runtime import Sender
+from camphorvalve.filters.chain import compose
+from camphorvalve.filters.place import PlaceFilter
+from camphorvalve.filters.resume import QUERIES_COUNT, QUERY_INTERVAL_S, ResumeFilter
+from camphorvalve.filters.retry import RetryFilter
+from camphorvalve.model.answers import Body, Head
+from camphorvalve.model.errors import RequestError, Run
+from camphorvalve.model.requests import StreamOrigin, TakeUp
+from camphorvalve.model.routes import Destination
+from camphorvalve.sharing.budget import RetryBudget
+from camphorvalve.sharing.routing import RouteTable
+from camphorvalve.upstreams.errors import Broken
+from tests.routebuilders import a_manifest, a_route, a_routed_exchange, some_versions
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator, Iterable
+
+    from camphorvalve.controllers.runtime import Outgoing
+    from camphorvalve.filters.chain import Handler
+    from camphorvalve.model.answers import Part
+    from camphorvalve.model.requests import Exchange
+    from camphorvalve.model.routes import Route
+
+STREAM = a_route(streamed=True, resumable=True, attempts_count=4)
+
+
+class _Router:
+    """The filters of a router behind its shares, over fake upstreams of several versions."""
+
+    def __init__(
+        self, rng: random.Random, *software: str, keepers: Iterable[OriginsKeeper] = ()
+    ) -> None:
+        self.rng = rng
+        self.reaches_controllers = True
+        self.keepers = {f"c-{number}": keeper for number, keeper in enumerate(keepers)}
+        self.only_version: str | None = None
+        """The only version that has served lately, if there was only one."""
+        self.breaks: list[int] = []
+        """Number of the event after which each of the next attempts breaks off."""
+        self.ran: list[str] = []
+        """Version of each attempt, with the number of its first event."""
+        table = RouteTable(a_manifest())
+        self.pools = Pools(lambda: table, lambda: 1.0, "perth-a", random.Random(1))
+        self.listed = some_versions(*software)
+        self.pools.apply(self.listed, 0.0)
+        self.origins = OriginsFollower(
+            "r-1",
+            lambda: list(self.keepers),
+            lambda pool, now_s: self.only_version is None,
+            random.Random(1),
+        )
+        self.filter = ResumeFilter(
+            self.origins,
+            self.pools,
+            lambda pool, now_s: (
+                None if self.only_version is None else StreamOrigin(pool, self.only_version)
+            ),
+            self.send,
+            self.assign_pool,
+        )
+
+    def assign_pool(self, exchange: Exchange, pool: str) -> None:
+        exchange.parameters = exchange.route.parameters(pool)
+
+    def send(self, outgoing: Iterable[Outgoing]) -> None:
+        for controller_id, message in outgoing if self.reaches_controllers else ():
+            keeper = self.keepers[controller_id]
+            for reply in keeper.handle(Sender("r-1", 1), message, anyio.current_time()):
+                list(self.origins.handle(Sender(controller_id, 1), reply.message, 0.0))
+
+    def handler(self) -> Handler:
+        budget = RetryBudget(floor_count=lambda: 100)
+        return compose([self.filter, RetryFilter(budget), PlaceFilter(self.pools)], self.attempt)
+
+    async def attempt(self, exchange: Exchange) -> AsyncIterator[Part]:
+        upstream = self.pools.upstream(exchange.upstream_id or "")
+        first = exchange.broken.events_count if exchange.broken is not None else 0
+        self.ran.append(f"{upstream.software} {first}")
+        yield Head(200, ())
+        events_count = self.breaks.pop(0) if self.breaks else 9
+        if events_count:
+            yield Body(f"{upstream.software} ".encode())
+        if events_count < 9:
+            raise Broken(upstream.upstream_id, "reset", events_count)
+
+    async def run(
+        self,
+        request_id: str = "id-1",
+        take_up: TakeUp | None = None,
+        route: Route = STREAM,
+    ) -> bytes:
+        # The first of several idle upstreams is chosen.
+        self.pools.apply(self.rng.sample(self.listed, len(self.listed)), 0.0)
+        exchange = a_routed_exchange(route, request_id=request_id, take_up=take_up, attempt=0)
+        async with aclosing(self.handler()(exchange)) as parts:
+            return b"".join([part.content async for part in parts if isinstance(part, Body)])
+
+
+class ResumeFilterTest(unittest.IsolatedAsyncioTestCase):
+    def setUp(self) -> None:
+        self.rng = random.Random(7)
+
+    def router(self, *software: str, keepers: Iterable[OriginsKeeper] = ()) -> _Router:
+        return _Router(self.rng, *software, keepers=keepers)
+
+    async def refusal(self, router: _Router, take_up: TakeUp, route: Route = STREAM) -> str:
+        """Run a request that has to be refused at once, and has not run; returns the reason."""
+        ran = list(router.ran)
+        started_s = anyio.current_time()
+        with self.assertRaises(RequestError) as caught:
+            await router.run("id-2", take_up, route)
+        error = caught.exception
+        self.assertEqual((error.code, error.run, error.status), ("not_resumed", Run.NO, 503))
+        self.assertLess(error.retry_after_s, 0.5)
+        self.assertLess(anyio.current_time() - started_s, QUERIES_COUNT * QUERY_INTERVAL_S + 0.2)
+        self.assertEqual(router.ran, ran)
+        return error.message
+
+    async def test_break_inside_one_answer(self) -> None:
+        """Guards against a stream that one version begins and another one ends in one answer."""
+        for _ in range(20):
+            router = self.router("v1", "v1", "v2", "v2")
+            router.breaks = [3]
+            answer = await router.run()
+            self.assertEqual(len(set(answer.split())), 1, answer)
+            self.assertEqual(len(router.ran), 2)
+
+    async def test_break_before_the_first_event(self) -> None:
+        """Guards against a stream that is lost although no event binds it to a version."""
+        router = self.router("v1", "v2")
+        router.breaks = [0]
+        self.assertIn(await router.run(), (b"v1 ", b"v2 "))
+        self.assertEqual({entry.split()[0] for entry in router.ran}, {"v1", "v2"})
+
+    async def test_no_upstream_of_the_version_inside_one_answer(self) -> None:
+        """Guards against another version that goes on because the first one has gone."""
+        router = self.router("v1", "v2")
+        router.breaks = [3]
+        with self.assertRaises(RequestError) as caught:
+            await router.run()
+        self.assertEqual(caught.exception.run, Run.UNKNOWN)
+        self.assertEqual(len(router.ran), 1)
+
+    async def test_take_up(self) -> None:
+        """Guards against a take-up, or one of a take-up, that goes on at another version."""
+        for number in range(20):
+            router = self.router("v1", "v1", "v2", "v2", "v3", "v3")
+            answers = {await router.run("id-1")}
+            for count in range(3):
+                named = "id-1" if number % 2 else f"id-{count + 1}"
+                answers.add(await router.run(f"id-{count + 2}", TakeUp(named, 3)))
+            self.assertEqual(len(answers), 1, answers)
+
+    async def test_take_up_at_another_router(self) -> None:
+        """Guards against a join after all routers have lost power."""
+        for _ in range(10):
+            keepers = [OriginsKeeper() for _ in range(5)]
+            begun = await self.router("v1", "v1", "v2", "v2", keepers=keepers).run("id-1")
+            started = self.router("v1", "v1", "v2", "v2", keepers=keepers)
+            self.assertEqual(await started.run("id-2", TakeUp("id-1", 3)), begun)
+
+    async def test_unknown_stream(self) -> None:
+        """Guards against a guess: where two versions serve, the stream has to begin anew."""
+        router = self.router("v1", "v2", keepers=[OriginsKeeper() for _ in range(5)])
+        await self.refusal(router, TakeUp("id-unknown", 3))
+        await self.refusal(router, TakeUp(None, 3))
+
+    async def test_other_route(self) -> None:
+        """Guards against a take-up that names a stream of another route."""
+        router = self.router("v1", "v2", keepers=[OriginsKeeper()])
+        await router.run("id-1")
+        other = STREAM._replace(path_prefix="/replies/")
+        await self.refusal(router, TakeUp("id-1", 3), other)
+
+    async def test_not_resumable(self) -> None:
+        """Guards against a join on routes whose streams are not resumable by the system."""
+        router = self.router("v1", "v2", keepers=[OriginsKeeper()])
+        once = STREAM._replace(resumable=False)
+        begun = await router.run("id-1", route=once)
+        self.assertEqual(await router.run("id-2", TakeUp("id-1", 3), once), begun)
+        await self.refusal(router, TakeUp("id-unknown", 3), once)
+
+    async def test_version_gone(self) -> None:
+        """Guards against a wait for upstreams of a version that has left."""
+        router = self.router("v1", "v1")
+        await router.run("id-1")
+        router.listed = some_versions("v2", "v2")
+        reason = await self.refusal(router, TakeUp("id-1", 3))
+        self.assertIn("'v1'", reason)
+
+    async def test_silent_controllers(self) -> None:
+        """Guards against the conclusion that a stream began at the only listed version, drawn from
+        a list that may lag while no controller answers."""
+        router = self.router("v1", "v1")
+        router.only_version = "v1"
+        await self.refusal(router, TakeUp("id-1", 3))
+        router.keepers = {"c-1": OriginsKeeper()}
+        router.reaches_controllers = False
+        await self.refusal(router, TakeUp("id-1", 3))
+
+    async def test_lost_queries(self) -> None:
+        """Guards against streams that are refused because the connections to the controllers were
+        reset together with those of the callers."""
+        router = self.router("v1", "v2", keepers=[OriginsKeeper() for _ in range(5)])
+        begun = await router.run("id-1")
+        router.origins.find = lambda key, now_s: None
+        router.reaches_controllers = False
+        async with anyio.create_task_group() as tasks:
+
+            async def reconnect() -> None:
+                await anyio.sleep(1.5 * QUERY_INTERVAL_S)
+                router.reaches_controllers = True
+
+            tasks.start_soon(reconnect)
+            self.assertEqual(await router.run("id-2", TakeUp("id-1", 3)), begun)
+
+    async def test_one_version(self) -> None:
+        """Guards against refused streams where all upstreams have had one version for long."""
+        router = self.router("v1", "v1", keepers=[OriginsKeeper()])
+        router.only_version = "v1"
+        for take_up in (TakeUp("id-unknown", 3), TakeUp(None, 3)):
+            self.assertEqual(await router.run("id-2", take_up), b"v1 ")
+
+    async def test_other_pool(self) -> None:
+        """Guards against a stream that goes on at another pool of its route, or one it has left."""
+        split = (Destination("engines", 1.0), Destination("desk", 1.0))
+        router = self.router("v1", "v1", keepers=[OriginsKeeper()])
+        router.listed += some_versions("v1", pool="desk")
+        begun = await router.run("id-1")
+        for _ in range(10):
+            route = STREAM._replace(destinations=split[:: self.rng.choice((1, -1))])
+            self.assertEqual(await router.run("id-2", TakeUp("id-1", 3), route), begun)
+            self.assertEqual(router.filter.not_resumed_count, 0)
+        await self.refusal(router, TakeUp("id-1", 3), STREAM._replace(destinations=split[1:]))
+
+    async def test_contradiction(self) -> None:
+        """Guards against streams of two versions that began under the same id."""
+        router = self.router("v1", "v2")
+        for _ in range(40):
+            await router.run("id-1")
+        self.assertEqual({entry.split()[0] for entry in router.ran}, {"v1", "v2"})
+        await self.refusal(router, TakeUp("id-1", 3))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/routebuilders.py
+++ b/tests/routebuilders.py
@@ -133,6 +133,7 @@
         "headers": (("x-shade", "blue"),),
         "caller_timeout_s": None,
         "prompt": None,
+        "take_up": None,
     }
     call = RoutedCall(**{**values, **{name: fields.pop(name) for name in values if name in fields}})
     request_values = {
@@ -170,6 +171,14 @@
     return Upstream(**{**values, **fields})
 
 
+def some_versions(*software: str | None, pool: str = "engines") -> list[Upstream]:
+    """Build one upstream of each software version."""
+    return [
+        a_listed_upstream(f"{pool}-{number}", pool=pool, software=version)
+        for number, version in enumerate(software)
+    ]
+
+
 def a_departure(**fields: float) -> Departure:
     return Departure(**{"intake_s": 2.5, "duration_s": 7.0, **fields})
 
