--- a/src/camphorvalve/controllers/pools.py
+++ b/src/camphorvalve/controllers/pools.py
@@ -420,7 +420,9 @@
                     chosen := place(local_ranked_ids, self._loads, has_room)
                 ):
                     return chosen
-                return place(ranked_ids, self._loads, has_room)
+                chosen = place(ranked_ids, self._loads, has_room)
+                if chosen is not None or exchange.origin is None:
+                    return chosen
         if chosen := least_loaded(local, self._loads, self._has_few_requests):
             return chosen
         shuffled = self._rng.sample(usable, len(usable))
@@ -449,6 +451,9 @@
                 self._load(upstream_id).requests_count < MAX_SERVICE_REQUESTS_COUNT
             )
         usable_slots = max(MIN_SLOTS_COUNT, self._engine_part() * definition.engine.slots_count)
+        if exchange.origin is not None:
+            # Only some upstreams can go on with a stream, and its caller has a part of it.
+            return lambda upstream_id: self._load(upstream_id).requests_count + 1 <= usable_slots
         ratio = _usable_limit_ratio(exchange)
 
         def has_room(upstream_id: str) -> bool:
--- a/src/camphorvalve/filters/place.py
+++ b/src/camphorvalve/filters/place.py
@@ -129,8 +129,8 @@
     async def _wait_for_placement(self, exchange: Exchange) -> Placement:
         """Wait briefly for a placement; reject the request if it has to wait longer."""
         until_s = exchange.received_s + WAIT_RATIO * exchange.parameters.objective_s
-        if exchange.may_have_run:
-            # A rejection can't tell the caller of such a request to come back.
+        if exchange.may_have_run or exchange.origin is not None:
+            # Its caller loses an attempt, or the part of a stream that it has.
             until_s = time.monotonic() + exchange.parameters.objective_s
         while True:
             now_s = time.monotonic()
--- a/src/camphorvalve/filters/share.py
+++ b/src/camphorvalve/filters/share.py
@@ -10,6 +10,7 @@
 
 from camphorvalve.model.answers import Body
 from camphorvalve.model.errors import RequestError
+from camphorvalve.sharing.budget import RetryBudget
 from camphorvalve.sharing.homes import cost_tokens
 
 if TYPE_CHECKING:
@@ -22,6 +23,11 @@
 
 RETRY_AFTER_S = 2.0
 """Half of the window over which the platform measures shares."""
+TAKE_UP_RATIO = 0.5
+"""Streams that a team may take up beyond its share, as a part of its requests: any request can
+claim to take up a stream."""
+TAKE_UP_FLOOR_COUNT = 20
+"""Streams that a team may always take up in the window of the budget."""
 
 _log = structlog.get_logger(__name__)
 
@@ -33,6 +39,7 @@
     :param shares: measures and enforces the shares
     :return: the filter
     """
+    take_ups = RetryBudget(ratio=TAKE_UP_RATIO, floor_count=lambda: TAKE_UP_FLOOR_COUNT)
 
     async def filter_(exchange: Exchange, inner: Handler) -> AsyncIterator[Part]:
         tokens = cost_tokens(exchange.request.call)
@@ -40,11 +47,16 @@
         counted = not tokens or exchange.team is None
         if tokens and exchange.team is not None:
             now_s = time.monotonic()
-            call = exchange.request.call
-            is_retry = shares.detect_retry(exchange.route.name, call.caller_timeout_s, now_s)
-            exchange.within_share = shares.within_share(
-                exchange.team.name, tokens, now_s, is_retry=is_retry
+            team = exchange.team.name
+            is_take_up = exchange.origin is not None and take_ups.allow(team, now_s)
+            is_retry = not is_take_up and shares.detect_retry(
+                exchange.route.name, exchange.request.call.caller_timeout_s, now_s
             )
+            exchange.within_share = (
+                shares.within_share(team, tokens, now_s, is_retry=is_retry) or is_take_up
+            )
+            if exchange.origin is None:
+                take_ups.record_first_attempt(team, now_s)
             if not exchange.within_share and shares.must_refuse_over_share(
                 exchange.team.name, now_s
             ):
--- a/tests/controllers/test_pools.py
+++ b/tests/controllers/test_pools.py
@@ -141,6 +141,15 @@
         self.pools.apply(leaving, 0.0)
         self.assertFalse(self.pools.has_version(origin))
 
+    def test_stream_finds_room(self) -> None:
+        """Guards against a stream that can't go on because new requests fill the upstreams up to
+        their limits, or the homes of its prompt, which few upstreams of its version can be."""
+        self.pools.apply(some_versions(*("v1", "v2") * 4), 0.0)
+        prompt = a_prompt("a", "own", tokens_count=13_000)
+        self.assertGreater(self.fill(prompt=prompt), 0)
+        taken_up = self.fill(prompt=prompt, origin=StreamOrigin("engines", "v2"))
+        self.assertGreater(taken_up, 4)
+
     def test_ranking_follows_the_list(self) -> None:
         """Guards against a cached ranking that is kept after the list of upstreams has changed."""
         prompt = a_prompt("a", "own", tokens_count=13_000)
--- a/tests/filters/test_place.py
+++ b/tests/filters/test_place.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import random
 import time
 import unittest
@@ -17,11 +18,19 @@
 from camphorvalve.filters.retry import RetryFilter
 from camphorvalve.model.answers import Body, Head
 from camphorvalve.model.errors import RequestError
+from camphorvalve.model.requests import StreamOrigin
 from camphorvalve.sharing.budget import RetryBudget
 from camphorvalve.sharing.notices import HoldOff
 from camphorvalve.sharing.routing import RouteTable
 from camphorvalve.upstreams.errors import Declined, Misdirected, NoAnswer, NotReached, NotSent
-from tests.routebuilders import a_listed_upstream, a_manifest, a_prompt, a_route, a_routed_exchange
+from tests.routebuilders import (
+    a_listed_upstream,
+    a_manifest,
+    a_prompt,
+    a_route,
+    a_routed_exchange,
+    some_versions,
+)
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
@@ -106,6 +115,29 @@
 
         self.assertEqual(anyio.run(run)[-1], Body(b"yes"))
 
+    def test_stream_waits_for_capacity(self) -> None:
+        """Guards against a stream that can't go on because its upstreams are full for a moment."""
+        self.pools.apply(some_versions("v1", "v2"), 0.0)
+        origin = StreamOrigin("engines", "v2")
+        placements = []
+        with contextlib.suppress(RequestError):
+            while True:
+                exchange = a_routed_exchange(prompt=PROMPT, origin=origin)
+                placements.append(self.pools.begin(exchange, 0.0))
+        exchange = a_routed_exchange(a_route(objective_s=0.4), prompt=PROMPT, origin=origin)
+
+        async def run() -> list[Part]:
+            async def end() -> None:
+                await anyio.sleep(2 * WAIT_RATIO * 0.4)
+                self.pools.end(placements[0])
+
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(end)
+                async with aclosing(self.filter(exchange, answer)) as parts:
+                    return [part async for part in parts]
+
+        self.assertEqual(anyio.run(run)[-1], Body(b"yes"))
+
     def test_repeated_request_waits_for_an_upstream_that_holds_off(self) -> None:
         """Guards against a request that is lost because the upstream that was to take over has just
         asked for a short pause."""
--- a/tests/filters/test_share.py
+++ b/tests/filters/test_share.py
@@ -8,15 +8,17 @@
 
 import anyio
 
-from camphorvalve.filters.share import share
+from camphorvalve.filters.share import TAKE_UP_FLOOR_COUNT, share
 from camphorvalve.model.answers import Body, Head
 from camphorvalve.model.errors import RequestError, Run
+from camphorvalve.model.requests import StreamOrigin
 from camphorvalve.model.teams import Limits, TeamParameters
 from tests.routebuilders import a_prompt, a_routed_exchange
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
 
+    from camphorvalve.filters.chain import Filter
     from camphorvalve.model.answers import Part
     from camphorvalve.model.requests import Exchange
 
@@ -58,6 +60,8 @@
         full: bool = False,
         prompt: bool = True,
         team: TeamParameters | None = TEAM,
+        origin: StreamOrigin | None = None,
+        filter_: Filter | None = None,
     ) -> int:
         """Run the filter; return the status."""
 
@@ -70,8 +74,8 @@
 
         async def run() -> int:
             fields = {"prompt": a_prompt("a", "own")} if prompt else {}
-            exchange = a_routed_exchange(team=team, **fields)
-            async with aclosing(share(shares)(exchange, inner)) as parts:
+            exchange = a_routed_exchange(team=team, origin=origin, **fields)
+            async with aclosing((filter_ or share(shares))(exchange, inner)) as parts:
                 received = [part async for part in parts]
             return received[0].status
 
@@ -106,6 +110,17 @@
                     self.run_share_filter(_Shares(within=within, congested=congested)), status
                 )
 
+    def test_streams_taken_up(self) -> None:
+        """Guards against a caller that loses the part of a stream that it has because its team is
+        over its share, and against a team that claims to take up all that it sends."""
+        filter_ = share(_Shares(within=False, congested=True))
+        statuses = [
+            self.run_share_filter(_Shares(within=False, congested=True), origin=o, filter_=filter_)
+            for o in [None, *[StreamOrigin("engines", "v1")] * (2 * TAKE_UP_FLOOR_COUNT)]
+        ]
+        self.assertEqual(statuses[0], 429)
+        self.assertEqual(statuses.count(200), TAKE_UP_FLOOR_COUNT)
+
     def test_plain_calls(self) -> None:
         """Guards against applying the shares of engines to calls of plain services."""
         shares = _Shares(within=False, congested=True)
