Ask all controllers of the group where a stream began

All members that a roster names are asked, and no conclusion is drawn before the first roster. test_started_router fails without it.

--- a/src/camphorvalve/controllers/origins.py
+++ b/src/camphorvalve/controllers/origins.py
@@ -42,7 +42,7 @@
         Open a question.
 
         :param query: sent to each controller
-        :param controller_ids: the controllers that are asked
+        :param controller_ids: all controllers of the group, none if they are not known
         """
         self.query = query
         self.origin: StreamOrigin | None = None
@@ -86,6 +86,7 @@
         self,
         router_id: str,
         controller_ids: Callable[[], Iterable[str]],
+        member_ids: Callable[[], Iterable[str]],
         is_in_doubt: Callable[[str, float], bool],
         rng: random.Random,
     ) -> None:
@@ -94,11 +95,13 @@
 
         :param router_id: id of this router
         :param controller_ids: returns the controllers that answered recently
+        :param member_ids: returns all controllers of the group, as far as they are known
         :param is_in_doubt: tells whether a pool may have had two versions lately, at a time
         :param rng: source of the first id of the queries
         """
         self._router_id = router_id
         self._controller_ids = controller_ids
+        self._member_ids = member_ids
         self._is_in_doubt = is_in_doubt
         self._record = OriginRecord()
         self._told_pools: dict[str, frozenset[str]] = {}
@@ -152,7 +155,8 @@
         """
         query = OriginQuery(self._next_query_id, key)
         self._next_query_id += 1
-        question = OriginQuestion(query, self._controller_ids())
+        # One that has not answered this router lately may know the stream.
+        question = OriginQuestion(query, self._member_ids())
         self._questions[query.query_id] = question
         return question
 
--- a/src/camphorvalve/controllers/roster.py
+++ b/src/camphorvalve/controllers/roster.py
@@ -56,6 +56,14 @@
             known.update(dict.fromkeys(received.roster.controllers))
         return known
 
+    def member_ids(self) -> Iterable[str]:
+        """:return: ids of all controllers of the group, none before the first roster"""
+        return dict.fromkeys(
+            controller_id
+            for received in self._rosters.values()
+            for controller_id in received.roster.controllers
+        )
+
     def live_controller_ids(self) -> Iterable[str]:
         """:return: ids of controllers that answered recently, or of all known ones if none did"""
         return self._rosters.keys() or self.controller_ids()
--- a/tests/controllers/test_origins.py
+++ b/tests/controllers/test_origins.py
@@ -25,13 +25,17 @@
         self.now_s = 100.0
         self.keepers = {f"c-{number}": OriginsKeeper() for number in range(5)}
         self.reachable = set(self.keepers)
+        self.live = set(self.keepers)
+        """Controllers that have answered the routers lately."""
+        self.members = list(self.keepers)
         self.in_doubt = True
         self.reports_count = 0
 
     def router(self, router_id: str) -> OriginsFollower:
         return OriginsFollower(
             router_id,
-            lambda: [name for name in self.keepers if name in self.reachable],
+            lambda: [name for name in self.keepers if name in self.live],
+            lambda: self.members,
             lambda pool, now_s: self.in_doubt,
             random.Random(router_id),
         )
@@ -72,7 +76,7 @@
         for name in self.keepers:
             self.reachable = set(self.keepers) - {name}
             self.assertEqual(self.ask(self.router("r-2"), 1).origin, V1)
-        self.reachable = {"c-0"}
+        self.reachable = self.live = {"c-0"}
         self.deliver(router, router.tick(self.now_s))
         self.assertEqual(self.ask(self.router("r-2"), 1).origin, V1)
 
@@ -129,6 +133,17 @@
         self.reachable = set()
         self.assertFalse(self.ask(router, 1).is_denied)
 
+    def test_started_router(self) -> None:
+        """Guards against the conclusion that nobody knows a stream, drawn by a router that has
+        heard of few controllers since its start."""
+        self.begin(self.router("r-1"), 1, V1)
+        started = self.router("r-2")
+        for name in self.keepers:
+            self.live = {name}
+            self.assertEqual(self.ask(started, 1).origin, V1)
+        self.members = []
+        self.assertFalse(self.ask(started, 99).is_denied)
+
     def test_answers_to_another_question(self) -> None:
         """Guards against an answer that reaches a router after its restart, or twice."""
         before, after = self.router("r-1"), self.router("r-1 again")
