--- a/tests/filters/test_resume.py
+++ b/tests/filters/test_resume.py
@@ -50,6 +50,10 @@
         """The only version that has served lately, if there was only one."""
         self.breaks: list[int] = []
         """Number of the event after which each of the next attempts breaks off."""
+        self.silence_s = 0.0
+        """Time for which the next attempt is silent after its last event, unless it is given up."""
+        self.standby_s = 0.0
+        """Time until the first event of an attempt beside a silent one."""
         self.ran: list[str] = []
         """Version of each attempt, with the number of its first event."""
         table = RouteTable(a_manifest())
@@ -91,9 +95,16 @@
         first = exchange.broken.events_count if exchange.broken is not None else 0
         self.ran.append(f"{upstream.software} {first}")
         yield Head(200, ())
+        exchange.events_count = first
+        await anyio.sleep(0.0 if exchange.attempt == 1 else self.standby_s)
         events_count = self.breaks.pop(0) if self.breaks else 9
         if events_count:
+            exchange.events_count = events_count
             yield Body(f"{upstream.software} ".encode())
+        silence_s, self.silence_s = self.silence_s, 0.0
+        until_s = anyio.current_time() + silence_s
+        while anyio.current_time() < until_s and not exchange.gives_up():  # noqa: ASYNC110 -- polled
+            await anyio.sleep(0.005)
         if events_count < 9:
             raise Broken(upstream.upstream_id, "reset", events_count)
 
@@ -155,6 +166,22 @@
         self.assertEqual(caught.exception.run, Run.UNKNOWN)
         self.assertEqual(len(router.ran), 1)
 
+    async def test_standby(self) -> None:
+        """Guards against an attempt beside a silent one that goes on at another version, and
+        against a take-up of its stream at the version of the silent one."""
+        cases = [(events_count, late) for events_count in (0, 3) for late in (True, False)]
+        for events_count, late in cases:
+            for _ in range(8):
+                router = self.router("v1", "v1", "v2", "v2")
+                router.silence_s, router.standby_s = (0.02, 0.04) if late else (1.0, 0.0)
+                router.breaks = [events_count]
+                answer = await router.run("id-1")
+                self.assertEqual(len(router.ran), 2)
+                self.assertEqual(len(set(answer.split())), 1, answer)
+                self.assertEqual(
+                    await router.run("id-2", TakeUp("id-1", 3)), answer.split()[0] + b" "
+                )
+
     async def test_take_up(self) -> None:
         """Guards against a take-up, or one of a take-up, that goes on at another version."""
         for number in range(20):
