--- a/src/camphorvalve/sharing/origins.py
+++ b/src/camphorvalve/sharing/origins.py
@@ -91,7 +91,9 @@
     def _forget_oldest(self, now_s: float) -> None:
         # Looks at two for each one that is added, so that ended ones go without a pause.
         for _ in range(2):
-            oldest_key = next(iter(self._kept))
+            oldest_key = next(iter(self._kept), None)
+            if oldest_key is None:
+                return
             is_over = len(self._kept) > MAX_STREAMS_COUNT
             if not is_over and self._kept[oldest_key].until_s > now_s:
                 return
--- a/tests/controllers/test_origins.py
+++ b/tests/controllers/test_origins.py
@@ -9,7 +9,7 @@
 from camphorvalve.controllers.origins import KEEPERS_COUNT, OriginsFollower, OriginsKeeper
 from camphorvalve.controllers.runtime import Sender
 from camphorvalve.model.requests import StreamOrigin
-from camphorvalve.wire.messages import OriginReply, OriginReport
+from camphorvalve.wire.messages import OriginGroup, OriginReply, OriginReport
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -139,6 +139,18 @@
         list(after.handle(Sender("c-1", 1), known, self.now_s))
         self.assertIsNone(question.origin)
 
+    def test_ended_stream_in_a_report(self) -> None:
+        """Guards against a report that is lost because one of its streams ends under way."""
+        keeper = self.keepers["c-0"]
+        for left_ms in (0, -5):
+            with self.subTest(left_ms=left_ms):
+                self.now_s += 100.0
+                streams = ((1, left_ms), (2, 5000), (3, left_ms), (4, 5000))
+                report = OriginReport((OriginGroup(*V1, streams),), is_whole=True)
+                list(keeper.handle(Sender("r-1", 1), report, self.now_s))
+                for key, origin in ((1, None), (2, V1), (3, None), (4, V1)):
+                    self.assertEqual(self.ask(self.router("r-2"), key).origin, origin)
+
     def test_time(self) -> None:
         """Guards against controllers that keep streams for good."""
         self.begin(self.router("r-1"), 1, V1)
