--- a/src/camphorvalve/upstreams/events.py
+++ b/src/camphorvalve/upstreams/events.py
@@ -9,6 +9,7 @@
 LONGEST_END_BYTES = 4
 MAX_EVENT_BYTES = 1 << 20
 """Longest event accepted; a faulty upstream may send endless data that never completes an event."""
+MAX_NUMBER_LENGTH = 18
 _ID_FIELD = b"id:"
 
 
@@ -144,11 +145,22 @@
 def _event_number(event: bytes) -> int | None:
     for line in event.split(b"\n"):
         if line.startswith(_ID_FIELD):
-            text = line[len(_ID_FIELD) :].strip()
-            return int(text) if text.isdigit() else None
+            return parse_number(line[len(_ID_FIELD) :].decode("latin-1"))
     return None
 
 
+def parse_number(text: str) -> int | None:
+    """
+    Parse the number of an event, or of the last event that a caller has.
+
+    :param text: the number
+    :return: the number, ``None`` if it is none or too long
+    """
+    digits = text.strip()
+    # Python raises an error for numbers of thousands of digits.
+    return int(digits) if digits.isdecimal() and len(digits) <= MAX_NUMBER_LENGTH else None
+
+
 __all__ = [
     "ENDS_OF_EVENT",
     "END_OF_EVENT",
@@ -159,4 +171,5 @@
     "EventError",
     "OutOfOrderError",
     "EventBuffer",
+    "parse_number",
 ]
--- a/src/camphorvalve/upstreams/routed.py
+++ b/src/camphorvalve/upstreams/routed.py
@@ -30,7 +30,7 @@
     NotSent,
     WrongAnswer,
 )
-from camphorvalve.upstreams.events import EventError, EventSequencer, OutOfOrderError
+from camphorvalve.upstreams.events import EventError, EventSequencer, OutOfOrderError, parse_number
 from camphorvalve.upstreams.framing import framing, is_event_stream
 from camphorvalve.upstreams.network import SilenceTimeout, is_connection_end
 from camphorvalve.upstreams.opening import (
@@ -309,8 +309,7 @@
         if exchange.broken is not None:
             return exchange.broken.events_count
         call: RoutedCall = exchange.request.call  # type: ignore[assignment]
-        number_sent = dict(call.headers).get(self._names.last_event_id, "")
-        return int(number_sent) if number_sent.isdecimal() else None
+        return parse_number(dict(call.headers).get(self._names.last_event_id, ""))
 
 
 def _needs_new_connection(exchange: Exchange) -> bool:
--- a/src/camphorvalve/upstreams/transcript.py
+++ b/src/camphorvalve/upstreams/transcript.py
@@ -6,7 +6,12 @@
 
 import msgspec
 
-from camphorvalve.upstreams.events import END_OF_EVENT, EventBuffer, EventSequencer
+from camphorvalve.upstreams.events import (
+    END_OF_EVENT,
+    EventBuffer,
+    EventSequencer,
+    parse_number,
+)
 from camphorvalve.upstreams.options import ContinueText, FromStart, ResumeStream
 
 if TYPE_CHECKING:
@@ -78,7 +83,8 @@
         :return: the number; that of earlier attempts if no event has arrived in this one
         """
         numbers = [line[len(_ID_PREFIX) :] for line in self._lines() if line.startswith(_ID_PREFIX)]
-        return int(numbers[-1]) if numbers and numbers[-1].isdigit() else self._earlier_count
+        number = parse_number(numbers[-1].decode("latin-1")) if numbers else None
+        return self._earlier_count if number is None else number
 
     def text(self) -> str:
         """
--- a/tests/upstreams/test_events.py
+++ b/tests/upstreams/test_events.py
@@ -53,6 +53,14 @@
         content = b": wait\n\n" + event(5) + b"data: 5\n\n"
         self.assertEqual(EventSequencer(4, continues=True).add(content), content)
 
+    def test_endless_number(self) -> None:
+        """Guards against an internal error for a number of thousands of digits, which the caller's
+        stream would end with."""
+        content = b"id: " + b"1" * 5000 + b"\ndata: 1\n\n"
+        self.assertEqual(EventSequencer(None).add(content), content)
+        with self.assertRaises(OutOfOrderError):
+            EventSequencer(4, continues=True).add(content)
+
     def test_events_without_number(self) -> None:
         """Guards against dropping comments and events without a number."""
         sequencer = EventSequencer(None)
--- a/tests/upstreams/test_routed.py
+++ b/tests/upstreams/test_routed.py
@@ -484,6 +484,14 @@
         self.assertIn(b"last-event-id: 1", self.peer.received[0].lower())
         self.assertEqual(result.content, EVENTS[EVENTS.index(b"id: 2") :])
 
+    def test_endless_event_number(self) -> None:
+        """Guards against an internal error, once the request has been sent, for a number of
+        thousands of digits from the caller."""
+        route = a_route(streamed=True, resumable=True)
+        headers = (("last-event-id", "1" * 5000),)
+        result = self.run_script(Script(chunked_response(EVENTS)), route=route, headers=headers)
+        self.assertEqual(result.content, EVENTS)
+
     def test_extra_response(self) -> None:
         """Guards against taking bytes after a response, in the same packet or later, for the
         response to the next request."""
--- a/tests/upstreams/test_transcript.py
+++ b/tests/upstreams/test_transcript.py
@@ -44,6 +44,13 @@
                 transcript.add(EVENTS + extra)
                 self.assertEqual(transcript.last_number(), 2)
 
+    def test_endless_number(self) -> None:
+        """Guards against an internal error, when the stream breaks off, for a number of thousands
+        of digits."""
+        transcript = Transcript(FromStart())
+        transcript.add(b"id: " + b"1" * 5000 + b"\n\n")
+        self.assertEqual(transcript.last_number(), 0)
+
 
 if __name__ == "__main__":
     unittest.main()
