--- a/src/camphorvalve/model/requests.py
+++ b/src/camphorvalve/model/requests.py
@@ -54,7 +54,7 @@
     first_request_id: str | None
     """Id of the request that brought the first event, ``None`` if the caller does not name it."""
     events_count: int
-    """Number of the last event that the caller has."""
+    """Number of the last event that the caller has, 0 if that is no number."""
 
 
 @dataclass(frozen=True, slots=True)
