--- a/src/camphorvalve/filters/share.py
+++ b/src/camphorvalve/filters/share.py
@@ -24,8 +24,8 @@
 RETRY_AFTER_S = 2.0
 """Half of the window over which the platform measures shares."""
 TAKE_UP_RATIO = 0.5
-"""Streams that a team may take up beyond its share, as a part of its requests: any request can
-claim to take up a stream."""
+"""Streams that a team may take up beyond its share, as a part of its requests that were served: any
+request can claim to take up a stream."""
 TAKE_UP_FLOOR_COUNT = 20
 """Streams that a team may always take up in the window of the budget."""
 
@@ -45,18 +45,17 @@
         tokens = cost_tokens(exchange.request.call)
         # Calls without a prompt use no engine, and calls without a team have no share.
         counted = not tokens or exchange.team is None
+        begins_anew = exchange.origin is None
         if tokens and exchange.team is not None:
             now_s = time.monotonic()
             team = exchange.team.name
-            is_take_up = exchange.origin is not None and take_ups.allow(team, now_s)
+            is_take_up = not begins_anew and take_ups.allow(team, now_s)
             is_retry = not is_take_up and shares.detect_retry(
                 exchange.route.name, exchange.request.call.caller_timeout_s, now_s
             )
             exchange.within_share = (
                 shares.within_share(team, tokens, now_s, is_retry=is_retry) or is_take_up
             )
-            if exchange.origin is None:
-                take_ups.record_first_attempt(team, now_s)
             if not exchange.within_share and shares.must_refuse_over_share(
                 exchange.team.name, now_s
             ):
@@ -66,7 +65,10 @@
                 async for part in parts:
                     if not counted and isinstance(part, Body):
                         counted = True
-                        shares.record_served(exchange.team.name, tokens, time.monotonic())
+                        now_s = time.monotonic()
+                        shares.record_served(exchange.team.name, tokens, now_s)
+                        if begins_anew:
+                            take_ups.record_first_attempt(exchange.team.name, now_s)
                     yield part
         except RequestError as error:
             is_starved = error.code == "overloaded" and exchange.within_share
--- a/tests/filters/test_share.py
+++ b/tests/filters/test_share.py
@@ -8,7 +8,7 @@
 
 import anyio
 
-from camphorvalve.filters.share import TAKE_UP_FLOOR_COUNT, share
+from camphorvalve.filters.share import TAKE_UP_FLOOR_COUNT, TAKE_UP_RATIO, share
 from camphorvalve.model.answers import Body, Head
 from camphorvalve.model.errors import RequestError, Run
 from camphorvalve.model.requests import StreamOrigin
@@ -31,7 +31,7 @@
     def __init__(self, *, within: bool, congested: bool) -> None:
         self.starved: list[tuple[str, float]] = []
         self.served: list[tuple[str, float]] = []
-        self._within = within
+        self.within = within
         self._congested = congested
 
     def detect_retry(self, kind: str, caller_timeout_s: float | None, now_s: float) -> bool:
@@ -40,7 +40,7 @@
     def within_share(
         self, team: str, tokens: float, now_s: float, *, is_retry: bool = False
     ) -> bool:
-        return self._within
+        return self.within
 
     def must_refuse_over_share(self, team: str, now_s: float) -> bool:
         return self._congested
@@ -121,6 +121,34 @@
         self.assertEqual(statuses[0], 429)
         self.assertEqual(statuses.count(200), TAKE_UP_FLOOR_COUNT)
 
+    def test_streams_taken_up_by_a_flooding_team(self) -> None:
+        """Guards against a team that gets a multiple of its share because the requests that it is
+        refused raise the number of streams that it may claim to take up."""
+        shares = _Shares(within=False, congested=True)
+        filter_ = share(shares)
+        for _ in range(20 * TAKE_UP_FLOOR_COUNT):
+            self.assertEqual(self.run_share_filter(shares, filter_=filter_), 429)
+        origin = StreamOrigin("engines", "v1")
+        statuses = [
+            self.run_share_filter(shares, origin=origin, filter_=filter_)
+            for _ in range(2 * TAKE_UP_FLOOR_COUNT)
+        ]
+        self.assertEqual(statuses.count(200), TAKE_UP_FLOOR_COUNT)
+
+    def test_streams_taken_up_by_a_served_team(self) -> None:
+        """Guards against a team with many streams that loses more of them than it may take up."""
+        shares = _Shares(within=True, congested=True)
+        filter_ = share(shares)
+        for _ in range(4 * TAKE_UP_FLOOR_COUNT):
+            self.assertEqual(self.run_share_filter(shares, filter_=filter_), 200)
+        shares.within = False
+        origin = StreamOrigin("engines", "v1")
+        statuses = [
+            self.run_share_filter(shares, origin=origin, filter_=filter_)
+            for _ in range(4 * TAKE_UP_FLOOR_COUNT)
+        ]
+        self.assertEqual(statuses.count(200), TAKE_UP_RATIO * 4 * TAKE_UP_FLOOR_COUNT)
+
     def test_plain_calls(self) -> None:
         """Guards against applying the shares of engines to calls of plain services."""
         shares = _Shares(within=False, congested=True)
