--- a/src/camphorvalve/filters/share.py
+++ b/src/camphorvalve/filters/share.py
@@ -50,6 +50,7 @@
             now_s = time.monotonic()
             team = exchange.team.name
             is_take_up = not begins_anew and take_ups.allow(team, now_s)
+            exchange.within_take_ups = begins_anew or is_take_up
             is_retry = not is_take_up and shares.detect_retry(
                 exchange.route.name, exchange.request.call.caller_timeout_s, now_s
             )
--- a/src/camphorvalve/model/requests.py
+++ b/src/camphorvalve/model/requests.py
@@ -198,6 +198,8 @@
     """Number of priority ranks at the same pool that are more urgent."""
     within_share: bool = True
     """Whether it is within its team's share; others may use only a part of an engine's limit."""
+    within_take_ups: bool = True
+    """Whether its team has taken up few enough streams for this one to precede new requests."""
     deadline_s: float | None = None
     """Monotonic time by which the response has to be complete."""
     prefix: str | None = None
--- a/tests/controllers/test_pools.py
+++ b/tests/controllers/test_pools.py
@@ -150,6 +150,16 @@
         taken_up = self.fill(prompt=prompt, origin=StreamOrigin("engines", "v2"))
         self.assertGreater(taken_up, 4)
 
+    def test_claims_to_take_up_streams(self) -> None:
+        """Guards against a team that takes the room of more urgent requests with claims to take up
+        streams."""
+        self.pools.apply(some_versions("v1"), 0.0)
+        self.engine_part = 1.0
+        prompt = a_prompt("a", "own", tokens_count=13_000)
+        claim = {"origin": StreamOrigin("engines", "v1"), "within_take_ups": False}
+        self.assertGreater(self.fill(prompt=prompt, more_urgent_ranks_count=1, **claim), 0)
+        self.assertGreater(self.fill(prompt=prompt), 0)
+
     def test_ranking_follows_the_list(self) -> None:
         """Guards against a cached ranking that is kept after the list of upstreams has changed."""
         prompt = a_prompt("a", "own", tokens_count=13_000)
--- a/tests/filters/test_share.py
+++ b/tests/filters/test_share.py
@@ -149,6 +149,32 @@
         ]
         self.assertEqual(statuses.count(200), TAKE_UP_RATIO * 4 * TAKE_UP_FLOOR_COUNT)
 
+    def test_precedence_of_streams_taken_up(self) -> None:
+        """Guards against a team that precedes all others because it is within its share and claims
+        to take up all that it sends, and against new requests without precedence."""
+        filter_ = share(_Shares(within=True, congested=False))
+        origin = StreamOrigin("engines", "v1")
+        exchanges = [
+            a_routed_exchange(team=TEAM, prompt=a_prompt("a", "own"), origin=origin)
+            for _ in range(2 * TAKE_UP_FLOOR_COUNT)
+        ]
+        new = a_routed_exchange(team=TEAM, prompt=a_prompt("a", "own"))
+
+        async def inner(exchange: Exchange) -> AsyncIterator[Part]:
+            yield Head(200, ())
+
+        async def run() -> None:
+            for exchange in [*exchanges, new]:
+                async with aclosing(filter_(exchange, inner)) as parts:
+                    self.assertEqual([part async for part in parts], [Head(200, ())])
+
+        anyio.run(run)
+        self.assertEqual(
+            [exchange.within_take_ups for exchange in exchanges],
+            [True] * TAKE_UP_FLOOR_COUNT + [False] * TAKE_UP_FLOOR_COUNT,
+        )
+        self.assertTrue(new.within_take_ups)
+
     def test_plain_calls(self) -> None:
         """Guards against applying the shares of engines to calls of plain services."""
         shares = _Shares(within=False, congested=True)
