--- a/src/camphorvalve/sharing/versions.py
+++ b/src/camphorvalve/sharing/versions.py
@@ -37,7 +37,7 @@
         self._read_s = float("-inf")
         self._listed: dict[str, frozenset[str | None]] = {}
         self._gone_s: dict[tuple[str, str | None], float] = {}
-        """When each version that is no longer listed was listed last."""
+        """When each version that is no longer listed may have been listed last."""
 
     def apply(self, upstreams: Iterable[Upstream | ListedUpstream], read_s: float) -> None:
         """
@@ -49,12 +49,13 @@
         versions: dict[str, set[str | None]] = {}
         for upstream in upstreams:
             versions.setdefault(upstream.pool, set()).add(upstream.software)
-        previous, previous_read_s = self._listed, self._read_s
+        previous = self._listed
         self._listed = {pool: frozenset(software) for pool, software in versions.items()}
         self.confirm(read_s)
         for pool, software in _pairs(previous):
             if software not in self._listed.get(pool, ()):
-                self._gone_s[pool, software] = previous_read_s
+                # It may have served until now, though it was listed for the last time before.
+                self._gone_s[pool, software] = read_s
         for pair in _pairs(self._listed):
             self._gone_s.pop(pair, None)
         self._forget(read_s)
--- a/src/camphorvalve/wire/messages.py
+++ b/src/camphorvalve/wire/messages.py
@@ -224,7 +224,7 @@
     software: str | None
     """``None`` if unknown."""
     age_ms: int
-    """Time since it was last listed."""
+    """Time since it may have been listed last."""
 
 
 class VersionReport(NamedTuple):
--- a/tests/sharing/test_versions.py
+++ b/tests/sharing/test_versions.py
@@ -63,6 +63,16 @@
         self.follow("v1", for_s=SPAN_S - 2)
         self.assertFalse(self.is_alone())
 
+    def test_version_left_between_two_reads(self) -> None:
+        """Guards against streams of a version that served until shortly before the list without it
+        was read."""
+        self.follow("v1", for_s=SPAN_S)
+        self.now_s += MAX_GAP_S - 1.0
+        read_s = self.now_s
+        self.follow("v2", for_s=SPAN_S + MAX_GAP_S)
+        self.assertFalse(self.history.is_alone("engines", SPAN_S, read_s + SPAN_S - 0.5))
+        self.assertTrue(self.history.is_alone("engines", SPAN_S, read_s + SPAN_S))
+
     def test_report_to_a_started_process(self) -> None:
         """Guards against doubt, or a false conclusion, after all routers have restarted."""
         self.follow("v1", for_s=SPAN_S)
