--- a/tests/filters/test_resume.py
+++ b/tests/filters/test_resume.py
@@ -246,6 +246,19 @@
             self.assertEqual(router.filter.not_resumed_count, 0)
         await self.refusal(router, TakeUp("id-1", 3), STREAM._replace(destinations=split[1:]))
 
+    async def test_moved_route(self) -> None:
+        """Guards against a stream that another router goes on with at the pool to which a manifest
+        has moved its route."""
+        keepers = [OriginsKeeper() for _ in range(5)]
+        routers = [self.router("v1", "v1", keepers=keepers) for _ in range(2)]
+        for router in routers:
+            router.only_version = "v1"
+            router.listed += some_versions("v1", "v1", pool="desk")
+        await routers[0].run("id-1")
+        moved = STREAM._replace(destinations=(Destination("desk", 1.0),))
+        for router in routers:
+            await self.refusal(router, TakeUp("id-1", 3), moved)
+
     async def test_contradiction(self) -> None:
         """Guards against streams of two versions that began under the same id."""
         router = self.router("v1", "v2")
