--- a/src/camphorvalve/controllers/inforce.py
+++ b/src/camphorvalve/controllers/inforce.py
@@ -43,7 +43,7 @@
         manifest = configuration.manifest
         if manifest is None or manifest.version == self.version():
             return
-        self._table = RouteTable(manifest)
+        self._table = RouteTable(manifest, self._table)
         _log.info(
             "manifest in force",
             version=manifest.version,
--- a/src/camphorvalve/sharing/routing.py
+++ b/src/camphorvalve/sharing/routing.py
@@ -14,11 +14,12 @@
 class RouteTable:
     """Lookup tables of one manifest."""
 
-    def __init__(self, manifest: Manifest) -> None:
+    def __init__(self, manifest: Manifest, previous: RouteTable | None = None) -> None:
         """
         Build the tables.
 
         :param manifest: a valid manifest
+        :param previous: the tables of the manifest that it replaces
         """
         self.manifest = manifest
         self.pools = {pool.name: pool for pool in manifest.pools}
@@ -32,7 +33,11 @@
         }
         self._priorities = {tenant.name: tenant.priority for tenant in manifest.tenants}
         self._ranks = {pool: self._ranks_at(pool) for pool in self.pools}
-        self._longest_streams_s: dict[str, float] = {}
+        # Streams that began before the manifest keep their deadlines.
+        earlier_s = {} if previous is None else previous._longest_streams_s
+        self._longest_streams_s = {
+            pool: longest_s for pool, longest_s in earlier_s.items() if pool in self.pools
+        }
         for route in manifest.routes:
             for pool in (destination.pool for destination in route.destinations if route.streamed):
                 longest_s = self._longest_streams_s.get(pool, 0.0)
@@ -71,7 +76,7 @@
         Return how long a stream of a pool may last.
 
         :param pool: name of the pool
-        :return: the longest timeout of its routes with streams, 0 without any
+        :return: the longest timeout that its routes with streams have or had, 0 without any
         """
         return self._longest_streams_s.get(pool, 0.0)
 
--- a/tests/sharing/test_origins.py
+++ b/tests/sharing/test_origins.py
@@ -4,8 +4,10 @@
 
 import unittest
 
+from camphorvalve.controllers.inforce import ManifestInForce
 from camphorvalve.model.requests import StreamOrigin
 from camphorvalve.model.teams import Limits, TeamParameters
+from camphorvalve.registry.configuration import EMPTY_CONFIGURATION
 from camphorvalve.sharing.origins import (
     MAX_KEPT_S,
     MAX_STREAMS_COUNT,
@@ -82,6 +84,17 @@
         self.assertGreater(longest_doubt_s(table, "engines"), 90.0)
         self.assertLess(longest_doubt_s(table, "desk"), 90.0)
 
+    def test_shorter_timeouts(self) -> None:
+        """Guards against a stream that outlasts the doubt about its pool because a manifest that
+        came after its start shortens the timeouts, or drops its route."""
+        in_force = ManifestInForce()
+        route = a_route(streamed=True, timeout_s=90.0)
+        for version, routes in enumerate([(route,), (route._replace(timeout_s=8.0),), ()], 1):
+            manifest = a_manifest(version, routes=routes)
+            in_force.apply(EMPTY_CONFIGURATION._replace(manifest=manifest))
+            self.assertEqual(in_force.version(), version)
+            self.assertGreater(longest_doubt_s(in_force.table(), "engines"), 90.0)
+
 
 if __name__ == "__main__":
     unittest.main()
