--- a/tests/filters/test_resume.py
+++ b/tests/filters/test_resume.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import random
 import unittest
 from contextlib import aclosing
@@ -109,6 +110,40 @@
             return b"".join([part.content async for part in parts if isinstance(part, Body)])
 
 
+class _SilentRouter(_Router):
+    """A router whose upstreams fall silent, go on, break off and fail before the first event."""
+
+    EVENTS_COUNT = 6
+    standbys_count = 0
+
+    async def attempt(self, exchange: Exchange) -> AsyncIterator[Part]:
+        upstream = self.pools.upstream(exchange.upstream_id or "")
+        first = exchange.broken.events_count if exchange.broken is not None else 0
+        exchange.sent_upstream = True
+        exchange.events_count = first
+        yield Head(200, ())
+        for number in range(first + 1, self.EVENTS_COUNT + 1):
+            cause = None
+            match self.rng.choice(["event"] * 6 + ["silence", "silence", "break"]):
+                case "silence":
+                    cause = await self.silence(exchange)
+                case "break":
+                    cause = "reset"
+            if cause is not None:
+                raise Broken(upstream.upstream_id, cause, number - 1)
+            exchange.events_count = number
+            yield Body(f"{upstream.software}:{number} ".encode())
+
+    async def silence(self, exchange: Exchange) -> str | None:
+        """Wait as an attempt does at a silent upstream; returns why the attempt ends, if so."""
+        for _ in range(self.rng.randint(1, 8)):
+            await anyio.sleep(0.01 * self.rng.random())
+            if exchange.gives_up():
+                self.standbys_count += 1
+                return "silent"
+        return None
+
+
 class ResumeFilterTest(unittest.IsolatedAsyncioTestCase):
     def setUp(self) -> None:
         self.rng = random.Random(7)
@@ -154,6 +189,34 @@
         self.assertEqual(caught.exception.run, Run.UNKNOWN)
         self.assertEqual(len(router.ran), 1)
 
+    async def test_silent_attempts(self) -> None:
+        """Guards against events of an attempt beside a silent one that has another version, and
+        against another version that goes on after an attempt has been replaced."""
+        router = _SilentRouter(self.rng, *("v1", "v2", "v3") * 3)
+        answers = []
+
+        async def run(number: int) -> None:
+            received = b""
+            route = STREAM._replace(idempotent=True)
+            exchange = a_routed_exchange(route, request_id=f"id-{number}", attempt=0)
+            with contextlib.suppress(RequestError):
+                async with aclosing(router.handler()(exchange)) as parts:
+                    async for part in parts:
+                        received += part.content if isinstance(part, Body) else b""
+            answers.append(received.decode())
+
+        async with anyio.create_task_group() as tasks:
+            for number in range(400):
+                tasks.start_soon(run, number)
+        for answer in answers:
+            events = [event.split(":") for event in answer.split()]
+            self.assertLessEqual(len({software for software, _ in events}), 1, answer)
+            numbers = [int(number) for _, number in events]
+            self.assertEqual(numbers, list(range(1, len(events) + 1)), answer)
+        whole = [answer for answer in answers if f":{router.EVENTS_COUNT} " in answer]
+        self.assertGreater(len(whole), len(answers) // 2)
+        self.assertGreater(router.standbys_count, 20)
+
     async def test_take_up(self) -> None:
         """Guards against a take-up, or one of a take-up, that goes on at another version."""
         for number in range(20):
