--- a/src/camphorvalve/sharing/versions.py
+++ b/src/camphorvalve/sharing/versions.py
@@ -128,10 +128,12 @@
         :param pool: name of the pool
         :param span_s: the time
         :param now_s: monotonic time
-        :return: whether it is certain that no other version was listed
+        :return: whether it is certain that no other version was listed; never for
+            ``FORGET_AFTER_S`` or longer
         """
         return (
-            len(self.listed(pool)) == 1
+            span_s < FORGET_AFTER_S
+            and len(self.listed(pool)) == 1
             and self.observed_age_s(now_s) >= span_s
             and not any(
                 gone_pool == pool and now_s - left_s < span_s
--- a/tests/sharing/test_versions.py
+++ b/tests/sharing/test_versions.py
@@ -4,7 +4,12 @@
 
 import unittest
 
-from camphorvalve.sharing.versions import MAX_GAP_S, MAX_GONE_COUNT, VersionHistory
+from camphorvalve.sharing.versions import (
+    FORGET_AFTER_S,
+    MAX_GAP_S,
+    MAX_GONE_COUNT,
+    VersionHistory,
+)
 from tests.routebuilders import some_versions
 
 SPAN_S = 15.0
@@ -73,6 +78,14 @@
         self.assertFalse(self.history.is_alone("engines", SPAN_S, read_s + SPAN_S - 0.5))
         self.assertTrue(self.history.is_alone("engines", SPAN_S, read_s + SPAN_S))
 
+    def test_long_streams(self) -> None:
+        """Guards against streams that last longer than a version is remembered after it left."""
+        self.follow("v1")
+        self.follow("v2", for_s=FORGET_AFTER_S + 10.0)
+        since_start_s = self.now_s - 100.0
+        self.assertFalse(self.history.is_alone("engines", since_start_s, self.now_s))
+        self.assertTrue(self.history.is_alone("engines", FORGET_AFTER_S - 1.0, self.now_s))
+
     def test_report_to_a_started_process(self) -> None:
         """Guards against doubt, or a false conclusion, after all routers have restarted."""
         self.follow("v1", for_s=SPAN_S)
