--- a/src/camphorvalve/controllers/origins.py
+++ b/src/camphorvalve/controllers/origins.py
@@ -37,25 +37,38 @@
 class OriginQuestion:
     """A question to all controllers where a stream began, until it is closed."""
 
-    def __init__(self, query: OriginQuery, controller_ids: Iterable[str]) -> None:
+    def __init__(
+        self, query: OriginQuery, controller_ids: Iterable[str], live_ids: Iterable[str]
+    ) -> None:
         """
         Open a question.
 
         :param query: sent to each controller
         :param controller_ids: the controllers that are asked
+        :param live_ids: those that answered something recently
         """
         self.query = query
         self.origin: StreamOrigin | None = None
         """Where the stream began, by the first controller that knows it."""
         self.settled = anyio.Event()
         """Set when a controller knows the stream, or none of them does."""
-        self._unanswered = set(controller_ids)
+        self._live_ids = frozenset(live_ids)
+        self._unanswered = {*controller_ids, *self._live_ids}
         self._has_answer = False
 
     @property
     def is_denied(self) -> bool:
         """:return: whether a controller that keeps the stream has answered that it isn't known"""
-        return self.origin is None and self._has_answer and len(self._unanswered) < KEEPERS_COUNT
+        return (
+            self.origin is None
+            and self._has_answer
+            and len(self._unanswered & self._live_ids) < KEEPERS_COUNT
+        )
+
+    @property
+    def has_live_answers(self) -> bool:
+        """:return: whether only controllers have not answered that may have ended"""
+        return self._has_answer and not self._unanswered & self._live_ids
 
     def queries(self) -> list[Outgoing]:
         """:return: the query for each controller that has not answered"""
@@ -85,6 +98,7 @@
     def __init__(
         self,
         router_id: str,
+        live_controller_ids: Callable[[], Iterable[str]],
         controller_ids: Callable[[], Iterable[str]],
         is_in_doubt: Callable[[str, float], bool],
         rng: random.Random,
@@ -93,11 +107,14 @@
         Start without streams.
 
         :param router_id: id of this router
-        :param controller_ids: returns the controllers that answered recently
+        :param live_controller_ids: returns the controllers that answered recently
+        :param controller_ids: returns all known controllers; a router that has just started has
+            not heard of each one
         :param is_in_doubt: tells whether a pool may have had two versions lately, at a time
         :param rng: source of the first id of the queries
         """
         self._router_id = router_id
+        self._live_controller_ids = live_controller_ids
         self._controller_ids = controller_ids
         self._is_in_doubt = is_in_doubt
         self._record = OriginRecord()
@@ -152,7 +169,7 @@
         """
         query = OriginQuery(self._next_query_id, key)
         self._next_query_id += 1
-        question = OriginQuestion(query, self._controller_ids())
+        question = OriginQuestion(query, self._controller_ids(), self._live_controller_ids())
         self._questions[query.query_id] = question
         return question
 
@@ -219,7 +236,7 @@
     def _keeper_ids(self) -> list[str]:
         # Ranked for each router, so that all controllers bear a part.
         key = f"streams of {self._router_id}"
-        return ranked(key, self._controller_ids())[:KEEPERS_COUNT]
+        return ranked(key, self._live_controller_ids())[:KEEPERS_COUNT]
 
 
 class OriginsKeeper:
--- a/src/camphorvalve/filters/resume.py
+++ b/src/camphorvalve/filters/resume.py
@@ -29,6 +29,9 @@
 """Time after which controllers are asked again that have not answered: a connection that was reset
 is back by then."""
 QUERIES_COUNT = 4
+MIN_QUERIES_COUNT = 2
+"""Queries that controllers are sent of which nothing was heard lately: one that this router has not
+met before has to connect back before its answers arrive."""
 BEGIN_ANEW_S = 0.05
 """Delay after which a caller whose stream cannot go on may send the request anew."""
 
@@ -150,7 +153,7 @@
         """Ask the controllers about a stream, and wait for their answers."""
         question = self._origins.ask(key)
         try:
-            for _ in range(QUERIES_COUNT):
+            for count in range(1, QUERIES_COUNT + 1):
                 queries = question.queries()
                 if not queries:
                     break
@@ -158,6 +161,8 @@
                 with anyio.move_on_after(QUERY_INTERVAL_S):
                     await question.settled.wait()
                     break
+                if count >= MIN_QUERIES_COUNT and question.has_live_answers:
+                    break
         finally:
             self._origins.close(question)
         return question
--- a/src/camphorvalve/wiring/joinedrouter.py
+++ b/src/camphorvalve/wiring/joinedrouter.py
@@ -117,6 +117,7 @@
         self._origins = OriginsFollower(
             settings.host_id,
             self._roster.live_controller_ids,
+            self._roster.controller_ids,
             lambda pool, now_s: self._only_origin(pool, now_s) is None,
             self._rng,
         )
--- a/tests/controllers/test_origins.py
+++ b/tests/controllers/test_origins.py
@@ -25,13 +25,16 @@
         self.now_s = 100.0
         self.keepers = {f"c-{number}": OriginsKeeper() for number in range(5)}
         self.reachable = set(self.keepers)
+        self.live: set[str] | None = None
+        """Controllers that routers have heard of lately, if not all that can be reached."""
         self.in_doubt = True
         self.reports_count = 0
 
     def router(self, router_id: str) -> OriginsFollower:
         return OriginsFollower(
             router_id,
-            lambda: [name for name in self.keepers if name in self.reachable],
+            lambda: [name for name in self.keepers if name in (self.live or self.reachable)],
+            lambda: self.keepers,
             lambda pool, now_s: self.in_doubt,
             random.Random(router_id),
         )
@@ -129,6 +132,31 @@
         self.reachable = set()
         self.assertFalse(self.ask(router, 1).is_denied)
 
+    def test_started_router(self) -> None:
+        """Guards against streams that seem unknown to a router that has just started, because it
+        has not heard yet of the controllers that know them."""
+        for number in range(10):
+            self.begin(self.router(f"r-{number}"), number, V1)
+        for name in self.keepers:
+            self.live = {name}
+            for number in range(10):
+                question = self.ask(self.router("r-started"), number)
+                self.assertEqual(question.origin, V1)
+
+    def test_dead_controller(self) -> None:
+        """Guards against a wait for controllers that have ended, and against none for one that may
+        know the stream."""
+        router = self.router("r-1")
+        self.live = set(self.keepers) - {"c-0"}
+        self.reachable = self.live - {"c-1"}
+        self.assertFalse(self.ask(router, 1).has_live_answers)
+        self.reachable = self.live
+        question = self.ask(router, 1)
+        self.assertTrue(question.has_live_answers)
+        self.assertFalse(question.settled.is_set())
+        self.reachable = set(self.keepers)
+        self.assertTrue(self.ask(router, 1).settled.is_set())
+
     def test_answers_to_another_question(self) -> None:
         """Guards against an answer that reaches a router after its restart, or twice."""
         before, after = self.router("r-1"), self.router("r-1 again")
--- a/tests/filters/test_resume.py
+++ b/tests/filters/test_resume.py
@@ -60,6 +60,7 @@
         self.origins = OriginsFollower(
             "r-1",
             lambda: list(self.keepers),
+            lambda: list(self.keepers),
             lambda pool, now_s: self.only_version is None,
             random.Random(1),
         )
