--- a/src/camphorvalve/controllers/origins.py
+++ b/src/camphorvalve/controllers/origins.py
@@ -23,6 +23,7 @@
     import random
     from collections.abc import Callable, Iterable, Iterator
 
+    from camphorvalve.controllers.roster import KnownControllers
     from camphorvalve.controllers.runtime import Sender
     from camphorvalve.sharing.origins import KeptOrigin
 
@@ -37,25 +38,37 @@
 class OriginQuestion:
     """A question to all controllers where a stream began, until it is closed."""
 
-    def __init__(self, query: OriginQuery, controller_ids: Iterable[str]) -> None:
+    def __init__(self, query: OriginQuery, controllers: KnownControllers) -> None:
         """
         Open a question.
 
         :param query: sent to each controller
-        :param controller_ids: all controllers of the group, none if they are not known
+        :param controllers: the controllers; all known ones are asked, as those that have not
+            answered this router lately may know the stream
         """
         self.query = query
         self.origin: StreamOrigin | None = None
         """Where the stream began, by the first controller that knows it."""
         self.settled = anyio.Event()
         """Set when a controller knows the stream, or none of them does."""
-        self._unanswered = set(controller_ids)
+        self._controllers = controllers
+        self._unanswered = {*controllers.known_ids, *controllers.live_ids}
         self._has_answer = False
 
     @property
     def is_denied(self) -> bool:
         """:return: whether a controller that keeps the stream has answered that it isn't known"""
-        return self.origin is None and self._has_answer and len(self._unanswered) < KEEPERS_COUNT
+        if self.origin is not None or not self._has_answer:
+            return False
+        member_ids = self._controllers.member_ids
+        missing_count = len(self._unanswered.intersection(member_ids))
+        return bool(member_ids) and missing_count < KEEPERS_COUNT
+
+    @property
+    def has_live_answers(self) -> bool:
+        """:return: whether only controllers have not answered that may have ended"""
+        live_ids = self._controllers.live_ids
+        return self._has_answer and self._unanswered.isdisjoint(live_ids)
 
     def queries(self) -> list[Outgoing]:
         """:return: the query for each controller that has not answered"""
@@ -85,8 +98,7 @@
     def __init__(
         self,
         router_id: str,
-        controller_ids: Callable[[], Iterable[str]],
-        member_ids: Callable[[], Iterable[str]],
+        controllers: Callable[[], KnownControllers],
         is_in_doubt: Callable[[str, float], bool],
         rng: random.Random,
     ) -> None:
@@ -94,14 +106,12 @@
         Start without streams.
 
         :param router_id: id of this router
-        :param controller_ids: returns the controllers that answered recently
-        :param member_ids: returns all controllers of the group, as far as they are known
+        :param controllers: returns the controllers
         :param is_in_doubt: tells whether a pool may have had two versions lately, at a time
         :param rng: source of the first id of the queries
         """
         self._router_id = router_id
-        self._controller_ids = controller_ids
-        self._member_ids = member_ids
+        self._controllers = controllers
         self._is_in_doubt = is_in_doubt
         self._record = OriginRecord()
         self._told_pools: dict[str, frozenset[str]] = {}
@@ -155,8 +165,7 @@
         """
         query = OriginQuery(self._next_query_id, key)
         self._next_query_id += 1
-        # One that has not answered this router lately may know the stream.
-        question = OriginQuestion(query, self._member_ids())
+        question = OriginQuestion(query, self._controllers())
         self._questions[query.query_id] = question
         return question
 
@@ -223,7 +232,7 @@
     def _keeper_ids(self) -> list[str]:
         # Ranked for each router, so that all controllers bear a part.
         key = f"streams of {self._router_id}"
-        return ranked(key, self._controller_ids())[:KEEPERS_COUNT]
+        return ranked(key, self._controllers().live_ids)[:KEEPERS_COUNT]
 
 
 class OriginsKeeper:
--- a/src/camphorvalve/controllers/roster.py
+++ b/src/camphorvalve/controllers/roster.py
@@ -25,6 +25,17 @@
     heard_s: float
 
 
+class KnownControllers(NamedTuple):
+    """Ids of controllers, by what a router knows of them."""
+
+    known_ids: tuple[str, ...]
+    """All, the seeds included."""
+    live_ids: tuple[str, ...]
+    """Those that answered recently, or all known ones if none did."""
+    member_ids: tuple[str, ...]
+    """Members of the group, none before the first roster."""
+
+
 class RosterController:
     """Owns this router's list of controllers and routers, merged from the rosters it received."""
 
@@ -56,13 +67,16 @@
             known.update(dict.fromkeys(received.roster.controllers))
         return known
 
-    def member_ids(self) -> Iterable[str]:
-        """:return: ids of all controllers of the group, none before the first roster"""
-        return dict.fromkeys(
+    def controllers(self) -> KnownControllers:
+        """:return: the controllers, by what is known of them"""
+        members = dict.fromkeys(
             controller_id
             for received in self._rosters.values()
             for controller_id in received.roster.controllers
         )
+        return KnownControllers(
+            tuple(self.controller_ids()), tuple(self.live_controller_ids()), tuple(members)
+        )
 
     def live_controller_ids(self) -> Iterable[str]:
         """:return: ids of controllers that answered recently, or of all known ones if none did"""
@@ -156,4 +170,4 @@
     return Roster(change.version, change.controllers, tuple(routers.values()))
 
 
-__all__ = ["RosterController"]
+__all__ = ["KnownControllers", "RosterController"]
--- a/src/camphorvalve/wiring/joinedrouter.py
+++ b/src/camphorvalve/wiring/joinedrouter.py
@@ -116,8 +116,7 @@
         self._suspects = SuspectsFollower(self._roster.live_controller_ids)
         self._origins = OriginsFollower(
             settings.host_id,
-            self._roster.live_controller_ids,
-            self._roster.member_ids,
+            self._roster.controllers,
             lambda pool, now_s: self._only_origin(pool, now_s) is None,
             self._rng,
         )
--- a/tests/controllers/test_origins.py
+++ b/tests/controllers/test_origins.py
@@ -7,9 +7,10 @@
 from typing import TYPE_CHECKING
 
 from camphorvalve.controllers.origins import KEEPERS_COUNT, OriginsFollower, OriginsKeeper
+from camphorvalve.controllers.roster import KnownControllers
 from camphorvalve.controllers.runtime import Sender
 from camphorvalve.model.requests import StreamOrigin
-from camphorvalve.wire.messages import OriginReply, OriginReport
+from camphorvalve.wire.messages import OriginGroup, OriginReply, OriginReport
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -25,21 +26,26 @@
         self.now_s = 100.0
         self.keepers = {f"c-{number}": OriginsKeeper() for number in range(5)}
         self.reachable = set(self.keepers)
-        self.live = set(self.keepers)
-        """Controllers that have answered the routers lately."""
-        self.members = list(self.keepers)
+        self.live: set[str] | None = None
+        """Controllers that routers have heard of lately, if not all that can be reached."""
+        self.has_roster = True
         self.in_doubt = True
         self.reports_count = 0
 
     def router(self, router_id: str) -> OriginsFollower:
         return OriginsFollower(
             router_id,
-            lambda: [name for name in self.keepers if name in self.live],
-            lambda: self.members,
+            self.controllers,
             lambda pool, now_s: self.in_doubt,
             random.Random(router_id),
         )
 
+    def controllers(self) -> KnownControllers:
+        live = self.reachable if self.live is None else self.live
+        all_ids = tuple(self.keepers)
+        live_ids = tuple(name for name in all_ids if name in live)
+        return KnownControllers(all_ids, live_ids, all_ids if self.has_roster else ())
+
     def deliver(self, router: OriginsFollower, outgoing: Iterable[Outgoing]) -> None:
         for controller_id, message in outgoing:
             self.reports_count += isinstance(message, OriginReport)
@@ -134,15 +140,37 @@
         self.assertFalse(self.ask(router, 1).is_denied)
 
     def test_started_router(self) -> None:
-        """Guards against the conclusion that nobody knows a stream, drawn by a router that has
-        heard of few controllers since its start."""
-        self.begin(self.router("r-1"), 1, V1)
-        started = self.router("r-2")
+        """Guards against streams that seem unknown to a router that has just started, because it
+        has not heard yet of the controllers that know them."""
+        for number in range(10):
+            self.begin(self.router(f"r-{number}"), number, V1)
         for name in self.keepers:
             self.live = {name}
-            self.assertEqual(self.ask(started, 1).origin, V1)
-        self.members = []
-        self.assertFalse(self.ask(started, 99).is_denied)
+            for number in range(10):
+                question = self.ask(self.router("r-started"), number)
+                self.assertEqual(question.origin, V1)
+
+    def test_few_heard_controllers(self) -> None:
+        """Guards against the conclusion that nobody knows a stream, drawn by a router that has
+        heard of few controllers since its start."""
+        self.reachable = self.live = {"c-0"}
+        self.assertFalse(self.ask(self.router("r-1"), 1).is_denied)
+        self.reachable, self.has_roster = set(self.keepers), False
+        self.assertFalse(self.ask(self.router("r-1"), 1).is_denied)
+
+    def test_dead_controller(self) -> None:
+        """Guards against a wait for controllers that have ended, and against none for one that may
+        know the stream."""
+        router = self.router("r-1")
+        self.live = set(self.keepers) - {"c-0"}
+        self.reachable = self.live - {"c-1"}
+        self.assertFalse(self.ask(router, 1).has_live_answers)
+        self.reachable = self.live
+        question = self.ask(router, 1)
+        self.assertTrue(question.has_live_answers)
+        self.assertFalse(question.settled.is_set())
+        self.reachable = set(self.keepers)
+        self.assertTrue(self.ask(router, 1).settled.is_set())
 
     def test_answers_to_another_question(self) -> None:
         """Guards against an answer that reaches a router after its restart, or twice."""
@@ -154,6 +182,18 @@
         list(after.handle(Sender("c-1", 1), known, self.now_s))
         self.assertIsNone(question.origin)
 
+    def test_ended_stream_in_a_report(self) -> None:
+        """Guards against a report that is lost because one of its streams ends under way."""
+        keeper = self.keepers["c-0"]
+        for left_ms in (0, -5):
+            with self.subTest(left_ms=left_ms):
+                self.now_s += 100.0
+                streams = ((1, left_ms), (2, 5000), (3, left_ms), (4, 5000))
+                report = OriginReport((OriginGroup(*V1, streams),), is_whole=True)
+                list(keeper.handle(Sender("r-1", 1), report, self.now_s))
+                for key, origin in ((1, None), (2, V1), (3, None), (4, V1)):
+                    self.assertEqual(self.ask(self.router("r-2"), key).origin, origin)
+
     def test_time(self) -> None:
         """Guards against controllers that keep streams for good."""
         self.begin(self.router("r-1"), 1, V1)
