--- a/src/camphorvalve/controllers/pools.py
+++ b/src/camphorvalve/controllers/pools.py
@@ -66,6 +66,8 @@
 MAX_SERVICE_REQUESTS_COUNT = 12
 """Maximum requests of one router at a plain service, which has 6 slots and rejects requests that
 it cannot queue."""
+LIST_LAG_S = 1.0
+"""Time by which the list lags when it is read."""
 LOCAL_FIRST_COUNT = 2
 """Requests that this router sends to a plain service in its own data centre before it considers
 other data centres: with three routers in a data centre, this fills the service's 6 slots."""
@@ -130,6 +132,8 @@
         self._notices = Notices()
         self._limits = AdaptiveLimits()
         self._list_read_s = float("-inf")
+        self._ended_s: dict[str, float] = {}
+        """When each upstream has refused or ended a connection last."""
         self._capacity_freed = anyio.Event()
         self._waiters_count = 0
 
@@ -157,6 +161,11 @@
             }
         )
         self._limits.keep_only(set(self._upstreams))
+        self._ended_s = {
+            upstream_id: ended_s
+            for upstream_id, ended_s in self._ended_s.items()
+            if upstream_id in self._upstreams
+        }
         for upstream in self._upstreams.values():
             if previous.get(upstream.upstream_id) != upstream:
                 _log.info(
@@ -325,6 +334,35 @@
         if self._ejections.record_failure(upstream_id, now_s, unreachable=unreachable):
             _log.warning("upstream left out", upstream_id=upstream_id, unreachable=unreachable)
 
+    def record_end(self, upstream_id: str, now_s: float) -> None:
+        """
+        Record that an upstream has refused or ended a connection, as one does that starts again.
+
+        :param upstream_id: the upstream
+        :param now_s: monotonic time
+        """
+        self._ended_s[upstream_id] = now_s
+
+    def record_same_start(self, upstream_id: str, asked_s: float) -> None:
+        """
+        Record that an upstream has not started again since it was listed.
+
+        :param upstream_id: the upstream
+        :param asked_s: when it was asked, in monotonic time
+        """
+        if self._ended_s.get(upstream_id, asked_s) < asked_s:
+            del self._ended_s[upstream_id]
+
+    def may_have_restarted(self, upstream_id: str) -> bool:
+        """
+        Tell whether an upstream may have started again since it was listed.
+
+        :param upstream_id: the upstream
+        :return: whether it ended a connection, and the list may not show what followed
+        """
+        ended_s = self._ended_s.get(upstream_id, float("-inf"))
+        return ended_s > self._list_read_s - LIST_LAG_S
+
     def record_silence(self, exchange: Exchange, now_s: float) -> None:
         """
         Record that an upstream is silent while a request waits for it, which may have ended.
--- a/src/camphorvalve/filters/place.py
+++ b/src/camphorvalve/filters/place.py
@@ -12,7 +12,14 @@
 from camphorvalve.model.answers import Body
 from camphorvalve.model.errors import RequestError
 from camphorvalve.model.requests import Stage, StreamOrigin
-from camphorvalve.upstreams.errors import Declined, Misdirected, NotReached, NotSent, UpstreamError
+from camphorvalve.upstreams.errors import (
+    Declined,
+    Misdirected,
+    NotReached,
+    NotSent,
+    UpstreamError,
+    ended_connection,
+)
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Callable
@@ -118,6 +125,8 @@
             raise
         except UpstreamError as error:
             now_s = time.monotonic()
+            if ended_connection(error) or isinstance(error, NotSent):
+                self._pools.record_end(upstream_id, now_s)
             is_at_fault = not (isinstance(error, NotReached) and self._is_overloaded())
             if is_at_fault and not self._pools.is_held_off(upstream_id, now_s):
                 unreachable = isinstance(error, NotSent)
--- a/src/camphorvalve/wiring/joinedrouter.py
+++ b/src/camphorvalve/wiring/joinedrouter.py
@@ -26,6 +26,7 @@
 from camphorvalve.filters.observe import ObserveFilter
 from camphorvalve.filters.place import PlaceFilter
 from camphorvalve.filters.quarantine import QuarantineFilter
+from camphorvalve.filters.restarts import RestartFilter
 from camphorvalve.filters.resume import ResumeFilter
 from camphorvalve.filters.retry import RetryFilter
 from camphorvalve.filters.route import assign_pool, route
@@ -206,6 +207,9 @@
                 retry_filter,
                 QuarantineFilter(self._suspects, self._pools.upstream, self._runtime.send),
                 PlaceFilter(self._pools, self._intake.is_overloaded),
+                RestartFilter(
+                    self._pools, lambda upstream: self._platform.read_start(self._client, upstream)
+                ),
             ),
             forward(
                 self._pools,
--- a/src/camphorvalve/wiring/platforms.py
+++ b/src/camphorvalve/wiring/platforms.py
@@ -8,14 +8,14 @@
 import structlog
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator, Callable, Iterable, Mapping, Sequence
+    from collections.abc import AsyncIterator, Awaitable, Callable, Iterable, Mapping, Sequence
 
     import httpx
 
     from camphorvalve.controllers.manifests import ManifestStore
     from camphorvalve.http.asgi import App
     from camphorvalve.http.routed import DecodeRequest
-    from camphorvalve.model.upstreams import UpstreamList
+    from camphorvalve.model.upstreams import Upstream, UpstreamList
     from camphorvalve.sharing.directory import CallerPlace
     from camphorvalve.upstreams.routed import HeaderNames
     from camphorvalve.wire.link import Link
@@ -23,6 +23,10 @@
     FollowUpstreams = Callable[[httpx.AsyncClient, Callable[[], bool]], AsyncIterator[UpstreamList]]
     """Polls the upstreams while the callable returns true, and yields the whole list each time."""
 
+    ReadStart = Callable[[httpx.AsyncClient, Upstream], Awaitable[int | None]]
+    """Asks an upstream for the Unix time of its start in milliseconds; ``None`` if it can't be
+    read."""
+
     WatchSeeds = Callable[[], AsyncIterator[tuple[str, ...]]]
     """Yields the seeds each time they have changed in the settings file."""
 
@@ -63,6 +67,7 @@
     decode: DecodeRequest
     """Decodes the head of a caller's request."""
     follow_upstreams: FollowUpstreams
+    read_start: ReadStart
     watch_seeds: WatchSeeds
     ports: Callable[[RouterView], Sequence[Port]]
     """Creates the platform's applications."""
