--- a/src/camphorvalve/controllers/origins.py
+++ b/src/camphorvalve/controllers/origins.py
@@ -9,7 +9,7 @@
 
 from camphorvalve.controllers.runtime import Outgoing
 from camphorvalve.model.requests import StreamOrigin
-from camphorvalve.sharing.origins import MAX_KEPT_S, OriginRecord
+from camphorvalve.sharing.origins import MAX_KEPT_S, OriginRecord, longest_doubt_s
 from camphorvalve.sharing.placement import ranked
 from camphorvalve.wire.messages import (
     OriginGroup,
@@ -23,9 +23,11 @@
     import random
     from collections.abc import Callable, Iterable, Iterator
 
+    from camphorvalve.controllers.inforce import ManifestInForce
     from camphorvalve.controllers.roster import KnownControllers
     from camphorvalve.controllers.runtime import Sender
     from camphorvalve.sharing.origins import KeptOrigin
+    from camphorvalve.sharing.versions import VersionHistory
 
 KEEPERS_COUNT = 2
 """Controllers that keep the streams of one router."""
@@ -35,6 +37,37 @@
 _log = structlog.get_logger(__name__)
 
 
+class SoleOrigins:
+    """Tells where the streams of a pool can only have begun, by the list and the manifests."""
+
+    def __init__(self, manifest: ManifestInForce, versions: VersionHistory) -> None:
+        """
+        Set what the conclusions are drawn from.
+
+        :param manifest: the routes, and when they have led to other pools
+        :param versions: the versions that each pool has had
+        """
+        self._manifest = manifest
+        self._versions = versions
+
+    def find(self, pool: str, now_s: float) -> StreamOrigin | None:
+        """
+        Find the only origin of the streams of a pool that callers may still take up.
+
+        :param pool: name of the pool
+        :param now_s: monotonic time
+        :return: the origin, ``None`` if there may be several
+        """
+        table = self._manifest.table()
+        if table is None:
+            return None
+        doubt_s = longest_doubt_s(table, pool)
+        is_moved = now_s - self._manifest.moved_s(pool) < doubt_s
+        if is_moved or not self._versions.is_alone(pool, doubt_s, now_s):
+            return None
+        return StreamOrigin(pool, next(iter(self._versions.listed(pool))))
+
+
 class OriginQuestion:
     """A question to all controllers where a stream began, until it is closed."""
 
@@ -310,4 +343,4 @@
             yield OriginReport((OriginGroup(pool, software, part),), is_whole)
 
 
-__all__ = ["OriginQuestion", "OriginsFollower", "OriginsKeeper"]
+__all__ = ["OriginQuestion", "OriginsFollower", "OriginsKeeper", "SoleOrigins"]
--- a/src/camphorvalve/filters/resume.py
+++ b/src/camphorvalve/filters/resume.py
@@ -13,6 +13,7 @@
 from camphorvalve.model.answers import Body
 from camphorvalve.model.errors import RequestError
 from camphorvalve.model.requests import RoutedCall, StreamOrigin, TakeUp
+from camphorvalve.sharing.budget import RetryBudget
 from camphorvalve.sharing.origins import TAKE_UP_S, stream_key
 
 if TYPE_CHECKING:
@@ -32,6 +33,8 @@
 MIN_QUERIES_COUNT = 2
 """Queries that controllers are sent of which nothing was heard lately: one that this router has not
 met before has to connect back before its answers arrive."""
+QUESTIONS_COUNT = 200
+"""Streams of a team of which the controllers are asked in 10 s: any request can name one."""
 BEGIN_ANEW_S = 0.05
 """Delay after which a caller whose stream cannot go on may send the request anew."""
 
@@ -82,6 +85,7 @@
         self._alone = alone
         self._send = send
         self._assign_pool = assign_pool
+        self._questions = RetryBudget(ratio=0.0, floor_count=lambda: QUESTIONS_COUNT)
         self.resumed_count = 0
         """Streams that went on."""
         self.not_resumed_count = 0
@@ -142,6 +146,9 @@
                 if kept.origin is None:
                     return Unknown("two streams have the id that it names")
                 return Known(kept.origin, "router")
+            team = "" if exchange.team is None else exchange.team.name
+            if not self._questions.allow(team, time.monotonic()):
+                return Unknown("its team takes up too many streams")
             question = await self._ask(key)
             if question.origin is not None:
                 return Known(question.origin, "controllers")
--- a/src/camphorvalve/sharing/routing.py
+++ b/src/camphorvalve/sharing/routing.py
@@ -8,6 +8,8 @@
 from camphorvalve.model.teams import Limits, TeamParameters
 
 if TYPE_CHECKING:
+    from collections.abc import Iterator
+
     from camphorvalve.model.routes import Manifest, Route
 
 
@@ -71,6 +73,25 @@
         """
         return self._teams.get(key)
 
+    def moved_pools(self, previous: RouteTable) -> set[str]:
+        """
+        Find the pools between which the manifest moves streams.
+
+        :param previous: the tables of the manifest that it replaces
+        :return: pools that got requests of a route with streams before or get them now, of each
+            route for which these differ
+        """
+        moved: set[str] = set()
+        for host, prefix in {*self._places(), *previous._places()}:
+            before, after = previous.find(host, prefix), self.find(host, prefix)
+            pools_before, pools_after = _stream_pools(before), _stream_pools(after)
+            if pools_before != pools_after:
+                moved |= pools_before | pools_after
+        return moved
+
+    def _places(self) -> Iterator[tuple[str, str]]:
+        return ((route.host, route.path_prefix) for route in self.manifest.routes)
+
     def longest_stream_s(self, pool: str) -> float:
         """
         Return how long a stream of a pool may last.
@@ -107,6 +128,12 @@
         return self.manifest.lists_tenants or bool(self.manifest.tenants)
 
 
+def _stream_pools(route: Route | None) -> set[str]:
+    if route is None or not route.streamed:
+        return set()
+    return {destination.pool for destination in route.destinations}
+
+
 def split(route: Route, position: float) -> str:
     """
     Choose a pool at random by the weights of a route.
--- a/src/camphorvalve/sharing/versions.py
+++ b/src/camphorvalve/sharing/versions.py
@@ -14,6 +14,8 @@
 
 MAX_GAP_S = 5.0
 """Longest time between two reads of the list in which a version may not have come and gone."""
+MAX_AGE_S = 3.0
+"""Age of the list above which a new version may be missing."""
 FORGET_AFTER_S = 600.0
 """Time after which a version that is no longer listed is forgotten."""
 MAX_GONE_COUNT = 64
@@ -129,11 +131,13 @@
         :param span_s: the time
         :param now_s: monotonic time
         :return: whether it is certain that no other version was listed; never for
-            ``FORGET_AFTER_S`` or longer
+            ``FORGET_AFTER_S`` or longer, and where versions are unknown
         """
         return (
             span_s < FORGET_AFTER_S
+            and now_s - self._read_s <= MAX_AGE_S
             and len(self.listed(pool)) == 1
+            and None not in self.listed(pool)
             and self.observed_age_s(now_s) >= span_s
             and not any(
                 gone_pool == pool and now_s - left_s < span_s
--- a/src/camphorvalve/wiring/joinedrouter.py
+++ b/src/camphorvalve/wiring/joinedrouter.py
@@ -12,7 +12,7 @@
 from camphorvalve.controllers.following import ConfigurationFollower, Contact, Load
 from camphorvalve.controllers.inforce import ManifestInForce
 from camphorvalve.controllers.listing import ListFollower
-from camphorvalve.controllers.origins import OriginsFollower
+from camphorvalve.controllers.origins import OriginsFollower, SoleOrigins
 from camphorvalve.controllers.pools import Pools
 from camphorvalve.controllers.roster import RosterController
 from camphorvalve.controllers.runtime import Runtime
@@ -35,7 +35,6 @@
 from camphorvalve.http.refusing import ConnectionGuard
 from camphorvalve.http.routed import RoutedApp
 from camphorvalve.http.server import DRAIN_S, serve
-from camphorvalve.model.requests import StreamOrigin
 from camphorvalve.reports.exposition import Exposition
 from camphorvalve.reports.levels import LevelReporter
 from camphorvalve.reports.outcomes import OutcomeCounts
@@ -45,7 +44,6 @@
 from camphorvalve.sharing.directory import NamedRouter, choose_routers
 from camphorvalve.sharing.homes import cost_tokens
 from camphorvalve.sharing.intake import Intake
-from camphorvalve.sharing.origins import longest_doubt_s
 from camphorvalve.sharing.parts import limit_engine_part, retry_floor_count
 from camphorvalve.sharing.pressure import Pressure
 from camphorvalve.upstreams.client import create_client
@@ -115,14 +113,15 @@
         )
         link = create_joined_link(settings, self.incarnation)
         self._suspects = SuspectsFollower(self._roster.live_controller_ids)
+        sole_origins = SoleOrigins(self._manifest, self._list_follower.versions)
         self._origins = OriginsFollower(
             settings.host_id,
             self._roster.controllers,
-            lambda pool, now_s: self._only_origin(pool, now_s) is None,
+            lambda pool, now_s: sole_origins.find(pool, now_s) is None,
             self._rng,
         )
         self._resume_filter = ResumeFilter(
-            self._origins, self._pools, self._only_origin, self._send, self._assign_pool
+            self._origins, self._pools, sole_origins.find, self._send, self._assign_pool
         )
         controllers = (
             self._roster,
@@ -230,13 +229,6 @@
         if table is not None:
             assign_pool(exchange, table, pool)
 
-    def _only_origin(self, pool: str, now_s: float) -> StreamOrigin | None:
-        """Return the only origin that the streams of a pool may have that are not yet complete."""
-        table, versions = self._manifest.table(), self._list_follower.versions
-        if table is None or not versions.is_alone(pool, longest_doubt_s(table, pool), now_s):
-            return None
-        return StreamOrigin(pool, next(iter(versions.listed(pool))))
-
     def _on_notice(self, upstream_id: str, notice: Notice) -> None:
         self._pools.record_notice(upstream_id, notice, time.monotonic())
 
--- a/tests/controllers/test_origins.py
+++ b/tests/controllers/test_origins.py
@@ -6,17 +6,28 @@
 import unittest
 from typing import TYPE_CHECKING
 
-from camphorvalve.controllers.origins import KEEPERS_COUNT, OriginsFollower, OriginsKeeper
+from camphorvalve.controllers.inforce import ManifestInForce
+from camphorvalve.controllers.origins import (
+    KEEPERS_COUNT,
+    OriginsFollower,
+    OriginsKeeper,
+    SoleOrigins,
+)
 from camphorvalve.controllers.roster import KnownControllers
 from camphorvalve.controllers.runtime import Sender
 from camphorvalve.model.requests import StreamOrigin
+from camphorvalve.model.routes import Destination
+from camphorvalve.registry.configuration import EMPTY_CONFIGURATION
+from camphorvalve.sharing.versions import VersionHistory
 from camphorvalve.wire.messages import OriginGroup, OriginReply, OriginReport
+from tests.routebuilders import a_manifest, a_route, some_versions
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
     from camphorvalve.controllers.origins import OriginQuestion
     from camphorvalve.controllers.runtime import Outgoing
+    from camphorvalve.model.routes import Route
 
 V1, V2 = StreamOrigin("engines", "v1"), StreamOrigin("engines", "v2")
 
@@ -204,5 +215,56 @@
             self.assertEqual(keeper.streams_count(), 0)
 
 
+class SoleOriginsTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.now_s = 100.0
+        self.manifest = ManifestInForce(lambda: self.now_s)
+        self.versions = VersionHistory()
+        self.origins = SoleOrigins(self.manifest, self.versions)
+
+    def apply(self, version: int, *routes: Route) -> None:
+        manifest = a_manifest(version, routes=routes)
+        self.manifest.apply(EMPTY_CONFIGURATION._replace(manifest=manifest))
+
+    def follow(self, for_s: int) -> None:
+        for _ in range(for_s):
+            self.now_s += 1.0
+            self.versions.apply(
+                [*some_versions("v1"), *some_versions("v1", pool="desk")], self.now_s
+            )
+
+    def find(self, pool: str) -> StreamOrigin | None:
+        return self.origins.find(pool, self.now_s)
+
+    def test_moved_route(self) -> None:
+        """Guards against a stream that goes on at the pool to which a manifest has moved its route,
+        or to whose prefix it has given another one."""
+        stream = a_route(streamed=True, timeout_s=5.0)
+        longer = stream._replace(
+            path_prefix="/drafts/long/", destinations=(Destination("desk", 1.0),)
+        )
+        moved = stream._replace(destinations=longer.destinations)
+        self.assertIsNone(self.find("engines"))
+        self.apply(1, stream)
+        self.follow(30)
+        self.assertEqual(self.find("engines"), V1)
+        for version, routes in enumerate([(moved,), (stream,), (stream, longer), (stream,)], 2):
+            self.apply(version, *routes)
+            with self.subTest(version=version):
+                self.assertIsNone(self.find("engines"))
+                self.assertIsNone(self.find("desk"))
+            self.follow(30)
+            self.assertEqual(self.find("engines"), V1)
+        self.apply(6, stream._replace(timeout_s=9.0), a_route(path_prefix="/plain/"))
+        self.assertEqual(self.find("engines"), V1)
+
+    def test_old_list(self) -> None:
+        """Guards against a version that is missing in a list that was read too long ago."""
+        self.apply(1, a_route(streamed=True, timeout_s=5.0))
+        self.follow(30)
+        self.now_s += 3.5
+        self.assertIsNone(self.find("engines"))
+
+
 if __name__ == "__main__":
     unittest.main()
