Take a response with an invalid status for none

Callers of requests that may not be repeated got responses with the statuses 600 and 999 as the answer of their upstream, its stamp included; the product's own caller port passed them on for all requests.

The HTTP parser takes 200 to 999 for the status of a final response and rejects what lies below (000, 099 and 1xx other than those before a final response). RFC 9110, 15, has 100 to 599 only, and asks that others be treated like a 5xx, as nothing is known of the response. The check stands where the client hands over every response, beside that of joined heads, so that it holds for routed calls, the own port, orders and reads alike: the connection is closed, and the attempt ends without an answer. Orders with such a status stay in doubt.

test_relayed.test_invalid_status (whole router: length, close, stream, no reason phrase; may and may not be repeated, as a continuation) failed before for 600 and 999 in all four forms, (600, True) != (502, True); 000, 099 and 101 passed. test_attempt.test_invalid_status (own port, engine and service) failed for both: (600, NoneType) != (None, NoAnswer). test_malformed_status, signs, letters, one, two and four digits, passed before and after. The raw responses of test_relayed move to a module of their own, to be shared.

--- a/src/camphorvalve/upstreams/client.py
+++ b/src/camphorvalve/upstreams/client.py
@@ -37,6 +37,8 @@
 """Response extension with the ``_ResponseStream``."""
 _EXTRA_BYTES = "bytes behind a complete response"
 _JOINED_HEADS = "the head of the response contains the status line of another"
+_VALID_STATUSES = range(100, 600)
+"""Statuses of HTTP (RFC 9110, 15)."""
 KEEPALIVE_TIMEOUT_S = 4.0
 """How long an idle connection is kept; below the 5 s after which common servers close it."""
 MAX_KEEPALIVE_COUNT = 256
@@ -184,6 +186,11 @@
             self._single_use.add(base_url, _JOINED_HEADS)
             await response.aclose()
             raise httpx.RemoteProtocolError(_JOINED_HEADS, request=request)
+        if response.status_code not in _VALID_STATUSES:
+            await response.aclose()
+            raise httpx.RemoteProtocolError(
+                f"status {response.status_code} is none of HTTP", request=request
+            )
         return response
 
     async def aclose(self) -> None:
--- a/tests/http/test_relayed.py
+++ b/tests/http/test_relayed.py
@@ -8,6 +8,16 @@
 
 from camphorvalve import loop
 from camphorvalve.upstreams import routed
+from tests.http.rawresponses import (
+    FIRST,
+    IDS,
+    SECOND,
+    STREAM,
+    THIRD,
+    chunked,
+    response,
+    unframed,
+)
 from tests.http.relaying import CALL, Received, relaying
 from tests.rawpeers import Script
 from tests.routebuilders import a_route
@@ -15,29 +25,8 @@
 if TYPE_CHECKING:
     from camphorvalve.model.routes import Route
 
-IDS = b"x-id: id-1\r\nx-proof: p\r\n"
-STREAM = IDS + b"content-type: text/event-stream\r\n"
-FIRST, SECOND, THIRD = (b"id: %d\ndata: %d\n\n" % (n, n) for n in (1, 2, 3))
 RESUMABLE = a_route(streamed=True, resumable=True)
 STREAMED = a_route(streamed=True)
-
-
-def response(body: bytes, status: bytes = b"200 OK", headers: bytes = IDS) -> bytes:
-    """Build a response that ends with its length."""
-    return b"HTTP/1.1 %s\r\n%scontent-length: %d\r\n\r\n%s" % (status, headers, len(body), body)
-
-
-def chunked(body: bytes, end: bytes = b"0\r\n\r\n", headers: bytes = STREAM) -> bytes:
-    """Build a response in one chunk, a stream by default."""
-    head = b"HTTP/1.1 200 OK\r\n%stransfer-encoding: chunked\r\n\r\n" % headers
-    return head + b"%x\r\n%s\r\n" % (len(body), body) + end
-
-
-def unframed(body: bytes, headers: bytes = STREAM, status: bytes = b"200 OK") -> bytes:
-    """Build a response with neither a length nor chunks."""
-    return b"HTTP/1.1 %s\r\n%s\r\n%s" % (status, headers, body)
-
-
 BROKEN = Script(chunked(FIRST + SECOND[:7], end=b""), "close")
 
 
@@ -303,6 +292,40 @@
                     self.assertEqual(received.content, b"no such draft")
                     self.assertTrue(received.complete, received)
 
+    def test_invalid_status(self) -> None:
+        """Guards against passing on a response whose status is none of HTTP's as the answer of its
+        upstream, and against not repeating its request where that is allowed."""
+        for status in (b"000", b"099", b"101", b"600", b"999"):
+            for name, content in (
+                ("length", response(b"yes", status + b" Oops")),
+                ("close", unframed(b"yes", IDS, status + b" Oops")),
+                ("stream", unframed(FIRST, STREAM, status + b" Oops")),
+                ("no reason", response(b"yes", status)),
+            ):
+                with self.subTest(name, status=status):
+                    first = Script(content, "close")
+                    for route in (a_route(), STREAMED):
+                        self.assert_failed(self.relay(route, first))
+                        self.assertEqual(self.attempts_count, 1)
+                    whole = Script(response(b"yes"))
+                    received = self.relay(a_route(idempotent=True), first, whole)
+                    self.assert_complete(received, b"yes")
+                    whole = Script(chunked(FIRST + SECOND))
+                    self.assert_complete(self.relay(RESUMABLE, first, whole), FIRST + SECOND)
+                    received = self.relay(RESUMABLE, BROKEN, first)
+                    self.assert_broken_off(received, FIRST)
+
+    def test_malformed_status(self) -> None:
+        """Guards against taking a status that is no number of three digits for a valid one."""
+        statuses = [b"", b"2", b"20", b"2000", b"0200", b"+20", b"-20", b"+200", b"-200"]
+        statuses += [b"2e2", b"abc", b"2.0", b"0x1", b"\xb2\xb2\xb2", b"200,", b"1 200"]
+        for status in statuses:
+            with self.subTest(status=status):
+                first = Script(response(b"yes", status + b" OK"), "close")
+                self.assert_failed(self.relay(a_route(), first))
+                received = self.relay(a_route(idempotent=True), first, Script(response(b"yes")))
+                self.assert_complete(received, b"yes")
+
     def test_responses_without_a_body(self) -> None:
         """Guards against taking a response that has no body for one that was broken off."""
         rows: list[tuple[str, bytes]] = [
--- a/tests/upstreams/test_attempt.py
+++ b/tests/upstreams/test_attempt.py
@@ -35,6 +35,7 @@
 """For upstreams that are expected not to respond."""
 LONG_TIMEOUT = AttemptOptions(inactivity_timeout_s=20.0, connect_timeout_s=20.0)
 JSON_BODY = b'{"prompt":"first violins","max_tokens":5}'
+CANCELLED = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\n{}"
 EXPECTED_TEXT = "".join(token_text("first violins", index) for index in range(1, 6))
 
 
@@ -233,6 +234,20 @@
                     result = await self.run_attempt(a_service(url=url), exchange)
                 self.assertIs(type(result.error), error or type(None))
 
+    async def test_invalid_status(self) -> None:
+        """Guards against passing on a response whose status is none of HTTP's."""
+        own = b"x-request-id: id-1\r\ncontent-length: 2\r\n\r\n{}"
+        for status in (b"000", b"099", b"600", b"999"):
+            with self.subTest(status=status):
+                script = Script(b"HTTP/1.1 %s Oops\r\n" % status + own, "close")
+                for build, exchange in (
+                    (an_upstream, a_stream_exchange(request_id="id-1")),
+                    (a_service, a_service_exchange(request_id="id-1")),
+                ):
+                    async with raw_upstream(script, cancel_response=CANCELLED) as (url, _):
+                        result = await self.run_attempt(build(url=url), exchange)
+                    self.assertEqual((result.status, type(result.error)), (None, NoAnswer))
+
     async def test_only_an_unsent_request_counts_as_not_sent(self) -> None:
         for upstream, exchange in (
             (self.engine_upstream, a_stream_exchange()),
