Test responses that come before a long request was read

Guards for the report of a 200 without a length, whose part was passed on as whole when its connection was reset while the upload was being written. Whole caller port, real sockets, an upstream that reads 4 KiB at a time into a small receive buffer, so that the request is still being written: 4 and 16 MiB, with a length, in chunks and after Expect: 100-continue, reset or closed at once or 50 ms later, plain and as a stream, requests that may and may not be repeated.

An upstream that reads on gets the rest of the body and no other bytes; an early response with its own end reaches the caller. One that keeps the connection and never reads 16 MiB ends with 504 at the deadline, as the client reads responses only when the request has been written. Interim responses in front of the final one, and without end, are not passed on.

--- a/tests/http/relaying.py
+++ b/tests/http/relaying.py
@@ -7,37 +7,52 @@
 from typing import TYPE_CHECKING, NamedTuple
 
 import anyio
-from h11 import CLIENT, Connection, Data, EndOfMessage, RemoteProtocolError, Request, Response
+from h11 import (
+    CLIENT,
+    Connection,
+    Data,
+    EndOfMessage,
+    InformationalResponse,
+    RemoteProtocolError,
+    Response,
+)
+from h11 import Request as RequestHead
 
 from camphorvalve.filters.chain import compose
 from camphorvalve.filters.deadline import DeadlineFilter
 from camphorvalve.filters.retry import RetryFilter
+from camphorvalve.http.bodies import CallerLimits
 from camphorvalve.http.connections import ConnectionTracker
 from camphorvalve.http.routed import RoutedApp
 from camphorvalve.sharing.budget import RetryBudget
 from camphorvalve.upstreams.client import create_client
 from camphorvalve.upstreams.errors import NotSent
 from camphorvalve.upstreams.routed import RoutedAttempts
+from tests.http.earlypeers import Early, early_upstream
 from tests.http.serving import serving
-from tests.rawpeers import exchange_bytes, upstream
+from tests.rawpeers import Script, exchange_bytes, upstream
 from tests.routebuilders import HEADER_NAMES, a_departure, a_listed_upstream, a_routed_exchange
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
+    from contextlib import AbstractAsyncContextManager
 
     import httpx
 
     from camphorvalve.filters.chain import Handler
+    from camphorvalve.http.asgi import Scope
     from camphorvalve.model.answers import Part
-    from camphorvalve.model.requests import Exchange
+    from camphorvalve.model.requests import Exchange, Request
     from camphorvalve.model.routes import Route
-    from tests.rawpeers import Script, ScriptedUpstream
+    from tests.http.earlypeers import EarlyUpstream
+    from tests.rawpeers import ScriptedUpstream
 
 CALL = (
     b"POST /drafts/1 HTTP/1.1\r\nhost: desk.example\r\n"
     b"connection: close\r\ncontent-length: 7\r\n\r\nviolins"
 )
 CLOSE_TIMEOUT_S = 5.0
+MAX_BODY_BYTES = 16 << 20
 
 
 class Received(NamedTuple):
@@ -60,11 +75,13 @@
     :raises AssertionError: bytes follow the response
     """
     connection = Connection(CLIENT)
-    connection.send(Request(method=method, target="/", headers=[("host", "desk.example")]))
+    connection.send(RequestHead(method=method, target="/", headers=[("host", "desk.example")]))
     connection.send(EndOfMessage())
     connection.receive_data(received)
     connection.receive_data(b"")
     head, content = connection.next_event(), b""
+    while isinstance(head, InformationalResponse):
+        head = connection.next_event()
     assert isinstance(head, Response), head
     status, headers = head.status_code, {k.decode(): v.decode() for k, v in head.headers}
     while True:
@@ -86,7 +103,7 @@
 class Relay:
     """A running caller port whose attempts go to one scripted upstream after the other."""
 
-    def __init__(self, port: int, peers: list[ScriptedUpstream]) -> None:
+    def __init__(self, port: int, peers: list[ScriptedUpstream | EarlyUpstream]) -> None:
         self.port = port
         self.peers = peers
 
@@ -106,7 +123,7 @@
 
 
 @asynccontextmanager
-async def relaying(route: Route, *scripts: Script) -> AsyncIterator[Relay]:
+async def relaying(route: Route, *scripts: Script | Early) -> AsyncIterator[Relay]:
     """
     Serve calls of one route; the n-th attempt of a call goes to the n-th upstream.
 
@@ -115,18 +132,36 @@
     :return: the running caller port
     """
     async with AsyncExitStack() as stack:
-        peers = [await stack.enter_async_context(upstream(script)) for script in scripts]
+        peers = [await stack.enter_async_context(_upstream(script)) for script in scripts]
         client = await stack.enter_async_context(create_client())
         app = RoutedApp(
             _handler(route, client, [url for url, _ in peers]),
-            lambda scope: a_routed_exchange(route, method=scope["method"]).request,
+            lambda scope: _request(route, scope),
             request_id_header=HEADER_NAMES.request_id,
             connections=ConnectionTracker(1000, lambda: 15.0),
+            limits=CallerLimits(body_bytes=MAX_BODY_BYTES, held_bytes=MAX_BODY_BYTES),
         )
         served = await stack.enter_async_context(serving(app))
         yield Relay(served.port, [peer for _, peer in peers])
 
 
+def _upstream(
+    script: Script | Early,
+) -> AbstractAsyncContextManager[tuple[str, ScriptedUpstream | EarlyUpstream]]:
+    match script:
+        case Early():
+            return early_upstream(script)
+        case Script():
+            return upstream(script)
+
+
+def _request(route: Route, scope: Scope) -> Request:
+    """Decode the method of a request and the headers that the platform passes on as they are."""
+    expectations = [value.decode() for name, value in scope["headers"] if name == b"expect"]
+    headers = (("x-shade", "blue"), *(("expect", value) for value in expectations))
+    return a_routed_exchange(route, method=scope["method"], headers=headers).request
+
+
 def _handler(route: Route, client: httpx.AsyncClient, urls: list[str]) -> Handler:
     # The lag lengthens the time for connecting: a busy machine is no fault of an upstream.
     attempts = RoutedAttempts(client, HEADER_NAMES, lag_s=lambda: 1.0)
