Break off a body that an interim response follows

Callers got "yesHTTP/1.1 100 Continue" with status 200 as the whole body, when an upstream sent its final response without a length, and the 100 for the request's Expect header, or on its own, behind it.

Cause: a body that ends with its connection is searched for the head of another response, a status line and a first header. An interim response needs no header (RFC 9110, 15.2), so that it was not found. It is recognised by its status line and the blank line now, and broken off as any second response: the bytes before it may be a part. With a length or in chunks it lies behind the end, and only costs the connection, as before. A final status line with a blank line stays text, which bodies explain.

Failed before: test_early_responses.test_interim_response_behind_the_final_one (4 of 12 rows, 200 not found in (502, 504), all without a length), and test_second_response: 4 rows and 128 chunk boundaries, (200, b'yesHTTP/1.1 100 Continue\r\n\r\n') != (None, b''). Now test_early_responses (8 tests), test_second_response (12) and test_framing (6) pass.

--- a/src/camphorvalve/upstreams/framing.py
+++ b/src/camphorvalve/upstreams/framing.py
@@ -25,17 +25,21 @@
 _STATUS_LINE = re.compile(rb"HTTP/1\.[01] [1-5]\d\d")
 _STATUS_LINE_BYTES = len(b"HTTP/1.1 200")
 _FIRST_NAME = rb"%s%s{0,%d}:" % (_NAME_START, _TOKEN, _MAX_NAME_LENGTH - 1)
+_INTERIM_LINE = rb"HTTP/1\.[01] 1\d\d"
+_END_OF_LINE = rb"(?: [^\r\n]{0,%d}+)?\r?\n" % _MAX_REASON_LENGTH
 _SECOND_HEAD = re.compile(
     _STATUS_LINE.pattern
-    + rb"(?: [^\r\n]{0,%d}+)?\r?\n(?P<name>%s)" % (_MAX_REASON_LENGTH, _FIRST_NAME)
+    + rb"%s(?P<name>%s)|" % (_END_OF_LINE, _FIRST_NAME)
+    + rb"%s%s\r?\n" % (_INTERIM_LINE, _END_OF_LINE)
 )
-"""A status line and the name of the first header (RFC 9112, 4 and 5)."""
+"""A status line and the name of the first header (RFC 9112, 4 and 5), or an interim response, which
+needs no headers (RFC 9110, 15.2)."""
 _EVENT_FIELDS = frozenset({b"data:", b"event:", b"id:", b"retry:"})
 """Names in the lines of events (HTML Living Standard, 9.2.6), which may follow text that looks like
 a status line."""
 _UNFINISHED_HEAD = re.compile(
     rb"HTTP/1\.(?:[01](?: (?:[1-5](?:\d(?:\d(?: [^\r\n]{0,%d}+)?"
-    rb"(?:\r?(?:\n(?:%s%s{0,%d})?)?)?)?)?)?)?)?\Z"
+    rb"(?:\r?(?:\n(?:\r|%s%s{0,%d})?)?)?)?)?)?)?)?\Z"
     % (_MAX_REASON_LENGTH, _NAME_START, _TOKEN, _MAX_NAME_LENGTH - 1)
 )
 """The first bytes of a second head, from the version on, at the end of what has arrived."""
--- a/tests/http/test_early_responses.py
+++ b/tests/http/test_early_responses.py
@@ -130,6 +130,26 @@
                     (request,) = self.requests
                     self.assertTrue(BODIES["16 MiB"].startswith(request.partition(b"\r\n\r\n")[2]))
 
+    def test_interim_response_behind_the_final_one(self) -> None:
+        """Guards against an interim response in the body of the response before it."""
+        contents = {
+            "length": response(b"yes"),
+            "chunks": chunked(b"yes", headers=IDS),
+            "close": unframed(b"yes", IDS),
+        }
+        interims = (b"HTTP/1.1 100 Continue\r\n\r\n", b"HTTP/1.1 100 Continue\n\n")
+        for (name, content), interim in itertools.product(contents.items(), interims):
+            for early in (
+                Early(content + interim, HalfClose()),
+                Early(content, HalfClose(), PAUSES_S[1], interim),
+            ):
+                with self.subTest(name, early=early):
+                    received = self.relay(ROUTE, a_call(8, headers=EXPECT), early)
+                    if name == "close":
+                        self.assert_refused(received)
+                    else:
+                        self.assertEqual((received.content, received.complete), (b"yes", True))
+
     def test_interim_response_before_the_final_one(self) -> None:
         """Guards against losing a response behind those that come before it."""
         interim = b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Hints\r\nlink: </a>\r\n\r\n"
--- a/tests/upstreams/test_second_response.py
+++ b/tests/upstreams/test_second_response.py
@@ -22,6 +22,7 @@
 HEADERS = b"X-Id: id-1\r\nX-Proof: p\r\n"
 STREAM = b"Content-Type: text/event-stream\r\n"
 OLDER = response(b"older", headers=b"X-Id: id-0\r\nX-Proof: q\r\n")
+INTERIM = b"HTTP/1.1 100 Continue\r\n\r\n"
 SAFE, ONCE = a_route(idempotent=True), a_route()
 
 
@@ -64,6 +65,9 @@
             "error of the server": Script(
                 WHOLE + b"HTTP/1.1 400 \r\nContent-Length: 0\r\n\r\n", "close"
             ),
+            "interim response": Script(WHOLE + INTERIM, "close"),
+            "late interim response": Script(WHOLE, "later then close", 0.1, repeated=INTERIM),
+            "older response behind an interim one": Script(WHOLE + INTERIM + OLDER, "close"),
             "beside bytes that only look like one": Script(
                 unframed(b"HTTP/1.1 is a version, HTTP/1.1 20") + WHOLE, "close"
             ),
@@ -91,6 +95,10 @@
             "of another request": (EVENTS, more_events),
             "inside an event": (EVENTS + b"id: 3\nda", more_events),
         }
+        content = unframed(EVENTS, HEADERS + STREAM) + INTERIM
+        result = anyio.run(results_of, Script(content, "close"), route)
+        self.assertEqual((result.status, result.content), (200, EVENTS))
+        self.assertIsInstance(result.error, Broken)
         for name, (events, second) in rows.items():
             for headers in (HEADERS, b"X-Id: id-0\r\nX-Proof: q\r\n"):
                 with self.subTest(name, headers=headers):
@@ -111,6 +119,7 @@
             b"see HTTP",
             b'"GET / HTTP/1.1" 200 12\r\n"GET / HTTP/1.1" 404 0\r\n',
             b"HTTP/1.1 200 OK\r\n\r\nthat was all",
+            b"HTTP/1.1 100 Continue\r\nHTTP/1.1 200 OK\r\n\r\nboth are status lines",
             b"HTTP/1.1 defines how bodies end",
             b"HTTP/1.1 2000 requests\r\nHost: desk.example\r\n",
             b"HTTP/1.1 200 OK\r\na line without a colon\r\n",
@@ -147,6 +156,8 @@
             (sound, (sound, False)),
             (sound + OLDER, (sound, True)),
             (sound + OLDER[:7], (sound, True)),
+            (sound + INTERIM + b"yes", (sound, True)),
+            (sound + INTERIM.replace(b"\r", b"") + b"yes", (sound, True)),
             (b"HTTP/1.1 200 OK\r\n" + b"a" * 80 + b": b", (None, False)),
         ):
             pieces = [[content[:at], content[at:]] for at in range(len(content))]
