Return to an upstream that has refused a repeated request

Cause: a refusal excluded its upstream for the rest of the request like a failure. A refusal says that the request was not run and that the upstream is full at this moment, so that it may be asked at another time.

Each refusal keeps its time now. A request that may have run, and so can't be told to come back, may be placed at such an upstream 0.1 s later if no other one is left; it waits for that as for a hold-off, within its objective, and the attempt counts against route and budget like every one. A request that ran nowhere is refused as before. Upstreams whose address another one has taken, and those that failed later, stay excluded. The same holds for refused standbys.

--- a/src/camphorvalve/controllers/pools.py
+++ b/src/camphorvalve/controllers/pools.py
@@ -69,6 +69,9 @@
 LOCAL_FIRST_COUNT = 2
 """Requests that this router sends to a plain service in its own data centre before it considers
 other data centres: with three routers in a data centre, this fills the service's 6 slots."""
+REFUSED_PAUSE_S = 0.1
+"""Time after which an upstream that refused a request may be asked again; it ends several requests
+in it."""
 RETRY_AFTER_S = 0.4
 """Minimum delay before a refused caller retries: about the time an engine takes for a request."""
 
@@ -213,7 +216,7 @@
         :raises RequestError: no upstream is listed, or those that may serve it are full
         """
         pool = exchange.parameters.pool
-        usable = self._usable(exchange, exchange.failed_upstreams, now_s)
+        usable = self._usable(exchange, self._tried(exchange, now_s), now_s)
         if not usable:
             listed = self._by_pool.get(pool, [])
             message = f"pool {pool!r}: {len(listed)} upstreams are listed and none may be used"
@@ -374,7 +377,22 @@
         untried = [
             upstream_id for upstream_id in listed if upstream_id not in exchange.failed_upstreams
         ]
-        return self._notices.hold_off_left_s(untried, now_s)
+        waits_s = [self._notices.hold_off_left_s(untried, now_s)]
+        for upstream_id in listed if exchange.may_have_run else ():
+            if (refused_s := exchange.refused_at_s.get(upstream_id)) is not None:
+                held_s = self._notices.hold_off_left_s([upstream_id], now_s) or 0.0
+                waits_s.append(max(refused_s + REFUSED_PAUSE_S - now_s, held_s))
+        return min((wait_s for wait_s in waits_s if wait_s is not None), default=None)
+
+    def _tried(self, exchange: Exchange, now_s: float) -> Set[str]:
+        """Return the upstreams to which a request is not sent again now."""
+        failed = exchange.failed_upstreams
+        # Other requests can be refused, and come back later.
+        if not exchange.may_have_run or self._usable(exchange, failed, now_s):
+            return failed
+        paused_since_s = now_s - REFUSED_PAUSE_S
+        refused = {key for key, at_s in exchange.refused_at_s.items() if at_s <= paused_since_s}
+        return failed - refused
 
     def _usable(self, exchange: Exchange, tried: Set[str], now_s: float) -> Sequence[str]:
         listed = self._by_pool.get(exchange.parameters.pool, [])
--- a/src/camphorvalve/filters/retry.py
+++ b/src/camphorvalve/filters/retry.py
@@ -9,6 +9,7 @@
 
 import structlog
 
+from camphorvalve.filters.failures import record_failed_upstream
 from camphorvalve.filters.standby import SilenceWatch
 from camphorvalve.model.answers import Body, Head
 from camphorvalve.model.errors import RequestError, Run
@@ -220,7 +221,7 @@
 def _record_failure(exchange: Exchange, error: UpstreamError) -> None:
     exchange.note(time.monotonic(), f"attempt {exchange.attempt} failed: {error}")
     if exchange.upstream_id is not None:
-        exchange.failed_upstreams.add(exchange.upstream_id)
+        record_failed_upstream(exchange, exchange.upstream_id, error)
     match error:
         case NotSent() | Declined():
             return
--- a/src/camphorvalve/filters/standby.py
+++ b/src/camphorvalve/filters/standby.py
@@ -11,6 +11,7 @@
 import anyio
 import structlog
 
+from camphorvalve.filters.failures import record_failed_upstream
 from camphorvalve.model.answers import Body
 from camphorvalve.model.errors import RequestError
 from camphorvalve.model.requests import BrokenStream
@@ -226,8 +227,8 @@
         match standby.error:
             case RequestError():
                 self._is_refused = True
-            case _:
-                exchange.failed_upstreams.add(upstream_id or "")
+            case UpstreamError() as error:
+                record_failed_upstream(exchange, upstream_id or "", error)
         if standby.exchange.sent_upstream:
             exchange.attempt += 1
 
--- a/src/camphorvalve/model/requests.py
+++ b/src/camphorvalve/model/requests.py
@@ -198,6 +198,9 @@
     failed_upstreams: set[str] = field(default_factory=set)
     """Upstreams at which an attempt failed: a routed call is not sent to them again, another call
     only when every live upstream of the pool is among them."""
+    refused_at_s: dict[str, float] = field(default_factory=dict)
+    """Monotonic time at which upstreams refused a routed call without running it; it may be sent to
+    them once more if it can't be sent elsewhere."""
     key: str | None = None
     """Key of the whole request, once it was asked for; see ``identify``."""
     source: ResponseSource | None = None
--- a/tests/filters/test_place.py
+++ b/tests/filters/test_place.py
@@ -5,13 +5,14 @@
 import random
 import time
 import unittest
-from contextlib import aclosing
+from contextlib import aclosing, suppress
+from itertools import pairwise
 from typing import TYPE_CHECKING
 
 import anyio
 from structlog.testing import capture_logs
 
-from camphorvalve.controllers.pools import Pools
+from camphorvalve.controllers.pools import REFUSED_PAUSE_S, Pools
 from camphorvalve.filters.chain import compose
 from camphorvalve.filters.place import MAX_CONNECTIONS_COUNT, WAIT_RATIO, PlaceFilter
 from camphorvalve.filters.retry import RetryFilter
@@ -29,6 +30,7 @@
     from camphorvalve.controllers.pools import Placement
     from camphorvalve.model.answers import Part
     from camphorvalve.model.requests import Exchange
+    from camphorvalve.upstreams.errors import UpstreamError
 
 PROMPT = a_prompt("a", "own", tokens_count=13_000)
 
@@ -143,6 +145,61 @@
 
         self.assertEqual(anyio.run(run)[-1], Body(b"yes"))
 
+    def place_attempts(self, *errors: UpstreamError) -> list[tuple[str, float]]:
+        """Run a request whose first attempts fail, and return where and when it was placed."""
+        placed: list[tuple[str, float]] = []
+        left = list(errors)
+
+        async def run_attempt(exchange: Exchange) -> AsyncIterator[Part]:
+            placed.append((exchange.upstream_id or "", time.monotonic()))
+            if left:
+                raise left.pop(0)
+            async for part in answer(exchange):
+                yield part
+
+        route = a_route(idempotent=True, attempts_count=4)
+        exchange = a_routed_exchange(route, prompt=PROMPT, attempt=0)
+        handler = compose([RetryFilter(RetryBudget()), self.filter], run_attempt)
+
+        async def run() -> None:
+            with suppress(RequestError):
+                async with aclosing(handler(exchange)) as parts:
+                    async for _ in parts:
+                        pass
+
+        anyio.run(run)
+        return placed
+
+    def test_pause_after_a_refusal(self) -> None:
+        """Guards against asking an upstream that is full again at once."""
+        self.pools.apply([a_listed_upstream("up-1"), a_listed_upstream("up-2")], 0.0)
+        refusal = Declined("up-2", "status 429, not run")
+        placed = self.place_attempts(NoAnswer("up-1", "reset"), refusal, refusal)
+        (first_id, _), *refused = placed
+        self.assertEqual(len(refused), 3)
+        self.assertEqual({upstream_id for upstream_id, _ in refused}, {refused[0][0]})
+        self.assertNotEqual(first_id, refused[0][0])
+        for (_, before_s), (_, after_s) in pairwise(refused):
+            self.assertGreaterEqual(after_s - before_s, REFUSED_PAUSE_S)
+
+    def test_upstreams_that_are_not_asked_again(self) -> None:
+        """Guards against repeats at an upstream that can't help: of a request that can be refused
+        instead, where another one listens, and after a failure."""
+        refusal = Declined("up-1", "status 429, not run")
+        taken = Misdirected("up-1", "status 421, not run")
+        failure = NoAnswer("up-1", "reset")
+        rows: list[tuple[str, list[str], list[UpstreamError], int]] = [
+            ("not run", ["up-1"], [refusal], 1),
+            ("another one", ["up-1", "up-2"], [failure, taken], 2),
+            ("another one, first", ["up-1", "up-2"], [taken, failure], 2),
+            ("failed later", ["up-1", "up-2"], [failure, refusal, failure], 3),
+        ]
+        for name, listed_ids, errors, placed_count in rows:
+            with self.subTest(name):
+                self.setUp()
+                self.pools.apply([a_listed_upstream(listed_id) for listed_id in listed_ids], 0.0)
+                self.assertEqual(len(self.place_attempts(*errors)), placed_count)
+
     def test_is_rejected_early(self) -> None:
         """Guards against a request that is held until its caller has no time for a retry."""
         self.fill()
--- a/tests/filters/test_standby.py
+++ b/tests/filters/test_standby.py
@@ -167,6 +167,7 @@
                 self.assertEqual(await self.run_request(attempt, exchange), [HEAD, FIRST, SECOND])
                 self.assertEqual(len(attempt.standbys), 1)
                 self.assertEqual(exchange.attempt, 2, "the route allows no third upstream")
+                self.assertEqual(list(exchange.refused_at_s), ["up-2"] * (type(error) is Declined))
 
     async def test_standby_that_is_refused(self) -> None:
         """Guards against using up the retry budget on standbys that this router refuses."""
