Count no attempt for an address that another upstream has taken

Routes with one attempt lost every request that met the first of them.

Cause: status 421 counted as an attempt of the route. It says that the request was not run, and by an upstream that is none of the pool's, so that the pool has seen nothing of it. This is closer to a refused connection, which takes no attempt either.

Such attempts, three at most for one request, raise the limit of the route by one each now. Their arrivals reach an upstream, so that every repeat is taken from the retry budget like before, and the request is refused when that is used up. The upstream stays excluded and is left out at once, as before.

--- a/src/camphorvalve/filters/failures.py
+++ b/src/camphorvalve/filters/failures.py
@@ -11,6 +11,9 @@
     from camphorvalve.model.requests import Exchange
     from camphorvalve.upstreams.errors import UpstreamError
 
+MAX_MISDIRECTED_COUNT = 3
+"""Attempts of one request that may meet other upstreams without counting for its route."""
+
 
 def record_failed_upstream(exchange: Exchange, upstream_id: str, error: UpstreamError) -> None:
     """
@@ -23,7 +26,9 @@
     exchange.failed_upstreams.add(upstream_id)
     match error:
         case Misdirected():
-            pass
+            # No upstream of the pool got the request, but its arrival counts for the retry budget.
+            if exchange.misdirected_count < MAX_MISDIRECTED_COUNT:
+                exchange.misdirected_count += 1
         case Declined():
             exchange.refused_at_s[upstream_id] = time.monotonic()
             return
@@ -32,4 +37,4 @@
     exchange.refused_at_s.pop(upstream_id, None)
 
 
-__all__ = ["record_failed_upstream"]
+__all__ = ["MAX_MISDIRECTED_COUNT", "record_failed_upstream"]
--- a/src/camphorvalve/filters/retry.py
+++ b/src/camphorvalve/filters/retry.py
@@ -104,7 +104,9 @@
 
 
 def _has_attempt_left(exchange: Exchange) -> bool:
-    return exchange.attempt < _max_attempts_count(exchange)
+    if exchange.route is None:
+        return exchange.attempt < MAX_ATTEMPTS_COUNT
+    return not exchange.is_last_attempt
 
 
 def _max_attempts_count(exchange: Exchange) -> int:
--- a/src/camphorvalve/model/requests.py
+++ b/src/camphorvalve/model/requests.py
@@ -198,6 +198,8 @@
     failed_upstreams: set[str] = field(default_factory=set)
     """Upstreams at which an attempt failed: a routed call is not sent to them again, another call
     only when every live upstream of the pool is among them."""
+    misdirected_count: int = 0
+    """Attempts that met another upstream at the address; none of them counts for the route."""
     refused_at_s: dict[str, float] = field(default_factory=dict)
     """Monotonic time at which upstreams refused a routed call without running it; it may be sent to
     them once more if it can't be sent elsewhere."""
@@ -231,6 +233,12 @@
             case ServiceCall():
                 return False
 
+    @property
+    def is_last_attempt(self) -> bool:
+        """:return: whether the route of a ``RoutedCall`` allows no attempt after the current one"""
+        assert self.route is not None
+        return self.attempt >= self.route.attempts_count + self.misdirected_count
+
     def identify(self) -> str | None:
         """
         Identify the whole request, by the caller that the filters found.
--- a/src/camphorvalve/upstreams/routed.py
+++ b/src/camphorvalve/upstreams/routed.py
@@ -190,7 +190,7 @@
         objective_s = exchange.parameters.objective_s
         first_byte_s = max(FIRST_BYTE_TIMEOUT_S, FIRST_BYTE_OBJECTIVE_RATIO * objective_s)
         silence = _silence_timeout(exchange, min(left_s / 2, first_byte_s))
-        is_last = exchange.may_have_run and exchange.attempt >= exchange.route.attempts_count
+        is_last = exchange.may_have_run and exchange.is_last_attempt
         connect_s = RESENT_CONNECT_TIMEOUT_S if is_last else CONNECT_TIMEOUT_S
         connect_s = min(connect_s + CONNECT_TURNS_COUNT * self._lag_s(), left_s)
         return {"connect": connect_s, "pool": connect_s, "read": silence, "write": silence}
--- a/tests/filters/test_place.py
+++ b/tests/filters/test_place.py
@@ -5,7 +5,7 @@
 import random
 import time
 import unittest
-from contextlib import aclosing, suppress
+from contextlib import aclosing
 from itertools import pairwise
 from typing import TYPE_CHECKING
 
@@ -14,6 +14,7 @@
 
 from camphorvalve.controllers.pools import REFUSED_PAUSE_S, Pools
 from camphorvalve.filters.chain import compose
+from camphorvalve.filters.failures import MAX_MISDIRECTED_COUNT
 from camphorvalve.filters.place import MAX_CONNECTIONS_COUNT, WAIT_RATIO, PlaceFilter
 from camphorvalve.filters.retry import RetryFilter
 from camphorvalve.model.answers import Body, Head
@@ -30,8 +31,10 @@
     from camphorvalve.controllers.pools import Placement
     from camphorvalve.model.answers import Part
     from camphorvalve.model.requests import Exchange
+    from camphorvalve.model.routes import Route
     from camphorvalve.upstreams.errors import UpstreamError
 
+FOUR_ATTEMPTS = a_route(idempotent=True, attempts_count=4)
 PROMPT = a_prompt("a", "own", tokens_count=13_000)
 
 
@@ -145,8 +148,14 @@
 
         self.assertEqual(anyio.run(run)[-1], Body(b"yes"))
 
-    def place_attempts(self, *errors: UpstreamError) -> list[tuple[str, float]]:
+    def place_attempts(
+        self,
+        *errors: UpstreamError,
+        route: Route = FOUR_ATTEMPTS,
+        budget: RetryBudget | None = None,
+    ) -> list[tuple[str, float]]:
         """Run a request whose first attempts fail, and return where and when it was placed."""
+        self.code = None
         placed: list[tuple[str, float]] = []
         left = list(errors)
 
@@ -157,15 +166,16 @@
             async for part in answer(exchange):
                 yield part
 
-        route = a_route(idempotent=True, attempts_count=4)
         exchange = a_routed_exchange(route, prompt=PROMPT, attempt=0)
-        handler = compose([RetryFilter(RetryBudget()), self.filter], run_attempt)
+        handler = compose([RetryFilter(budget or RetryBudget()), self.filter], run_attempt)
 
         async def run() -> None:
-            with suppress(RequestError):
+            try:
                 async with aclosing(handler(exchange)) as parts:
                     async for _ in parts:
                         pass
+            except RequestError as error:
+                self.code = error.code
 
         anyio.run(run)
         return placed
@@ -200,6 +210,29 @@
                 self.pools.apply([a_listed_upstream(listed_id) for listed_id in listed_ids], 0.0)
                 self.assertEqual(len(self.place_attempts(*errors)), placed_count)
 
+    def test_addresses_that_others_have_taken(self) -> None:
+        """Guards against refusing a request because its attempts have met upstreams of others, and
+        against attempts without end or beyond the retry budget."""
+        taken = Misdirected("up-1", "status 421, not run")
+        failure = NoAnswer("up-1", "reset")
+        once, twice = a_route(attempts_count=1), a_route(idempotent=True, attempts_count=2)
+        rows: list[tuple[str, Route, list[UpstreamError], int, int, str | None]] = [
+            ("one attempt", once, [taken, taken], 3, 3, None),
+            ("two attempts", twice, [taken, failure, taken], 3, 4, None),
+            ("failures count", twice, [taken, failure, failure], 3, 3, "upstream_failed"),
+            ("without end", once, [taken] * 9, 9, 1 + MAX_MISDIRECTED_COUNT, "overloaded"),
+            ("without budget", once, [taken, taken], 1, 2, "overloaded"),
+        ]
+        for name, route, errors, retries_count, placed_count, code in rows:
+            with self.subTest(name):
+                self.setUp()
+                listed = [a_listed_upstream(f"up-{number}") for number in range(12)]
+                self.pools.apply(listed, 0.0)
+                budget = RetryBudget(ratio=0.0, floor_count=lambda count=retries_count: count)
+                placed = self.place_attempts(*errors, route=route, budget=budget)
+                self.assertEqual((len(placed), self.code), (placed_count, code))
+                self.assertEqual(len({upstream_id for upstream_id, _ in placed}), placed_count)
+
     def test_is_rejected_early(self) -> None:
         """Guards against a request that is held until its caller has no time for a retry."""
         self.fill()
