--- a/src/camphorvalve/filters/retry.py
+++ b/src/camphorvalve/filters/retry.py
@@ -9,6 +9,7 @@
 
 import structlog
 
+from camphorvalve.filters.failures import record_failed_upstream
 from camphorvalve.filters.standby import SilenceWatch
 from camphorvalve.model.answers import Body, Head
 from camphorvalve.model.errors import RequestError, Run
@@ -103,7 +104,9 @@
 
 
 def _has_attempt_left(exchange: Exchange) -> bool:
-    return exchange.attempt < _max_attempts_count(exchange)
+    if exchange.route is None:
+        return exchange.attempt < MAX_ATTEMPTS_COUNT
+    return not exchange.is_last_attempt
 
 
 def _max_attempts_count(exchange: Exchange) -> int:
@@ -222,7 +225,7 @@
 def _record_failure(exchange: Exchange, error: UpstreamError) -> None:
     exchange.note(time.monotonic(), f"attempt {exchange.attempt} failed: {error}")
     if exchange.upstream_id is not None:
-        exchange.failed_upstreams.add(exchange.upstream_id)
+        record_failed_upstream(exchange, exchange.upstream_id, error)
     match error:
         case NotSent() | Declined():
             return
