Name a short delay in refusals of parts that were just condemned

Seen: in the closed loops a sound part of prompts that waited beside a deadly request, or beside upstreams that ended by themselves, was refused once or a few times with 60 s, before an answer at another router or the end of another upstream acquitted it.

Cause: a verdict on a part was told to the caller as final at the moment of the end that condemns; whole requests already had 0.5 s of a short delay.

Change: refusals within a second of the newest end name 0.5 s, for parts and whole requests alike.

--- a/src/camphorvalve/filters/quarantine.py
+++ b/src/camphorvalve/filters/quarantine.py
@@ -12,7 +12,7 @@
 from camphorvalve.model.answers import Body, Framing, Head
 from camphorvalve.model.errors import RequestError
 from camphorvalve.model.requests import shared_part_ids
-from camphorvalve.sharing.suspectends import SAME_CAUSE_S, SharedPart, WholeRequest, kind_of
+from camphorvalve.sharing.suspectends import SharedPart, WholeRequest, kind_of
 from camphorvalve.sharing.suspects import Condemned, Suspected
 from camphorvalve.upstreams.errors import UpstreamError, ended_connection
 
@@ -32,6 +32,9 @@
 CONDEMNED_RETRY_S = 60.0
 SUSPECTED_RETRY_S = 0.5
 """Delay after which a caller may retry while a suspected request is tried elsewhere."""
+FRESH_S = 1.0
+"""Time after the newest end in which other ends of the same moment, or answers at other routers,
+may still acquit what it condemns."""
 TRIAL_RATIO = 1 / 8
 """Part of the attempts that are made of a suspected whole request: all that run until the first of
 them ends an upstream may end others."""
@@ -117,16 +120,15 @@
                 return ()
 
     def _condemned_retry_s(self, key: str) -> float:
+        now_s = self._clock()
+        newest_s, forgotten_s = self._suspects.condemned_between_s(key)
+        if now_s - newest_s < FRESH_S:
+            return SUSPECTED_RETRY_S
         match kind_of(key):
             case SharedPart():
                 # Sound requests may have the part; their answers clear it sooner.
                 return CONDEMNED_RETRY_S
             case WholeRequest():
-                now_s = self._clock()
-                newest_s, forgotten_s = self._suspects.condemned_between_s(key)
-                if now_s - newest_s < 2 * SAME_CAUSE_S:
-                    # The ends of other upstreams in the same moment may explain it.
-                    return SUSPECTED_RETRY_S
                 return max(CONDEMNED_RETRY_S, forgotten_s - now_s)
 
     def _is_trial(self, keys: tuple[str, ...]) -> bool:
@@ -215,4 +217,4 @@
             self.begun_s = now_s
 
 
-__all__ = ["UNDER_WAY_S", "QuarantineFilter"]
+__all__ = ["FRESH_S", "UNDER_WAY_S", "QuarantineFilter"]
