Repeat reports of crashes until the controllers have them

Cause, traced: router-0 had seen two of the three ends at 4.5 s, which is too few to suspect a whole request. Of its reports two reached controller-2, which had all three ends from 4.560 s on and did not answer: routers learn of suspected requests only by answers to their polls. Those come once a second, and of the polls and answers until 7.5 s all but one with a recall were lost. Neither side could tell that from agreement, as a poll without differences has no answer.

Change: after each report a router asks for an answer with its polls, every 0.2 s until both controllers have answered without asking for a report, ten times at most; its checksums in the poll make the controllers recall what they lack. The flag of the first poll now says this in general; its encoding stays. A controller answers the report of a request that it suspects and the router does not. In quiet times polls stay without answers.

test_lost_reports and test_a_request_that_is_suspected_elsewhere fail without the change ("1.0 not less than 0.5", "Sound() != Suspected").

--- a/src/camphorvalve/controllers/suspects.py
+++ b/src/camphorvalve/controllers/suspects.py
@@ -14,6 +14,7 @@
     Ended,
     SharedPart,
     WholeRequest,
+    count_ends,
     kind_of,
 )
 from camphorvalve.sharing.suspects import Condemned, Sound, Suspected, SuspectRecord
@@ -39,9 +40,11 @@
 MERGING_COUNT = 2
 """Controllers that do so, so that the restart of one leaves no gap."""
 POLL_S = 1.0
-INITIAL_POLL_S = 0.2
-"""Poll interval until the first answer: answers are dropped until the controller has connected
+REPEAT_POLL_S = 0.2
+"""Poll interval while an answer is missing: messages are dropped until the controller has connected
 back."""
+MAX_REPEATS_COUNT = 10
+"""Polls in a row that ask for an answer; a controller may be gone, or list other suspects."""
 POLL_LIFETIME_S = 5.0
 """How long a controller sends changes to a router after its last poll: five poll intervals."""
 
@@ -64,11 +67,16 @@
         self._record = SuspectRecord()
         self._levels = _LevelLog(self._record)
         self._was_answered = False
+        self._settled_ids: set[str] = set()
+        """Controllers that have answered since the last report, and did not ask for another one."""
+        self._recalling_ids: set[str] = set()
+        """Controllers that have asked for a report since the last poll."""
+        self._repeats_count = 0
 
     @property
     def tick_s(self) -> float:
         """:return: time until the next poll"""
-        return POLL_S if self._was_answered else INITIAL_POLL_S
+        return REPEAT_POLL_S if self._asks() and self._unsettled_ids() else POLL_S
 
     def judge(self, keys: Sequence[str]) -> Verdict:
         """
@@ -133,6 +141,8 @@
         match message:
             case SuspectUpdate(parts, ended):
                 self._was_answered = True
+                if sender.host_id not in self._recalling_ids:
+                    self._settled_ids.add(sender.host_id)
                 _merge_ended(self._record, ended, now_s)
                 _merge(self._record, parts, now_s)
                 self._levels.write(part.part_id for part in parts)
@@ -141,6 +151,8 @@
                     report = SuspectReport(_encode(self._record, corrected_keys, now_s), ())
                     yield Outgoing(sender.host_id, report)
             case SuspectRecall():
+                self._recalling_ids.add(sender.host_id)
+                self._settled_ids.discard(sender.host_id)
                 unsuspected = self._record.unsuspected()
                 held_keys = [*self._record.suspected().keys, *unsuspected.keys]
                 encoded = _encode(self._record, held_keys, now_s)
@@ -156,12 +168,16 @@
         :return: polls
         """
         self._levels.write(self._record.expire(now_s))
-        poll = SuspectPoll(
-            self._record.suspected().version,
-            self._record.unsuspected().version,
-            not self._was_answered,
-        )
+        self._recalling_ids.clear()
+        unsettled_ids = self._unsettled_ids()
+        asked_ids = unsettled_ids if self._asks() else []
+        self._repeats_count = self._repeats_count + 1 if unsettled_ids else 0
         for controller_id in self._merging_ids():
+            poll = SuspectPoll(
+                self._record.suspected().version,
+                self._record.unsuspected().version,
+                controller_id in asked_ids,
+            )
             yield Outgoing(controller_id, poll)
 
     def _report(
@@ -170,11 +186,25 @@
         if not keys and not ended_ids:
             return
         self._levels.write(keys)
+        self._settled_ids.clear()
+        self._repeats_count = 0
         ended = _encode_ended(self._record.ended(ended_ids), now_s)
         report = SuspectReport(_encode(self._record, keys, now_s), ended)
         for controller_id in self._merging_ids():
             yield Outgoing(controller_id, report)
 
+    def _asks(self) -> bool:
+        """Tell whether to ask for missing answers, or they were asked for in vain."""
+        return not self._was_answered or self._repeats_count < MAX_REPEATS_COUNT
+
+    def _unsettled_ids(self) -> list[str]:
+        """Return the controllers whose answer is missing."""
+        return [
+            controller_id
+            for controller_id in self._merging_ids()
+            if controller_id not in self._settled_ids
+        ]
+
     def _merging_ids(self) -> list[str]:
         return ranked(SUSPECTS_KEY, self._controller_ids())[:MERGING_COUNT]
 
@@ -209,22 +239,27 @@
         """
         router_id = sender.host_id
         match message:
-            case SuspectPoll(version, unsuspected_version, is_first):
+            case SuspectPoll(version, unsuspected_version, needs_answer):
                 self._polled_s[router_id] = now_s
                 suspected = self._record.suspected()
                 is_different = version != suspected.version
                 has_more = unsuspected_version not in (0, self._reported_versions.get(router_id))
                 if has_more or (version and is_different):
                     yield Outgoing(router_id, SuspectRecall())
-                if is_first or (suspected.keys and is_different):
-                    yield Outgoing(router_id, self._update(suspected.keys, now_s))
+                if needs_answer or (suspected.keys and is_different):
+                    told_keys = suspected.keys if is_different else ()
+                    yield Outgoing(router_id, self._update(told_keys, now_s))
             case SuspectReport(unsuspected_version=unsuspected_version):
                 if unsuspected_version:
                     self._reported_versions[router_id] = unsuspected_version
                 yield from self._merge_report(message, now_s)
                 corrected_keys = _cleared_more(self._record, message.parts)
-                if corrected_keys:
-                    yield Outgoing(router_id, self._update(corrected_keys, now_s))
+                lacking_keys = [
+                    part.part_id for part in message.parts if self._lacks_suspicion(part)
+                ]
+                told_keys = dict.fromkeys((*corrected_keys, *lacking_keys))
+                if told_keys:
+                    yield Outgoing(router_id, self._update(told_keys, now_s))
 
     def tick(self, now_s: float) -> Iterator[Outgoing]:
         """
@@ -266,6 +301,16 @@
                 # A power failure leaves many suspected requests that don't come again.
                 return self._record.has_condemned(key)
 
+    def _lacks_suspicion(self, part: SuspectPart) -> bool:
+        """Tell whether a router that reports a suspected request takes it for a sound one."""
+        reported_s = [-end.age_ms / 1000 for end in part.ends if not end.cleared]
+        kind = kind_of(part.part_id)
+        return (
+            kind == WholeRequest()
+            and count_ends(kind, reported_s) < SUSPECTED_COUNT
+            and self._record.count(part.part_id) >= SUSPECTED_COUNT
+        )
+
     def _has_suspected_part(self) -> bool:
         """Tell whether a verdict depends on which upstreams ended."""
         return any(kind_of(key) == SharedPart() for key in self._record.suspected().keys)
--- a/src/camphorvalve/wire/messages.py
+++ b/src/camphorvalve/wire/messages.py
@@ -302,8 +302,8 @@
     """Checksum of the suspected parts that the router knows; 0 if there are none."""
     unsuspected_version: int
     """Checksum of the ends that it holds of other parts; 0 if there are none."""
-    is_first: bool = False
-    """Whether the router has had no answer since its start and needs one."""
+    needs_answer: bool = False
+    """Whether the router has had no answer since its start or its last report."""
 
 
 class SuspectRecall(NamedTuple):
--- a/tests/controllers/test_suspects.py
+++ b/tests/controllers/test_suspects.py
@@ -6,7 +6,12 @@
 from typing import TYPE_CHECKING, Any
 
 from camphorvalve.controllers.runtime import Sender
-from camphorvalve.controllers.suspects import POLL_LIFETIME_S, SuspectsFollower, SuspectsPublisher
+from camphorvalve.controllers.suspects import (
+    MAX_REPEATS_COUNT,
+    POLL_LIFETIME_S,
+    SuspectsFollower,
+    SuspectsPublisher,
+)
 from camphorvalve.model.requests import REQUEST_KEY_PREFIX
 from camphorvalve.sharing.suspectends import LIFETIME_S
 from camphorvalve.sharing.suspects import (
@@ -134,6 +139,35 @@
         self.assertEqual(router.judge(("deadly",)), Condemned("deadly"))
         self.assertEqual(router.tick_s, 1.0)
 
+    def test_lost_reports(self) -> None:
+        """Guards against controllers that learn of an end seconds after its report was lost, and
+        against a router that asks without end."""
+        self.tick()
+        router = self.routers["r-0"]
+        list(router.record_end(("deadly",), "up-0", self.now_s))
+        for _ in range(3):
+            # The polls are lost as well.
+            self.assertLess(router.tick_s, 0.5)
+            list(router.tick(self.now_s))
+        for _ in range(2):
+            self.assertLess(router.tick_s, 0.5)
+            self.deliver("r-0", list(router.tick(self.now_s)))
+        self.assertEqual(router.tick_s, 1.0)
+        counts = [controller._record.count("deadly") for controller in self.controllers.values()]
+        self.assertEqual(sorted(counts), [0, 1, 1])
+        list(router.record_end(("deadly",), "up-1", self.now_s))
+        for _ in range(MAX_REPEATS_COUNT):
+            list(router.tick(self.now_s))
+        self.assertEqual(router.tick_s, 1.0)
+
+    def test_a_request_that_is_suspected_elsewhere(self) -> None:
+        """Guards against a router that saw one of the ends and runs the request until its next
+        poll as any other."""
+        self.tick()
+        for number in range(3):
+            self.end(f"r-{number}", f"up-{number}", REQUEST, after_s=0.1)
+        self.assertEqual(self.routers["r-2"].judge((REQUEST,)), Suspected((REQUEST,)))
+
     def test_answers_that_clear_a_part_elsewhere(self) -> None:
         """Guards against a router that refuses a part which another router has cleared end by end,
         before the controllers had to tell anybody of it."""
