Close an idle connection in one step, so that no request is run on it

Callers saw a connection that was closed without a response or a refusal although their request had run. Hypercorn decides that a connection is idle in one task and closes it in another one, which a cancellation does not reach. A request that is read between the two is passed on, and the transport is closed under its response. On a busy loop the gap is as long as two iterations, at each idle timeout and at the close of idle connections in a stop.

The connection now stops receiving first, lets the reading task handle what has arrived, which cancels the close if that is a request, and closes in the same step otherwise. What comes later is never read, which the caller sees as a connection that was reset before its request.

--- /dev/null
+++ b/src/camphorvalve/http/idle.py
@@ -0,0 +1,42 @@
+"""Closes idle connections of hypercorn's server without losing requests that have been received."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+
+import hypercorn.asyncio.run
+from hypercorn.asyncio.tcp_server import TCPServer
+
+
+class Connection(TCPServer):
+    """
+    A connection whose close, once it has been idle for too long, leaves no received request behind.
+
+    Hypercorn closes in a task of its own, some iterations of the event loop after the idle timeout.
+    A request that it reads in between is run, and its response has no connection.
+    """
+
+    async def _idle_timeout(self) -> None:
+        with contextlib.suppress(TimeoutError):
+            await asyncio.wait_for(self.context.terminated.wait(), self.config.keep_alive_timeout)
+        transport = self.writer.transport
+        if transport.is_closing():
+            return
+        transport.pause_reading()
+        try:
+            # The task that reads handles what has been received, and cancels this one if that is a
+            # request.
+            await asyncio.sleep(0)
+        except asyncio.CancelledError:
+            transport.resume_reading()
+            raise
+        self.writer.close()
+
+
+def use_connection_class() -> None:
+    """Make hypercorn's servers use ``Connection``; hypercorn has no setting for it."""
+    hypercorn.asyncio.run.TCPServer = Connection
+
+
+__all__ = ["Connection", "use_connection_class"]
--- a/src/camphorvalve/http/server.py
+++ b/src/camphorvalve/http/server.py
@@ -14,6 +14,7 @@
 from hypercorn.config import Config
 
 from camphorvalve.http.asgi import run_lifespan
+from camphorvalve.http.idle import use_connection_class
 from camphorvalve.loop import ServingLoop
 
 if TYPE_CHECKING:
@@ -106,6 +107,7 @@
     address = listener.getsockname()
     duplicate = listener.dup()
     listener_fd = listener.detach()
+    use_connection_class()
     config = _hypercorn_config(listener_fd, graceful_timeout_s, keep_alive_s)
     tracker = _RequestTracker(app, lambda: shutdown.is_set() or leaving())
     timers: list[asyncio.TimerHandle] = []
--- /dev/null
+++ b/tests/http/test_idle.py
@@ -0,0 +1,94 @@
+"""Guards against requests that are lost because their connection is closed as idle."""
+
+from __future__ import annotations
+
+import time
+import unittest
+from typing import TYPE_CHECKING
+
+import anyio
+import anyio.lowlevel
+
+from camphorvalve import loop
+from tests.http.idlecallers import SecondCall, call_twice
+from tests.http.serving import serving
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Sequence
+
+    from camphorvalve.http.asgi import Receive, Scope, Send
+
+IDLE_TIMEOUT_S = 0.4
+RUN_S = 0.03
+ITERATION_S = 0.01
+"""Time that each iteration of the busy event loop takes."""
+CALLERS_COUNT = 120
+SPREAD_S = 0.06
+"""Longest time between a connection's idle timeout and the second request on it."""
+
+
+class RecordingApp:
+    """Responds to each request after a short time, and records which requests it ran."""
+
+    def __init__(self) -> None:
+        self.ran_paths: set[str] = set()
+
+    async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
+        self.ran_paths.add(scope["path"])
+        await anyio.sleep(RUN_S)
+        headers = [(b"content-length", b"2")]
+        await send({"type": "http.response.start", "status": 200, "headers": headers})
+        await send({"type": "http.response.body", "body": b"ok"})
+
+
+async def _keep_loop_busy() -> None:
+    while True:
+        # Blocks on purpose: a router that is short of processor time has such iterations.
+        time.sleep(ITERATION_S)  # noqa: ASYNC251
+        await anyio.lowlevel.checkpoint()
+
+
+class IdleTest(unittest.TestCase):
+    def run_callers(
+        self, idles_s: Sequence[float], idle_timeout_s: Callable[[], float], *, busy: bool
+    ) -> list[SecondCall]:
+        """Serve callers on the event loop of the deployed processes."""
+        self.app = RecordingApp()
+
+        async def run() -> list[SecondCall]:
+            async with (
+                serving(self.app, keep_alive_s=idle_timeout_s) as served,
+                anyio.create_task_group() as tasks,
+            ):
+                if busy:
+                    tasks.start_soon(_keep_loop_busy)
+                calls = await anyio.to_thread.run_sync(call_twice, served.port, idles_s)
+                tasks.cancel_scope.cancel()
+            return calls
+
+        return loop.run(run)
+
+    def test_request_at_the_idle_timeout_is_not_run_without_a_response(self) -> None:
+        """Guards against a request that is run although its connection is being closed as idle, so
+        that its caller gets neither a response nor a refusal."""
+        step_s = 2 * SPREAD_S / CALLERS_COUNT
+        idles_s = [
+            IDLE_TIMEOUT_S - SPREAD_S + number * step_s + RUN_S for number in range(CALLERS_COUNT)
+        ]
+        calls = self.run_callers(idles_s, lambda: IDLE_TIMEOUT_S, busy=True)
+        lost = [call for call in calls if call.path in self.app.ran_paths and not call.received]
+        self.assertEqual(lost, [])
+        # The check proves nothing unless some came before the timeout, and others after it.
+        answered_count = sum(bool(call.received) for call in calls)
+        self.assertGreater(answered_count, 5)
+        self.assertLess(answered_count, CALLERS_COUNT - 5)
+
+    def test_idle_connection_is_closed(self) -> None:
+        """Guards against connections that stay open for ever."""
+        calls = self.run_callers([3 * IDLE_TIMEOUT_S] * 4, lambda: IDLE_TIMEOUT_S, busy=False)
+        self.assertEqual([call for call in calls if call.received], [])
+        self.assertFalse([path for path in self.app.ran_paths if path.startswith("/second")])
+
+
+if __name__ == "__main__":
+    unittest.main()
