Close idle connections by the idle timeout in force when it ends

Callers use a connection within the idle timeout of the manifest that they know. Hypercorn reads the timeout once, when a connection becomes idle, so that after a manifest with a longer one the router still closed connections at the old time, under requests that came for up to the longer one.

The connection now compares its idle time with the timeout in force whenever its timer ends, and waits for the rest.

Before: test_connection_is_kept_after_the_idle_timeout_has_grown failed in 9 of 9 runs, 4 of 4 connections closed. After: passed in 3 of 3.

--- a/src/camphorvalve/http/idle.py
+++ b/src/camphorvalve/http/idle.py
@@ -18,8 +18,7 @@
     """
 
     async def _idle_timeout(self) -> None:
-        with contextlib.suppress(TimeoutError):
-            await asyncio.wait_for(self.context.terminated.wait(), self.config.keep_alive_timeout)
+        await self._wait_until_expired()
         transport = self.writer.transport
         if transport.is_closing():
             return
@@ -33,6 +32,14 @@
             raise
         self.writer.close()
 
+    async def _wait_until_expired(self) -> None:
+        """Wait for the idle timeout in force, which may change meanwhile, or for the stop."""
+        began_s = self.loop.time()
+        while (left_s := began_s + self.config.keep_alive_timeout - self.loop.time()) > 0:
+            with contextlib.suppress(TimeoutError):
+                await asyncio.wait_for(self.context.terminated.wait(), left_s)
+                return
+
 
 def use_connection_class() -> None:
     """Make hypercorn's servers use ``Connection``; hypercorn has no setting for it."""
--- a/tests/http/test_idle.py
+++ b/tests/http/test_idle.py
@@ -83,6 +83,17 @@
         self.assertGreater(answered_count, 5)
         self.assertLess(answered_count, CALLERS_COUNT - 5)
 
+    def test_connection_is_kept_after_the_idle_timeout_has_grown(self) -> None:
+        """Guards against a connection that is closed by the idle timeout of an older manifest while
+        its caller uses it within the newer one."""
+        grows_s = time.monotonic() + IDLE_TIMEOUT_S / 2
+
+        def idle_timeout_s() -> float:
+            return IDLE_TIMEOUT_S if time.monotonic() < grows_s else 10 * IDLE_TIMEOUT_S
+
+        calls = self.run_callers([1.5 * IDLE_TIMEOUT_S] * 4, idle_timeout_s, busy=False)
+        self.assertEqual([call for call in calls if b" 200 " not in call.received], [])
+
     def test_idle_connection_is_closed(self) -> None:
         """Guards against connections that stay open for ever."""
         calls = self.run_callers([3 * IDLE_TIMEOUT_S] * 4, lambda: IDLE_TIMEOUT_S, busy=False)
