Search for requests that changes of the manifest lose

Nothing played a manifest that drops, moves, splits or shortens the route of a request under way, withdraws its key or tenant, or changes the limits, nor any of these beside slow, chunked and pipelined requests, SIGHUP with other settings, stops, kills and freezes of controllers, and workers that drain. The trials of silent upstreams get these kinds of work, and the checks know which manifests may be in force for a request.

The check of closed connections now counts from the last byte of the request, as a body may arrive slowly; requests that are sent at once are judged as before. Requests that callers gave up on are a finding where manifests change.

--- a/tests/processes/keptcallers.py
+++ b/tests/processes/keptcallers.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 import random
+from dataclasses import dataclass
 from typing import TYPE_CHECKING, NamedTuple
 
 if TYPE_CHECKING:
@@ -22,6 +23,41 @@
 MAX_BETWEEN_S = 0.06
 """Longest time between two requests of one caller."""
 HEAD_LIMIT_BYTES = 64 << 10
+TIMED_OUT = "no whole response in time"
+"""Error of a request whose caller gave up."""
+UNREAD = "sent behind the last request of its connection"
+
+
+@dataclass(frozen=True, slots=True)
+class AtOnce:
+    """The request is sent in one write."""
+
+
+@dataclass(frozen=True, slots=True)
+class InPieces:
+    """The body is sent in pieces, with a pause before each."""
+
+    pieces_count: int
+    pause_s: float
+    is_chunked: bool
+    """Whether each piece is a chunk of a body without a length."""
+
+
+Sending = AtOnce | InPieces
+
+
+class Habits(NamedTuple):
+    """Shares of the requests, from 0 to 1, that callers send in other ways than one by one."""
+
+    in_pieces: float = 0.0
+    chunked: float = 0.0
+    """Of the requests in pieces."""
+    pipelined: float = 0.0
+    """Requests that are followed by another one before their response."""
+    idle: float = 0.0
+    """Requests before which the connection is idle for longer."""
+    idle_s: tuple[float, float] = (0.4, 2.2)
+    max_piece_pause_s: float = 0.4
 
 
 class SentCall(NamedTuple):
@@ -31,21 +67,34 @@
     kind: str
     body: bytes
     deadline_ms: int = DEADLINE_MS
+    sending: Sending = AtOnce()
 
     @property
     def target(self) -> str:
         return f"/{self.kind}/{self.request_id}?part=2"
 
-    def encode(self) -> bytes:
-        lines = (
+    def encode(self) -> tuple[bytes, ...]:
+        """:return: the request in the pieces that are sent one after another"""
+        head_lines = [
             f"POST {self.target} HTTP/1.1",
             "Host: desk.example",
             f"Attempt-Id: {self.request_id}",
             f"Deadline-Ms: {self.deadline_ms}",
             "Credential: key-1",
-            f"Content-Length: {len(self.body)}",
-        )
-        return "\r\n".join([*lines, "", ""]).encode() + self.body
+        ]
+        length_line = f"Content-Length: {len(self.body)}"
+        match self.sending:
+            case AtOnce():
+                head = "\r\n".join([*head_lines, length_line, "", ""]).encode()
+                return (head + self.body,)
+            case InPieces(count, _, is_chunked):
+                size = -(-len(self.body) // count)
+                pieces = [self.body[at : at + size] for at in range(0, len(self.body), size)]
+                if is_chunked:
+                    length_line = "Transfer-Encoding: chunked"
+                    pieces = [b"%x\r\n%s\r\n" % (len(piece), piece) for piece in pieces]
+                    pieces.append(b"0\r\n\r\n")
+                return ("\r\n".join([*head_lines, length_line, "", ""]).encode(), *pieces)
 
 
 class Received(NamedTuple):
@@ -64,6 +113,8 @@
     """Monotonic time at which the request was sent."""
     ended_s: float = 0.0
     """Monotonic time at which the response was whole, or known not to become whole."""
+    last_byte_s: float | None = None
+    """Monotonic time at which the last byte of the request was sent, ``None`` if it was not."""
 
 
 class CallerFleet:
@@ -74,6 +125,7 @@
         address: Callable[[str], tuple[str, int]],
         routers: Sequence[str],
         deadline_ms: int = DEADLINE_MS,
+        habits: Habits = Habits(),  # noqa: B008 -- immutable
     ) -> None:
         """
         Prepare callers.
@@ -81,12 +133,14 @@
         :param address: returns the IP address and the port that a router accepts requests on
         :param routers: names of the routers, from which each connection takes one
         :param deadline_ms: time for which callers wait for a response
+        :param habits: how requests are sent
         """
         self.received: list[Received] = []
         self.running = True
         self._address = address
         self._routers = routers
         self._deadline_ms = deadline_ms
+        self._habits = habits
 
     async def run_caller(self, name: str, seed: int) -> None:
         """
@@ -96,6 +150,7 @@
         :param seed: seed of its requests, its pauses and its choice of routers
         """
         draw = random.Random(f"{seed} {name}")
+        habit_draw = random.Random(f"{seed} {name} habits")
         calls = _calls(name, draw, self._deadline_ms)
         while self.running:
             router = draw.choice(self._routers)
@@ -110,14 +165,28 @@
             try:
                 # An open connection is used until the router closes it.
                 while self.running:
-                    received = await _exchange(reader, writer, router, next(calls))
-                    self.received.append(received)
+                    batch = [self._with_sending(next(calls), habit_draw)]
+                    if habit_draw.random() < self._habits.pipelined:
+                        batch.append(next(calls))
+                    received = await _exchange(reader, writer, router, batch)
+                    self.received += received
                     await asyncio.sleep(draw.uniform(0, MAX_BETWEEN_S))
-                    if not received.is_whole or received.headers.get("connection") == "close":
+                    if habit_draw.random() < self._habits.idle:
+                        await asyncio.sleep(habit_draw.uniform(*self._habits.idle_s))
+                    last = received[-1]
+                    if not last.is_whole or last.headers.get("connection") == "close":
                         break
             finally:
                 writer.transport.abort()
 
+    def _with_sending(self, call: SentCall, draw: random.Random) -> SentCall:
+        habits = self._habits
+        if draw.random() >= habits.in_pieces:
+            return call
+        pause_s = draw.uniform(0.01, habits.max_piece_pause_s)
+        is_chunked = draw.random() < habits.chunked
+        return call._replace(sending=InPieces(draw.randint(1, 4), pause_s, is_chunked))
+
 
 def _calls(name: str, draw: random.Random, deadline_ms: int) -> Iterator[SentCall]:
     number = 0
@@ -130,26 +199,84 @@
 
 
 async def _exchange(
-    reader: asyncio.StreamReader, writer: asyncio.StreamWriter, router: str, call: SentCall
-) -> Received:
+    reader: asyncio.StreamReader,
+    writer: asyncio.StreamWriter,
+    router: str,
+    batch: Sequence[SentCall],
+) -> list[Received]:
+    """Send one request, or several at once, and receive the responses as long as there are any."""
+    sent = [_Sent(call, asyncio.get_running_loop().time()) for call in batch]
+    sending = asyncio.create_task(_send(writer, sent))
+    received: list[Received] = []
+    has_ended = False
+    try:
+        for entry in sent:
+            if received:
+                # A router reads the next request after the response to the one before.
+                entry.sent_s = received[-1].ended_s
+            if has_ended:
+                # The rest of a batch is not read (RFC 9112, 9.6).
+                unread = Received(entry.call, router, error=UNREAD, sent_s=entry.sent_s)
+                received.append(unread._replace(ended_s=entry.sent_s))
+                continue
+            last = await _receive(reader, router, entry)
+            received.append(last)
+            has_ended = not last.is_whole or last.headers.get("connection") == "close"
+    finally:
+        sending.cancel()
+        await asyncio.gather(sending, return_exceptions=True)
+    return received
+
+
+@dataclass(slots=True)
+class _Sent:
+    """Request that is being sent."""
+
+    call: SentCall
+    sent_s: float
+    last_byte_s: float | None = None
+
+
+async def _send(writer: asyncio.StreamWriter, batch: Sequence[_Sent]) -> None:
+    loop = asyncio.get_running_loop()
+    for entry in batch:
+        match entry.call.sending:
+            case AtOnce():
+                pause_s = 0.0
+            case InPieces(_, pause_s, _):
+                pass
+        first, *pieces = entry.call.encode()
+        writer.write(first)
+        for piece in pieces:
+            await asyncio.sleep(pause_s)
+            if writer.is_closing():
+                return
+            writer.write(piece)
+        entry.last_byte_s = loop.time()
+
+
+async def _receive(reader: asyncio.StreamReader, router: str, entry: _Sent) -> Received:
     loop = asyncio.get_running_loop()
-    received = Received(call, router, sent_s=loop.time())
+    received = Received(entry.call, router, sent_s=entry.sent_s)
     content = bytearray()
     is_whole, cause = False, ""
     try:
         async with asyncio.timeout(GIVE_UP_S):
-            writer.write(call.encode())
             head = await reader.readuntil(b"\r\n\r\n")
             received = _decode_head(received, head)
             async for piece in _body_pieces(reader, received.headers):
                 content += piece
         is_whole = True
     except TimeoutError:
-        cause = "no whole response in time"
+        cause = TIMED_OUT
     except (OSError, EOFError, asyncio.LimitOverrunError, ValueError) as error:
         cause = f"{type(error).__name__}: {error}"
     return received._replace(
-        content=bytes(content), is_whole=is_whole, error=cause, ended_s=loop.time()
+        content=bytes(content),
+        is_whole=is_whole,
+        error=cause,
+        ended_s=loop.time(),
+        last_byte_s=entry.last_byte_s,
     )
 
 
@@ -215,8 +342,12 @@
 __all__ = [
     "KINDS",
     "STREAM_KINDS",
+    "TIMED_OUT",
     "UNSAFE_KINDS",
+    "AtOnce",
     "CallerFleet",
+    "Habits",
+    "InPieces",
     "Received",
     "SentCall",
     "run_callers",
--- a/tests/processes/silencechecks.py
+++ b/tests/processes/silencechecks.py
@@ -8,6 +8,7 @@
 
 from tools.standins.stutter import Silent
 
+from tests.processes.keptcallers import TIMED_OUT
 from tests.processes.responsechecks import describe, findings
 
 if TYPE_CHECKING:
@@ -15,6 +16,7 @@
 
     from tools.standins.stutter import WorkerRecord
 
+    from tests.manifestterms import Terms
     from tests.processes.keptcallers import Received
 
 TIMER_MARGIN_S = 0.05
@@ -24,6 +26,9 @@
 STOP_INTAKE_S = 3.0
 LAST_PART_OF_GRACE = 5 / 6
 PROMISED_NOT_RUN = (429, 503)
+DENIALS = (401, 403, 404, 413)
+CONFIG_APPLY_S = 2.0
+"""Time after its acknowledgement by which a manifest is in force on all routers."""
 
 
 class Stop(NamedTuple):
@@ -35,6 +40,16 @@
     grace_s: float
 
 
+class SentTerms(NamedTuple):
+    """A manifest that was sent to a controller."""
+
+    terms: Terms
+    sent_s: float
+    """Monotonic time."""
+    acknowledged_s: float
+    """Infinite if the manifest was not acknowledged."""
+
+
 class Bounds(NamedTuple):
     """What requests may take, and what explains that a response is not whole."""
 
@@ -42,6 +57,23 @@
     """Time that the route allows."""
     attempts_count: int
     stops: tuple[Stop, ...] = ()
+    manifests: tuple[SentTerms, ...] = ()
+    """Manifests in order of version, if they change what ``timeout_s`` and routes allow."""
+
+    def possible_terms(self, entry: Received) -> list[Terms]:
+        """:return: terms of the manifests that may have been in force during a request"""
+        possible = []
+        replaced_s = float("inf")
+        for manifest in reversed(self.manifests):
+            if manifest.sent_s <= entry.ended_s and entry.sent_s <= replaced_s + CONFIG_APPLY_S:
+                possible.append(manifest.terms)
+            replaced_s = min(replaced_s, manifest.acknowledged_s)
+        return possible
+
+    def shortest_timeout_s(self, entry: Received) -> float:
+        """:return: shortest time that a manifest allows the request"""
+        timeouts_s = [terms.timeout_s for terms in self.possible_terms(entry)]
+        return min(timeouts_s, default=self.timeout_s)
 
 
 def silence_findings(
@@ -86,8 +118,17 @@
 
 def _lost(entry: Received, record: WorkerRecord, bounds: Bounds) -> Iterator[str]:
     replies, runs = record.replies[entry.call.request_id], record.runs[entry.call.request_id]
+    if entry.is_whole and entry.status in DENIALS and "server-stamp" not in entry.headers:
+        if runs:
+            yield f"LOST: status {entry.status} for a request that ran"
+        if bounds.manifests and _is_allowed(entry, bounds):
+            yield f"DENIED: status {entry.status}, though each manifest allows the request"
+        return
     if entry.is_whole and entry.status < 500 and entry.status != 429:
         return
+    if bounds.manifests and entry.error == TIMED_OUT:
+        yield "CONFIG: no whole response long after the deadline"
+        return
     if entry.is_whole and "server-stamp" in entry.headers:
         yield f"LOST: status {entry.status} of a sound upstream"
         return
@@ -96,7 +137,8 @@
             yield f"REFUSED: status {entry.status} says that the request has not run"
         return
     took_s = entry.ended_s - entry.sent_s
-    if took_s >= min(entry.call.deadline_ms / 1000, bounds.timeout_s) - TIMER_MARGIN_S:
+    shortest_s = min(entry.call.deadline_ms / 1000, bounds.shortest_timeout_s(entry))
+    if took_s >= shortest_s - TIMER_MARGIN_S:
         return
     if replies and any(_is_unfinished(entry, stop) for stop in bounds.stops):
         return
@@ -104,10 +146,20 @@
         yield f"LOST: status {entry.status} before the deadline"
     elif entry.status:
         yield "LOST: broken off"
-    elif replies or took_s > HELD_S:
+    elif replies or _held_s(entry) > HELD_S:
         yield "LOST: closed without an answer"
 
 
+def _is_allowed(entry: Received, bounds: Bounds) -> bool:
+    call = entry.call
+    return all(terms.allows(call.kind, len(call.body)) for terms in bounds.possible_terms(entry))
+
+
+def _held_s(entry: Received) -> float:
+    """Return the time between the last byte of a request and the end of its connection."""
+    return 0.0 if entry.last_byte_s is None else entry.ended_s - entry.last_byte_s
+
+
 def _is_refusal(entry: Received) -> bool:
     if entry.status not in PROMISED_NOT_RUN:
         return False
@@ -133,4 +185,4 @@
     return text
 
 
-__all__ = ["Bounds", "Stop", "silence_findings", "silence_summary"]
+__all__ = ["Bounds", "SentTerms", "Stop", "silence_findings", "silence_summary"]
--- a/tests/responsebuilders.py
+++ b/tests/responsebuilders.py
@@ -67,5 +67,6 @@
         "headers": headers,
         "content": b"yes",
         "is_whole": True,
+        "last_byte_s": fields.get("sent_s", 0.0),
     }
     return Received(**{**values, **fields})
--- a/tests/silencebuilders.py
+++ b/tests/silencebuilders.py
@@ -1,4 +1,4 @@
-"""Builders of test data: trials of fleets with silent upstreams."""
+"""Builders of test data: trials of fleets with silent upstreams, and of changes under requests."""
 
 from __future__ import annotations
 
@@ -7,7 +7,18 @@
 
 from tools.standins.stutter import Shares
 
-from tests.processes.silentupstreams import Manifests, Stops, Trial, Work
+from tests.manifestterms import CHANGES
+from tests.processes.keptcallers import Habits
+from tests.processes.silentupstreams import (
+    Changes,
+    ControllerStops,
+    Hangups,
+    Manifests,
+    Replacements,
+    Stops,
+    Trial,
+    Work,
+)
 
 SILENT_SHARES = Shares(second=0.0, reset=0.0, failure=0.0, refusal=0.0, silent=1 / 3)
 BESIDE: dict[str, tuple[Work, ...]] = {
@@ -33,4 +44,34 @@
     return Trial(**{**values, **fields})
 
 
-__all__ = ["BESIDE", "SILENT_SHARES", "a_silence_trial"]
+CHANGE_HABITS = Habits(in_pieces=0.3, chunked=0.5, pipelined=0.1, idle=0.05)
+BESIDE_CHANGES: tuple[Work, ...] = (Stops(), Hangups(), ControllerStops(), Replacements())
+
+
+def a_change_trial(seed: int, **fields: Any) -> Trial:
+    """Draw a trial in which manifests change the terms of requests, beside some other work."""
+    draw = random.Random(f"{seed} changes")
+    # Half of the trials play few kinds of changes, more often.
+    count = draw.choice((len(CHANGES), draw.randint(1, 3)))
+    changes = Changes(tuple(draw.sample(CHANGES, count)), draw.choice((0.5, 1.2)))
+    others = tuple(work for work in BESIDE_CHANGES if draw.random() < 0.4)
+    values = {
+        "seed": seed,
+        "workers_count": draw.randint(3, 5),
+        "callers_count": draw.choice((16, 24)),
+        "attempts_count": draw.randint(2, 3),
+        "shares": SILENT_SHARES._replace(silent=draw.choice((0.0, 0.1, 1 / 3))),
+        "works": (changes, *others),
+        "habits": CHANGE_HABITS,
+    }
+    return Trial(**{**values, **fields})
+
+
+__all__ = [
+    "BESIDE",
+    "BESIDE_CHANGES",
+    "CHANGE_HABITS",
+    "SILENT_SHARES",
+    "a_change_trial",
+    "a_silence_trial",
+]
--- a/tools/joinedfleet.py
+++ b/tools/joinedfleet.py
@@ -104,6 +104,14 @@
                 stderr=log,
             )
 
+    def change_settings(self, name: str) -> None:
+        """
+        Write the settings file of a running process again, with the seeds and times of now.
+
+        :param name: name of the process
+        """
+        (self._folder / f"{name}.toml").write_text(self._settings(name, False))
+
     async def stop(self, name: str, signal_number: signal.Signals = signal.SIGKILL) -> int:
         """
         Send a signal to a process and wait until it exits.
--- a/tools/standins/karrilane.py
+++ b/tools/standins/karrilane.py
@@ -55,17 +55,21 @@
         self._service = service
         self._entries: dict[str, dict[str, Any]] = {}
 
-    def add(self, worker_id: str, url: str, state: str = "ready") -> None:
+    def add(
+        self, worker_id: str, url: str, state: str = "ready", service: str | None = None
+    ) -> None:
         """
-        Add a worker to the list.
+        Add a worker to the list, or list it again.
 
         :param worker_id: id of the worker
         :param url: URL that its application is served at
         :param state: ``ready`` or ``draining``
+        :param service: name of its service; by default the one it had, or that of all workers
         """
+        listed = self._entries.get(worker_id, {"service": self._service})
         self._entries[worker_id] = {
             "id": worker_id,
-            "service": self._service,
+            "service": service or listed["service"],
             "address": url.removeprefix("http://"),
             "zone": "zone-a",
             "version": "v1",
--- a/tools/standins/stutter.py
+++ b/tools/standins/stutter.py
@@ -273,12 +273,13 @@
         """:return: ids of the workers that run"""
         return list(self._workers)
 
-    async def start(self, worker_id: str, port: int = 0) -> int:
+    async def start(self, worker_id: str, port: int = 0, service: str | None = None) -> int:
         """
         Start a worker and list it.
 
         :param worker_id: id of the worker
         :param port: loopback port; 0 lets the system choose
+        :param service: name of its service, if it is not that of all workers
         :return: the port
         """
         worker = _Worker(worker_id, self._seed, self.shares, self.record)
@@ -286,7 +287,7 @@
         port = sock.getsockname()[1]
         worker.server = await asyncio.start_server(worker.serve, sock=sock)
         self._workers[worker_id] = worker
-        self.listed.add(worker_id, f"http://127.0.0.1:{port}")
+        self.listed.add(worker_id, f"http://127.0.0.1:{port}", service=service)
         return port
 
     async def end(self, worker_id: str) -> int:
