--- a/tests/processes/keptcallers.py
+++ b/tests/processes/keptcallers.py
@@ -323,6 +323,36 @@
         yield piece
 
 
+class KeptConnection(NamedTuple):
+    """A connection to a router on which requests that may be repeated are sent one by one."""
+
+    reader: asyncio.StreamReader
+    writer: asyncio.StreamWriter
+
+    @classmethod
+    async def open(cls, address: tuple[str, int]) -> KeptConnection:
+        """
+        Connect to a router.
+
+        :param address: its IP address and port
+        :return: the connection
+        """
+        return cls(*await asyncio.open_connection(*address, limit=HEAD_LIMIT_BYTES))
+
+    async def call(self, request_id: str, at_s: float = 0.0) -> Received:
+        """
+        Send a request.
+
+        :param request_id: id of the request
+        :param at_s: monotonic time before which it is not sent
+        :return: what was received
+        """
+        await asyncio.sleep(at_s - asyncio.get_running_loop().time())
+        call = SentCall(request_id, "safe", b"violins")
+        (received,) = await _exchange(self.reader, self.writer, "", [call])
+        return received
+
+
 async def run_callers(fleet: CallerFleet, count: int, seed: int, duration_s: float) -> None:
     """Run callers for some seconds, and let each finish its last request."""
     tasks = [
@@ -348,6 +378,7 @@
     "CallerFleet",
     "Habits",
     "InPieces",
+    "KeptConnection",
     "Received",
     "SentCall",
     "run_callers",
