Send prompts in the search for requests that changes lose

Requests without a prompt pass the shares of teams by, so that a team that a manifest removes under its requests was never looked up there. Four of ten requests of changesoak now have a prompt.

--- a/tests/processes/keptcallers.py
+++ b/tests/processes/keptcallers.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 import random
+import zlib
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, NamedTuple
 
@@ -23,6 +24,7 @@
 MAX_BETWEEN_S = 0.06
 """Longest time between two requests of one caller."""
 HEAD_LIMIT_BYTES = 64 << 10
+SHARED_PARTS_COUNT = 6
 TIMED_OUT = "no whole response in time"
 """Error of a request whose caller gave up."""
 UNREAD = "sent behind the last request of its connection"
@@ -56,6 +58,8 @@
     """Requests that are followed by another one before their response."""
     idle: float = 0.0
     """Requests before which the connection is idle for longer."""
+    prompts: float = 0.0
+    """Requests for a model, with a prompt of which others have a part."""
     idle_s: tuple[float, float] = (0.4, 2.2)
     max_piece_pause_s: float = 0.4
 
@@ -68,6 +72,8 @@
     body: bytes
     deadline_ms: int = DEADLINE_MS
     sending: Sending = AtOnce()
+    shared_part: int | None = None
+    """Number of the prompt's part that other requests have, ``None`` without a prompt."""
 
     @property
     def target(self) -> str:
@@ -82,6 +88,12 @@
             f"Deadline-Ms: {self.deadline_ms}",
             "Credential: key-1",
         ]
+        if self.shared_part is not None:
+            part, own_part = (
+                f"{self.shared_part:08x}:800",
+                f"{zlib.crc32(self.request_id.encode()):08x}:50",
+            )
+            head_lines += ["Model: m", "Token-Count: 850,80", f"Prompt-Prefix: {part},{own_part}"]
         length_line = f"Content-Length: {len(self.body)}"
         match self.sending:
             case AtOnce():
@@ -181,6 +193,8 @@
 
     def _with_sending(self, call: SentCall, draw: random.Random) -> SentCall:
         habits = self._habits
+        if draw.random() < habits.prompts:
+            call = call._replace(shared_part=draw.randrange(SHARED_PARTS_COUNT))
         if draw.random() >= habits.in_pieces:
             return call
         pause_s = draw.uniform(0.01, habits.max_piece_pause_s)
--- a/tests/silencebuilders.py
+++ b/tests/silencebuilders.py
@@ -44,7 +44,7 @@
     return Trial(**{**values, **fields})
 
 
-CHANGE_HABITS = Habits(in_pieces=0.3, chunked=0.5, pipelined=0.1, idle=0.05)
+CHANGE_HABITS = Habits(in_pieces=0.3, chunked=0.5, pipelined=0.1, idle=0.05, prompts=0.4)
 BESIDE_CHANGES: tuple[Work, ...] = (Stops(), Hangups(), ControllerStops(), Replacements())
 
 
