Let a received request cancel the close of its connection in a stop

Requests that arrived on a kept connection just as a stop closed it were handled, but their responses and refusals had no connection: callers got neither. The reading task cancels the idle timer when it has received a request, but asyncio.wait_for of Python 3.11 swallows a cancellation that comes after the event it waits for, so that the timer went on and closed the connection. asyncio.timeout passes the cancellation on.

The tests of idle connections now send their second requests from 0.3 s before to 0.1 s after the close, so that late callers on a busy machine don't make them prove nothing, and one covers the stop.

--- a/src/camphorvalve/http/idle.py
+++ b/src/camphorvalve/http/idle.py
@@ -37,7 +37,9 @@
         began_s = self.loop.time()
         while (left_s := began_s + self.config.keep_alive_timeout - self.loop.time()) > 0:
             with contextlib.suppress(TimeoutError):
-                await asyncio.wait_for(self.context.terminated.wait(), left_s)
+                # Unlike asyncio.wait_for, it does not swallow a cancellation after the event.
+                async with asyncio.timeout(left_s):
+                    await self.context.terminated.wait()
                 return
 
 
--- a/tests/http/test_idle.py
+++ b/tests/http/test_idle.py
@@ -10,21 +10,31 @@
 import anyio.lowlevel
 
 from camphorvalve import loop
-from tests.http.idlecallers import SecondCall, call_twice
+from tests.http.idlecallers import SecondCall, call_after_idle, call_around
 from tests.http.serving import serving
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Sequence
 
     from camphorvalve.http.asgi import Receive, Scope, Send
+    from tests.http.serving import Served
 
-IDLE_TIMEOUT_S = 0.4
+    Calling = Callable[[Served], list[SecondCall]]
+
+IDLE_TIMEOUT_S = 1.0
+LONG_S = 60.0
 RUN_S = 0.03
 ITERATION_S = 0.01
 """Time that each iteration of the busy event loop takes."""
-CALLERS_COUNT = 120
-SPREAD_S = 0.06
-"""Longest time between a connection's idle timeout and the second request on it."""
+CALLERS_COUNT = 160
+EARLY_S = 0.3
+"""Longest time between a second request and the close of its connection."""
+LATE_S = 0.1
+"""The same for requests after the close."""
+DRAIN_S = 0.05
+"""Time after the shutdown signal in which new requests are served, as ``serving`` sets it."""
+MIN_COUNT = 5
+"""Fewer requests on either side of the close would prove too little."""
 
 
 class RecordingApp:
@@ -48,9 +58,14 @@
         await anyio.lowlevel.checkpoint()
 
 
+def _offsets_s() -> list[float]:
+    step_s = (EARLY_S + LATE_S) / CALLERS_COUNT
+    return [number * step_s - EARLY_S for number in range(CALLERS_COUNT)]
+
+
 class IdleTest(unittest.TestCase):
     def run_callers(
-        self, idles_s: Sequence[float], idle_timeout_s: Callable[[], float], *, busy: bool
+        self, calling: Calling, idle_timeout_s: Callable[[], float], *, busy: bool
     ) -> list[SecondCall]:
         """Serve callers on the event loop of the deployed processes."""
         self.app = RecordingApp()
@@ -62,26 +77,41 @@
             ):
                 if busy:
                     tasks.start_soon(_keep_loop_busy)
-                calls = await anyio.to_thread.run_sync(call_twice, served.port, idles_s)
+                calls = await anyio.to_thread.run_sync(calling, served)
                 tasks.cancel_scope.cancel()
             return calls
 
         return loop.run(run)
 
-    def test_request_at_the_idle_timeout_is_not_run_without_a_response(self) -> None:
-        """Guards against a request that is run although its connection is being closed as idle, so
-        that its caller gets neither a response nor a refusal."""
-        step_s = 2 * SPREAD_S / CALLERS_COUNT
-        idles_s = [
-            IDLE_TIMEOUT_S - SPREAD_S + number * step_s + RUN_S for number in range(CALLERS_COUNT)
-        ]
-        calls = self.run_callers(idles_s, lambda: IDLE_TIMEOUT_S, busy=True)
+    def check_run_requests(self, calls: Sequence[SecondCall]) -> None:
+        """Check that all requests that were run got a response, and that some were too late."""
         lost = [call for call in calls if call.path in self.app.ran_paths and not call.received]
         self.assertEqual(lost, [])
-        # The check proves nothing unless some came before the timeout, and others after it.
         answered_count = sum(bool(call.received) for call in calls)
-        self.assertGreater(answered_count, 5)
-        self.assertLess(answered_count, CALLERS_COUNT - 5)
+        self.assertGreater(answered_count, MIN_COUNT)
+        self.assertLess(answered_count, CALLERS_COUNT - MIN_COUNT)
+
+    def test_request_at_the_idle_timeout_is_not_run_without_a_response(self) -> None:
+        """Guards against a request that is run although its connection is being closed as idle, so
+        that its caller gets neither a response nor a refusal."""
+        idles_s = [IDLE_TIMEOUT_S + offset_s for offset_s in _offsets_s()]
+        calls = self.run_callers(
+            lambda served: call_after_idle(served.port, idles_s), lambda: IDLE_TIMEOUT_S, busy=True
+        )
+        self.check_run_requests(calls)
+
+    def test_request_at_a_stop_is_not_run_without_a_response(self) -> None:
+        """Guards against the same while a stop closes the idle connections."""
+
+        def calling(served: Served) -> list[SecondCall]:
+            def stop() -> float:
+                anyio.from_thread.run_sync(served.shutdown.set)
+                return time.monotonic() + DRAIN_S
+
+            offsets_s = [offset_s + EARLY_S - DRAIN_S for offset_s in _offsets_s()]
+            return call_around(served.port, offsets_s, stop)
+
+        self.check_run_requests(self.run_callers(calling, lambda: LONG_S, busy=True))
 
     def test_connection_is_kept_after_the_idle_timeout_has_grown(self) -> None:
         """Guards against a connection that is closed by the idle timeout of an older manifest while
@@ -89,14 +119,22 @@
         grows_s = time.monotonic() + IDLE_TIMEOUT_S / 2
 
         def idle_timeout_s() -> float:
-            return IDLE_TIMEOUT_S if time.monotonic() < grows_s else 10 * IDLE_TIMEOUT_S
+            return IDLE_TIMEOUT_S if time.monotonic() < grows_s else LONG_S
 
-        calls = self.run_callers([1.5 * IDLE_TIMEOUT_S] * 4, idle_timeout_s, busy=False)
+        calls = self.run_callers(
+            lambda served: call_after_idle(served.port, [1.5 * IDLE_TIMEOUT_S] * 4),
+            idle_timeout_s,
+            busy=False,
+        )
         self.assertEqual([call for call in calls if b" 200 " not in call.received], [])
 
     def test_idle_connection_is_closed(self) -> None:
         """Guards against connections that stay open for ever."""
-        calls = self.run_callers([3 * IDLE_TIMEOUT_S] * 4, lambda: IDLE_TIMEOUT_S, busy=False)
+        calls = self.run_callers(
+            lambda served: call_after_idle(served.port, [3 * IDLE_TIMEOUT_S] * 4),
+            lambda: IDLE_TIMEOUT_S,
+            busy=False,
+        )
         self.assertEqual([call for call in calls if call.received], [])
         self.assertFalse([path for path in self.app.ran_paths if path.startswith("/second")])
 
