Answer a request that was received before a stop closes its connection

A caller that sent a request during a long response, whose head had not announced a close, got neither a response nor a refusal when a stop ended after that response: in a stop, hypercorn closes each connection at the end of a response, whatever it has read behind the request. A stream of 5 s, SIGTERM after 0.5 s and a request 0.3 s later: the connection was closed 4.2 s after that request.

The connection now lets the protocol start the next request if a part of one has been received and the last response kept the connection. Its response announces the close, so that the connection ends with it; a part of a head is closed as an idle connection.

--- a/src/camphorvalve/http/idle.py
+++ b/src/camphorvalve/http/idle.py
@@ -4,9 +4,16 @@
 
 import asyncio
 import contextlib
+from typing import TYPE_CHECKING
 
+import h11
 import hypercorn.asyncio.run
 from hypercorn.asyncio.tcp_server import TCPServer
+from hypercorn.events import Closed
+from hypercorn.protocol.h11 import H11Protocol
+
+if TYPE_CHECKING:
+    from hypercorn.events import Event
 
 
 class Connection(TCPServer):
@@ -17,6 +24,34 @@
     A request that it reads in between is run, and its response has no connection.
     """
 
+    async def protocol_send(self, event: Event) -> None:
+        """
+        Send bytes, start or stop the idle timeout, or close the connection.
+
+        :param event: what the protocol wants
+        """
+        if isinstance(event, Closed) and self._start_next_request():
+            await self.idle_task.restart(self._task_group, self._idle_timeout)
+            return
+        await super().protocol_send(event)
+
+    def _start_next_request(self) -> bool:
+        """
+        Let the protocol read the next request, if a part of it has been received.
+
+        In a stop, hypercorn closes after each response, also if its head has told the caller that
+        the connection is kept.
+
+        :return: whether there is a next request
+        """
+        match self.protocol.protocol:
+            case H11Protocol(connection=h11.Connection() as connection):
+                has_ended = connection.our_state is connection.their_state is h11.DONE
+                if has_ended and connection.trailing_data[0]:
+                    connection.start_next_cycle()
+                    return True
+        return False
+
     async def _idle_timeout(self) -> None:
         await self._wait_until_expired()
         transport = self.writer.transport
--- a/tests/http/test_idle.py
+++ b/tests/http/test_idle.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import time
 import unittest
 from typing import TYPE_CHECKING
@@ -42,12 +43,19 @@
 
     def __init__(self) -> None:
         self.ran_paths: set[str] = set()
+        self.is_held: anyio.Event | None = None
+        """Set when the first response after its head may go on, if it has to wait for that."""
 
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
         self.ran_paths.add(scope["path"])
         await anyio.sleep(RUN_S)
         headers = [(b"content-length", b"2")]
         await send({"type": "http.response.start", "status": 200, "headers": headers})
+        if self.is_held is not None:
+            await send({"type": "http.response.body", "body": b"o", "more_body": True})
+            await self.is_held.wait()
+            await send({"type": "http.response.body", "body": b"k"})
+            return
         await send({"type": "http.response.body", "body": b"ok"})
 
 
@@ -113,6 +121,33 @@
 
         self.check_run_requests(self.run_callers(calling, lambda: LONG_S, busy=True))
 
+    def test_pipelined_request_in_a_stop_gets_a_response(self) -> None:
+        """Guards against a request that was received during the response before it, whose head said
+        that the connection is kept, and that a stop then closes without a response."""
+        app = RecordingApp()
+        rest_of_second = b"GET /second HTTP/1.1\r\nHost: x\r\n\r\n"
+
+        async def run(second: bytes) -> bytes:
+            async with serving(app, graceful_timeout_s=5.0) as served:
+                app.is_held = anyio.Event()
+                async with await anyio.connect_tcp("127.0.0.1", served.port) as caller:
+                    await caller.send(b"GET /first HTTP/1.1\r\nHost: x\r\n\r\n")
+                    received = await caller.receive()
+                    served.shutdown.set()
+                    await caller.send(second)
+                    await anyio.sleep(4 * DRAIN_S)
+                    app.is_held.set()
+                    with anyio.fail_after(2.0), contextlib.suppress(anyio.EndOfStream):
+                        while True:
+                            received += await caller.receive()
+            return received
+
+        received = loop.run(run, rest_of_second)
+        self.assertEqual(received.count(b"HTTP/1.1 200"), 2, received)
+        # A part of a head gets no response, and does not hold up the stop.
+        received = loop.run(run, rest_of_second[:9])
+        self.assertEqual(received.count(b"HTTP/1.1 200"), 1, received)
+
     def test_connection_is_kept_after_the_idle_timeout_has_grown(self) -> None:
         """Guards against a connection that is closed by the idle timeout of an older manifest while
         its caller uses it within the newer one."""
