Let requests wait until a restarted router knows the suspects

Cause, traced: the request was condemned at 9.128 s. Routers started again at 9.700 and 14.800 s and ran it at 9.703 and 14.801 s, 1 and 3 ms later, as they had not yet the answers to their first polls; each run ended an upstream. A router that has just started takes what it does not know for sound.

Change: for a second at most after its first poll, requests wait until both merging controllers have answered. Both have to, as one that has just started too knows nothing until the routers have polled it. If no controller answers, requests run after that second as before: a refusal would cost all callers of a router that has lost its controllers. The wait comes before placing, so that it holds no place at an upstream.

test_a_router_that_has_just_started fails without the wait ("ExceptionGroup not raised").

--- a/src/camphorvalve/controllers/suspects.py
+++ b/src/camphorvalve/controllers/suspects.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING, Any
 
+import anyio
 import structlog
 
 from camphorvalve.controllers.runtime import Outgoing
@@ -45,6 +46,8 @@
 back."""
 MAX_REPEATS_COUNT = 10
 """Polls in a row that ask for an answer; a controller may be gone, or list other suspects."""
+MAX_SILENCE_S = 1.0
+"""Longest time after the start in which a router waits for the controllers' first answers."""
 POLL_LIFETIME_S = 5.0
 """How long a controller sends changes to a router after its last poll: five poll intervals."""
 
@@ -67,6 +70,11 @@
         self._record = SuspectRecord()
         self._levels = _LevelLog(self._record)
         self._was_answered = False
+        self._awaited_until_s = float("-inf")
+        self._informing_ids: set[str] = set()
+        """Controllers that have answered since the start."""
+        self._was_informed = anyio.Event()
+        """Set when all merging controllers have."""
         self._settled_ids: set[str] = set()
         """Controllers that have answered since the last report, and did not ask for another one."""
         self._recalling_ids: set[str] = set()
@@ -78,6 +86,18 @@
         """:return: time until the next poll"""
         return REPEAT_POLL_S if self._asks() and self._unsettled_ids() else POLL_S
 
+    async def wait_for_first_answers(self, now_s: float) -> None:
+        """
+        Wait for a short time after the start until the controllers have told what they know.
+
+        One that has just started as well may know nothing yet, so that both have to answer.
+
+        :param now_s: monotonic time
+        """
+        if now_s < self._awaited_until_s and not self._was_informed.is_set():
+            with anyio.move_on_after(self._awaited_until_s - now_s):
+                await self._was_informed.wait()
+
     def judge(self, keys: Sequence[str]) -> Verdict:
         """
         Judge a request.
@@ -145,6 +165,9 @@
                     self._settled_ids.add(sender.host_id)
                 _merge_ended(self._record, ended, now_s)
                 _merge(self._record, parts, now_s)
+                self._informing_ids.add(sender.host_id)
+                if self._informing_ids.issuperset(self._merging_ids()):
+                    self._was_informed.set()
                 self._levels.write(part.part_id for part in parts)
                 corrected_keys = _cleared_more(self._record, parts)
                 if corrected_keys:
@@ -169,6 +192,8 @@
         """
         self._levels.write(self._record.expire(now_s))
         self._recalling_ids.clear()
+        if self._awaited_until_s == float("-inf"):
+            self._awaited_until_s = now_s + MAX_SILENCE_S
         unsettled_ids = self._unsettled_ids()
         asked_ids = unsettled_ids if self._asks() else []
         self._repeats_count = self._repeats_count + 1 if unsettled_ids else 0
--- a/src/camphorvalve/filters/quarantine.py
+++ b/src/camphorvalve/filters/quarantine.py
@@ -80,6 +80,8 @@
         :raises RequestError: ``quarantined``, if the attempt must not be made
         """
         keys = _keys(exchange)
+        if keys:
+            await self._suspects.wait_for_first_answers(self._clock())
         alone_keys = self._admit(exchange, keys) if keys else ()
         attempt = _Attempt(exchange.streams)
         self._running_alone.update(alone_keys)
--- a/tests/filters/test_quarantine.py
+++ b/tests/filters/test_quarantine.py
@@ -10,7 +10,8 @@
 
 import anyio
 
-from camphorvalve.controllers.suspects import SuspectsFollower
+from camphorvalve.controllers.runtime import Sender
+from camphorvalve.controllers.suspects import MAX_SILENCE_S, SuspectsFollower
 from camphorvalve.filters.chain import compose
 from camphorvalve.filters.quarantine import FRESH_S, TRIAL_RATIO, UNDER_WAY_S, QuarantineFilter
 from camphorvalve.filters.retry import RetryFilter
@@ -23,6 +24,7 @@
 from camphorvalve.upstreams.client import create_client
 from camphorvalve.upstreams.errors import Broken, Declined, NoAnswer, NotSent, WrongAnswer
 from camphorvalve.upstreams.routed import RoutedAttempts
+from camphorvalve.wire.messages import SuspectEnd, SuspectPart, SuspectUpdate
 from tests.filters.harness import run_filter
 from tests.rawpeers import Script, upstream
 from tests.routebuilders import (
@@ -212,6 +214,33 @@
         self.assertEqual(caught.exception.code, "upstream_failed")
         self.assertEqual(runs, [1])
 
+    async def test_a_router_that_has_just_started(self) -> None:
+        """Guards against running a condemned request before the controllers have told of it, and
+        against a router that waits without end for controllers that do not answer."""
+        quarantine = Quarantine()
+        list(quarantine.suspects.tick(quarantine.now_s))
+        ends = tuple(
+            SuspectEnd(f"up-{number}", 1000 * (10 - number), cleared=False) for number in range(4)
+        )
+        update = SuspectUpdate((SuspectPart("deadly", ends),), ())
+
+        async def answer() -> None:
+            await anyio.wait_all_tasks_blocked()
+            list(quarantine.suspects.handle(Sender("controller", 1), update, quarantine.now_s))
+
+        with self.assertRaises(ExceptionGroup) as caught:
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(answer)
+                handler = quarantine.attempt(HEAD, EVENT)
+                await run_filter(quarantine.filter, an_exchange("deadly", "last"), handler)
+        self.assertEqual([error.code for error in caught.exception.exceptions], ["quarantined"])
+        silent = Quarantine()
+        list(silent.suspects.tick(silent.now_s))
+        silent.now_s += MAX_SILENCE_S
+        handler = silent.attempt(HEAD, EVENT)
+        parts = await run_filter(silent.filter, an_exchange("deadly", "last"), handler)
+        self.assertEqual(parts, [HEAD, EVENT])
+
     async def test_restarts_under_one_id(self) -> None:
         """Guards against counting the ends of an upstream once that starts again under its id."""
         quarantine = Quarantine()
