Notice upstreams that restart while a router has only idle connections to them

The end of an idle connection by the other side counts as the end of a running one now, unless a response had announced it.

--- a/src/camphorvalve/controllers/pools.py
+++ b/src/camphorvalve/controllers/pools.py
@@ -346,6 +346,17 @@
         """
         self._ended_s[upstream_id] = now_s
 
+    def record_idle_end(self, url: str, now_s: float) -> None:
+        """
+        Record that the upstream at an address has ended an idle connection.
+
+        :param url: scheme, host and port
+        :param now_s: monotonic time
+        """
+        for upstream in self._upstreams.values():
+            if upstream.url == url:
+                self.record_end(upstream.upstream_id, now_s)
+
     def record_same_start(self, upstream_id: str, asked_s: float) -> None:
         """
         Record that an upstream has not started again since it was listed.
--- a/src/camphorvalve/upstreams/client.py
+++ b/src/camphorvalve/upstreams/client.py
@@ -98,11 +98,17 @@
 class _ResponseStream(httpx.AsyncByteStream):
     """Body of a response, whose end decides whether its connection is reused."""
 
-    def __init__(self, response: httpx.Response, on_stray: Callable[[str], None]) -> None:
+    def __init__(
+        self,
+        response: httpx.Response,
+        on_stray: Callable[[str], None],
+        on_idle_end: Callable[[], None],
+    ) -> None:
         self.names_request = False
         """Whether the response is known to be the one to its request."""
         self.on_stray = on_stray
         """Called with the reason when bytes arrive that belong to no request."""
+        self._on_idle_end = on_idle_end
         self._stream = response.stream
         self._framing = framing(response)
         self._are_events = is_event_stream(response)
@@ -152,14 +158,24 @@
             return False
         match self._network_stream:
             case Stream() as stream:
-                stream.start_idle(partial(self.on_stray, _EXTRA_BYTES))
+                # A response may announce that its connection is closed.
+                keeps = self._parser.their_state is h11.DONE
+                stream.start_idle(
+                    partial(self.on_stray, _EXTRA_BYTES), self._on_idle_end if keeps else None
+                )
         return self.names_request
 
 
 class _Transport(httpx.AsyncBaseTransport):
     """Keeps up to two pools per origin: one with keep-alive, one for single-use connections."""
 
-    def __init__(self, unacknowledged_timeout_s: float | None, keepalive_s: float) -> None:
+    def __init__(
+        self,
+        unacknowledged_timeout_s: float | None,
+        keepalive_s: float,
+        on_idle_end: Callable[[str], None],
+    ) -> None:
+        self._on_idle_end = on_idle_end
         self._unacknowledged_timeout_s = unacknowledged_timeout_s
         self._keepalive_s = keepalive_s
         self._pools: dict[_Origin, _Pool] = {}
@@ -180,7 +196,11 @@
             case Stream() as stream:
                 stream.start_body()
         response.request = request
-        response.stream = _ResponseStream(response, partial(self._single_use.add, base_url))
+        response.stream = _ResponseStream(
+            response,
+            partial(self._single_use.add, base_url),
+            partial(self._on_idle_end, base_url),
+        )
         response.extensions[_RESPONSE_STREAM] = response.stream
         if has_joined_heads(response):
             self._single_use.add(base_url, _JOINED_HEADS)
@@ -261,7 +281,10 @@
 
 
 def create_client(
-    unacknowledged_timeout_s: float | None = None, *, keepalive_s: float = KEEPALIVE_TIMEOUT_S
+    unacknowledged_timeout_s: float | None = None,
+    *,
+    keepalive_s: float = KEEPALIVE_TIMEOUT_S,
+    on_idle_end: Callable[[str], None] = lambda base_url: None,
 ) -> UpstreamClient:
     """
     Create the client that ``open_attempt`` and the readers of reports use.
@@ -269,9 +292,11 @@
     :param unacknowledged_timeout_s: longest time that written bytes may stay unacknowledged
         (``TCP_USER_TIMEOUT``); set for clients that send orders
     :param keepalive_s: how long an idle connection is kept
+    :param on_idle_end: called with scheme, host and port when the other side ends an idle
+        connection that it had not announced to close
     :return: the client
     """
-    return UpstreamClient(_Transport(unacknowledged_timeout_s, keepalive_s))
+    return UpstreamClient(_Transport(unacknowledged_timeout_s, keepalive_s, on_idle_end))
 
 
 __all__ = [
--- a/src/camphorvalve/upstreams/network.py
+++ b/src/camphorvalve/upstreams/network.py
@@ -86,6 +86,9 @@
         """Bytes that the head of the response may still take, ``None`` outside of it."""
         self._on_idle_bytes: Callable[[], None] | None = None
         """Called when bytes arrive, ``None`` while a request is under way."""
+        self._on_idle_end: Callable[[], None] | None = None
+        """Called when the peer closes or resets the connection, ``None`` while a request is under
+        way."""
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """
@@ -116,6 +119,7 @@
         :return: true, so that the connection stays open for writing
         """
         self._eof = True
+        self._report_idle_end()
         _wake(self._read_waiter)
         return True
 
@@ -127,6 +131,7 @@
         """
         self._eof = True
         self._error = self._error or exc
+        self._report_idle_end()
         _wake(self._read_waiter)
         _wake(self._write_waiter)
 
@@ -168,12 +173,16 @@
         """End the limits on the head of the response, which has been received."""
         self._head_left_bytes = None
 
-    def start_idle(self, on_bytes: Callable[[], None]) -> None:
+    def start_idle(
+        self, on_bytes: Callable[[], None], on_end: Callable[[], None] | None = None
+    ) -> None:
         """
-        Report bytes that are there or arrive before the next request.
+        Report bytes that are there or arrive before the next request, and an end by the peer.
 
         :param on_bytes: called once if there are any
+        :param on_end: called once if the peer closes or resets the connection
         """
+        self._on_idle_end = on_end
         self._on_idle_bytes = on_bytes
         if self._chunks:
             self._report_idle_bytes()
@@ -183,6 +192,11 @@
             on_bytes, self._on_idle_bytes = self._on_idle_bytes, None
             on_bytes()
 
+    def _report_idle_end(self) -> None:
+        if self._on_idle_end is not None:
+            on_end, self._on_idle_end = self._on_idle_end, None
+            on_end()
+
     async def _read(self, max_bytes: int, timeout: float | None) -> bytes:
         if not self._chunks and not self._eof:
             self.waits_count += 1
@@ -216,7 +230,7 @@
             return
         if self._transport.is_closing():
             raise httpcore.WriteError(str(self._error or "the connection is closed"))
-        self._on_idle_bytes = None
+        self._on_idle_bytes = self._on_idle_end = None
         self._head_left_bytes = MAX_HEAD_BYTES
         self._transport.write(buffer)
         if self._writing_paused:
@@ -230,6 +244,7 @@
 
     def abort(self) -> None:
         """Close at once; a waiting reader gets an error, never the regular end of a response."""
+        self._on_idle_end = None
         self._error = self._error or ConnectionAbortedError(ABORTED_HERE)
         self._transport.abort()
 
--- a/src/camphorvalve/wiring/joinedrouter.py
+++ b/src/camphorvalve/wiring/joinedrouter.py
@@ -132,7 +132,10 @@
             self._origins,
         )
         self._runtime = Runtime(link, controllers)
-        self._client = create_client(keepalive_s=settings.upstream_idle_s)
+        self._client = create_client(
+            keepalive_s=settings.upstream_idle_s,
+            on_idle_end=lambda url: self._pools.record_idle_end(url, time.monotonic()),
+        )
         self._connections = ConnectionTracker(
             settings.caller_connections_count, self._idle_timeout_s
         )
--- a/tests/filters/test_restarts.py
+++ b/tests/filters/test_restarts.py
@@ -92,6 +92,17 @@
         answers = await asyncio.gather(*(self.run_stream() for _ in range(2)))
         self.assertEqual(self.asked, ["engines-0"] * 2, answers)
 
+    async def test_idle_connections(self) -> None:
+        """Guards against a stream at an upstream that has started again while it had none."""
+        self.pools.apply(
+            [up._replace(url=f"http://127.0.0.1:{n}") for n, up in enumerate(self.listed, 1)],
+            time.monotonic(),
+        )
+        self.starts_ms["engines-0"] = 2
+        self.pools.record_idle_end("http://127.0.0.1:1", time.monotonic())
+        self.assertEqual(await self.run_stream(), "engines-1")
+        self.assertEqual(self.asked, ["engines-0"])
+
     async def test_no_answer(self) -> None:
         """Guards against an upstream that can't be used because it does not tell its start."""
         await self.end_connection()
--- a/tests/upstreams/test_client.py
+++ b/tests/upstreams/test_client.py
@@ -12,8 +12,9 @@
 from tools.standins.service import Service
 from tools.standins.serving import listening_socket, serve_app
 
-from camphorvalve.upstreams.client import create_client
+from camphorvalve.upstreams.client import create_client, keep_connection
 from camphorvalve.upstreams.pump import READ_AHEAD_BYTES, coalesced
+from tests.rawpeers import Script, upstream
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
@@ -52,6 +53,27 @@
         accepted.close()
         listener.close()
 
+    async def test_end_of_an_idle_connection(self) -> None:
+        """Guards against an upstream that starts again and is not asked for its start, as only idle
+        connections to it have ended, and against questions at each regular close."""
+        head = b"HTTP/1.1 200 OK\r\ncontent-length: 3\r\n"
+        kept, closed = head + b"\r\nyes", head + b"connection: close\r\n\r\nyes"
+        rows = [(kept, "close", 1), (kept, "reset", 1), (kept, "keep", 0), (closed, "close", 0)]
+        for content, ending, ends_count in rows:
+            with self.subTest(ending, content=content):
+                ended: list[str] = []
+                script = Script(content, ending, pause_s=0.05)
+                async with (
+                    create_client(on_idle_end=ended.append) as client,
+                    upstream(script) as (url, _),
+                ):
+                    request = client.build_request("GET", url)
+                    response = await client.send(request, stream=True)
+                    keep_connection(response)
+                    await response.aread()
+                    await asyncio.sleep(0.15)
+                    self.assertEqual(ended, [url] * ends_count)
+
     async def test_a_slow_reader_stops_the_sender_and_loses_nothing(self) -> None:
         sent_bytes = 0
 
