Take an upstream that reads a request for no silent one

Cause: the wait for a write counted as silence, and so did the wait for the response, which begins while megabytes of the request still lie in the buffers of the connection.

A connection is silent while no byte of the response arrives and the peer's machine accepts none of the request. The network backend sees the latter in its own buffer and the send queue of the socket (TIOCOUTQ), at intervals of 50 ms while more than 64 KiB are left. So the time of a silence starts anew while the body is being read, and runs from its last byte on afterwards. A connection that takes nothing more in the middle of a body stays silent: open connections may go silent for good, and such a request would wait for its deadline. Shorter requests, and reads after the head of the response, have the timer that they had. What lies unread in the buffers of the upstream's machine can't be seen.

--- a/src/camphorvalve/upstreams/network.py
+++ b/src/camphorvalve/upstreams/network.py
@@ -9,7 +9,10 @@
 from __future__ import annotations
 
 import asyncio
+import sys
+import termios
 import time
+from fcntl import ioctl
 from typing import TYPE_CHECKING, Any
 
 import httpcore
@@ -30,8 +33,12 @@
 """Most bytes that one read returns before the body, so that parsing does not hold the loop."""
 
 
+_INT_BYTES = 4
+SHORT_REQUEST_BYTES = 64 << 10
+"""Length up to which a request fits into the buffers of its connection."""
 RECHECK_S = 0.05
-"""Time after which a silent connection that was not given up is considered again."""
+"""Time after which a silent connection that was not given up, or one whose peer is still reading
+the request, is considered again."""
 _END_TEXTS = ("Server disconnected", "peer closed connection")
 """First words of the texts of httpcore and h11 for a connection that ends inside a response."""
 
@@ -42,6 +49,9 @@
     """
     Seconds after which it is asked whether a silent connection is given up.
 
+    A connection is silent while no byte of the response arrives and the peer accepts none of the
+    request: one that reads a long request slowly is not.
+
     httpcore passes timeouts on to the network backend unchanged; other backends take this one for
     an ordinary number.
     """
@@ -56,7 +66,7 @@
         """
         Create a timeout.
 
-        :param timeout_s: time without a byte
+        :param timeout_s: time without a byte in either direction
         :param latest_s: monotonic time at which the wait ends in any case
         :param gives_up: asked after ``timeout_s``, and at intervals from then on, whether it ends
         """
@@ -188,7 +198,7 @@
             self.waits_count += 1
             self._read_waiter = asyncio.get_running_loop().create_future()
             try:
-                await _wait(self._read_waiter, timeout, httpcore.ReadTimeout)
+                await self._wait(self._read_waiter, timeout, httpcore.ReadTimeout)
             finally:
                 self._read_waiter = None
         if not self._chunks:
@@ -203,6 +213,27 @@
             self._transport.resume_reading()
         return buffered[:max_bytes]
 
+    async def _wait(
+        self, waiter: asyncio.Future[None], timeout_s: float | None, error_type: type[Exception]
+    ) -> None:
+        match timeout_s:
+            case None:
+                await waiter
+                return
+            case SilenceTimeout():
+                # Nothing is written any more once the body of the response has begun.
+                stream = None if self._head_left_bytes is None else self
+                silence = _Silence(waiter, timeout_s, error_type, stream)
+                silence.start()
+                cancel = silence.cancel
+            case _:
+                loop = asyncio.get_running_loop()
+                cancel = loop.call_later(timeout_s, _expire, waiter, error_type).cancel
+        try:
+            await waiter
+        finally:
+            cancel()
+
     async def write(self, buffer: bytes, timeout: float | None = None) -> None:
         """
         Write bytes, and wait until the transport accepts more.
@@ -222,12 +253,21 @@
         if self._writing_paused:
             self._write_waiter = asyncio.get_running_loop().create_future()
             try:
-                await _wait(self._write_waiter, timeout, httpcore.WriteTimeout)
+                await self._wait(self._write_waiter, timeout, httpcore.WriteTimeout)
             finally:
                 self._write_waiter = None
             if self._error is not None:
                 raise httpcore.WriteError(str(self._error)) from self._error
 
+    def unaccepted_bytes(self) -> int:
+        """:return: written bytes that the peer's machine has not acknowledged"""
+        if self._transport.is_closing():
+            return 0
+        sock = self._transport.get_extra_info("socket")
+        queued = ioctl(sock.fileno(), termios.TIOCOUTQ, bytes(_INT_BYTES))
+        queued_bytes = int.from_bytes(queued, sys.byteorder)
+        return self._transport.get_write_buffer_size() + queued_bytes
+
     def abort(self) -> None:
         """Close at once; a waiting reader gets an error, never the regular end of a response."""
         self._error = self._error or ConnectionAbortedError(ABORTED_HERE)
@@ -312,29 +352,73 @@
         waiter.set_result(None)
 
 
-async def _wait(
-    waiter: asyncio.Future[None], timeout_s: float | None, error_type: type[Exception]
-) -> None:
-    if timeout_s is None:
-        await waiter
-        return
-    timer = asyncio.get_running_loop().call_later(timeout_s, _expire, waiter, timeout_s, error_type)
-    try:
-        await waiter
-    finally:
-        timer.cancel()
-
-
-def _expire(waiter: asyncio.Future[None], timeout_s: float, error_type: type[Exception]) -> None:
-    if waiter.done():
-        return
-    match timeout_s:
-        case SilenceTimeout(latest_s=latest_s) if not _gives_up(timeout_s):
-            loop = asyncio.get_running_loop()
-            next_s = min(RECHECK_S, latest_s - time.monotonic())
-            loop.call_later(next_s, _expire, waiter, timeout_s, error_type)
-        case _:
-            waiter.set_exception(error_type())
+def _expire(waiter: asyncio.Future[None], error_type: type[Exception]) -> None:
+    if not waiter.done():
+        waiter.set_exception(error_type())
+
+
+class _Silence:
+    """Ends a wait when its connection is silent and given up."""
+
+    def __init__(
+        self,
+        waiter: asyncio.Future[None],
+        timeout: SilenceTimeout,
+        error_type: type[Exception],
+        stream: Stream | None,
+    ) -> None:
+        """
+        Prepare the timer of a wait.
+
+        :param waiter: ends with an error if the connection is given up
+        :param timeout: when that is considered
+        :param error_type: type of the error
+        :param stream: the connection, if a part of the request may not have been accepted
+        """
+        self._loop = asyncio.get_running_loop()
+        self._waiter = waiter
+        self._timeout = timeout
+        self._error_type = error_type
+        self._stream = stream
+        self._unaccepted_bytes = 0
+        self._since_s = 0.0
+        """Time of the event loop since which the connection has been silent."""
+        self._timer: asyncio.TimerHandle
+
+    def start(self) -> None:
+        """Start the timer."""
+        self._since_s = self._loop.time()
+        if self._stream is not None:
+            unaccepted_bytes = self._stream.unaccepted_bytes()
+            if unaccepted_bytes > SHORT_REQUEST_BYTES:
+                self._unaccepted_bytes = unaccepted_bytes
+        self._schedule(self._timeout)
+
+    def cancel(self) -> None:
+        """Stop the timer."""
+        self._timer.cancel()
+
+    def _schedule(self, after_s: float) -> None:
+        if self._unaccepted_bytes:
+            after_s = min(after_s, RECHECK_S)
+        self._timer = self._loop.call_later(after_s, self._check)
+
+    def _check(self) -> None:
+        if self._waiter.done():
+            return
+        now_s = self._loop.time()
+        if self._unaccepted_bytes and self._stream is not None:
+            unaccepted_bytes = self._stream.unaccepted_bytes()
+            if unaccepted_bytes < self._unaccepted_bytes:
+                self._unaccepted_bytes, self._since_s = unaccepted_bytes, now_s
+        left_s = self._since_s + self._timeout - now_s
+        latest_left_s = self._timeout.latest_s - time.monotonic()
+        if left_s > 0 and latest_left_s > 0:
+            self._schedule(min(left_s, latest_left_s))
+        elif _gives_up(self._timeout):
+            _expire(self._waiter, self._error_type)
+        else:
+            self._schedule(min(RECHECK_S, latest_left_s))
 
 
 def _gives_up(timeout: SilenceTimeout) -> bool:
--- a/tests/filters/silence.py
+++ b/tests/filters/silence.py
@@ -71,9 +71,15 @@
 
     pause_s: float
     """Pause after each piece."""
+    responds: bool = True
 
 
-Behaviour = Streams | Declines | Answers | Hangs | Breaks | ReadsSlowly
+@dataclass(frozen=True, slots=True)
+class StopsReading:
+    """Reads the beginning of the body of the request only, and never responds."""
+
+
+Behaviour = Streams | Declines | Answers | Hangs | Breaks | ReadsSlowly | StopsReading
 
 
 class Outcome(NamedTuple):
@@ -126,11 +132,13 @@
             match self.behaviour:
                 case ReadsSlowly(pause_s):
                     await asyncio.sleep(pause_s)
+                case StopsReading():
+                    await asyncio.sleep(60)
 
     async def _respond(self, headers: dict[bytes, bytes], writer: asyncio.StreamWriter) -> None:
         own = b"x-id: %s\r\nx-proof: p\r\n" % headers[b"x-id"]
         match self.behaviour:
-            case Hangs():
+            case Hangs() | ReadsSlowly(responds=False):
                 await asyncio.sleep(60)
             case Declines():
                 writer.write(b"HTTP/1.1 503 Full\r\n%sx-not-run: 1\r\n" % own)
@@ -276,6 +284,7 @@
     "Outcome",
     "ReadsSlowly",
     "Router",
+    "StopsReading",
     "ScriptedPeer",
     "Streams",
     "a_router",
--- a/tests/filters/test_silence.py
+++ b/tests/filters/test_silence.py
@@ -26,6 +26,7 @@
     Hangs,
     Outcome,
     ReadsSlowly,
+    StopsReading,
     Streams,
     a_router,
     a_slow_listener,
@@ -205,6 +206,28 @@
         self.assertEqual((outcome.content, outcome.error), (b"yes", None))
         self.assertEqual(router.peers["up-2"].received_count, 0)
 
+    async def test_silence_of_an_upstream_that_has_read_a_long_body(self) -> None:
+        """Guards against waiting until the deadline for an upstream that hangs after it has read a
+        body, or in the middle of it."""
+        for behaviour in (ReadsSlowly(0.02, responds=False), StopsReading()):
+            for body_bytes in (1 << 20, 16 << 20):
+                with self.subTest(behaviour=behaviour, body_bytes=body_bytes):
+                    router = await self.stack.enter_async_context(
+                        a_router({"up-1": behaviour, "up-2": Answers()})
+                    )
+                    exchange = a_routed_exchange(
+                        PLAIN,
+                        failed_upstreams={"up-2"},
+                        body=bytes(body_bytes),
+                        deadline_s=time.monotonic() + 30.0,
+                    )
+                    task = asyncio.create_task(router.run(exchange))
+                    await router.peers["up-1"].wait_for_requests(1)
+                    exchange.failed_upstreams.clear()
+                    outcome = await task
+                    self.assertEqual((outcome.content, outcome.error), (b"yes", None))
+                    self.assertEqual(router.peers["up-2"].received_count, 1)
+
 
 if __name__ == "__main__":
     unittest.main()
