--- a/tests/http/test_early_responses.py
+++ b/tests/http/test_early_responses.py
@@ -7,10 +7,19 @@
 from typing import TYPE_CHECKING
 
 from camphorvalve import loop
-from tests.http.earlypeers import Close, Early, HalfClose, Keep, ReadOn, Reset
+from camphorvalve.filters.chain import compose
+from camphorvalve.filters.dispatch import Dispatch
+from camphorvalve.filters.retry import RetryFilter
+from camphorvalve.sharing.budget import RetryBudget
+from camphorvalve.upstreams.client import create_client
+from tests.builders import a_service
+from tests.filters.test_dispatch import OneUpstream, granted
+from tests.http.earlypeers import Close, Early, HalfClose, Keep, ReadOn, Reset, early_upstream
 from tests.http.rawresponses import FIRST, IDS, SECOND, STREAM, chunked, response, unframed
-from tests.http.relaying import Received, relaying
-from tests.rawpeers import Script
+from tests.http.relaying import Received, parse, relaying
+from tests.http.serving import caller_app, serving
+from tests.http.test_second_responses import classified
+from tests.rawpeers import Script, exchange_bytes
 from tests.routebuilders import a_route
 
 if TYPE_CHECKING:
@@ -51,6 +60,15 @@
 BODIES = {name: a_body((16 if name == "16 MiB" else 4) << 20) for name in CALLS}
 
 
+async def at_own_port(early: Early, call: bytes) -> Received:
+    """Serve one call to a plain service that may not be repeated."""
+    async with early_upstream(early) as (url, _), create_client() as client:
+        dispatch = Dispatch(client, OneUpstream(a_service(url=url)))
+        filters = (classified(idempotent=False), RetryFilter(RetryBudget()))
+        async with serving(caller_app(compose(filters, granted(dispatch)))) as served:
+            return parse(await exchange_bytes(served.port, call, wait_s=10.0))
+
+
 class EarlyResponsesTest(unittest.TestCase):
     def relay(self, route: Route, call: bytes, *scripts: Script | Early) -> Received:
         """Serve one call, and keep what the upstreams received."""
@@ -167,6 +185,21 @@
                 script = Script(interim, "endless", 0.0, False, interim, repeat_pause_s)
                 self.assert_refused(self.relay(ROUTE, a_call(8), script))
 
+    def test_reset_at_the_own_port(self) -> None:
+        """Guards against the same at the port for callers of engines and services: a short part
+        fails, and one that has been passed on breaks off."""
+        call = a_call(4 << 20).replace(b"/drafts/1", b"/v1/services/booking-desk/slots/1")
+        for ending, pause_s in itertools.product(RESETS, PAUSES_S):
+            for part in (b"ye", MANY_BYTES, 10 * MANY_BYTES):
+                with self.subTest(ending=ending, pause_s=pause_s, part_bytes=len(part)):
+                    early = Early(unframed(part, b""), ending, pause_s)
+                    received = loop.run(lambda early=early: at_own_port(early, call))
+                    if received.status == 200:
+                        self.assertGreater(len(received.content), len(MANY_BYTES))
+                        self.assertFalse(received.complete)
+                    else:
+                        self.assert_refused(received)
+
 
 if __name__ == "__main__":
     unittest.main()
