Answer a request received, but not parsed, before a stop closes its connection

A request that arrived in the iteration of the event loop in which the response before it ended was read by the process, but was not in the buffer of the protocol yet. The reading task found the request afterwards, waited for can_read for ever, and so held up the stop for the whole grace.

Callers need not pipeline for this: a response with a length is whole for them some iterations before the filter chain has ended and the end of the message is sent.

The connection now starts the next cycle in a stop whenever the last response kept it, and leaves the close to the idle timeout, which lets the reading task handle what has been received.

--- a/src/camphorvalve/http/idle.py
+++ b/src/camphorvalve/http/idle.py
@@ -37,17 +37,17 @@
 
     def _start_next_request(self) -> bool:
         """
-        Let the protocol read the next request, if a part of it has been received.
+        Let the protocol read the next request, if the last response kept the connection.
 
         In a stop, hypercorn closes after each response, also if its head has told the caller that
-        the connection is kept.
+        the connection is kept. The next request may have been received already, by the protocol or
+        by the stream that it reads; if it was not, the idle timeout closes.
 
-        :return: whether there is a next request
+        :return: whether the last response kept the connection
         """
         match self.protocol.protocol:
             case H11Protocol(connection=h11.Connection() as connection):
-                has_ended = connection.our_state is connection.their_state is h11.DONE
-                if has_ended and connection.trailing_data[0]:
+                if connection.our_state is connection.their_state is h11.DONE:
                     connection.start_next_cycle()
                     return True
         return False
--- a/tests/http/test_idle.py
+++ b/tests/http/test_idle.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import contextlib
+import socket
 import time
 import unittest
 from typing import TYPE_CHECKING
@@ -34,6 +35,7 @@
 """The same for requests after the close."""
 DRAIN_S = 0.05
 """Time after the shutdown signal in which new requests are served, as ``serving`` sets it."""
+RECEIVE_BYTES = 1 << 16
 MIN_COUNT = 5
 """Fewer requests on either side of the close would prove too little."""
 
@@ -148,6 +150,30 @@
         received = loop.run(run, rest_of_second[:9])
         self.assertEqual(received.count(b"HTTP/1.1 200"), 1, received)
 
+    def test_request_received_at_the_end_of_a_response_in_a_stop_gets_a_response(self) -> None:
+        """Guards against a request that has been received, but not parsed, when a stop closes its
+        connection after a response whose head said that the connection is kept."""
+        app = RecordingApp()
+
+        async def run() -> bytes:
+            async with serving(app, graceful_timeout_s=5.0) as served:
+                app.is_held = anyio.Event()
+                with socket.create_connection(("127.0.0.1", served.port), 2.0) as caller:
+                    caller.sendall(b"GET /first HTTP/1.1\r\nHost: x\r\n\r\n")
+                    received = await anyio.to_thread.run_sync(caller.recv, RECEIVE_BYTES)
+                    served.shutdown.set()
+                    await anyio.sleep(4 * DRAIN_S)
+                    # The event loop receives the second request after this step, and resumes the
+                    # response before the task that reads the connection.
+                    caller.sendall(b"GET /second HTTP/1.1\r\nHost: x\r\n\r\n")
+                    app.is_held.set()
+                    while piece := await anyio.to_thread.run_sync(caller.recv, RECEIVE_BYTES):
+                        received += piece
+            return received
+
+        received = loop.run(run)
+        self.assertEqual(received.count(b"HTTP/1.1 200"), 2, received)
+
     def test_connection_is_kept_after_the_idle_timeout_has_grown(self) -> None:
         """Guards against a connection that is closed by the idle timeout of an older manifest while
         its caller uses it within the newer one."""
