Close a connection when its idle caller has closed it

A caller that closed a kept connection left it open on the router until the idle timeout: hypercorn's task group of the connection waits for the idle timer after the reading task has ended.

The reading task now stops the timer when it ends.

--- a/src/camphorvalve/http/idle.py
+++ b/src/camphorvalve/http/idle.py
@@ -52,6 +52,11 @@
                     return True
         return False
 
+    async def _read_data(self) -> None:
+        await super()._read_data()
+        # Otherwise a connection that its caller has closed stays open until the idle timeout.
+        await self.idle_task.stop()
+
     async def _idle_timeout(self) -> None:
         await self._wait_until_expired()
         transport = self.writer.transport
--- a/tests/http/test_idle.py
+++ b/tests/http/test_idle.py
@@ -36,6 +36,8 @@
 DRAIN_S = 0.05
 """Time after the shutdown signal in which new requests are served, as ``serving`` sets it."""
 RECEIVE_BYTES = 1 << 16
+CLOSE_TIMEOUT_S = 5.0
+"""Time in which the server closes a connection, far below the idle timeout."""
 MIN_COUNT = 5
 """Fewer requests on either side of the close would prove too little."""
 
@@ -189,6 +191,25 @@
         )
         self.assertEqual([call for call in calls if b" 200 " not in call.received], [])
 
+    def test_connection_that_its_caller_has_closed_is_closed(self) -> None:
+        """Guards against connections of callers that are gone, which take file descriptors and
+        memory until the idle timeout."""
+
+        def call(port: int) -> bytes:
+            with socket.create_connection(("127.0.0.1", port), CLOSE_TIMEOUT_S) as caller:
+                caller.sendall(b"GET /first HTTP/1.1\r\nHost: x\r\n\r\n")
+                received = caller.recv(RECEIVE_BYTES)
+                while not received.endswith(b"ok"):
+                    received += caller.recv(RECEIVE_BYTES)
+                caller.shutdown(socket.SHUT_WR)
+                return caller.recv(RECEIVE_BYTES)
+
+        async def run() -> bytes:
+            async with serving(RecordingApp(), keep_alive_s=lambda: LONG_S) as served:
+                return await anyio.to_thread.run_sync(call, served.port)
+
+        self.assertEqual(loop.run(run), b"")
+
     def test_idle_connection_is_closed(self) -> None:
         """Guards against connections that stay open for ever."""
         calls = self.run_callers(
