End a connection whose response was broken off under a received request

When a connection is closed, a stand-in for the h11 connection, which discards what is received, takes its place, so that the reading task goes on to the end of the stream.

--- a/src/camphorvalve/http/idle.py
+++ b/src/camphorvalve/http/idle.py
@@ -16,6 +16,30 @@
     from hypercorn.events import Event
 
 
+class _EndedConnection:
+    """
+    Stands in for the ``h11.Connection`` of a connection that has been closed.
+
+    It discards what is received. An ``h11.Connection`` whose response was broken off would let the
+    task that reads wait for the end of that response for ever.
+    """
+
+    our_state = their_state = h11.ERROR
+    they_are_waiting_for_100_continue = False
+    trailing_data = (b"", False)
+
+    def receive_data(self, data: bytes) -> None:
+        """Discard bytes."""
+
+    def next_event(self) -> type[h11.NEED_DATA]:
+        """:return: always that more data is needed"""
+        return h11.NEED_DATA
+
+    def send(self, event: h11.Event) -> bytes:
+        """:raises h11.LocalProtocolError: always; hypercorn ignores it in this state"""
+        raise h11.LocalProtocolError("the connection has been closed")
+
+
 class Connection(TCPServer):
     """
     A connection whose close, once it has been idle for too long, leaves no received request behind.
@@ -30,9 +54,11 @@
 
         :param event: what the protocol wants
         """
-        if isinstance(event, Closed) and self._start_next_request():
-            await self.idle_task.restart(self._task_group, self._idle_timeout)
-            return
+        if isinstance(event, Closed):
+            if self._start_next_request():
+                await self.idle_task.restart(self._task_group, self._idle_timeout)
+                return
+            self._discard_requests()
         await super().protocol_send(event)
 
     def _start_next_request(self) -> bool:
@@ -52,6 +78,11 @@
                     return True
         return False
 
+    def _discard_requests(self) -> None:
+        match self.protocol.protocol:
+            case H11Protocol(connection=h11.Connection()) as protocol:
+                protocol.connection = _EndedConnection()
+
     async def _read_data(self) -> None:
         await super()._read_data()
         # Otherwise a connection that its caller has closed stays open until the idle timeout.
