Ask for the send queue of long requests only

Each repeatable request read the send queue of its connection once, a system call that only long requests need, and one that is refused ended the wait with an error.

--- a/src/camphorvalve/upstreams/network.py
+++ b/src/camphorvalve/upstreams/network.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import sys
 import termios
 import time
@@ -94,6 +95,8 @@
         """Reads that had to wait for bytes."""
         self._head_left_bytes: int | None = None
         """Bytes that the head of the response may still take, ``None`` outside of it."""
+        self.request_bytes = 0
+        """Written bytes of the current request."""
         self._on_idle_bytes: Callable[[], None] | None = None
         """Called when bytes arrive, ``None`` while a request is under way."""
         self._on_idle_end: Callable[[], None] | None = None
@@ -262,6 +265,9 @@
         if self._transport.is_closing():
             raise httpcore.WriteError(str(self._error or "the connection is closed"))
         self._on_idle_bytes = self._on_idle_end = None
+        if self._head_left_bytes is None:
+            self.request_bytes = 0
+        self.request_bytes += len(buffer)
         self._head_left_bytes = MAX_HEAD_BYTES
         self._transport.write(buffer)
         if self._writing_paused:
@@ -274,13 +280,20 @@
                 raise httpcore.WriteError(str(self._error)) from self._error
 
     def unaccepted_bytes(self) -> int:
-        """:return: written bytes that the peer's machine has not acknowledged"""
+        """
+        Return how much of the request has not arrived.
+
+        :return: written bytes that the peer's machine has not acknowledged; without those in the
+            kernel where it does not tell
+        """
         if self._transport.is_closing():
             return 0
-        sock = self._transport.get_extra_info("socket")
-        queued = ioctl(sock.fileno(), termios.TIOCOUTQ, bytes(_INT_BYTES))
-        queued_bytes = int.from_bytes(queued, sys.byteorder)
-        return self._transport.get_write_buffer_size() + queued_bytes
+        unaccepted_bytes = self._transport.get_write_buffer_size()
+        with contextlib.suppress(OSError):
+            sock = self._transport.get_extra_info("socket")
+            queued = ioctl(sock.fileno(), termios.TIOCOUTQ, bytes(_INT_BYTES))
+            unaccepted_bytes += int.from_bytes(queued, sys.byteorder)
+        return unaccepted_bytes
 
     def abort(self) -> None:
         """Close at once; a waiting reader gets an error, never the regular end of a response."""
@@ -403,7 +416,7 @@
     def start(self) -> None:
         """Start the timer."""
         self._since_s = self._loop.time()
-        if self._stream is not None:
+        if self._stream is not None and self._stream.request_bytes > SHORT_REQUEST_BYTES:
             unaccepted_bytes = self._stream.unaccepted_bytes()
             if unaccepted_bytes > SHORT_REQUEST_BYTES:
                 self._unaccepted_bytes = unaccepted_bytes
