Keep the timeout of a connection whose send queue is unknown

If the system did not tell what a connection had sent, the error was raised into the event loop, and the wait for the connection had no timeout any more.

The error is logged, and the connection counts as silent like one that has written everything. test_silence_of_a_connection_whose_send_queue_is_unknown failed before (TimeoutError after 5 s); test_network (11 tests) passes.

--- a/src/camphorvalve/upstreams/network.py
+++ b/src/camphorvalve/upstreams/network.py
@@ -260,11 +260,16 @@
                 raise httpcore.WriteError(str(self._error)) from self._error
 
     def unaccepted_bytes(self) -> int:
-        """:return: written bytes that the peer's machine has not acknowledged"""
+        """:return: written bytes that the peer's machine has not acknowledged, 0 if unknown"""
         if self._transport.is_closing():
             return 0
         sock = self._transport.get_extra_info("socket")
-        queued = ioctl(sock.fileno(), termios.TIOCOUTQ, bytes(_INT_BYTES))
+        try:
+            queued = ioctl(sock.fileno(), termios.TIOCOUTQ, bytes(_INT_BYTES))
+        except (OSError, ValueError) as error:
+            # Raised into the event loop, it would leave the connection without a timeout.
+            _log.warning("send queue of a connection not read", reason=str(error))
+            return 0
         queued_bytes = int.from_bytes(queued, sys.byteorder)
         return self._transport.get_write_buffer_size() + queued_bytes
 
--- a/tests/upstreams/test_network.py
+++ b/tests/upstreams/test_network.py
@@ -12,6 +12,7 @@
 from tools.standins.serving import listening_socket
 
 from camphorvalve.upstreams import client as client_module
+from camphorvalve.upstreams import network
 from camphorvalve.upstreams.client import create_client, keep_connection
 from camphorvalve.upstreams.network import SilenceTimeout
 
@@ -71,6 +72,29 @@
             async with asyncio.timeout(1.0):
                 await self.client.get(url, extensions={"timeout": timeouts})
 
+    async def test_silence_of_a_connection_whose_send_queue_is_unknown(self) -> None:
+        """Guards against a wait that never ends because the system does not tell what was sent."""
+
+        async def hang(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            await released.wait()
+            writer.close()
+
+        released = asyncio.Event()
+        url = await self.serve(hang, b"")
+        silence = SilenceTimeout(0.2, float("inf"), lambda: True)
+        timeouts = {"read": silence, "write": silence}
+        failing = mock.Mock(side_effect=[bytes([0, 0, 1, 0]), OSError("not a socket")] * 2)
+        with (
+            mock.patch.object(network, "ioctl", failing),
+            self.assertRaises((httpx.ReadTimeout, httpx.WriteTimeout)),
+        ):
+            async with asyncio.timeout(5.0):
+                await self.client.post(
+                    url, content=bytes(16 << 20), extensions={"timeout": timeouts}
+                )
+        self.assertGreater(failing.call_count, 1)
+        released.set()
+
     async def test_a_connection_that_ended_or_has_unsolicited_bytes_is_not_reused(self) -> None:
         async def close(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
             writer.close()
