--- a/src/camphorvalve/upstreams/network.py
+++ b/src/camphorvalve/upstreams/network.py
@@ -9,7 +9,6 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import sys
 import termios
 import time
@@ -280,20 +279,18 @@
                 raise httpcore.WriteError(str(self._error)) from self._error
 
     def unaccepted_bytes(self) -> int:
-        """
-        Return how much of the request has not arrived.
-
-        :return: written bytes that the peer's machine has not acknowledged; without those in the
-            kernel where it does not tell
-        """
+        """:return: written bytes that the peer's machine has not acknowledged, 0 if unknown"""
         if self._transport.is_closing():
             return 0
-        unaccepted_bytes = self._transport.get_write_buffer_size()
-        with contextlib.suppress(OSError):
-            sock = self._transport.get_extra_info("socket")
+        sock = self._transport.get_extra_info("socket")
+        try:
             queued = ioctl(sock.fileno(), termios.TIOCOUTQ, bytes(_INT_BYTES))
-            unaccepted_bytes += int.from_bytes(queued, sys.byteorder)
-        return unaccepted_bytes
+        except (OSError, ValueError) as error:
+            # Raised into the event loop, it would leave the connection without a timeout.
+            _log.warning("send queue of a connection not read", reason=str(error))
+            return 0
+        queued_bytes = int.from_bytes(queued, sys.byteorder)
+        return self._transport.get_write_buffer_size() + queued_bytes
 
     def abort(self) -> None:
         """Close at once; a waiting reader gets an error, never the regular end of a response."""
