Close idle pools of upstreams without those that requests have taken meanwhile

A response could be cut off, or a request sent and not answered, because the pool of its connection had been idle when the close of another pool began. The idle pools were listed first and then removed and closed one after another; a request that took one during the close of the one before it lost its connection. This is the class of fault of the idle connections of callers: a decision that is carried out in a later step. Two requests that added a pool for the same origin during a close also left one of the pools unclosed.

Idle pools are now removed in the step in which they are found, and the new one is added in the same step; the closes follow.

--- a/src/camphorvalve/upstreams/client.py
+++ b/src/camphorvalve/upstreams/client.py
@@ -169,9 +169,11 @@
         origin = _Origin(request.url.scheme, request.url.netloc, fresh)
         pool = self._pools.get(origin)
         if pool is None:
-            await self._close_idle(time.monotonic())
+            idle_pools = self._remove_idle(time.monotonic())
             pool = _Pool(origin, self._unacknowledged_timeout_s, self._keepalive_s)
             self._pools[origin] = pool
+            for idle_pool in idle_pools:
+                await idle_pool.transport.aclose()
         pool.last_used_s = time.monotonic()
         response = await pool.transport.handle_async_request(request)
         match response.extensions["network_stream"]:
@@ -191,14 +193,16 @@
             await pool.transport.aclose()
         self._pools.clear()
 
-    async def _close_idle(self, now_s: float) -> None:
+    def _remove_idle(self, now_s: float) -> list[_Pool]:
         """
-        Close pools that are idle because their upstreams are gone.
+        Remove pools that are idle because their upstreams are gone.
 
         Runs when a pool is added, which is often enough: as many upstreams appear as disappear.
+
+        :return: the pools, which no request can take any more; the caller closes them
         """
-        for origin in [key for key, pool in self._pools.items() if pool.is_idle(now_s)]:
-            await self._pools.pop(origin).transport.aclose()
+        idle_origins = [origin for origin, pool in self._pools.items() if pool.is_idle(now_s)]
+        return [self._pools.pop(origin) for origin in idle_origins]
 
 
 def keep_connection(response: httpx.Response) -> None:
--- a/tests/upstreams/test_network.py
+++ b/tests/upstreams/test_network.py
@@ -168,6 +168,38 @@
         async with asyncio.timeout(5):
             await ended.wait()
 
+    async def test_pool_that_is_used_while_another_is_closed_stays_open(self) -> None:
+        """Guards against a response that is cut off because its pool was idle before the close of
+        another one, which waits for an upstream that ends TLS slowly."""
+        released = asyncio.Event()
+
+        async def respond_again(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            await reader.readuntil(b"\r\n\r\n")
+            await released.wait()
+            writer.write(RESPONSE)
+
+        async def ignore(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            """Leave the connection open."""
+
+        async def close_slowly() -> None:
+            await asyncio.sleep(2 * SHORT_DELAY_S)
+
+        await self.get(await self.serve(ignore))
+        (first,) = self.client._transport._pools.values()
+        url = await self.serve(respond_again)
+        await self.get(url)
+        with (
+            mock.patch.object(client_module, "POOL_IDLE_TIMEOUT_S", 0.0),
+            mock.patch.object(first.transport, "aclose", close_slowly),
+        ):
+            adding = asyncio.create_task(self.get(await self.serve(ignore)))
+            await asyncio.sleep(SHORT_DELAY_S)
+            again = asyncio.create_task(self.get(url))
+            self.assertEqual(await adding, "ok")
+        released.set()
+        async with asyncio.timeout(5):
+            self.assertEqual(await again, "ok")
+
 
 if __name__ == "__main__":
     unittest.main()
