Let callers of the search use connections near their idle timeouts

The search for requests that changes lose drew idle pauses evenly from 0.4 to 2.2 s, so that few came near a timeout. They are now within 20 ms of one of the timeouts that manifests set. The tests of idle connections remain the guard.

--- a/tests/manifestterms.py
+++ b/tests/manifestterms.py
@@ -13,6 +13,8 @@
 
 KEY = "key-1"
 SERVICES = ("engines", "spare")
+IDLE_TIMEOUTS_S = (0.6, 1.0, 2.0)
+"""Idle timeouts of ``ChangeIdleTimeout``."""
 
 
 class Terms(NamedTuple):
@@ -116,7 +118,7 @@
         case DropTenant():
             return terms._replace(has_tenant=False)
         case ChangeIdleTimeout():
-            return terms._replace(idle_timeout_s=draw.choice((0.6, 1.0, 2.0)))
+            return terms._replace(idle_timeout_s=draw.choice(IDLE_TIMEOUTS_S))
         case LimitBodies():
             return terms._replace(body_bytes=1000)
 
@@ -149,6 +151,7 @@
 
 __all__ = [
     "CHANGES",
+    "IDLE_TIMEOUTS_S",
     "SERVICES",
     "Change",
     "ChangeIdleTimeout",
--- a/tests/processes/keptcallers.py
+++ b/tests/processes/keptcallers.py
@@ -60,9 +60,17 @@
     """Requests before which the connection is idle for longer."""
     prompts: float = 0.0
     """Requests for a model, with a prompt of which others have a part."""
-    idle_s: tuple[float, float] = (0.4, 2.2)
+    idles_s: tuple[float, ...] = (1.0,)
+    """Times for which connections are idle, of which one is drawn."""
+    idle_spread_s: float = 0.02
+    """Most by which such a time is shorter or longer."""
     max_piece_pause_s: float = 0.4
 
+    def draw_idle_s(self, draw: random.Random) -> float:
+        """:return: time for which a connection is idle"""
+        spread_s = self.idle_spread_s
+        return draw.choice(self.idles_s) + draw.uniform(-spread_s, spread_s)
+
 
 class SentCall(NamedTuple):
     """Request of a caller."""
@@ -182,9 +190,10 @@
                         batch.append(next(calls))
                     received = await _exchange(reader, writer, router, batch)
                     self.received += received
-                    await asyncio.sleep(draw.uniform(0, MAX_BETWEEN_S))
+                    pause_s = draw.uniform(0, MAX_BETWEEN_S)
                     if habit_draw.random() < self._habits.idle:
-                        await asyncio.sleep(habit_draw.uniform(*self._habits.idle_s))
+                        pause_s = self._habits.draw_idle_s(habit_draw)
+                    await asyncio.sleep(pause_s)
                     last = received[-1]
                     if not last.is_whole or last.headers.get("connection") == "close":
                         break
--- a/tests/silencebuilders.py
+++ b/tests/silencebuilders.py
@@ -7,7 +7,7 @@
 
 from tools.standins.stutter import Shares
 
-from tests.manifestterms import CHANGES
+from tests.manifestterms import CHANGES, IDLE_TIMEOUTS_S
 from tests.processes.keptcallers import Habits
 from tests.processes.silentupstreams import (
     Changes,
@@ -44,7 +44,9 @@
     return Trial(**{**values, **fields})
 
 
-CHANGE_HABITS = Habits(in_pieces=0.3, chunked=0.5, pipelined=0.1, idle=0.05, prompts=0.4)
+CHANGE_HABITS = Habits(
+    in_pieces=0.3, chunked=0.5, pipelined=0.1, idle=0.1, prompts=0.4, idles_s=IDLE_TIMEOUTS_S
+)
 BESIDE_CHANGES: tuple[Work, ...] = (Stops(), Hangups(), ControllerStops(), Replacements())
 
 
