Place requests with a suspected part again if no upstream had them

Cause: requests with a suspected part are not repeated, as a repeat may end a second upstream. While engines are down, first attempts find a closed port, and the next attempt was refused as a repeat though no upstream had a byte.

Change: what counts is whether the request was sent, not the number of the attempt. Suspected whole requests stay at one attempt, as they are drawn for one.

test_a_suspected_part_that_reached_no_upstream fails without the change ("part 'a' of the prompt may crash upstreams").

--- a/src/camphorvalve/filters/quarantine.py
+++ b/src/camphorvalve/filters/quarantine.py
@@ -112,7 +112,7 @@
                 raise self._refusal(exchange, reason, self._condemned_retry_s(key))
             case Suspected(alone_keys):
                 reason = f"{_described(alone_keys[0])} may crash upstreams"
-                if exchange.attempt > 1:
+                if not _may_run_again(exchange, alone_keys):
                     raise self._refusal(exchange, reason, SUSPECTED_RETRY_S)
                 if not self._running_alone.isdisjoint(alone_keys) or not self._is_trial(alone_keys):
                     reason += " and runs one at a time"
@@ -135,8 +135,7 @@
 
     def _is_trial(self, keys: tuple[str, ...]) -> bool:
         """Draw whether a suspected request is tried."""
-        is_whole = any(kind_of(key) == WholeRequest() for key in keys)
-        return not is_whole or self._draw() < TRIAL_RATIO
+        return not _has_whole_request(keys) or self._draw() < TRIAL_RATIO
 
     def _refusal(self, exchange: Exchange, reason: str, retry_after_s: float) -> RequestError:
         exchange.note(self._clock(), f"not attempted: {reason}")
@@ -190,6 +189,21 @@
     return () if key is None else (*shared_part_ids(exchange.request.call), key)
 
 
+def _may_run_again(exchange: Exchange, keys: tuple[str, ...]) -> bool:
+    """
+    Tell whether the attempt of a suspected request may be made, by the ones before.
+
+    A whole request is drawn for one attempt; one with a suspected part may reach one upstream.
+    """
+    if _has_whole_request(keys):
+        return exchange.attempt <= 1
+    return not (exchange.sent_upstream or exchange.may_have_run)
+
+
+def _has_whole_request(keys: tuple[str, ...]) -> bool:
+    return any(kind_of(key) == WholeRequest() for key in keys)
+
+
 def _described(key: str) -> str:
     match kind_of(key):
         case SharedPart():
--- a/tests/filters/test_quarantine.py
+++ b/tests/filters/test_quarantine.py
@@ -214,6 +214,24 @@
         self.assertEqual(caught.exception.code, "upstream_failed")
         self.assertEqual(runs, [1])
 
+    async def test_a_suspected_part_that_reached_no_upstream(self) -> None:
+        """Guards against refusing the next attempt of a request with a suspected part when the
+        first one found its upstream gone."""
+        quarantine = Quarantine()
+        for number in range(2):
+            await quarantine.crash("a", "last", upstream_id=f"up-{number}")
+
+        async def handler(exchange: Exchange) -> AsyncIterator[Part]:
+            if exchange.attempt == 1:
+                raise NotSent("up-2", "refused")
+            yield HEAD
+            yield EVENT
+
+        chain = compose((RetryFilter(RetryBudget()), quarantine.filter), handler)
+        exchange = an_exchange("a", "last")
+        exchange.attempt = 0
+        self.assertEqual([part async for part in chain(exchange)], [HEAD, EVENT])
+
     async def test_a_router_that_has_just_started(self) -> None:
         """Guards against running a condemned request before the controllers have told of it, and
         against a router that waits without end for controllers that do not answer."""
