Move the raw HTTP of the stuttering workers to a module of its own

Cause: a second simulated worker on raw sockets needs the same reader of requests, report and reset of connections. Change: tools/standins/rawhttp.py; stutter.py imports it. No behaviour changes.

--- a/tools/standins/stutter.py
+++ b/tools/standins/stutter.py
@@ -9,16 +9,13 @@
 
 import asyncio
 import contextlib
-import json
 import random
-import re
-import socket
-import struct
 from collections import defaultdict
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, NamedTuple
 
 from tools.standins.karrilane import Workers
+from tools.standins.rawhttp import ReceivedRequest, read_request, report_response, reset_connection
 from tools.standins.serving import listening_socket
 
 if TYPE_CHECKING:
@@ -38,8 +35,6 @@
 PLACES = ("head", "first", "body")
 """Where a worker falls silent: before the head, before the first byte of the body, or inside it."""
 REASONS = {200: "OK", 421: "Misdirected", 429: "Busy", 500: "Oops", 503: "Full"}
-_RESET_ON_CLOSE = struct.pack("ii", 1, 0)
-"""``SO_LINGER`` with a timeout of 0 s."""
 
 
 class Shares(NamedTuple):
@@ -134,20 +129,6 @@
 Fault = Once | SameWrite | Late | InPlace | FirstPart | Reset | Silent
 
 
-class ReceivedRequest(NamedTuple):
-    """Request as a worker received it."""
-
-    method: str
-    target: str
-    headers: dict[str, str]
-    body: bytes
-
-    @property
-    def request_id(self) -> str:
-        """:return: the request's id, empty if it has none"""
-        return self.headers.get("attempt-id", "")
-
-
 class StampedRun(NamedTuple):
     """Request that a worker started to process."""
 
@@ -456,9 +437,9 @@
     async def serve(self) -> None:
         """Serve requests until the connection ends."""
         try:
-            while (request := await _read_request(self._reader)) is not None:
+            while (request := await read_request(self._reader)) is not None:
                 if request.target == "/-/report":
-                    await self._write(_report())
+                    await self._write(report_response())
                 else:
                     await self._respond(request)
                 if self._writer.is_closing():
@@ -470,11 +451,7 @@
 
     def abort(self) -> None:
         """Reset the connection."""
-        sock: socket.socket | None = self._writer.get_extra_info("socket")
-        with contextlib.suppress(OSError):
-            if sock is not None:
-                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
-        self._writer.transport.abort()
+        reset_connection(self._writer)
 
     async def _respond(self, request: ReceivedRequest) -> None:
         plan = self._worker.plan(request, self._number, self._position)
@@ -623,36 +600,6 @@
     yield from contents
 
 
-def _report() -> bytes:
-    report = {"stage": "both", "models": [{"name": "m", "version": 1, "adapters": []}]}
-    counts = {"busy": False, "sequence": 0, "queued": 0, "running": 0, "kvUsed": 0, "kvTotal": 1}
-    content = json.dumps({**report, **counts, "handles": 0}).encode()
-    head = b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n"
-    return head % len(content) + content
-
-
-async def _read_request(reader: asyncio.StreamReader) -> ReceivedRequest | None:
-    """Return the next request, or ``None`` when the caller has closed the connection."""
-    try:
-        head = await reader.readuntil(b"\r\n\r\n")
-    except asyncio.IncompleteReadError as error:
-        if error.partial:
-            raise
-        return None
-    line, *lines = head.decode("latin-1").split("\r\n")
-    method, target, _ = line.split(" ")
-    pairs = (re.split(r":\s*", line, maxsplit=1) for line in lines if line)
-    headers = {name.lower(): value for name, value in pairs}
-    body = b""
-    if headers.get("transfer-encoding") == "chunked":
-        while size := int(await reader.readuntil(b"\r\n"), 16):
-            body += (await reader.readexactly(size + 2))[:-2]
-        await reader.readuntil(b"\r\n")
-    else:
-        body = await reader.readexactly(int(headers.get("content-length", 0)))
-    return ReceivedRequest(method, target, headers, body)
-
-
 __all__ = [
     "PLACES",
     "SILENCE_S",
@@ -660,7 +607,6 @@
     "InPlace",
     "Late",
     "Once",
-    "ReceivedRequest",
     "Reply",
     "Reset",
     "SameWrite",
