--- a/tests/processes/keptcallers.py
+++ b/tests/processes/keptcallers.py
@@ -31,10 +31,15 @@
     kind: str
     body: bytes
     deadline_ms: int = DEADLINE_MS
+    name: str = ""
+    """Last part of the path; the id if it is empty."""
+    key: str = "key-1"
+    headers: tuple[tuple[str, str], ...] = ()
+    """Headers besides those of each request."""
 
     @property
     def target(self) -> str:
-        return f"/{self.kind}/{self.request_id}?part=2"
+        return f"/{self.kind}/{self.name or self.request_id}?part=2"
 
     def encode(self) -> bytes:
         lines = (
@@ -42,8 +47,9 @@
             "Host: desk.example",
             f"Attempt-Id: {self.request_id}",
             f"Deadline-Ms: {self.deadline_ms}",
-            "Credential: key-1",
+            f"Credential: {self.key}",
             f"Content-Length: {len(self.body)}",
+            *(f"{name}: {value}" for name, value in self.headers),
         )
         return "\r\n".join([*lines, "", ""]).encode() + self.body
 
@@ -140,8 +146,8 @@
         async with asyncio.timeout(GIVE_UP_S):
             writer.write(call.encode())
             head = await reader.readuntil(b"\r\n\r\n")
-            received = _decode_head(received, head)
-            async for piece in _body_pieces(reader, received.headers):
+            received = decode_head(received, head)
+            async for piece in body_pieces(reader, received.headers):
                 content += piece
         is_whole = True
     except TimeoutError:
@@ -153,7 +159,15 @@
     )
 
 
-def _decode_head(received: Received, head: bytes) -> Received:
+def decode_head(received: Received, head: bytes) -> Received:
+    """
+    Add the status and the headers of a response to what a caller received.
+
+    :param received: the request, and where it was sent
+    :param head: the head with the empty line that ends it
+    :return: both
+    :raises ValueError: the head is none of the protocol
+    """
     status_line, *lines = head.decode("latin-1").split("\r\n")
     version, status, _ = f"{status_line} ".split(" ", 2)
     if version != "HTTP/1.1":
@@ -168,9 +182,18 @@
     return received._replace(status=int(status), headers=headers)
 
 
-async def _body_pieces(
+async def body_pieces(
     reader: asyncio.StreamReader, headers: dict[str, str]
 ) -> AsyncIterator[bytes]:
+    """
+    Read the body of a response.
+
+    :param reader: the connection
+    :param headers: headers of the response
+    :return: pieces of the body, as they arrive
+    :raises EOFError: the connection ended inside the body
+    :raises ValueError: the framing is broken
+    """
     if headers.get("transfer-encoding") == "chunked":
         while size := int((await reader.readuntil(b"\r\n")).split(b";")[0], 16):
             left = size
@@ -219,5 +242,7 @@
     "CallerFleet",
     "Received",
     "SentCall",
+    "body_pieces",
+    "decode_head",
     "run_callers",
 ]
--- a/tests/routebuilders.py
+++ b/tests/routebuilders.py
@@ -33,6 +33,7 @@
     leaving="x-leaving",
     hold_off_s="retry-after",
 )
+TEAM_KEYS = {"youth": "key-1", "elders": "key-2"}
 
 
 def a_route(**fields: Any) -> Route:
@@ -118,6 +119,13 @@
     return a_manifest_document(version=version, routes=routes, limits=limits)
 
 
+def a_document_of_two_teams(version: int, **fields: Any) -> bytes:
+    """Build the manifest of ``a_document_of_all_kinds`` with a key for each of two teams."""
+    document = json.loads(a_document_of_all_kinds(version, **fields))
+    tenants = [{"name": name, "apiKeys": [key], "priority": 1} for name, key in TEAM_KEYS.items()]
+    return json.dumps({**document, "tenants": tenants}).encode()
+
+
 def a_prompt(*part_ids: str, tokens_count: int = 1000) -> Prompt:
     return Prompt(
         tuple(PromptPart(part_id, tokens_count) for part_id in part_ids), tokens_count, 100
--- /dev/null
+++ b/tests/versionbuilders.py
@@ -0,0 +1,151 @@
+"""Builders of test data: trials of fleets with several software versions, and their streams."""
+
+from __future__ import annotations
+
+import random
+from typing import Any
+
+from tools.standins.versioned import (
+    EVENTS_COUNT,
+    Service,
+    VersionedRun,
+    VersionRecord,
+    VersionShares,
+    versioned_event,
+)
+
+from tests.processes.keptcallers import Received, SentCall
+from tests.processes.resumingcallers import (
+    Habits,
+    NamesNothing,
+    NamesOtherRoute,
+    NamesOtherTeam,
+    NamesUnknown,
+    Text,
+    Try,
+)
+from tests.processes.versionedupstreams import (
+    OLD,
+    ControllerKills,
+    FleetKills,
+    Release,
+    Replacements,
+    RouterKills,
+    Trial,
+    VersionGone,
+)
+
+RESETS = VersionShares(reset=0.3)
+DROPS = Habits(drop_share=0.4)
+TWO_TEAMS = DROPS._replace(kinds=("stream", "feed"), keys=("key-1", "key-2"))
+TROUBLES: dict[str, dict[str, Any]] = {
+    "resets": {"shares": RESETS},
+    "drops": {"habits": DROPS},
+    "router kills": {"faults": (RouterKills(),)},
+    "fleet kills": {"faults": (FleetKills(),), "habits": DROPS},
+    "version gone": {"faults": (VersionGone(),)},
+    "release": {
+        "versions": (OLD, OLD, OLD),
+        "faults": (Release(), RouterKills((4.5, 9.0))),
+        "habits": DROPS,
+    },
+    "one version": {"versions": (OLD,) * 6, "habits": DROPS},
+    "lagging list": {
+        "versions": (OLD, OLD, OLD),
+        "faults": (Release(), RouterKills((4.5, 9.0))),
+        "habits": DROPS,
+        "list_lags_s": (0.0, 0.8),
+    },
+    "controller kills": {"faults": (ControllerKills(),), "habits": DROPS},
+    "silences": {"shares": VersionShares(reset=0.1, silent=0.3)},
+    "shortage": {"shares": RESETS, "habits": DROPS, "slots_count": 2},
+    "new ids": {"faults": (Replacements(same_address=True),), "habits": DROPS},
+    "same ids": {"faults": (Replacements(same_id=True, same_address=True),), "habits": DROPS},
+    "no name": {"habits": DROPS._replace(naming=NamesNothing()), "shares": RESETS},
+    "unknown name": {"habits": DROPS._replace(naming=NamesUnknown())},
+    "other route": {"habits": TWO_TEAMS._replace(naming=NamesOtherRoute())},
+    "other team": {"habits": TWO_TEAMS._replace(naming=NamesOtherTeam()), "shares": RESETS},
+    "release of a fleet": {
+        "versions": (OLD, OLD, OLD),
+        "faults": (Release(), FleetKills((4.6,))),
+        "habits": DROPS,
+    },
+}
+"""Fields of the trials with each kind of trouble."""
+
+
+def a_version_trial(seed: int, trouble: str = "", **fields: Any) -> Trial:
+    """Draw a trial; without a kind of trouble, the kinds take turns with the seeds."""
+    names = list(TROUBLES)
+    chosen = trouble or names[seed % len(names)]
+    draw = random.Random(f"{seed} {chosen}")
+    values = {"seed": seed, "attempts_count": draw.choice((2, 3)), **TROUBLES[chosen], **fields}
+    return Trial(**values)
+
+
+def some_versioned_events(first: int, last: int, **fields: Any) -> bytes:
+    values = {"stream": "text-1", "version": OLD, "run_id": "i-1.1", **fields}
+    return b"".join(versioned_event(number=number, **values) for number in range(first, last + 1))
+
+
+def a_versioned_run(request_id: str = "text-1-1", **fields: Any) -> VersionedRun:
+    values = {
+        "request_id": request_id,
+        "run_id": "i-1.1",
+        "worker_id": "i-1",
+        "version": OLD,
+        "stream": "text-1",
+        "first_number": 1,
+        "started_s": 100.0,
+    }
+    return VersionedRun(**{**values, **fields})
+
+
+def a_try(number: int = 1, last_event_id: int = 0, **fields: Any) -> Try:
+    """Build a request for ``text-1`` and its answer, the whole stream unless fields differ."""
+    request_id = f"text-1-{number}"
+    call = SentCall(request_id, fields.pop("kind", "stream"), b"violins", name="text-1")
+    is_dropped = fields.pop("is_dropped", False)
+    values = {
+        "call": call,
+        "router": "router-1",
+        "status": 200,
+        "headers": {"attempt-id": request_id, "server-stamp": "i-1.1"},
+        "content": some_versioned_events(last_event_id + 1, EVENTS_COUNT),
+        "is_whole": not is_dropped,
+        "sent_s": 100.0,
+        "ended_s": 101.2,
+    }
+    return Try(Received(**{**values, **fields}), last_event_id, is_dropped)
+
+
+def a_refused_try(number: int = 2, last_event_id: int = 10, **fields: Any) -> Try:
+    values = {"status": 503, "headers": {}, "content": b"{}", "ended_s": 100.1}
+    return a_try(number, last_event_id, **{**values, **fields})
+
+
+def a_text(*tries: Try, kind: str = "stream") -> Text:
+    return Text("text-1", kind, tries)
+
+
+def a_version_record(*entries: VersionedRun | Service) -> VersionRecord:
+    record = VersionRecord()
+    for entry in entries:
+        match entry:
+            case VersionedRun():
+                record.runs[entry.request_id].append(entry)
+            case Service():
+                record.services.append(entry)
+    return record
+
+
+__all__ = [
+    "TROUBLES",
+    "a_refused_try",
+    "a_text",
+    "a_try",
+    "a_version_record",
+    "a_version_trial",
+    "a_versioned_run",
+    "some_versioned_events",
+]
--- a/tools/joinedfleet.py
+++ b/tools/joinedfleet.py
@@ -31,6 +31,15 @@
     directory: int
 
 
+class RetryBudgetSettings(NamedTuple):
+    """Limit on the retries of all routers together."""
+
+    ratio: float = 0.2
+    """Retries per first attempt."""
+    floor_count: int = 56
+    """Retries that are always allowed."""
+
+
 class JoinedFleet:
     """Starts and controls processes by name; the role is the part of the name before ``-``."""
 
@@ -46,11 +55,16 @@
         self.client = httpx.AsyncClient(trust_env=False, timeout=5.0)
         self._folder = folder
         self._code_folder = code_folder
-        self._list_address = list_url.removeprefix("http://")
+        self._list_url = list_url
         self._processes: dict[str, asyncio.subprocess.Process] = {}
         self._ips: dict[str, str] = {}
         self.seeds: list[str] = []
         """Controllers named as seeds in the settings of processes started from now on."""
+        self.list_urls: dict[str, str] = {}
+        """URLs that serve the list of workers to processes started from now on, by name, where
+        they differ from that of the fleet."""
+        self.retry_budget = RetryBudgetSettings()
+        """Limit on retries in the settings of processes started from now on."""
         self.grace_s = 8
         """Time of a graceful stop in the settings of processes started from now on."""
 
@@ -201,6 +215,7 @@
 
     def _settings(self, name: str, bootstrap: bool) -> str:
         ports, ip = self.ports, self.ip(name)
+        list_url = self.list_urls.get(name, self._list_url)
         seeds = ", ".join(f'"{self.ip(seed)}:{ports.control}"' for seed in self.seeds)
         return f"""
 node = "{name}"
@@ -219,13 +234,13 @@
 contactMs = 1000
 catchUpS = 4
 graceS = {self.grace_s}
-retryBudgetRatio = 0.2
-retryBudgetMin = 56
+retryBudgetRatio = {self.retry_budget.ratio}
+retryBudgetMin = {self.retry_budget.floor_count}
 [limits]
 maxFds = 1024
 [cloud]
-address = "{self._list_address}"
+address = "{list_url.removeprefix("http://")}"
 """
 
 
-__all__ = ["JoinedFleet", "Ports"]
+__all__ = ["JoinedFleet", "Ports", "RetryBudgetSettings"]
