Count only take-ups that name the first attempt in the share that goes on

Cause: the check of LOST also counted take-ups that name another attempt on purpose, and those of a route that is not resumable; PROTOCOL.md has callers name the attempt that brought the first event, and take up streams only where the route allows it. Change: these take-ups no longer count; all other checks still apply to them. A test shows each row.

--- a/tests/processes/test_versionchecks.py
+++ b/tests/processes/test_versionchecks.py
@@ -204,6 +204,20 @@
         self.assertEqual(take_up_share(beside, anywhere=True), Share(15, 3))
         self.assertEqual(new_share(beside), Share())
 
+    def test_take_ups_that_are_not_proper(self) -> None:
+        """Those that name no attempt or another one, or whose route does not allow them."""
+        record = a_version_record(a_versioned_run(), *TWO_OLD)
+        rows: dict[str, tuple[Text, int]] = {
+            "proper": (a_text(a_broken_try(), a_refused_try()), 1),
+            "no name": (a_text(a_broken_try(), a_refused_try(named=None)), 0),
+            "another name": (a_text(a_broken_try(), a_refused_try(named="text-2-1")), 0),
+            "second attempt": (a_text(a_broken_try(), a_refused_try(named="text-1-2")), 0),
+            "not resumable": (a_text(a_broken_try(), a_refused_try(), kind="feed"), 0),
+        }
+        for name, (text, count) in rows.items():
+            with self.subTest(name):
+                self.assertEqual(take_up_share(Streams([text], record)).count, count)
+
     def test_summary(self) -> None:
         counts = version_summary(self.streams(3, 12, *TWO_OLD))
         expected = {
--- a/tests/processes/versionchecks.py
+++ b/tests/processes/versionchecks.py
@@ -100,6 +100,9 @@
     """
     Count the take-ups that went on, while two workers of their version served.
 
+    Those that name another attempt than the first one, or that the route does not allow, don't
+    count.
+
     :param streams: what callers and workers saw
     :param anywhere: whether those beside an outage count as well
     :return: the counts
@@ -109,6 +112,7 @@
         for text in streams.texts
         for one in text.tries
         if one.last_event_id
+        and _is_proper(text, one)
         and (anywhere or _is_in_touch(one, streams))
         and _has_workers(_version(text), one, streams.record)
     ]
@@ -257,6 +261,12 @@
     return next(found, "")
 
 
+def _is_proper(text: Text, one: Try) -> bool:
+    first = next(first for first in text.tries if first.last_number)
+    named = dict(one.received.call.headers).get("Resumes")
+    return named == first.received.call.request_id and text.kind not in UNSAFE_KINDS
+
+
 def _is_served(one: Try) -> bool:
     return one.received.status == 200 and (
         one.last_number > one.last_event_id or one.received.is_whole
