Add kills, freezes and departures to the trials of two versions

Cause: what a router may not conclude after it has lost its memory, or from an old list, needs faults at the moment at which a version leaves. Change: all controllers killed before all routers, a fleet killed as or after the old version leaves, and routers that stand still beside a release; more slots where a release would leave too few.

--- a/tests/processes/versionedupstreams.py
+++ b/tests/processes/versionedupstreams.py
@@ -50,6 +50,21 @@
     at_s: tuple[float, ...] = (6.0,)
 
 
+@dataclass(frozen=True, slots=True)
+class CoreKills:
+    """All controllers are killed at once, and started again."""
+
+    at_s: tuple[float, ...] = (5.0,)
+
+
+@dataclass(frozen=True, slots=True)
+class RouterFreezes:
+    """Each router in turn stands still for a while and goes on with an old list of workers."""
+
+    at_s: float = 3.5
+    freeze_s: float = 3.0
+
+
 @dataclass(frozen=True, slots=True)
 class ControllerKills:
     """One controller after another is killed, and started again."""
@@ -65,6 +80,13 @@
     gone_s: float = 1.0
 
 
+@dataclass(frozen=True, slots=True)
+class VersionLeaves:
+    """All workers of the old version end at once and leave the list."""
+
+    at_s: float = 6.0
+
+
 @dataclass(frozen=True, slots=True)
 class Replacements:
     """One worker after another crashes and comes back, with its version or the other one."""
@@ -86,7 +108,17 @@
     """Time for which leaving workers still serve."""
 
 
-Fault = RouterKills | FleetKills | ControllerKills | VersionGone | Replacements | Release
+Fault = (
+    RouterKills
+    | FleetKills
+    | CoreKills
+    | RouterFreezes
+    | ControllerKills
+    | VersionGone
+    | VersionLeaves
+    | Replacements
+    | Release
+)
 
 
 class Trial(NamedTuple):
@@ -209,6 +241,14 @@
                 for moment_s in at_s:
                     await self._wait_until(moment_s)
                     await self._kill([*self._routers, *CONTROLLERS])
+            case CoreKills(at_s):
+                for moment_s in at_s:
+                    await self._wait_until(moment_s)
+                    await self._kill(CONTROLLERS)
+            case RouterFreezes(at_s, freeze_s):
+                await self._wait_until(at_s)
+                for router in self._routers:
+                    await self._freeze(router, freeze_s)
             case ControllerKills(pause_s):
                 while not calling.done():
                     await asyncio.sleep(pause_s)
@@ -218,6 +258,9 @@
                     for version in sorted(set(self._trial.versions)):
                         await asyncio.sleep(pause_s)
                         await self._remove_version(version, gone_s)
+            case VersionLeaves(at_s):
+                await self._wait_until(at_s)
+                await self._retire(self._workers.running_ids(OLD), 0.0)
             case Replacements(pause_s):
                 while not calling.done():
                     await asyncio.sleep(pause_s)
@@ -254,6 +297,16 @@
             for number in outages:
                 self.outages[number] = self.outages[number]._replace(until_s=time.monotonic())
 
+    async def _freeze(self, router: str, freeze_s: float) -> None:
+        self._log(f"SIGSTOP {router}")
+        (number,) = self._add_outages([router])
+        process = self._fleet.process(router)
+        process.send_signal(signal.SIGSTOP)
+        await asyncio.sleep(freeze_s)
+        process.send_signal(signal.SIGCONT)
+        self._log(f"SIGCONT {router}")
+        self.outages[number] = self.outages[number]._replace(until_s=time.monotonic())
+
     def _add_outages(self, names: Sequence[str]) -> list[int]:
         """Add an outage for each router, and one for all controllers; return their numbers."""
         outage_names = {name if name in self._routers else "" for name in names}
@@ -329,15 +382,18 @@
     "NEW",
     "OLD",
     "ControllerKills",
+    "CoreKills",
     "Fault",
     "FleetKills",
     "Release",
     "Replacements",
+    "RouterFreezes",
     "RouterKills",
     "Trial",
     "TrialResult",
     "VersionFaults",
     "VersionGone",
+    "VersionLeaves",
     "result_lines",
     "run_trial",
 ]
--- a/tests/versionbuilders.py
+++ b/tests/versionbuilders.py
@@ -27,12 +27,15 @@
 from tests.processes.versionedupstreams import (
     OLD,
     ControllerKills,
+    CoreKills,
     FleetKills,
     Release,
     Replacements,
+    RouterFreezes,
     RouterKills,
     Trial,
     VersionGone,
+    VersionLeaves,
 )
 
 RESETS = VersionShares(reset=0.3)
@@ -52,6 +55,7 @@
     "one version": {"versions": (OLD,) * 6, "habits": DROPS},
     "lagging list": {
         "versions": (OLD, OLD, OLD),
+        "slots_count": 16,
         "faults": (Release(), RouterKills((4.5, 9.0))),
         "habits": DROPS,
         "list_lags_s": (0.0, 0.8),
@@ -68,9 +72,31 @@
     "other team": {"habits": TWO_TEAMS._replace(naming=NamesOtherTeam()), "shares": RESETS},
     "release of a fleet": {
         "versions": (OLD, OLD, OLD),
+        "slots_count": 16,
         "faults": (Release(), FleetKills((4.6,))),
         "habits": DROPS,
     },
+    "fleet kill after a release": {
+        "versions": (OLD, OLD, OLD),
+        "slots_count": 16,
+        "faults": (Release(draining_s=1.0), FleetKills((5.2,))),
+        "habits": DROPS,
+    },
+    "fleet kill as a version leaves": {
+        "slots_count": 16,
+        "faults": (VersionLeaves(), FleetKills((6.1,))),
+        "habits": DROPS,
+    },
+    "core kill before router kills": {
+        "faults": (CoreKills(), RouterKills((9.0,))),
+        "habits": DROPS,
+    },
+    "freezes beside a release": {
+        "versions": (OLD, OLD, OLD),
+        "slots_count": 16,
+        "faults": (Release(draining_s=1.0), RouterFreezes()),
+        "habits": DROPS,
+    },
 }
 """Fields of the trials with each kind of trouble."""
 
