Let routers read lists of different ages in the trials of two versions

Cause: all routers get the list of the same controller, so lists that lag differently at the controllers never differed at the routers. Change: a kind of trouble in which controllers get no list and each router reads its own, 0 and 0.8 s late; kills of controllers beside the lagging lists, so that a router's list also goes back in time.

--- a/tests/processes/versionedupstreams.py
+++ b/tests/processes/versionedupstreams.py
@@ -10,6 +10,7 @@
 import time
 from contextlib import AsyncExitStack
 from dataclasses import dataclass
+from itertools import cycle
 from pathlib import Path
 from typing import TYPE_CHECKING, NamedTuple
 
@@ -133,6 +134,8 @@
     faults: tuple[Fault, ...] = ()
     list_lags_s: tuple[float, ...] = (0.2,)
     """Time by which the list is late; the controllers take turns at the values."""
+    router_lags_s: tuple[float, ...] = ()
+    """The same for routers, which have to read the list themselves: controllers get none."""
     retry_budget: RetryBudgetSettings = RetryBudgetSettings()
     attempts_count: int = 3
     """Attempts that each route allows."""
@@ -164,10 +167,16 @@
             await workers.start(f"i-{number + 1}", version)
         fleet = JoinedFleet(folder, list_urls[0], CODE_FOLDER)
         fleet.retry_budget = trial.retry_budget
-        for number, name in enumerate(CONTROLLERS):
-            fleet.list_urls[name] = list_urls[number % len(list_urls)]
         stack.push_async_callback(fleet.close)
         routers = [f"router-{number + 1}" for number in range(trial.routers_count)]
+        for number, name in enumerate(CONTROLLERS):
+            fleet.list_urls[name] = list_urls[number % len(list_urls)]
+        if trial.router_lags_s:
+            no_list_url = await stack.enter_async_context(serve_app(workers.refuse_list))
+            fleet.list_urls = dict.fromkeys(CONTROLLERS, no_list_url)
+            for name, lag_s in zip(routers, cycle(trial.router_lags_s), strict=False):
+                app = workers.list_app(lag_s)
+                fleet.list_urls[name] = await stack.enter_async_context(serve_app(app))
         document = a_document_of_two_teams(FIRST_VERSION, maxAttempts=trial.attempts_count)
         try:
             await start_fleet(fleet, routers, document)
--- a/tests/versionbuilders.py
+++ b/tests/versionbuilders.py
@@ -56,10 +56,17 @@
     "lagging list": {
         "versions": (OLD, OLD, OLD),
         "slots_count": 16,
-        "faults": (Release(), RouterKills((4.5, 9.0))),
+        "faults": (Release(), RouterKills((4.5, 9.0)), ControllerKills()),
         "habits": DROPS,
         "list_lags_s": (0.0, 0.8),
     },
+    "routers' own lists": {
+        "versions": (OLD, OLD, OLD),
+        "slots_count": 16,
+        "faults": (Release(draining_s=6.0),),
+        "habits": DROPS,
+        "router_lags_s": (0.0, 0.8),
+    },
     "controller kills": {"faults": (ControllerKills(),), "habits": DROPS},
     "silences": {"shares": VersionShares(reset=0.1, silent=0.3)},
     "shortage": {"shares": RESETS, "habits": DROPS, "slots_count": 2},
--- a/tools/standins/versioned.py
+++ b/tools/standins/versioned.py
@@ -255,6 +255,11 @@
 
         return app
 
+    async def refuse_list(self, scope: Scope, receive: Receive, send: Send) -> None:
+        """Respond that the list was read too often; an ASGI application."""
+        if scope["type"] == "http":
+            await send_json(send, {}, 429)
+
     async def close(self) -> None:
         """End all workers."""
         for worker_id in list(self._workers):
