Mix kinds of trouble and a third version in the trials of versions

Cause: each kind of trouble played alone; two at once, and a chain of versions, were not played. Change: a kind "mix" that draws two faults, shares, habits and lists; workers and processes change one after another, so that two faults don't end the same one.

--- a/tests/processes/versionedupstreams.py
+++ b/tests/processes/versionedupstreams.py
@@ -226,6 +226,7 @@
         self._routers = routers
         self._workers_started = len(trial.versions)
         self._restarting = asyncio.Lock()
+        self._changing_workers = asyncio.Lock()
         self._first_s = 0.0
 
     async def play_beside(self, callers: ResumingCallers) -> None:
@@ -266,21 +267,24 @@
                 while not calling.done():
                     for version in sorted(set(self._trial.versions)):
                         await asyncio.sleep(pause_s)
-                        await self._remove_version(version, gone_s)
+                        async with self._changing_workers:
+                            await self._remove_version(version, gone_s)
             case VersionLeaves(at_s):
                 await self._wait_until(at_s)
-                await self._retire(self._workers.running_ids(OLD), 0.0)
+                async with self._changing_workers:
+                    await self._retire(self._workers.running_ids(OLD), 0.0)
             case Replacements(pause_s):
                 while not calling.done():
                     await asyncio.sleep(pause_s)
-                    await self._replace_worker(fault, draw)
+                    async with self._changing_workers:
+                        await self._replace_worker(fault, draw)
             case Release(listed_s, leaves_s, draining_s):
                 await self._wait_until(listed_s)
-                old_ids = self._workers.running_ids(OLD)
-                for _ in old_ids:
+                for _ in self._workers.running_ids(OLD):
                     await self._start_worker(NEW)
                 await self._wait_until(leaves_s)
-                await self._retire(old_ids, draining_s)
+                async with self._changing_workers:
+                    await self._retire(self._workers.running_ids(OLD), draining_s)
 
     async def _wait_until(self, moment_s: float) -> None:
         await asyncio.sleep(self._first_s + moment_s - time.monotonic())
@@ -296,7 +300,6 @@
             outages = self._add_outages(names)
             await asyncio.gather(*(self._fleet.stop(name, signal.SIGKILL) for name in names))
             await asyncio.sleep(DOWN_S)
-            # A router that starts first finds the controllers that it needs later.
             for name in names:
                 await self._fleet.start(name)
             self._log(f"started {', '.join(names)}")
@@ -307,14 +310,15 @@
                 self.outages[number] = self.outages[number]._replace(until_s=time.monotonic())
 
     async def _freeze(self, router: str, freeze_s: float) -> None:
-        self._log(f"SIGSTOP {router}")
-        (number,) = self._add_outages([router])
-        process = self._fleet.process(router)
-        process.send_signal(signal.SIGSTOP)
-        await asyncio.sleep(freeze_s)
-        process.send_signal(signal.SIGCONT)
-        self._log(f"SIGCONT {router}")
-        self.outages[number] = self.outages[number]._replace(until_s=time.monotonic())
+        async with self._restarting:
+            self._log(f"SIGSTOP {router}")
+            (number,) = self._add_outages([router])
+            process = self._fleet.process(router)
+            process.send_signal(signal.SIGSTOP)
+            await asyncio.sleep(freeze_s)
+            process.send_signal(signal.SIGCONT)
+            self._log(f"SIGCONT {router}")
+            self.outages[number] = self.outages[number]._replace(until_s=time.monotonic())
 
     def _add_outages(self, names: Sequence[str]) -> list[int]:
         """Add an outage for each router, and one for all controllers; return their numbers."""
@@ -352,7 +356,10 @@
             await self._start_worker(version)
 
     async def _replace_worker(self, fault: Replacements, draw: random.Random) -> None:
-        old_id = draw.choice(self._workers.running_ids())
+        running_ids = self._workers.running_ids()
+        if not running_ids:
+            return
+        old_id = draw.choice(running_ids)
         old_version = self._workers.version(old_id)
         versions = sorted(set(self._trial.versions))
         version = draw.choice([one for one in versions if one != old_version] or versions)
--- a/tests/versionbuilders.py
+++ b/tests/versionbuilders.py
@@ -17,6 +17,7 @@
 from tests.processes.keptcallers import Received, SentCall
 from tests.processes.resumingcallers import (
     Habits,
+    NamesFirst,
     NamesNothing,
     NamesOtherRoute,
     NamesOtherTeam,
@@ -25,6 +26,7 @@
     Try,
 )
 from tests.processes.versionedupstreams import (
+    NEW,
     OLD,
     ControllerKills,
     CoreKills,
@@ -38,6 +40,7 @@
     VersionLeaves,
 )
 
+THIRD = "v1.3"
 RESETS = VersionShares(reset=0.3)
 DROPS = Habits(drop_share=0.4)
 TWO_TEAMS = DROPS._replace(kinds=("stream", "feed"), keys=("key-1", "key-2"))
@@ -71,7 +74,11 @@
     "silences": {"shares": VersionShares(reset=0.1, silent=0.3)},
     "shortage": {"shares": RESETS, "habits": DROPS, "slots_count": 2},
     "new ids": {"faults": (Replacements(same_address=True),), "habits": DROPS},
-    "same ids": {"faults": (Replacements(same_id=True, same_address=True),), "habits": DROPS},
+    "same ids": {"faults": (Replacements(same_id=True),), "habits": DROPS},
+    "same ids and addresses": {
+        "faults": (Replacements(same_id=True, same_address=True),),
+        "habits": DROPS,
+    },
     "no name": {"habits": DROPS._replace(naming=NamesNothing()), "shares": RESETS},
     "unknown name": {"habits": DROPS._replace(naming=NamesUnknown())},
     "not resumable": {"habits": DROPS._replace(kinds=("feed",)), "shares": RESETS},
@@ -104,8 +111,9 @@
         "faults": (Release(draining_s=1.0), RouterFreezes()),
         "habits": DROPS,
     },
+    "mix": {},
 }
-"""Fields of the trials with each kind of trouble."""
+"""Fields of the trials with each kind of trouble; those of ``mix`` are drawn."""
 
 
 def a_version_trial(seed: int, trouble: str = "", **fields: Any) -> Trial:
@@ -113,8 +121,39 @@
     names = list(TROUBLES)
     chosen = trouble or names[seed % len(names)]
     draw = random.Random(f"{seed} {chosen}")
-    values = {"seed": seed, "attempts_count": draw.choice((2, 3)), **TROUBLES[chosen], **fields}
-    return Trial(**values)
+    drawn = _mixed_fields(draw) if chosen == "mix" else TROUBLES[chosen]
+    return Trial(**{"seed": seed, "attempts_count": draw.choice((2, 3)), **drawn, **fields})
+
+
+def _mixed_fields(draw: random.Random) -> dict[str, Any]:
+    """Draw a trial with several kinds of trouble and two or three versions."""
+    at_s = draw.uniform(2.0, 9.0)
+    faults = (
+        RouterKills((at_s, at_s + 4.0)),
+        FleetKills((at_s,)),
+        CoreKills((at_s,)),
+        RouterFreezes(at_s, draw.uniform(0.5, 3.0)),
+        ControllerKills(),
+        VersionGone(),
+        VersionLeaves(draw.uniform(2.0, 9.0)),
+        Replacements(same_id=draw.random() < 0.5),
+        Release(3.0, 4.0, draw.uniform(0.5, 4.0)),
+    )
+    return {
+        "versions": draw.choice(
+            ((OLD, OLD, OLD, NEW, NEW, NEW), (OLD, OLD, NEW, NEW, THIRD, THIRD))
+        ),
+        "slots_count": draw.choice((8, 16)),
+        "shares": VersionShares(draw.choice((0.0, 0.1, 0.3)), draw.choice((0.0, 0.1))),
+        "habits": Habits(
+            drop_share=draw.choice((0.1, 0.4)),
+            naming=draw.choice((NamesFirst(), NamesUnknown(), NamesOtherRoute())),
+            naming_share=0.2,
+            kinds=draw.choice((("stream",), ("stream", "feed"))),
+        ),
+        "faults": tuple(draw.sample(faults, 2)),
+        "list_lags_s": draw.choice(((0.2,), (0.0, 0.8))),
+    }
 
 
 def some_versioned_events(first: int, last: int, **fields: Any) -> bytes:
