--- a/tests/processes/test_versions.py
+++ b/tests/processes/test_version_trials.py
@@ -16,7 +16,7 @@
 """Fewer streams that were taken up would prove too little."""
 
 
-class VersionsTest(unittest.IsolatedAsyncioTestCase):
+class VersionTrialsTest(unittest.IsolatedAsyncioTestCase):
     def shortDescription(self) -> str | None:  # noqa: N802
         return f"{self.id()} CAMPHORVALVE_SEED={SEED}"
 
