--- a/src/camphorvalve/controllers/pools.py
+++ b/src/camphorvalve/controllers/pools.py
@@ -29,7 +29,7 @@
     import random
     from collections.abc import Callable, Iterable, Sequence, Set
 
-    from camphorvalve.model.requests import Exchange
+    from camphorvalve.model.requests import Exchange, StreamOrigin
     from camphorvalve.model.upstreams import Upstream
     from camphorvalve.sharing.notices import Notice
     from camphorvalve.sharing.routing import RouteTable
@@ -66,6 +66,8 @@
 MAX_SERVICE_REQUESTS_COUNT = 12
 """Maximum requests of one router at a plain service, which has 6 slots and rejects requests that
 it cannot queue."""
+LIST_LAG_S = 1.0
+"""Time by which the list lags when it is read."""
 LOCAL_FIRST_COUNT = 2
 """Requests that this router sends to a plain service in its own data centre before it considers
 other data centres: with three routers in a data centre, this fills the service's 6 slots."""
@@ -130,6 +132,8 @@
         self._notices = Notices()
         self._limits = AdaptiveLimits()
         self._list_read_s = float("-inf")
+        self._ended_s: dict[str, float] = {}
+        """When each upstream has refused or ended a connection last."""
         self._capacity_freed = anyio.Event()
         self._waiters_count = 0
 
@@ -157,6 +161,11 @@
             }
         )
         self._limits.keep_only(set(self._upstreams))
+        self._ended_s = {
+            upstream_id: ended_s
+            for upstream_id, ended_s in self._ended_s.items()
+            if upstream_id in self._upstreams
+        }
         for upstream in self._upstreams.values():
             if previous.get(upstream.upstream_id) != upstream:
                 _log.info(
@@ -165,6 +174,7 @@
                     pool=upstream.pool,
                     url=upstream.url,
                     state=upstream.state.value,
+                    software=upstream.software,
                 )
         for removed_id in previous.keys() - self._upstreams.keys():
             _log.info("upstream gone", upstream_id=removed_id, pool=previous[removed_id].pool)
@@ -215,7 +225,7 @@
         pool = exchange.parameters.pool
         usable = self._usable(exchange, exchange.failed_upstreams, now_s)
         if not usable:
-            listed = self._by_pool.get(pool, [])
+            listed = self._listed(exchange)
             message = f"pool {pool!r}: {len(listed)} upstreams are listed and none may be used"
             left_s = self.hold_off_left_s(exchange, now_s)
             raise RequestError("no_upstream", message, retry_after_s=left_s or RETRY_AFTER_S)
@@ -243,6 +253,18 @@
         ]
         return bool(others) and self._choose(exchange, exchange.parameters.pool, others) is not None
 
+    def has_version(self, origin: StreamOrigin) -> bool:
+        """
+        Tell whether a stream can go on.
+
+        :param origin: where it began
+        :return: whether an upstream of that version is listed that is not leaving
+        """
+        return any(
+            self._upstreams[upstream_id].software == origin.software
+            for upstream_id in self._by_pool.get(origin.pool, [])
+        )
+
     def has_reachable(self, exchange: Exchange) -> bool:
         """
         Tell whether a request has not yet tried an upstream that may be reached.
@@ -253,7 +275,7 @@
         return any(
             upstream_id not in exchange.failed_upstreams
             and not self._ejections.is_unreachable(upstream_id)
-            for upstream_id in self._by_pool.get(exchange.parameters.pool, [])
+            for upstream_id in self._listed(exchange)
         )
 
     def end(self, placement: Placement) -> None:
@@ -312,6 +334,35 @@
         if self._ejections.record_failure(upstream_id, now_s, unreachable=unreachable):
             _log.warning("upstream left out", upstream_id=upstream_id, unreachable=unreachable)
 
+    def record_end(self, upstream_id: str, now_s: float) -> None:
+        """
+        Record that an upstream has refused or ended a connection, as one does that starts again.
+
+        :param upstream_id: the upstream
+        :param now_s: monotonic time
+        """
+        self._ended_s[upstream_id] = now_s
+
+    def record_same_start(self, upstream_id: str, asked_s: float) -> None:
+        """
+        Record that an upstream has not started again since it was listed.
+
+        :param upstream_id: the upstream
+        :param asked_s: when it was asked, in monotonic time
+        """
+        if self._ended_s.get(upstream_id, asked_s) < asked_s:
+            del self._ended_s[upstream_id]
+
+    def may_have_restarted(self, upstream_id: str) -> bool:
+        """
+        Tell whether an upstream may have started again since it was listed.
+
+        :param upstream_id: the upstream
+        :return: whether it ended a connection, and the list may not show what followed
+        """
+        ended_s = self._ended_s.get(upstream_id, float("-inf"))
+        return ended_s > self._list_read_s - LIST_LAG_S
+
     def record_silence(self, exchange: Exchange, now_s: float) -> None:
         """
         Record that an upstream is silent while a request waits for it, which may have ended.
@@ -370,14 +421,26 @@
         :param now_s: monotonic time
         :return: time left in seconds, ``None`` if no upstream that it may use asked for one
         """
-        listed = self._by_pool.get(exchange.parameters.pool, [])
+        listed = self._listed(exchange)
         untried = [
             upstream_id for upstream_id in listed if upstream_id not in exchange.failed_upstreams
         ]
         return self._notices.hold_off_left_s(untried, now_s)
 
-    def _usable(self, exchange: Exchange, tried: Set[str], now_s: float) -> Sequence[str]:
+    def _listed(self, exchange: Exchange) -> Sequence[str]:
+        """Return the upstreams of a request's pool; those that began its stream, if it has one."""
         listed = self._by_pool.get(exchange.parameters.pool, [])
+        origin = exchange.origin
+        if origin is None:
+            return listed
+        return [
+            upstream_id
+            for upstream_id in listed
+            if self._upstreams[upstream_id].software == origin.software
+        ]
+
+    def _usable(self, exchange: Exchange, tried: Set[str], now_s: float) -> Sequence[str]:
+        listed = self._listed(exchange)
         open_ids = self._notices.usable(listed, now_s)
         untried = [upstream_id for upstream_id in open_ids if upstream_id not in tried]
         return self._ejections.usable(untried, now_s, may_probe=not tried)
@@ -395,7 +458,9 @@
                     chosen := place(local_ranked_ids, self._loads, has_room)
                 ):
                     return chosen
-                return place(ranked_ids, self._loads, has_room)
+                chosen = place(ranked_ids, self._loads, has_room)
+                if chosen is not None or exchange.origin is None:
+                    return chosen
         if chosen := least_loaded(local, self._loads, self._has_few_requests):
             return chosen
         shuffled = self._rng.sample(usable, len(usable))
@@ -424,6 +489,9 @@
                 self._load(upstream_id).requests_count < MAX_SERVICE_REQUESTS_COUNT
             )
         usable_slots = max(MIN_SLOTS_COUNT, self._engine_part() * definition.engine.slots_count)
+        if exchange.origin is not None and exchange.within_take_ups:
+            # Only some upstreams can go on with a stream, and its caller has a part of it.
+            return lambda upstream_id: self._load(upstream_id).requests_count + 1 <= usable_slots
         ratio = _usable_limit_ratio(exchange)
 
         def has_room(upstream_id: str) -> bool:
--- a/src/camphorvalve/filters/place.py
+++ b/src/camphorvalve/filters/place.py
@@ -11,8 +11,15 @@
 
 from camphorvalve.model.answers import Body
 from camphorvalve.model.errors import RequestError
-from camphorvalve.model.requests import Stage
-from camphorvalve.upstreams.errors import Declined, Misdirected, NotReached, NotSent, UpstreamError
+from camphorvalve.model.requests import Stage, StreamOrigin
+from camphorvalve.upstreams.errors import (
+    Declined,
+    Misdirected,
+    NotReached,
+    NotSent,
+    UpstreamError,
+    ended_connection,
+)
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Callable
@@ -21,6 +28,7 @@
     from camphorvalve.filters.chain import Handler
     from camphorvalve.model.answers import Part
     from camphorvalve.model.requests import Exchange
+    from camphorvalve.model.upstreams import Upstream
 
 _log = structlog.get_logger(__name__)
 
@@ -100,6 +108,9 @@
                 async for part in parts:
                     if not placement.has_started and isinstance(part, Body):
                         now_s = time.monotonic()
+                        if exchange.streams and exchange.origin is None:
+                            # Set before the caller has the part, so that nothing else goes on.
+                            exchange.origin = origin_of(placement.upstream)
                         objective_s = exchange.parameters.objective_s
                         self._pools.record_answer_start(
                             placement, objective_s, now_s - sent_s, now_s
@@ -114,6 +125,8 @@
             raise
         except UpstreamError as error:
             now_s = time.monotonic()
+            if ended_connection(error) or isinstance(error, NotSent):
+                self._pools.record_end(upstream_id, now_s)
             is_at_fault = not (isinstance(error, NotReached) and self._is_overloaded())
             if is_at_fault and not self._pools.is_held_off(upstream_id, now_s):
                 unreachable = isinstance(error, NotSent)
@@ -125,8 +138,9 @@
     async def _wait_for_placement(self, exchange: Exchange) -> Placement:
         """Wait briefly for a placement; reject the request if it has to wait longer."""
         until_s = exchange.received_s + WAIT_RATIO * exchange.parameters.objective_s
-        if exchange.may_have_run:
-            # A rejection can't tell the caller of such a request to come back.
+        goes_on = exchange.origin is not None and exchange.within_take_ups
+        if exchange.may_have_run or goes_on:
+            # Its caller loses an attempt, or the part of a stream that it has.
             until_s = time.monotonic() + exchange.parameters.objective_s
         while True:
             now_s = time.monotonic()
@@ -157,4 +171,14 @@
         return self._pools.hold_off_left_s(exchange, now_s) if exchange.may_have_run else None
 
 
-__all__ = ["PlaceFilter"]
+def origin_of(upstream: Upstream) -> StreamOrigin:
+    """
+    Return the origin of streams that begin at an upstream.
+
+    :param upstream: the upstream
+    :return: its pool and software version
+    """
+    return StreamOrigin(upstream.pool, upstream.software)
+
+
+__all__ = ["PlaceFilter", "origin_of"]
--- a/src/camphorvalve/sharing/routing.py
+++ b/src/camphorvalve/sharing/routing.py
@@ -8,17 +8,20 @@
 from camphorvalve.model.teams import Limits, TeamParameters
 
 if TYPE_CHECKING:
+    from collections.abc import Iterator
+
     from camphorvalve.model.routes import Manifest, Route
 
 
 class RouteTable:
     """Lookup tables of one manifest."""
 
-    def __init__(self, manifest: Manifest) -> None:
+    def __init__(self, manifest: Manifest, previous: RouteTable | None = None) -> None:
         """
         Build the tables.
 
         :param manifest: a valid manifest
+        :param previous: the tables of the manifest that it replaces
         """
         self.manifest = manifest
         self.pools = {pool.name: pool for pool in manifest.pools}
@@ -32,6 +35,15 @@
         }
         self._priorities = {tenant.name: tenant.priority for tenant in manifest.tenants}
         self._ranks = {pool: self._ranks_at(pool) for pool in self.pools}
+        # Streams that began before the manifest keep their deadlines.
+        earlier_s = {} if previous is None else previous._longest_streams_s
+        self._longest_streams_s = {
+            pool: longest_s for pool, longest_s in earlier_s.items() if pool in self.pools
+        }
+        for route in manifest.routes:
+            for pool in (destination.pool for destination in route.destinations if route.streamed):
+                longest_s = self._longest_streams_s.get(pool, 0.0)
+                self._longest_streams_s[pool] = max(longest_s, route.timeout_s)
 
     def find(self, host: str, target: str) -> Route | None:
         """
@@ -61,6 +73,34 @@
         """
         return self._teams.get(key)
 
+    def moved_pools(self, previous: RouteTable) -> set[str]:
+        """
+        Find the pools between which the manifest moves streams.
+
+        :param previous: the tables of the manifest that it replaces
+        :return: pools that got requests of a route with streams before or get them now, of each
+            route for which these differ
+        """
+        moved: set[str] = set()
+        for host, prefix in {*self._places(), *previous._places()}:
+            before, after = previous.find(host, prefix), self.find(host, prefix)
+            pools_before, pools_after = _stream_pools(before), _stream_pools(after)
+            if pools_before != pools_after:
+                moved |= pools_before | pools_after
+        return moved
+
+    def _places(self) -> Iterator[tuple[str, str]]:
+        return ((route.host, route.path_prefix) for route in self.manifest.routes)
+
+    def longest_stream_s(self, pool: str) -> float:
+        """
+        Return how long a stream of a pool may last.
+
+        :param pool: name of the pool
+        :return: the longest timeout that its routes with streams have or had, 0 without any
+        """
+        return self._longest_streams_s.get(pool, 0.0)
+
     def more_urgent_ranks_count(self, route: Route, team: str | None, pool: str) -> int:
         """
         Count the priority ranks at a pool that are more urgent than a request's.
@@ -88,6 +128,12 @@
         return self.manifest.lists_tenants or bool(self.manifest.tenants)
 
 
+def _stream_pools(route: Route | None) -> set[str]:
+    if route is None or not route.streamed:
+        return set()
+    return {destination.pool for destination in route.destinations}
+
+
 def split(route: Route, position: float) -> str:
     """
     Choose a pool at random by the weights of a route.
--- a/src/camphorvalve/wiring/joinedrouter.py
+++ b/src/camphorvalve/wiring/joinedrouter.py
@@ -12,6 +12,7 @@
 from camphorvalve.controllers.following import ConfigurationFollower, Contact, Load
 from camphorvalve.controllers.inforce import ManifestInForce
 from camphorvalve.controllers.listing import ListFollower
+from camphorvalve.controllers.origins import OriginsFollower, SoleOrigins
 from camphorvalve.controllers.pools import Pools
 from camphorvalve.controllers.roster import RosterController
 from camphorvalve.controllers.runtime import Runtime
@@ -25,8 +26,10 @@
 from camphorvalve.filters.observe import ObserveFilter
 from camphorvalve.filters.place import PlaceFilter
 from camphorvalve.filters.quarantine import QuarantineFilter
+from camphorvalve.filters.restarts import RestartFilter
+from camphorvalve.filters.resume import ResumeFilter
 from camphorvalve.filters.retry import RetryFilter
-from camphorvalve.filters.route import route
+from camphorvalve.filters.route import assign_pool, route
 from camphorvalve.filters.share import share
 from camphorvalve.http.connections import ConnectionTracker
 from camphorvalve.http.refusing import ConnectionGuard
@@ -49,9 +52,12 @@
 from camphorvalve.wiring.platforms import RouterView, close_stale_connections, follow_seeds
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from camphorvalve.controllers.runtime import Outgoing
     from camphorvalve.filters.chain import Handler
     from camphorvalve.http.refusing import RefusedRequest
-    from camphorvalve.model.requests import Request
+    from camphorvalve.model.requests import Exchange, Request
     from camphorvalve.settings.schema import JoinedRouterSettings
     from camphorvalve.sharing.directory import CallerPlace
     from camphorvalve.sharing.notices import Notice
@@ -107,12 +113,23 @@
         )
         link = create_joined_link(settings, self.incarnation)
         self._suspects = SuspectsFollower(self._roster.live_controller_ids)
+        sole_origins = SoleOrigins(self._manifest, self._list_follower.versions)
+        self._origins = OriginsFollower(
+            settings.host_id,
+            self._roster.controllers,
+            lambda pool, now_s: sole_origins.find(pool, now_s) is None,
+            self._rng,
+        )
+        self._resume_filter = ResumeFilter(
+            self._origins, self._pools, sole_origins.find, self._send, self._assign_pool
+        )
         controllers = (
             self._roster,
             self._config_follower,
             self._shares,
             self._list_follower,
             self._suspects,
+            self._origins,
         )
         self._runtime = Runtime(link, controllers)
         self._client = create_client(keepalive_s=settings.upstream_idle_s)
@@ -184,10 +201,14 @@
                 self._observe_filter,
                 route(self._manifest.table, self._rng),
                 self._deadline_filter,
+                self._resume_filter,
                 share(self._shares),
                 retry_filter,
                 QuarantineFilter(self._suspects, self._pools.upstream, self._runtime.send),
                 PlaceFilter(self._pools, self._intake.is_overloaded),
+                RestartFilter(
+                    self._pools, lambda upstream: self._platform.read_start(self._client, upstream)
+                ),
             ),
             forward(
                 self._pools,
@@ -200,6 +221,14 @@
             ),
         )
 
+    def _send(self, outgoing: Iterable[Outgoing]) -> None:
+        self._runtime.send(outgoing)
+
+    def _assign_pool(self, exchange: Exchange, pool: str) -> None:
+        table = self._manifest.table()
+        if table is not None:
+            assign_pool(exchange, table, pool)
+
     def _on_notice(self, upstream_id: str, notice: Notice) -> None:
         self._pools.record_notice(upstream_id, notice, time.monotonic())
 
@@ -287,6 +316,21 @@
             "parts of prompts that are refused because they crash upstreams",
             self._suspects.condemned_count,
         )
+        add_gauge(
+            "streams_taken_up_count",
+            "streams of earlier requests that could go on",
+            lambda: self._resume_filter.resumed_count,
+        )
+        add_gauge(
+            "streams_not_taken_up_count",
+            "streams of earlier requests that had to begin anew",
+            lambda: self._resume_filter.not_resumed_count,
+        )
+        add_gauge(
+            "stream_origins_count",
+            "streams whose software version is known here",
+            self._origins.streams_count,
+        )
         add_gauge("pressed", "whether callers are sent elsewhere (0 or 1)", self._is_pressed_level)
         reporter = self._level_reporter
         reporter.add_counter("connections_count", lambda: self._connections.opened_count)
--- a/tests/filters/test_share.py
+++ b/tests/filters/test_share.py
@@ -8,15 +8,17 @@
 
 import anyio
 
-from camphorvalve.filters.share import share
+from camphorvalve.filters.share import TAKE_UP_FLOOR_COUNT, TAKE_UP_RATIO, share
 from camphorvalve.model.answers import Body, Head
 from camphorvalve.model.errors import RequestError, Run
+from camphorvalve.model.requests import StreamOrigin
 from camphorvalve.model.teams import Limits, TeamParameters
 from tests.routebuilders import a_prompt, a_routed_exchange
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
 
+    from camphorvalve.filters.chain import Filter
     from camphorvalve.model.answers import Part
     from camphorvalve.model.requests import Exchange
 
@@ -29,7 +31,7 @@
     def __init__(self, *, within: bool, congested: bool) -> None:
         self.starved: list[tuple[str, float]] = []
         self.served: list[tuple[str, float]] = []
-        self._within = within
+        self.within = within
         self._congested = congested
 
     def detect_retry(self, kind: str, caller_timeout_s: float | None, now_s: float) -> bool:
@@ -38,7 +40,7 @@
     def within_share(
         self, team: str, tokens: float, now_s: float, *, is_retry: bool = False
     ) -> bool:
-        return self._within
+        return self.within
 
     def must_refuse_over_share(self, team: str, now_s: float) -> bool:
         return self._congested
@@ -58,6 +60,8 @@
         full: bool = False,
         prompt: bool = True,
         team: TeamParameters | None = TEAM,
+        origin: StreamOrigin | None = None,
+        filter_: Filter | None = None,
     ) -> int:
         """Run the filter; return the status."""
 
@@ -70,8 +74,8 @@
 
         async def run() -> int:
             fields = {"prompt": a_prompt("a", "own")} if prompt else {}
-            exchange = a_routed_exchange(team=team, **fields)
-            async with aclosing(share(shares)(exchange, inner)) as parts:
+            exchange = a_routed_exchange(team=team, origin=origin, **fields)
+            async with aclosing((filter_ or share(shares))(exchange, inner)) as parts:
                 received = [part async for part in parts]
             return received[0].status
 
@@ -106,6 +110,71 @@
                     self.run_share_filter(_Shares(within=within, congested=congested)), status
                 )
 
+    def test_streams_taken_up(self) -> None:
+        """Guards against a caller that loses the part of a stream that it has because its team is
+        over its share, and against a team that claims to take up all that it sends."""
+        filter_ = share(_Shares(within=False, congested=True))
+        statuses = [
+            self.run_share_filter(_Shares(within=False, congested=True), origin=o, filter_=filter_)
+            for o in [None, *[StreamOrigin("engines", "v1")] * (2 * TAKE_UP_FLOOR_COUNT)]
+        ]
+        self.assertEqual(statuses[0], 429)
+        self.assertEqual(statuses.count(200), TAKE_UP_FLOOR_COUNT)
+
+    def test_streams_taken_up_by_a_flooding_team(self) -> None:
+        """Guards against a team that gets a multiple of its share because the requests that it is
+        refused raise the number of streams that it may claim to take up."""
+        shares = _Shares(within=False, congested=True)
+        filter_ = share(shares)
+        for _ in range(20 * TAKE_UP_FLOOR_COUNT):
+            self.assertEqual(self.run_share_filter(shares, filter_=filter_), 429)
+        origin = StreamOrigin("engines", "v1")
+        statuses = [
+            self.run_share_filter(shares, origin=origin, filter_=filter_)
+            for _ in range(2 * TAKE_UP_FLOOR_COUNT)
+        ]
+        self.assertEqual(statuses.count(200), TAKE_UP_FLOOR_COUNT)
+
+    def test_streams_taken_up_by_a_served_team(self) -> None:
+        """Guards against a team with many streams that loses more of them than it may take up."""
+        shares = _Shares(within=True, congested=True)
+        filter_ = share(shares)
+        for _ in range(4 * TAKE_UP_FLOOR_COUNT):
+            self.assertEqual(self.run_share_filter(shares, filter_=filter_), 200)
+        shares.within = False
+        origin = StreamOrigin("engines", "v1")
+        statuses = [
+            self.run_share_filter(shares, origin=origin, filter_=filter_)
+            for _ in range(4 * TAKE_UP_FLOOR_COUNT)
+        ]
+        self.assertEqual(statuses.count(200), TAKE_UP_RATIO * 4 * TAKE_UP_FLOOR_COUNT)
+
+    def test_precedence_of_streams_taken_up(self) -> None:
+        """Guards against a team that precedes all others because it is within its share and claims
+        to take up all that it sends, and against new requests without precedence."""
+        filter_ = share(_Shares(within=True, congested=False))
+        origin = StreamOrigin("engines", "v1")
+        exchanges = [
+            a_routed_exchange(team=TEAM, prompt=a_prompt("a", "own"), origin=origin)
+            for _ in range(2 * TAKE_UP_FLOOR_COUNT)
+        ]
+        new = a_routed_exchange(team=TEAM, prompt=a_prompt("a", "own"))
+
+        async def inner(exchange: Exchange) -> AsyncIterator[Part]:
+            yield Head(200, ())
+
+        async def run() -> None:
+            for exchange in [*exchanges, new]:
+                async with aclosing(filter_(exchange, inner)) as parts:
+                    self.assertEqual([part async for part in parts], [Head(200, ())])
+
+        anyio.run(run)
+        self.assertEqual(
+            [exchange.within_take_ups for exchange in exchanges],
+            [True] * TAKE_UP_FLOOR_COUNT + [False] * TAKE_UP_FLOOR_COUNT,
+        )
+        self.assertTrue(new.within_take_ups)
+
     def test_plain_calls(self) -> None:
         """Guards against applying the shares of engines to calls of plain services."""
         shares = _Shares(within=False, congested=True)
