--- a/tools/standins/versioned.py
+++ b/tools/standins/versioned.py
@@ -3,8 +3,8 @@
 
 Each event of a stream names the stream, the version and the run that wrote it, so that a text that
 two versions wrote shows. The workers don't compare the versions: they continue any stream from the
-event that ``Last-Event-Id`` names. The faults of a run follow from the seed, the id of its request
-and how often that request has arrived.
+event that ``Last-Event-Id`` names. The faults of a run follow from the seed, the start of its
+worker, the id of its request and how often that request has arrived.
 """
 
 from __future__ import annotations
@@ -284,6 +284,7 @@
         self.version = version
         self.server: asyncio.Server
         self.slots_count = 1
+        self.start_number = len(record.services)
         self.born_ms = int(time.time() * 1000)
         self._seed = seed
         self._shares = shares
@@ -374,7 +375,7 @@
         request_id = request.request_id
         arrival = self._arrivals[request_id]
         self._arrivals[request_id] += 1
-        draw = random.Random(f"{self._seed} {self.worker_id} {self.born_ms} {request_id} {arrival}")
+        draw = random.Random(f"{self._seed} {self.start_number} {request_id} {arrival}")
         first_number = int(request.headers.get("last-event-id", 0)) + 1
         run = VersionedRun(
             request_id,
