--- a/tests/processes/resumingcallers.py
+++ b/tests/processes/resumingcallers.py
@@ -165,8 +165,8 @@
             draw.choice(self._habits.kinds),
             stream.encode(),
             DEADLINE_MS,
-            stream,
-            draw.choice(self._habits.keys),
+            name=stream,
+            key=draw.choice(self._habits.keys),
         )
         router = draw.choice(self._routers)
         tries: list[Try] = []
@@ -265,7 +265,7 @@
         is_whole, is_dropped, cause = False, False, ""
         try:
             async with asyncio.timeout(call.deadline_ms / 1000) as gap:
-                writer.write(call.encode())
+                writer.writelines(call.encode())
                 received = decode_head(received, await reader.readuntil(b"\r\n\r\n"))
                 async for piece in body_pieces(reader, received.headers):
                     content += piece
--- a/tests/standins/test_versioned.py
+++ b/tests/standins/test_versioned.py
@@ -5,6 +5,7 @@
 import asyncio
 import json
 import unittest
+from typing import TYPE_CHECKING
 
 from tools.standins.serving import serve_app
 from tools.standins.versioned import (
@@ -19,6 +20,9 @@
 from tests.processes.keptcallers import body_pieces
 from tests.responsebuilders import a_call
 
+if TYPE_CHECKING:
+    from tests.processes.keptcallers import SentCall
+
 SEED = 7
 WAIT_S = 5.0
 LAG_S = 0.3
@@ -26,13 +30,13 @@
 NO_FAULTS = VersionShares()
 
 
-async def exchange(port: int, content: bytes) -> tuple[str, bytes]:
+async def exchange(port: int, call: SentCall) -> tuple[str, bytes]:
     """Send a request; return the status line, and the body as far as it arrived."""
     reader, writer = await asyncio.open_connection("127.0.0.1", port)
     head, body = "", bytearray()
     try:
         async with asyncio.timeout(WAIT_S):
-            writer.write(content)
+            writer.writelines(call.encode())
             head = (await reader.readuntil(b"\r\n\r\n")).decode()
             is_chunked = "chunked" in head
             headers = {"transfer-encoding": "chunked"} if is_chunked else {"content-length": "0"}
@@ -69,7 +73,7 @@
     async def test_stream(self) -> None:
         workers = self.workers()
         port = await workers.start("i-1", "v1.1")
-        status, body = await exchange(port, CALL.encode())
+        status, body = await exchange(port, CALL)
         (run,) = workers.record.runs[CALL.request_id]
         self.assertEqual(status, "HTTP/1.1 200 OK")
         self.assertEqual(body, events("v1.1", run.run_id, 1))
@@ -79,14 +83,14 @@
         workers = self.workers()
         port = await workers.start("i-2", "v1.2")
         position = (("Last-Event-Id", "25"),)
-        _, body = await exchange(port, CALL._replace(headers=position).encode())
+        _, body = await exchange(port, CALL._replace(headers=position))
         (run,) = workers.record.runs[CALL.request_id]
         self.assertEqual((run.first_number, body), (26, events("v1.2", run.run_id, 26)))
 
     async def test_reset(self) -> None:
         workers = self.workers(VersionShares(reset=1.0))
         port = await workers.start("i-1", "v1.1")
-        _, body = await exchange(port, CALL.encode())
+        _, body = await exchange(port, CALL)
         (run,) = workers.record.runs[CALL.request_id]
         assert isinstance(run.fault, MidEventReset)
         whole = events("v1.1", run.run_id, 1, run.fault.number - 1)
@@ -98,7 +102,7 @@
     async def test_silence(self) -> None:
         workers = self.workers(VersionShares(silent=1.0))
         port = await workers.start("i-1", "v1.1")
-        _, body = await exchange(port, CALL.encode())
+        _, body = await exchange(port, CALL)
         (run,) = workers.record.runs[CALL.request_id]
         self.assertIsInstance(run.fault, Silence)
         self.assertEqual(body, events("v1.1", run.run_id, 1))
@@ -108,13 +112,13 @@
         workers = self.workers(slots=1)
         port = await workers.start("i-1", "v1.1")
         async with asyncio.TaskGroup() as tasks:
-            running = tasks.create_task(exchange(port, CALL.encode()))
+            running = tasks.create_task(exchange(port, CALL))
             await asyncio.sleep(0.1)
-            refused, _ = await exchange(port, CALL._replace(request_id="id-2").encode())
+            refused, _ = await exchange(port, CALL._replace(request_id="id-2"))
         self.assertEqual(running.result()[0], "HTTP/1.1 200 OK")
         self.assertEqual(refused, "HTTP/1.1 503 Full")
         expected = (("Target-Instance", "i-2"),)
-        misdirected, _ = await exchange(port, CALL._replace(headers=expected).encode())
+        misdirected, _ = await exchange(port, CALL._replace(headers=expected))
         self.assertEqual(misdirected, "HTTP/1.1 421 Misdirected")
         self.assertEqual(list(workers.record.runs), [CALL.request_id])
 
