--- a/tests/processes/keptcallers.py
+++ b/tests/processes/keptcallers.py
@@ -82,10 +82,15 @@
     sending: Sending = AtOnce()
     shared_part: int | None = None
     """Number of the prompt's part that other requests have, ``None`` without a prompt."""
+    name: str = ""
+    """Last part of the path; the id if it is empty."""
+    key: str = "key-1"
+    headers: tuple[tuple[str, str], ...] = ()
+    """Headers besides those of each request."""
 
     @property
     def target(self) -> str:
-        return f"/{self.kind}/{self.request_id}?part=2"
+        return f"/{self.kind}/{self.name or self.request_id}?part=2"
 
     def encode(self) -> tuple[bytes, ...]:
         """:return: the request in the pieces that are sent one after another"""
@@ -94,7 +99,8 @@
             "Host: desk.example",
             f"Attempt-Id: {self.request_id}",
             f"Deadline-Ms: {self.deadline_ms}",
-            "Credential: key-1",
+            f"Credential: {self.key}",
+            *(f"{name}: {value}" for name, value in self.headers),
         ]
         if self.shared_part is not None:
             part, own_part = (
@@ -286,8 +292,8 @@
     try:
         async with asyncio.timeout(GIVE_UP_S):
             head = await reader.readuntil(b"\r\n\r\n")
-            received = _decode_head(received, head)
-            async for piece in _body_pieces(reader, received.headers):
+            received = decode_head(received, head)
+            async for piece in body_pieces(reader, received.headers):
                 content += piece
         is_whole = True
     except TimeoutError:
@@ -303,7 +309,15 @@
     )
 
 
-def _decode_head(received: Received, head: bytes) -> Received:
+def decode_head(received: Received, head: bytes) -> Received:
+    """
+    Add the status and the headers of a response to what a caller received.
+
+    :param received: the request, and where it was sent
+    :param head: the head with the empty line that ends it
+    :return: both
+    :raises ValueError: the head is none of the protocol
+    """
     status_line, *lines = head.decode("latin-1").split("\r\n")
     version, status, _ = f"{status_line} ".split(" ", 2)
     if version != "HTTP/1.1":
@@ -318,9 +332,18 @@
     return received._replace(status=int(status), headers=headers)
 
 
-async def _body_pieces(
+async def body_pieces(
     reader: asyncio.StreamReader, headers: dict[str, str]
 ) -> AsyncIterator[bytes]:
+    """
+    Read the body of a response.
+
+    :param reader: the connection
+    :param headers: headers of the response
+    :return: pieces of the body, as they arrive
+    :raises EOFError: the connection ended inside the body
+    :raises ValueError: the framing is broken
+    """
     if headers.get("transfer-encoding") == "chunked":
         while size := int((await reader.readuntil(b"\r\n")).split(b";")[0], 16):
             left = size
@@ -404,5 +427,7 @@
     "KeptConnection",
     "Received",
     "SentCall",
+    "body_pieces",
+    "decode_head",
     "run_callers",
 ]
