Call a stream that its caller goes on with a resumed one

The code, the log events, the metrics and the pages called it 'taken up', the platform's words; the usual term is resumption. The budgets for each team get a comment, the conclusion from the list the name sole_origin.

--- a/src/camphorvalve/controllers/origins.py
+++ b/src/camphorvalve/controllers/origins.py
@@ -52,7 +52,7 @@
 
     def find(self, pool: str, now_s: float) -> StreamOrigin | None:
         """
-        Find the only origin of the streams of a pool that callers may still take up.
+        Find the only origin of the streams of a pool that callers may still resume.
 
         :param pool: name of the pool
         :param now_s: monotonic time
@@ -167,7 +167,7 @@
 
         :param key: from ``stream_key``
         :param origin: where it began
-        :param until_s: monotonic time until which it may be taken up
+        :param until_s: monotonic time until which it may be resumed
         :param now_s: monotonic time
         :param is_split: whether streams of its route begin at several pools
         :return: reports, if another router could not tell where it began
@@ -282,7 +282,7 @@
         """When each router has reported last."""
 
     def streams_count(self) -> int:
-        """:return: number of streams that may be taken up"""
+        """:return: number of streams that may be resumed"""
         return len(self._record)
 
     def handle(self, sender: Sender, message: Any, now_s: float) -> Iterator[Outgoing]:
@@ -314,7 +314,7 @@
 
     def tick(self, now_s: float) -> Iterator[Outgoing]:
         """
-        Forget streams that can't be taken up any more.
+        Forget streams that can't be resumed any more.
 
         :param now_s: monotonic time
         :return: nothing
--- a/src/camphorvalve/controllers/pools.py
+++ b/src/camphorvalve/controllers/pools.py
@@ -518,7 +518,7 @@
                 self._load(upstream_id).requests_count < MAX_SERVICE_REQUESTS_COUNT
             )
         usable_slots = max(MIN_SLOTS_COUNT, self._engine_part() * definition.engine.slots_count)
-        if exchange.origin is not None and exchange.within_take_ups:
+        if exchange.origin is not None and exchange.within_resumptions:
             # Only some upstreams can go on with a stream, and its caller has a part of it.
             return lambda upstream_id: self._load(upstream_id).requests_count + 1 <= usable_slots
         ratio = _usable_limit_ratio(exchange)
--- a/src/camphorvalve/filters/place.py
+++ b/src/camphorvalve/filters/place.py
@@ -138,7 +138,7 @@
     async def _wait_for_placement(self, exchange: Exchange) -> Placement:
         """Wait briefly for a placement; reject the request if it has to wait longer."""
         until_s = exchange.received_s + WAIT_RATIO * exchange.parameters.objective_s
-        goes_on = exchange.origin is not None and exchange.within_take_ups
+        goes_on = exchange.origin is not None and exchange.within_resumptions
         if exchange.may_have_run or goes_on:
             # Its caller loses an attempt, or the part of a stream that it has.
             until_s = time.monotonic() + exchange.parameters.objective_s
--- a/src/camphorvalve/filters/resume.py
+++ b/src/camphorvalve/filters/resume.py
@@ -12,9 +12,9 @@
 
 from camphorvalve.model.answers import Body
 from camphorvalve.model.errors import RequestError
-from camphorvalve.model.requests import RoutedCall, StreamOrigin, TakeUp
+from camphorvalve.model.requests import Resumption, RoutedCall, StreamOrigin
 from camphorvalve.sharing.budget import RetryBudget
-from camphorvalve.sharing.origins import TAKE_UP_S, stream_key
+from camphorvalve.sharing.origins import RESUMPTION_S, stream_key
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Callable, Iterable
@@ -61,13 +61,13 @@
 
 
 class ResumeFilter:
-    """Finds where a stream began that a caller takes up, and records where each stream begins."""
+    """Finds where a stream began that a caller resumes, and records where each stream begins."""
 
     def __init__(
         self,
         origins: OriginsFollower,
         pools: Pools,
-        alone: Callable[[str, float], StreamOrigin | None],
+        sole_origin: Callable[[str, float], StreamOrigin | None],
         send: Callable[[Iterable[Outgoing]], None],
         assign_pool: Callable[[Exchange, str], None],
     ) -> None:
@@ -76,15 +76,16 @@
 
         :param origins: where streams began
         :param pools: tells which versions serve
-        :param alone: returns the only origin that streams of a pool may have, at a time
+        :param sole_origin: returns the only origin that streams of a pool may have, at a time
         :param send: sends messages to the controllers
         :param assign_pool: changes the pool of a request
         """
         self._origins = origins
         self._pools = pools
-        self._alone = alone
+        self._sole_origin = sole_origin
         self._send = send
         self._assign_pool = assign_pool
+        # Counted for each team.
         self._questions = RetryBudget(ratio=0.0, floor_count=lambda: QUESTIONS_COUNT)
         self.resumed_count = 0
         """Streams that went on."""
@@ -93,54 +94,54 @@
 
     async def __call__(self, exchange: Exchange, inner: Handler) -> AsyncIterator[Part]:
         """
-        Run a request; one that takes up a stream runs only where that began.
+        Run a request; one that resumes a stream runs only where that began.
 
         :param exchange: the request, with its route
         :param inner: the rest of the chain
         :return: parts of the response
         :raises RequestError: ``not_resumed``, if the stream has to begin anew
         """
-        take_up = _take_up(exchange)
-        if take_up is not None:
-            await self._bind(exchange, take_up)
+        resumption = _resumption(exchange)
+        if resumption is not None:
+            await self._bind(exchange, resumption)
         recorded = not exchange.streams
         async with aclosing(inner(exchange)) as parts:
             async for part in parts:
                 if not recorded and isinstance(part, Body):
                     recorded = True
-                    self._record(exchange, take_up)
+                    self._record(exchange, resumption)
                 yield part
 
-    async def _bind(self, exchange: Exchange, take_up: TakeUp) -> None:
-        """Bind a request to the origin of the stream that it takes up, or refuse it."""
-        match await self._find(exchange, take_up):
+    async def _bind(self, exchange: Exchange, resumption: Resumption) -> None:
+        """Bind a request to the origin of the stream that it resumes, or refuse it."""
+        match await self._find(exchange, resumption):
             case Known(origin, source):
                 pools = {destination.pool for destination in exchange.route.destinations}
                 if origin.pool not in pools:
-                    raise self._refusal(exchange, take_up, f"its route left {origin.pool!r}")
+                    raise self._refusal(exchange, resumption, f"its route left {origin.pool!r}")
                 if not self._pools.has_version(origin):
                     message = f"no upstream of {_described(origin)} is left"
-                    raise self._refusal(exchange, take_up, message)
+                    raise self._refusal(exchange, resumption, message)
             case Unknown(reason):
-                raise self._refusal(exchange, take_up, reason)
+                raise self._refusal(exchange, resumption, reason)
         if origin.pool != exchange.parameters.pool:
             self._assign_pool(exchange, origin.pool)
         exchange.origin = origin
         self.resumed_count += 1
         exchange.note(time.monotonic(), f"the stream began at {_described(origin)}: {source}")
         _log.info(
-            "stream taken up",
+            "stream resumed",
             request_id=exchange.request.request_id,
-            first_request_id=take_up.first_request_id,
-            events_count=take_up.events_count,
+            first_request_id=resumption.first_request_id,
+            events_count=resumption.events_count,
             pool=origin.pool,
             software=origin.software,
             source=source,
         )
 
-    async def _find(self, exchange: Exchange, take_up: TakeUp) -> Finding:
-        if take_up.first_request_id is not None:
-            key = stream_key(exchange, take_up.first_request_id)
+    async def _find(self, exchange: Exchange, resumption: Resumption) -> Finding:
+        if resumption.first_request_id is not None:
+            key = stream_key(exchange, resumption.first_request_id)
             kept = self._origins.find(key, time.monotonic())
             if kept is not None:
                 if kept.origin is None:
@@ -148,7 +149,7 @@
                 return Known(kept.origin, "router")
             team = "" if exchange.team is None else exchange.team.name
             if not self._questions.allow(team, time.monotonic()):
-                return Unknown("its team takes up too many streams")
+                return Unknown("its team resumes too many streams")
             question = await self._ask(key)
             if question.origin is not None:
                 return Known(question.origin, "controllers")
@@ -179,19 +180,19 @@
         if len(exchange.route.destinations) > 1:
             return Unknown("its route leads to several pools")
         pool = exchange.parameters.pool
-        origin = self._alone(pool, time.monotonic())
+        origin = self._sole_origin(pool, time.monotonic())
         if origin is None:
             return Unknown(f"pool {pool!r} had several versions lately")
         return Known(origin, "list")
 
-    def _record(self, exchange: Exchange, take_up: TakeUp | None) -> None:
+    def _record(self, exchange: Exchange, resumption: Resumption | None) -> None:
         if exchange.origin is None:
             return
         request_ids = [exchange.request.request_id]
-        if take_up is not None and take_up.first_request_id is not None:
-            request_ids.append(take_up.first_request_id)
+        if resumption is not None and resumption.first_request_id is not None:
+            request_ids.append(resumption.first_request_id)
         now_s = time.monotonic()
-        until_s = max(now_s, exchange.deadline_s or now_s) + TAKE_UP_S
+        until_s = max(now_s, exchange.deadline_s or now_s) + RESUMPTION_S
         is_split = exchange.route is not None and len(exchange.route.destinations) > 1
         for request_id in request_ids:
             key = stream_key(exchange, request_id)
@@ -199,24 +200,24 @@
                 self._origins.record(key, exchange.origin, until_s, now_s, is_split=is_split)
             )
 
-    def _refusal(self, exchange: Exchange, take_up: TakeUp, reason: str) -> RequestError:
+    def _refusal(self, exchange: Exchange, resumption: Resumption, reason: str) -> RequestError:
         self.not_resumed_count += 1
         message = f"the stream can't go on and has to begin anew: {reason}"
         exchange.note(time.monotonic(), message)
         _log.info(
-            "stream not taken up",
+            "stream not resumed",
             request_id=exchange.request.request_id,
-            first_request_id=take_up.first_request_id,
-            events_count=take_up.events_count,
+            first_request_id=resumption.first_request_id,
+            events_count=resumption.events_count,
             reason=reason,
         )
         return RequestError("not_resumed", message, retry_after_s=BEGIN_ANEW_S)
 
 
-def _take_up(exchange: Exchange) -> TakeUp | None:
+def _resumption(exchange: Exchange) -> Resumption | None:
     match exchange.request.call:
-        case RoutedCall(take_up=TakeUp() as take_up) if exchange.streams:
-            return take_up
+        case RoutedCall(resumption=Resumption() as resumption) if exchange.streams:
+            return resumption
         case _:
             return None
 
--- a/src/camphorvalve/filters/share.py
+++ b/src/camphorvalve/filters/share.py
@@ -23,11 +23,11 @@
 
 RETRY_AFTER_S = 2.0
 """Half of the window over which the platform measures shares."""
-TAKE_UP_RATIO = 0.5
-"""Streams that a team may take up beyond its share, as a part of its requests that were served: any
-request can claim to take up a stream."""
-TAKE_UP_FLOOR_COUNT = 20
-"""Streams that a team may always take up in the window of the budget."""
+RESUMPTION_RATIO = 0.5
+"""Streams that a team may resume beyond its share, as a part of its requests that were served: any
+request can claim to resume a stream."""
+RESUMPTION_FLOOR_COUNT = 20
+"""Streams that a team may always resume in the window of the budget."""
 
 _log = structlog.get_logger(__name__)
 
@@ -39,7 +39,8 @@
     :param shares: measures and enforces the shares
     :return: the filter
     """
-    take_ups = RetryBudget(ratio=TAKE_UP_RATIO, floor_count=lambda: TAKE_UP_FLOOR_COUNT)
+    # Counted for each team.
+    resumptions = RetryBudget(ratio=RESUMPTION_RATIO, floor_count=lambda: RESUMPTION_FLOOR_COUNT)
 
     async def filter_(exchange: Exchange, inner: Handler) -> AsyncIterator[Part]:
         tokens = cost_tokens(exchange.request.call)
@@ -49,13 +50,13 @@
         if tokens and exchange.team is not None:
             now_s = time.monotonic()
             team = exchange.team.name
-            is_take_up = not begins_anew and take_ups.allow(team, now_s)
-            exchange.within_take_ups = begins_anew or is_take_up
-            is_retry = not is_take_up and shares.detect_retry(
+            is_resumption = not begins_anew and resumptions.allow(team, now_s)
+            exchange.within_resumptions = begins_anew or is_resumption
+            is_retry = not is_resumption and shares.detect_retry(
                 exchange.route.name, exchange.request.call.caller_timeout_s, now_s
             )
             exchange.within_share = (
-                shares.within_share(team, tokens, now_s, is_retry=is_retry) or is_take_up
+                shares.within_share(team, tokens, now_s, is_retry=is_retry) or is_resumption
             )
             if not exchange.within_share and shares.must_refuse_over_share(
                 exchange.team.name, now_s
@@ -69,7 +70,7 @@
                         now_s = time.monotonic()
                         shares.record_served(exchange.team.name, tokens, now_s)
                         if begins_anew:
-                            take_ups.record_first_attempt(exchange.team.name, now_s)
+                            resumptions.record_first_attempt(exchange.team.name, now_s)
                     yield part
         except RequestError as error:
             is_starved = error.code == "overloaded" and exchange.within_share
--- a/src/camphorvalve/model/requests.py
+++ b/src/camphorvalve/model/requests.py
@@ -48,7 +48,7 @@
     """Maximum number of tokens in the response."""
 
 
-class TakeUp(NamedTuple):
+class Resumption(NamedTuple):
     """A stream that broke off at its caller, who has its first events."""
 
     first_request_id: str | None
@@ -70,7 +70,7 @@
     caller_timeout_s: float | None
     """Time that the caller allows for the complete response, if it sent one."""
     prompt: Prompt | None
-    take_up: TakeUp | None = None
+    resumption: Resumption | None = None
     """The stream that this call goes on with, if the caller has a part of it."""
 
 
@@ -198,8 +198,8 @@
     """Number of priority ranks at the same pool that are more urgent."""
     within_share: bool = True
     """Whether it is within its team's share; others may use only a part of an engine's limit."""
-    within_take_ups: bool = True
-    """Whether its team has taken up few enough streams for this one to precede new requests."""
+    within_resumptions: bool = True
+    """Whether its team has resumed few enough streams for this one to precede new requests."""
     deadline_s: float | None = None
     """Monotonic time by which the response has to be complete."""
     prefix: str | None = None
@@ -306,7 +306,7 @@
     "ServiceCall",
     "Stage",
     "StreamOrigin",
-    "TakeUp",
+    "Resumption",
     "request_key",
     "shared_part_ids",
 ]
--- a/src/camphorvalve/sharing/origins.py
+++ b/src/camphorvalve/sharing/origins.py
@@ -14,8 +14,8 @@
 
 MAX_STREAMS_COUNT = 100_000
 """Most streams that are kept; the oldest yield."""
-TAKE_UP_S = 5.0
-"""Time after the deadline of a stream for which it may be taken up."""
+RESUMPTION_S = 5.0
+"""Time after the deadline of a stream for which it may be resumed."""
 MAX_KEPT_S = 300.0
 """Longest time for which a stream is kept: callers choose their deadlines."""
 LIST_LAG_S = 3.0
@@ -23,7 +23,7 @@
 
 
 class KeptOrigin(NamedTuple):
-    """Where a stream began, while it may be taken up."""
+    """Where a stream began, while it may be resumed."""
 
     origin: StreamOrigin | None
     """``None`` if two streams with different origins have the same key."""
@@ -48,7 +48,7 @@
 
         :param key: from ``stream_key``
         :param origin: where it began
-        :param until_s: monotonic time until which it may be taken up
+        :param until_s: monotonic time until which it may be resumed
         :param now_s: monotonic time
         """
         until_s = min(until_s, now_s + MAX_KEPT_S)
@@ -73,7 +73,7 @@
 
     def all(self, now_s: float) -> Iterator[tuple[int, KeptOrigin]]:
         """
-        List the streams that may still be taken up.
+        List the streams that may still be resumed.
 
         :param now_s: monotonic time
         :return: the key and the origin of each
@@ -82,7 +82,7 @@
 
     def expire(self, now_s: float) -> None:
         """
-        Forget streams that can't be taken up any more.
+        Forget streams that can't be resumed any more.
 
         :param now_s: monotonic time
         """
@@ -102,13 +102,13 @@
 
 def longest_doubt_s(table: RouteTable, pool: str) -> float:
     """
-    Return how long ago a stream may have begun that a caller takes up now.
+    Return how long ago a stream may have begun that a caller resumes now.
 
     :param table: the current routes
     :param pool: the pool at which it began
     :return: the time in seconds, and the time by which the list lags
     """
-    return table.longest_stream_s(pool) + TAKE_UP_S + LIST_LAG_S
+    return table.longest_stream_s(pool) + RESUMPTION_S + LIST_LAG_S
 
 
 def stream_key(exchange: Exchange, request_id: str) -> int:
@@ -125,4 +125,11 @@
     return xxhash.xxh3_64_intdigest("\n".join((caller, *place, request_id)).encode())
 
 
-__all__ = ["MAX_KEPT_S", "TAKE_UP_S", "KeptOrigin", "OriginRecord", "longest_doubt_s", "stream_key"]
+__all__ = [
+    "MAX_KEPT_S",
+    "RESUMPTION_S",
+    "KeptOrigin",
+    "OriginRecord",
+    "longest_doubt_s",
+    "stream_key",
+]
--- a/src/camphorvalve/upstreams/routed.py
+++ b/src/camphorvalve/upstreams/routed.py
@@ -343,6 +343,7 @@
 def _silence_timeout(exchange: Exchange, silence_s: float) -> float:
     if not exchange.parameters.idempotent:
         return _left_s(exchange)
+    # A standby that takes over is given another function.
     return SilenceTimeout(silence_s, exchange.deadline_s, lambda: exchange.gives_up())
 
 
--- a/src/camphorvalve/wire/messages.py
+++ b/src/camphorvalve/wire/messages.py
@@ -291,7 +291,7 @@
     software: str | None
     """``None`` if unknown."""
     streams: tuple[tuple[int, int], ...]
-    """Key of each stream, and the time in milliseconds for which it may be taken up."""
+    """Key of each stream, and the time in milliseconds for which it may be resumed."""
 
 
 class OriginReport(NamedTuple):
@@ -307,7 +307,7 @@
 
 
 class OriginQuery(NamedTuple):
-    """Asks a controller where a stream began that a caller takes up."""
+    """Asks a controller where a stream began that a caller resumes."""
 
     query_id: int
     key: int
--- a/src/camphorvalve/wiring/joinedrouter.py
+++ b/src/camphorvalve/wiring/joinedrouter.py
@@ -320,12 +320,12 @@
             self._suspects.condemned_count,
         )
         add_gauge(
-            "streams_taken_up_count",
+            "streams_resumed_count",
             "streams of earlier requests that could go on",
             lambda: self._resume_filter.resumed_count,
         )
         add_gauge(
-            "streams_not_taken_up_count",
+            "streams_not_resumed_count",
             "streams of earlier requests that had to begin anew",
             lambda: self._resume_filter.not_resumed_count,
         )
--- a/tests/controllers/test_pools.py
+++ b/tests/controllers/test_pools.py
@@ -147,16 +147,16 @@
         self.pools.apply(some_versions(*("v1", "v2") * 4), 0.0)
         prompt = a_prompt("a", "own", tokens_count=13_000)
         self.assertGreater(self.fill(prompt=prompt), 0)
-        taken_up = self.fill(prompt=prompt, origin=StreamOrigin("engines", "v2"))
-        self.assertGreater(taken_up, 4)
+        resumed = self.fill(prompt=prompt, origin=StreamOrigin("engines", "v2"))
+        self.assertGreater(resumed, 4)
 
-    def test_claims_to_take_up_streams(self) -> None:
-        """Guards against a team that takes the room of more urgent requests with claims to take up
+    def test_claims_to_resumption_streams(self) -> None:
+        """Guards against a team that takes the room of more urgent requests with claims to resume
         streams."""
         self.pools.apply(some_versions("v1"), 0.0)
         self.engine_part = 1.0
         prompt = a_prompt("a", "own", tokens_count=13_000)
-        claim = {"origin": StreamOrigin("engines", "v1"), "within_take_ups": False}
+        claim = {"origin": StreamOrigin("engines", "v1"), "within_resumptions": False}
         self.assertGreater(self.fill(prompt=prompt, more_urgent_ranks_count=1, **claim), 0)
         self.assertGreater(self.fill(prompt=prompt), 0)
 
--- a/tests/filters/test_resume.py
+++ b/tests/filters/test_resume.py
@@ -25,7 +25,7 @@
 from camphorvalve.filters.retry import RetryFilter
 from camphorvalve.model.answers import Body, Head
 from camphorvalve.model.errors import RequestError, Run
-from camphorvalve.model.requests import StreamOrigin, TakeUp
+from camphorvalve.model.requests import Resumption, StreamOrigin
 from camphorvalve.model.routes import Destination
 from camphorvalve.sharing.budget import RetryBudget
 from camphorvalve.sharing.routing import RouteTable
@@ -117,12 +117,12 @@
     async def run(
         self,
         request_id: str = "id-1",
-        take_up: TakeUp | None = None,
+        resumption: Resumption | None = None,
         route: Route = STREAM,
     ) -> bytes:
         # The first of several idle upstreams is chosen.
         self.pools.apply(self.rng.sample(self.listed, len(self.listed)), 0.0)
-        exchange = a_routed_exchange(route, request_id=request_id, take_up=take_up, attempt=0)
+        exchange = a_routed_exchange(route, request_id=request_id, resumption=resumption, attempt=0)
         async with aclosing(self.handler()(exchange)) as parts:
             return b"".join([part.content async for part in parts if isinstance(part, Body)])
 
@@ -168,12 +168,12 @@
     def router(self, *software: str, keepers: Iterable[OriginsKeeper] = ()) -> _Router:
         return _Router(self.rng, *software, keepers=keepers)
 
-    async def refusal(self, router: _Router, take_up: TakeUp, route: Route = STREAM) -> str:
+    async def refusal(self, router: _Router, resumption: Resumption, route: Route = STREAM) -> str:
         """Run a request that has to be refused at once, and has not run; returns the reason."""
         ran = list(router.ran)
         started_s = anyio.current_time()
         with self.assertRaises(RequestError) as caught:
-            await router.run("id-2", take_up, route)
+            await router.run("id-2", resumption, route)
         error = caught.exception
         self.assertEqual((error.code, error.run, error.status), ("not_resumed", Run.NO, 503))
         self.assertLess(error.retry_after_s, 0.5)
@@ -208,7 +208,7 @@
 
     async def test_standby(self) -> None:
         """Guards against an attempt beside a silent one that goes on at another version, and
-        against a take-up of its stream at the version of the silent one."""
+        against a resumption of its stream at the version of the silent one."""
         cases = [(events_count, late) for events_count in (0, 3) for late in (True, False)]
         for events_count, late in cases:
             for _ in range(8):
@@ -219,7 +219,7 @@
                 self.assertEqual(len(router.ran), 2)
                 self.assertEqual(len(set(answer.split())), 1, answer)
                 self.assertEqual(
-                    await router.run("id-2", TakeUp("id-1", 3)), answer.split()[0] + b" "
+                    await router.run("id-2", Resumption("id-1", 3)), answer.split()[0] + b" "
                 )
 
     async def test_silent_attempts(self) -> None:
@@ -250,51 +250,51 @@
         self.assertGreater(len(whole), len(answers) // 2)
         self.assertGreater(router.standbys_count, 20)
 
-    async def test_take_up(self) -> None:
-        """Guards against a take-up, or one of a take-up, that goes on at another version."""
+    async def test_resumption(self) -> None:
+        """Guards against a resumption, or one of a resumption, that goes on at another version."""
         for number in range(20):
             router = self.router("v1", "v1", "v2", "v2", "v3", "v3")
             answers = {await router.run("id-1")}
             for count in range(3):
                 named = "id-1" if number % 2 else f"id-{count + 1}"
-                answers.add(await router.run(f"id-{count + 2}", TakeUp(named, 3)))
+                answers.add(await router.run(f"id-{count + 2}", Resumption(named, 3)))
             self.assertEqual(len(answers), 1, answers)
 
-    async def test_take_up_at_another_router(self) -> None:
+    async def test_resumption_at_another_router(self) -> None:
         """Guards against a join after all routers have lost power."""
         for _ in range(10):
             keepers = [OriginsKeeper() for _ in range(5)]
             begun = await self.router("v1", "v1", "v2", "v2", keepers=keepers).run("id-1")
             started = self.router("v1", "v1", "v2", "v2", keepers=keepers)
-            self.assertEqual(await started.run("id-2", TakeUp("id-1", 3)), begun)
+            self.assertEqual(await started.run("id-2", Resumption("id-1", 3)), begun)
 
     async def test_unknown_stream(self) -> None:
         """Guards against a guess: where two versions serve, the stream has to begin anew."""
         router = self.router("v1", "v2", keepers=[OriginsKeeper() for _ in range(5)])
-        await self.refusal(router, TakeUp("id-unknown", 3))
-        await self.refusal(router, TakeUp(None, 3))
+        await self.refusal(router, Resumption("id-unknown", 3))
+        await self.refusal(router, Resumption(None, 3))
 
     async def test_other_route(self) -> None:
-        """Guards against a take-up that names a stream of another route."""
+        """Guards against a resumption that names a stream of another route."""
         router = self.router("v1", "v2", keepers=[OriginsKeeper()])
         await router.run("id-1")
         other = STREAM._replace(path_prefix="/replies/")
-        await self.refusal(router, TakeUp("id-1", 3), other)
+        await self.refusal(router, Resumption("id-1", 3), other)
 
     async def test_not_resumable(self) -> None:
         """Guards against a join on routes whose streams are not resumable by the system."""
         router = self.router("v1", "v2", keepers=[OriginsKeeper()])
         once = STREAM._replace(resumable=False)
         begun = await router.run("id-1", route=once)
-        self.assertEqual(await router.run("id-2", TakeUp("id-1", 3), once), begun)
-        await self.refusal(router, TakeUp("id-unknown", 3), once)
+        self.assertEqual(await router.run("id-2", Resumption("id-1", 3), once), begun)
+        await self.refusal(router, Resumption("id-unknown", 3), once)
 
     async def test_version_gone(self) -> None:
         """Guards against a wait for upstreams of a version that has left."""
         router = self.router("v1", "v1")
         await router.run("id-1")
         router.listed = some_versions("v2", "v2")
-        reason = await self.refusal(router, TakeUp("id-1", 3))
+        reason = await self.refusal(router, Resumption("id-1", 3))
         self.assertIn("'v1'", reason)
 
     async def test_silent_controllers(self) -> None:
@@ -302,10 +302,10 @@
         a list that may lag while no controller answers."""
         router = self.router("v1", "v1")
         router.only_version = "v1"
-        await self.refusal(router, TakeUp("id-1", 3))
+        await self.refusal(router, Resumption("id-1", 3))
         router.keepers = {"c-1": OriginsKeeper()}
         router.reaches_controllers = False
-        await self.refusal(router, TakeUp("id-1", 3))
+        await self.refusal(router, Resumption("id-1", 3))
 
     async def test_lost_queries(self) -> None:
         """Guards against streams that are refused because the connections to the controllers were
@@ -321,14 +321,14 @@
                 router.reaches_controllers = True
 
             tasks.start_soon(reconnect)
-            self.assertEqual(await router.run("id-2", TakeUp("id-1", 3)), begun)
+            self.assertEqual(await router.run("id-2", Resumption("id-1", 3)), begun)
 
     async def test_one_version(self) -> None:
         """Guards against refused streams where all upstreams have had one version for long."""
         router = self.router("v1", "v1", keepers=[OriginsKeeper()])
         router.only_version = "v1"
-        for take_up in (TakeUp("id-unknown", 3), TakeUp(None, 3)):
-            self.assertEqual(await router.run("id-2", take_up), b"v1 ")
+        for resumption in (Resumption("id-unknown", 3), Resumption(None, 3)):
+            self.assertEqual(await router.run("id-2", resumption), b"v1 ")
 
     async def test_other_pool(self) -> None:
         """Guards against a stream that goes on at another pool of its route, or one it has left."""
@@ -338,9 +338,9 @@
         begun = await router.run("id-1")
         for _ in range(10):
             route = STREAM._replace(destinations=split[:: self.rng.choice((1, -1))])
-            self.assertEqual(await router.run("id-2", TakeUp("id-1", 3), route), begun)
+            self.assertEqual(await router.run("id-2", Resumption("id-1", 3), route), begun)
             self.assertEqual(router.filter.not_resumed_count, 0)
-        await self.refusal(router, TakeUp("id-1", 3), STREAM._replace(destinations=split[1:]))
+        await self.refusal(router, Resumption("id-1", 3), STREAM._replace(destinations=split[1:]))
 
     async def test_moved_route(self) -> None:
         """Guards against a stream that another router goes on with at the pool to which a manifest
@@ -356,7 +356,7 @@
             # The manifest leaves both pools in doubt; see controllers.test_origins.
             router.only_version = None
             router.send(router.origins.tick(anyio.current_time()))
-            reason = await self.refusal(router, TakeUp("id-1", 3), moved)
+            reason = await self.refusal(router, Resumption("id-1", 3), moved)
             self.assertIn("left 'engines'", reason)
 
     async def test_questions_of_a_team(self) -> None:
@@ -373,7 +373,7 @@
 
         router.filter._send = count
         for number in range(2 * QUESTIONS_COUNT):
-            await self.refusal(router, TakeUp(f"id-unknown-{number}", 3))
+            await self.refusal(router, Resumption(f"id-unknown-{number}", 3))
         self.assertEqual(queries_count, QUESTIONS_COUNT)
 
     async def test_contradiction(self) -> None:
@@ -382,7 +382,7 @@
         for _ in range(40):
             await router.run("id-1")
         self.assertEqual({entry.split()[0] for entry in router.ran}, {"v1", "v2"})
-        await self.refusal(router, TakeUp("id-1", 3))
+        await self.refusal(router, Resumption("id-1", 3))
 
 
 if __name__ == "__main__":
--- a/tests/filters/test_share.py
+++ b/tests/filters/test_share.py
@@ -8,7 +8,7 @@
 
 import anyio
 
-from camphorvalve.filters.share import TAKE_UP_FLOOR_COUNT, TAKE_UP_RATIO, share
+from camphorvalve.filters.share import RESUMPTION_FLOOR_COUNT, RESUMPTION_RATIO, share
 from camphorvalve.model.answers import Body, Head
 from camphorvalve.model.errors import RequestError, Run
 from camphorvalve.model.requests import StreamOrigin
@@ -110,53 +110,53 @@
                     self.run_share_filter(_Shares(within=within, congested=congested)), status
                 )
 
-    def test_streams_taken_up(self) -> None:
+    def test_streams_resumed(self) -> None:
         """Guards against a caller that loses the part of a stream that it has because its team is
-        over its share, and against a team that claims to take up all that it sends."""
+        over its share, and against a team that claims to resume all that it sends."""
         filter_ = share(_Shares(within=False, congested=True))
         statuses = [
             self.run_share_filter(_Shares(within=False, congested=True), origin=o, filter_=filter_)
-            for o in [None, *[StreamOrigin("engines", "v1")] * (2 * TAKE_UP_FLOOR_COUNT)]
+            for o in [None, *[StreamOrigin("engines", "v1")] * (2 * RESUMPTION_FLOOR_COUNT)]
         ]
         self.assertEqual(statuses[0], 429)
-        self.assertEqual(statuses.count(200), TAKE_UP_FLOOR_COUNT)
+        self.assertEqual(statuses.count(200), RESUMPTION_FLOOR_COUNT)
 
-    def test_streams_taken_up_by_a_flooding_team(self) -> None:
+    def test_streams_resumed_by_a_flooding_team(self) -> None:
         """Guards against a team that gets a multiple of its share because the requests that it is
-        refused raise the number of streams that it may claim to take up."""
+        refused raise the number of streams that it may claim to resume."""
         shares = _Shares(within=False, congested=True)
         filter_ = share(shares)
-        for _ in range(20 * TAKE_UP_FLOOR_COUNT):
+        for _ in range(20 * RESUMPTION_FLOOR_COUNT):
             self.assertEqual(self.run_share_filter(shares, filter_=filter_), 429)
         origin = StreamOrigin("engines", "v1")
         statuses = [
             self.run_share_filter(shares, origin=origin, filter_=filter_)
-            for _ in range(2 * TAKE_UP_FLOOR_COUNT)
+            for _ in range(2 * RESUMPTION_FLOOR_COUNT)
         ]
-        self.assertEqual(statuses.count(200), TAKE_UP_FLOOR_COUNT)
+        self.assertEqual(statuses.count(200), RESUMPTION_FLOOR_COUNT)
 
-    def test_streams_taken_up_by_a_served_team(self) -> None:
-        """Guards against a team with many streams that loses more of them than it may take up."""
+    def test_streams_resumed_by_a_served_team(self) -> None:
+        """Guards against a team with many streams that loses more of them than it may resume."""
         shares = _Shares(within=True, congested=True)
         filter_ = share(shares)
-        for _ in range(4 * TAKE_UP_FLOOR_COUNT):
+        for _ in range(4 * RESUMPTION_FLOOR_COUNT):
             self.assertEqual(self.run_share_filter(shares, filter_=filter_), 200)
         shares.within = False
         origin = StreamOrigin("engines", "v1")
         statuses = [
             self.run_share_filter(shares, origin=origin, filter_=filter_)
-            for _ in range(4 * TAKE_UP_FLOOR_COUNT)
+            for _ in range(4 * RESUMPTION_FLOOR_COUNT)
         ]
-        self.assertEqual(statuses.count(200), TAKE_UP_RATIO * 4 * TAKE_UP_FLOOR_COUNT)
+        self.assertEqual(statuses.count(200), RESUMPTION_RATIO * 4 * RESUMPTION_FLOOR_COUNT)
 
-    def test_precedence_of_streams_taken_up(self) -> None:
+    def test_precedence_of_streams_resumed(self) -> None:
         """Guards against a team that precedes all others because it is within its share and claims
-        to take up all that it sends, and against new requests without precedence."""
+        to resume all that it sends, and against new requests without precedence."""
         filter_ = share(_Shares(within=True, congested=False))
         origin = StreamOrigin("engines", "v1")
         exchanges = [
             a_routed_exchange(team=TEAM, prompt=a_prompt("a", "own"), origin=origin)
-            for _ in range(2 * TAKE_UP_FLOOR_COUNT)
+            for _ in range(2 * RESUMPTION_FLOOR_COUNT)
         ]
         new = a_routed_exchange(team=TEAM, prompt=a_prompt("a", "own"))
 
@@ -170,10 +170,10 @@
 
         anyio.run(run)
         self.assertEqual(
-            [exchange.within_take_ups for exchange in exchanges],
-            [True] * TAKE_UP_FLOOR_COUNT + [False] * TAKE_UP_FLOOR_COUNT,
+            [exchange.within_resumptions for exchange in exchanges],
+            [True] * RESUMPTION_FLOOR_COUNT + [False] * RESUMPTION_FLOOR_COUNT,
         )
-        self.assertTrue(new.within_take_ups)
+        self.assertTrue(new.within_resumptions)
 
     def test_plain_calls(self) -> None:
         """Guards against applying the shares of engines to calls of plain services."""
--- a/tests/platform/test_calls.py
+++ b/tests/platform/test_calls.py
@@ -5,7 +5,7 @@
 import unittest
 
 from camphorvalve.model.errors import RequestError
-from camphorvalve.model.requests import RoutedCall, TakeUp
+from camphorvalve.model.requests import Resumption, RoutedCall
 from camphorvalve.sharing import homes
 from camphorvalve_platform import calls
 
@@ -41,26 +41,29 @@
                 calls.decode({**SCOPE, "headers": [(b"deadline-ms", value)]})
 
 
-class TakeUpTest(unittest.TestCase):
-    def take_up(self, *headers: tuple[bytes, bytes]) -> TakeUp | None:
+class ResumptionTest(unittest.TestCase):
+    def resumption(self, *headers: tuple[bytes, bytes]) -> Resumption | None:
         call = calls.decode({**SCOPE, "headers": headers}).call
         self.assertIsInstance(call, RoutedCall)
-        return call.take_up
+        return call.resumption
 
     def test_named_stream(self) -> None:
         """Guards against a stream that goes on at any version although its caller names it."""
-        self.assertIsNone(self.take_up((b"resumes", b"id-1")))
+        self.assertIsNone(self.resumption((b"resumes", b"id-1")))
         self.assertEqual(
-            self.take_up((b"last-event-id", b"12"), (b"resumes", b"id-1")), TakeUp("id-1", 12)
+            self.resumption((b"last-event-id", b"12"), (b"resumes", b"id-1")),
+            Resumption("id-1", 12),
         )
         for unnamed in ((), ((b"resumes", b""),)):
-            self.assertEqual(self.take_up((b"last-event-id", b"12"), *unnamed), TakeUp(None, 12))
+            self.assertEqual(
+                self.resumption((b"last-event-id", b"12"), *unnamed), Resumption(None, 12)
+            )
 
     def test_new_stream(self) -> None:
-        """Guards against new streams that are refused because they seem to be taken up."""
+        """Guards against new streams that are refused because they seem to be resumed."""
         for number in (b"", b"0", b"000", b" 0 "):
             with self.subTest(number):
-                self.assertIsNone(self.take_up((b"last-event-id", number)))
+                self.assertIsNone(self.resumption((b"last-event-id", number)))
 
     def test_odd_numbers(self) -> None:
         """Guards against a stream that goes on at any version because only the upstream can read
@@ -68,11 +71,11 @@
         rows = [b"0" * 20 + b"12", b"+12", b"1_2", b"1" * 19, b"1" * 5000, b"part-12"]
         for number in rows:
             with self.subTest(number[:30]):
-                self.assertIsNotNone(self.take_up((b"last-event-id", number)))
+                self.assertIsNotNone(self.resumption((b"last-event-id", number)))
         for numbers in ((b"12", b"0"), (b"0", b"12")):
             with self.subTest(numbers):
                 headers = [(b"last-event-id", number) for number in numbers]
-                self.assertIsNotNone(self.take_up(*headers))
+                self.assertIsNotNone(self.resumption(*headers))
 
 
 if __name__ == "__main__":
--- a/tests/processes/resumingcallers.py
+++ b/tests/processes/resumingcallers.py
@@ -1,4 +1,4 @@
-"""Callers that take a broken stream up at another router, and what they received of each text."""
+"""Callers that resume a broken stream at another router, and what they received of each text."""
 
 from __future__ import annotations
 
@@ -23,7 +23,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Sequence
 
-MAX_TAKE_UPS_COUNT = 3
+MAX_RESUMPTIONS_COUNT = 3
 MAX_ANEW_COUNT = 2
 """Times that a caller begins a stream anew after refusals."""
 DEADLINE_MS = 6000
@@ -46,27 +46,27 @@
 
 @dataclass(frozen=True, slots=True)
 class NamesFirst:
-    """A take-up names the attempt that brought the first event."""
+    """A resumption names the attempt that brought the first event."""
 
 
 @dataclass(frozen=True, slots=True)
 class NamesNothing:
-    """A take-up names no attempt."""
+    """A resumption names no attempt."""
 
 
 @dataclass(frozen=True, slots=True)
 class NamesUnknown:
-    """A take-up names an attempt that never was."""
+    """A resumption names an attempt that never was."""
 
 
 @dataclass(frozen=True, slots=True)
 class NamesOtherRoute:
-    """A take-up names an attempt of another route."""
+    """A resumption names an attempt of another route."""
 
 
 @dataclass(frozen=True, slots=True)
 class NamesOtherTeam:
-    """A take-up names an attempt of another team."""
+    """A resumption names an attempt of another team."""
 
 
 Naming = NamesFirst | NamesNothing | NamesUnknown | NamesOtherRoute | NamesOtherTeam
@@ -79,7 +79,7 @@
     """Share of the answers inside which the caller drops the connection."""
     naming: Naming = NamesFirst()
     naming_share: float = 0.5
-    """Share of the take-ups that name an attempt in that way; the others name the first one."""
+    """Share of the resumptions that name an attempt in that way; the others name the first one."""
     kinds: tuple[str, ...] = ("stream",)
     """First parts of paths."""
     keys: tuple[str, ...] = ("key-1",)
@@ -170,11 +170,11 @@
         )
         router = draw.choice(self._routers)
         tries: list[Try] = []
-        take_ups_count = anew_count = requests_count = 0
+        resumptions_count = anew_count = requests_count = 0
         while True:
             requests_count += 1
             last_event_id = tries[-1].last_number if tries else 0
-            headers = self._take_up_headers(call, tries, last_event_id, draw)
+            headers = self._resumption_headers(call, tries, last_event_id, draw)
             request = call._replace(request_id=f"{stream}-{requests_count}", headers=headers)
             one = await self._try(router, request, last_event_id, draw)
             tries.append(one)
@@ -191,10 +191,10 @@
                 self._close_text(call, tries)
                 tries = []
                 await _wait_as_told(one.received)
-            elif not one.is_refused and take_ups_count < MAX_TAKE_UPS_COUNT:
-                take_ups_count += 1
+            elif not one.is_refused and resumptions_count < MAX_RESUMPTIONS_COUNT:
+                resumptions_count += 1
                 if one.last_number == 0:
-                    # Nothing can be taken up, and the request may have run.
+                    # Nothing can be resumed, and the request may have run.
                     self._close_text(call, tries)
                     tries = []
             else:
@@ -205,7 +205,7 @@
     def _close_text(self, call: SentCall, tries: list[Try]) -> None:
         self.texts.append(Text(call.name, call.kind, tuple(tries)))
 
-    def _take_up_headers(
+    def _resumption_headers(
         self, call: SentCall, tries: list[Try], last_event_id: int, draw: random.Random
     ) -> tuple[tuple[str, str], ...]:
         if not last_event_id:
--- a/tests/processes/test_resumingcallers.py
+++ b/tests/processes/test_resumingcallers.py
@@ -1,4 +1,4 @@
-"""Guards against callers that take streams up in another way than the protocol says."""
+"""Guards against callers that resume streams in another way than the protocol says."""
 
 from __future__ import annotations
 
@@ -8,7 +8,7 @@
 
 from tests.processes.resumingcallers import (
     MAX_ANEW_COUNT,
-    MAX_TAKE_UPS_COUNT,
+    MAX_RESUMPTIONS_COUNT,
     Habits,
     NamesNothing,
     NamesOtherRoute,
@@ -45,11 +45,11 @@
         await run_resuming_callers(callers, callers_count, duration_s)
         return callers.texts
 
-    async def test_take_ups(self) -> None:
+    async def test_resumptions(self) -> None:
         """Each goes to the next router, and names the first attempt and the last whole event."""
         (text,) = await self.read_texts((RESETTING, 1), (RESETTING, 1))
         self.assertGreaterEqual(len(text.tries), 3)
-        self.assertLessEqual(len(text.tries), 1 + MAX_TAKE_UPS_COUNT)
+        self.assertLessEqual(len(text.tries), 1 + MAX_RESUMPTIONS_COUNT)
         first, *others = text.tries
         self.assertEqual(first.received.call.headers, ())
         for earlier, one in zip(text.tries, others, strict=False):
@@ -62,8 +62,8 @@
             self.assertEqual(dict(one.received.call.headers), expected)
             self.assertGreaterEqual(one.last_number, one.last_event_id)
 
-    async def test_refused_take_up(self) -> None:
-        """The stream begins anew, without the headers of a take-up."""
+    async def test_refused_resumption(self) -> None:
+        """The stream begins anew, without the headers of a resumption."""
         callers_count = 4
         texts = await self.read_texts(
             (RESETTING, callers_count), (SOUND, 0), callers_count=callers_count
@@ -85,8 +85,8 @@
         self.assertEqual(second.last_event_id, first.last_number)
         self.assertIn(first.last_number, range(1, EVENTS_COUNT))
 
-    async def test_names_of_take_ups(self) -> None:
-        """Guards against habits without an effect on the attempt that a take-up names."""
+    async def test_names_of_resumptions(self) -> None:
+        """Guards against habits without an effect on the attempt that a resumption names."""
         base = Habits(0.5, naming_share=1.0, kinds=("stream", "feed"), keys=("key-1", "key-2"))
         rows = {
             "nothing": NamesNothing(),
--- a/tests/processes/test_version_trials.py
+++ b/tests/processes/test_version_trials.py
@@ -12,8 +12,8 @@
 DURATION_S = 6.0
 RELEASE_DURATION_S = 8.0
 """Long enough for all processes to come back and be asked for the streams of the old version."""
-MIN_TAKE_UPS_COUNT = 12
-"""Fewer streams that were taken up would prove too little."""
+MIN_RESUMPTIONS_COUNT = 12
+"""Fewer streams that were resumed would prove too little."""
 
 
 class VersionTrialsTest(unittest.IsolatedAsyncioTestCase):
@@ -23,8 +23,10 @@
     async def check(self, trial: Trial) -> None:
         result = await run_trial(trial)
         self.assertEqual((), result.findings, "\n".join(result_lines(trial, result)))
-        made = sum(count for name, count in result.counts.items() if name.startswith("take-ups: "))
-        self.assertGreaterEqual(made, MIN_TAKE_UPS_COUNT, result.counts)
+        made = sum(
+            count for name, count in result.counts.items() if name.startswith("resumptions: ")
+        )
+        self.assertGreaterEqual(made, MIN_RESUMPTIONS_COUNT, result.counts)
 
     async def test_stream_joined_from_two_versions_inside_one_answer(self) -> None:
         """Guards against a stream that goes on at the other version after its worker resets it."""
--- a/tests/processes/test_versionchecks.py
+++ b/tests/processes/test_versionchecks.py
@@ -12,7 +12,7 @@
     Share,
     Streams,
     new_share,
-    take_up_share,
+    resumption_share,
     version_findings,
     version_summary,
 )
@@ -114,7 +114,7 @@
 
 class TriesTest(unittest.TestCase):
     def test_versions_over_the_tries(self) -> None:
-        """Guards against a take-up, or a take-up of a take-up, that goes on at another version."""
+        """Guards against a resumed stream that goes on at another version, also the second time."""
         first, first_run = a_broken_try(), a_versioned_run()
         same = a_try(2, 10)
         same_run = a_versioned_run("text-1-2", first_number=11)
@@ -139,7 +139,7 @@
         self.assertEqual(rules(text, first_run, same_run, last_run), ["ORDER"])
 
     def test_events_over_the_tries(self) -> None:
-        """Guards against a take-up that leaves an event out or sends one twice."""
+        """Guards against a resumption that leaves an event out or sends one twice."""
         runs = (a_versioned_run(), a_versioned_run("text-1-2", first_number=11))
         for first_number in (10, 12):
             content = some_versioned_events(first_number, EVENTS_COUNT)
@@ -178,15 +178,15 @@
     def lost(self, streams: Streams) -> bool:
         return any(line.startswith("LOST") for line in version_findings(streams))
 
-    def test_share_of_take_ups(self) -> None:
-        """Guards against too few take-ups that go on, while workers of their version serve."""
+    def test_share_of_resumptions(self) -> None:
+        """Guards against too few resumptions that go on, while workers of their version serve."""
         self.assertFalse(self.lost(self.streams(6, 6, *TWO_OLD)))
         self.assertTrue(self.lost(self.streams(5, 7, *TWO_OLD)))
         self.assertFalse(self.lost(self.streams(0, 11, *TWO_OLD)))
         self.assertTrue(self.lost(self.streams(0, 12, *TWO_OLD)))
 
-    def test_counted_take_ups(self) -> None:
-        """Only take-ups that two known workers could go on with count, at routers in touch."""
+    def test_counted_resumptions(self) -> None:
+        """Only resumptions that two known workers could go on with count, at routers in touch."""
         rows: dict[str, tuple[Service, ...]] = {
             "one worker": TWO_OLD[:1],
             "another version": (TWO_OLD[0], Service("i-3", NEW, 0.0)),
@@ -195,16 +195,16 @@
         }
         for name, services in rows.items():
             with self.subTest(name):
-                self.assertEqual(take_up_share(self.streams(0, 12, *services)), Share())
+                self.assertEqual(resumption_share(self.streams(0, 12, *services)), Share())
         streams = self.streams(3, 12, *TWO_OLD)
-        self.assertEqual(take_up_share(streams), Share(15, 3))
+        self.assertEqual(resumption_share(streams), Share(15, 3))
         self.assertEqual(new_share(streams), Share(15, 15))
         beside = streams._replace(outages=(Outage("", 99.0),))
-        self.assertEqual(take_up_share(beside), Share())
-        self.assertEqual(take_up_share(beside, anywhere=True), Share(15, 3))
+        self.assertEqual(resumption_share(beside), Share())
+        self.assertEqual(resumption_share(beside, anywhere=True), Share(15, 3))
         self.assertEqual(new_share(beside), Share())
 
-    def test_take_ups_that_are_not_proper(self) -> None:
+    def test_resumptions_that_are_not_proper(self) -> None:
         """Those that name no attempt or another one, or whose route does not allow them."""
         record = a_version_record(a_versioned_run(), *TWO_OLD)
         rows: dict[str, tuple[Text, int]] = {
@@ -216,7 +216,7 @@
         }
         for name, (text, count) in rows.items():
             with self.subTest(name):
-                self.assertEqual(take_up_share(Streams([text], record)).count, count)
+                self.assertEqual(resumption_share(Streams([text], record)).count, count)
 
     def test_summary(self) -> None:
         counts = version_summary(self.streams(3, 12, *TWO_OLD))
@@ -226,8 +226,8 @@
             "joined in one answer": 0,
             "joined over tries": 0,
             "new: 200 broken off": 15,
-            "take-ups: 200": 3,
-            "take-ups: 503": 12,
+            "resumptions: 200": 3,
+            "resumptions: 503": 12,
         }
         self.assertEqual({name: counts[name] for name in expected}, expected)
 
--- a/tests/processes/test_versions.py
+++ b/tests/processes/test_versions.py
@@ -57,8 +57,8 @@
         self.assertEqual(set(begun.values()), {"i-1", "i-2"})
         return begun
 
-    async def take_up(self, first_id: str, router: str) -> str:
-        """Take a stream up after its second event; returns the id of the request."""
+    async def resumption(self, first_id: str, router: str) -> str:
+        """Resume a stream after its second event; returns the id of the request."""
         request_id = f"again-{first_id}-{router}"
         answer = await self.call(
             f"/stream/{first_id}",
@@ -76,7 +76,7 @@
     async def assert_go_on(self, begun: dict[str, str], routers: Iterable[str]) -> None:
         for router in routers:
             for first_id, worker_id in begun.items():
-                request_id = await self.take_up(first_id, router)
+                request_id = await self.resumption(first_id, router)
                 self.assertEqual(self.ran_by(request_id), [worker_id])
 
     async def test_break_inside_one_answer(self) -> None:
@@ -87,8 +87,8 @@
                 await self.call(f"/stream/{number}", attempt_id=f"cut-{number}", **HEADERS)
             self.assertEqual(len(self.ran_by(f"cut-{number}")), 1)
 
-    async def test_taken_up_at_another_router(self) -> None:
-        """Guards against a take-up at a router that did not begin the stream."""
+    async def test_resumed_at_another_router(self) -> None:
+        """Guards against a resumption at a router that did not begin the stream."""
         await self.assert_go_on(await self.begin_streams("router-1"), ROUTERS)
 
     async def test_all_routers_lost(self) -> None:
--- a/tests/processes/versionchecks.py
+++ b/tests/processes/versionchecks.py
@@ -24,9 +24,9 @@
 SETTLED_S = 2.0
 """Age from which a worker is known to all routers: the lag of the list and the polls of it."""
 MIN_WORKERS_COUNT = 2
-MIN_TAKE_UPS_COUNT = 12
+MIN_RESUMPTIONS_COUNT = 12
 MIN_RATIO = 0.5
-"""Least share of the take-ups that go on, as a part of the share of new streams that begin."""
+"""Least share of the resumptions that go on, as a part of the share of new streams that begin."""
 SHOWN_BYTES = 120
 _EVENT = re.compile(rb"id: (\d+)\ndata: (\S+) (\S+) (\S+) \d+\Z")
 
@@ -88,17 +88,17 @@
             yield f"TWICE: {request_id} ran {len(runs)} times: {runs}"
         elif len(runs) > streams.attempts_count:
             yield f"BUDGET: {request_id} ran {len(runs)} times of {streams.attempts_count}"
-    taken_up, begun = take_up_share(streams), new_share(streams)
-    if taken_up.count >= MIN_TAKE_UPS_COUNT and taken_up.ratio < MIN_RATIO * begun.ratio:
+    resumed, begun = resumption_share(streams), new_share(streams)
+    if resumed.count >= MIN_RESUMPTIONS_COUNT and resumed.ratio < MIN_RATIO * begun.ratio:
         yield (
-            f"LOST: {taken_up.served_count} of {taken_up.count} take-ups went on, of "
+            f"LOST: {resumed.served_count} of {resumed.count} resumptions went on, of "
             f"{begun.count} new streams {begun.served_count} began"
         )
 
 
-def take_up_share(streams: Streams, *, anywhere: bool = False) -> Share:
+def resumption_share(streams: Streams, *, anywhere: bool = False) -> Share:
     """
-    Count the take-ups that went on, while two workers of their version served.
+    Count the resumptions that went on, while two workers of their version served.
 
     Those that name another attempt than the first one, or that the route does not allow, don't
     count.
@@ -149,7 +149,7 @@
         )
         counts["texts whole"] += bool(text.tries) and text.tries[-1].last_number == EVENTS_COUNT
         for one in text.tries:
-            kind = "take-ups" if one.last_event_id else "new"
+            kind = "resumptions" if one.last_event_id else "new"
             counts[f"{kind}: {_outcome(one)}"] += 1
         counts["worker resets"] += sum(
             isinstance(run.fault, MidEventReset)
@@ -157,8 +157,8 @@
             for run in streams.record.runs.get(one.received.call.request_id, ())
         )
     for name, share in (
-        ("take-ups, two workers of the version", take_up_share(streams, anywhere=True)),
-        ("take-ups, two workers of the version, in touch", take_up_share(streams)),
+        ("resumptions, two workers of the version", resumption_share(streams, anywhere=True)),
+        ("resumptions, two workers of the version, in touch", resumption_share(streams)),
         ("new, in touch", new_share(streams)),
     ):
         counts[f"{name}: made"] = share.count
@@ -193,7 +193,7 @@
         if one.last_event_id and one.is_refused:
             took_s = one.received.ended_s - one.received.sent_s
             if took_s > REFUSAL_S and _is_in_touch(one, streams):
-                yield f"LATE: a take-up is refused after {took_s:.2f} s; {described}"
+                yield f"LATE: a resumption is refused after {took_s:.2f} s; {described}"
         if one.is_refused and streams.record.runs.get(one.received.call.request_id):
             yield f"REFUSED: status {one.received.status} says not run; {described}"
 
@@ -310,7 +310,7 @@
     "Share",
     "Streams",
     "new_share",
-    "take_up_share",
+    "resumption_share",
     "version_findings",
     "version_summary",
 ]
--- a/tests/routebuilders.py
+++ b/tests/routebuilders.py
@@ -141,7 +141,7 @@
         "headers": (("x-shade", "blue"),),
         "caller_timeout_s": None,
         "prompt": None,
-        "take_up": None,
+        "resumption": None,
     }
     call = RoutedCall(**{**values, **{name: fields.pop(name) for name in values if name in fields}})
     request_values = {
--- a/tests/sharing/test_origins.py
+++ b/tests/sharing/test_origins.py
@@ -26,7 +26,7 @@
         self.record = OriginRecord()
 
     def test_time(self) -> None:
-        """Guards against streams that are kept for good, or forgotten while taken up again."""
+        """Guards against streams that are kept for good, or forgotten while resumed again."""
         self.record.add(1, V1, 10.0, 0.0)
         self.assertEqual(self.record.find(1, 9.0).origin, V1)
         self.record.add(1, V1, 20.0, 9.0)
@@ -58,7 +58,7 @@
 
 class StreamKeyTest(unittest.TestCase):
     def test_key(self) -> None:
-        """Guards against a take-up that names a stream of another team or route."""
+        """Guards against a resumption that names a stream of another team or route."""
         team, other = (TeamParameters(name, 1.0, {}, Limits()) for name in ("youth", "other"))
         same = {
             stream_key(a_routed_exchange(team=team, target=f"/drafts/{n}"), "id-1") for n in "12"
