--- a/tests/standins/test_stutter.py
+++ b/tests/standins/test_stutter.py
@@ -22,12 +22,19 @@
 if TYPE_CHECKING:
     from tools.standins.stutter import Reply
 
+    from tests.processes.keptcallers import SentCall
+
 CALLS_COUNT = 40
 SEED = 7
 WAIT_S = 0.6
 """Longer than any second response takes."""
 
 
+def encoded(call: SentCall) -> bytes:
+    """Return a request whose pieces are sent at once."""
+    return b"".join(call.encode())
+
+
 class StutterTest(unittest.IsolatedAsyncioTestCase):
     async def send(self, port: int, *contents: bytes) -> bytes:
         """Send requests on one connection, and return what is received in ``WAIT_S``."""
@@ -69,7 +76,7 @@
         self.addAsyncCleanup(workers.close)
         port = await workers.start("i-1")
         calls = [a_call(kind, request_id=f"id-{number}") for number in range(CALLS_COUNT)]
-        received = await asyncio.gather(*(self.send(port, call.encode()) for call in calls))
+        received = await asyncio.gather(*(self.send(port, encoded(call)) for call in calls))
         return [
             (content, workers.record.replies[call.request_id][0])
             for content, call in zip(received, calls, strict=True)
@@ -111,7 +118,7 @@
             a_call(("safe", "feed")[number % 2], request_id=f"id-{number}")
             for number in range(CALLS_COUNT)
         ]
-        played = await asyncio.gather(*(self.send_and_time(port, call.encode()) for call in calls))
+        played = await asyncio.gather(*(self.send_and_time(port, encoded(call)) for call in calls))
         places = set()
         for call, pieces in zip(calls, played, strict=True):
             fault = workers.record.replies[call.request_id][0].fault
@@ -143,7 +150,7 @@
         workers = StutteringWorkers("engines", SEED, Shares(0.0, 0.0))
         self.addAsyncCleanup(workers.close)
         port = await workers.start("i-1")
-        content = a_call().encode().replace(b"\r\n\r\n", b"\r\nTarget-Instance: i-2\r\n\r\n", 1)
+        content = encoded(a_call()).replace(b"\r\n\r\n", b"\r\nTarget-Instance: i-2\r\n\r\n", 1)
         received = await self.send(port, content)
         self.assertTrue(received.startswith(b"HTTP/1.1 421 "), received)
         self.assertFalse(workers.record.runs)
@@ -158,7 +165,7 @@
             for number in range(CALLS_COUNT)
         ]
         all_received = await asyncio.gather(
-            *(self.send(port, *(call.encode() for call in pair)) for pair in pairs)
+            *(self.send(port, *(encoded(call) for call in pair)) for pair in pairs)
         )
         found = set()
         for (first, second), received in zip(pairs, all_received, strict=True):
