Report the versions of the list once for each read

A controller built the same report of its version history again for each router to which it sent a list that it had read. What is sent stays the same.

--- a/src/camphorvalve/controllers/listing.py
+++ b/src/camphorvalve/controllers/listing.py
@@ -213,8 +213,9 @@
         self._versions.apply(self._read, now_s)
         self._leaving.apply_list(self._read, now_s)
         self._mark_leaving()
+        history = self._versions.report(now_s)
         for router_id in self._polled_s:
-            yield self._answer(router_id, now_s)
+            yield self._answer(router_id, now_s, history)
 
     def handle(self, sender: Sender, message: Any, now_s: float) -> Iterator[Outgoing]:
         """
@@ -234,7 +235,7 @@
             self._record_leaving(sender.host_id, message.leaving, now_s)
         is_outdated = message.version != self._version
         if self._version and now_s - self._read_s <= SELF_READ_AGE_S and (is_new or is_outdated):
-            yield self._answer(sender.host_id, now_s)
+            yield self._answer(sender.host_id, now_s, self._versions.report(now_s))
 
     def tick(self, now_s: float) -> Iterator[Outgoing]:
         """
@@ -274,9 +275,8 @@
         )
         self._version = _content_version(self._listed)
 
-    def _answer(self, router_id: str, now_s: float) -> Outgoing:
+    def _answer(self, router_id: str, now_s: float, history: VersionReport) -> Outgoing:
         age_s = now_s - self._read_s
-        history = self._versions.report(now_s)
         if self._router_versions.get(router_id) == self._version:
             return Outgoing(router_id, ListUnchanged(self._version, age_s, history))
         return Outgoing(router_id, ListUpdate(self._version, age_s, self._listed, history))
