Choose the upstreams of a version in one place

Pools had the same selection by version twice, and whether a request precedes new ones was spelled out in Pools and in PlaceFilter: Pools._of_version and Exchange.precedes_new_requests serve both. origin_of had one caller. LIST_LAG_S of sharing/origins, another time than that of controllers/pools, is LIST_DELAY_S. Behaviour stays as it is.

--- a/src/camphorvalve/controllers/pools.py
+++ b/src/camphorvalve/controllers/pools.py
@@ -263,10 +263,7 @@
         :param origin: where it began
         :return: whether an upstream of that version is listed that is not leaving
         """
-        return any(
-            self._upstreams[upstream_id].software == origin.software
-            for upstream_id in self._by_pool.get(origin.pool, [])
-        )
+        return bool(self._of_version(origin))
 
     def has_reachable(self, exchange: Exchange) -> bool:
         """
@@ -458,13 +455,14 @@
 
     def _listed(self, exchange: Exchange) -> Sequence[str]:
         """Return the upstreams of a request's pool; those that began its stream, if it has one."""
-        listed = self._by_pool.get(exchange.parameters.pool, [])
-        origin = exchange.origin
-        if origin is None:
-            return listed
+        if exchange.origin is None:
+            return self._by_pool.get(exchange.parameters.pool, [])
+        return self._of_version(exchange.origin)
+
+    def _of_version(self, origin: StreamOrigin) -> list[str]:
         return [
             upstream_id
-            for upstream_id in listed
+            for upstream_id in self._by_pool.get(origin.pool, [])
             if self._upstreams[upstream_id].software == origin.software
         ]
 
@@ -518,7 +516,7 @@
                 self._load(upstream_id).requests_count < MAX_SERVICE_REQUESTS_COUNT
             )
         usable_slots = max(MIN_SLOTS_COUNT, self._engine_part() * definition.engine.slots_count)
-        if exchange.origin is not None and exchange.within_resumptions:
+        if exchange.precedes_new_requests:
             # Only some upstreams can go on with a stream, and its caller has a part of it.
             return lambda upstream_id: self._load(upstream_id).requests_count + 1 <= usable_slots
         ratio = _usable_limit_ratio(exchange)
--- a/src/camphorvalve/filters/place.py
+++ b/src/camphorvalve/filters/place.py
@@ -28,7 +28,6 @@
     from camphorvalve.filters.chain import Handler
     from camphorvalve.model.answers import Part
     from camphorvalve.model.requests import Exchange
-    from camphorvalve.model.upstreams import Upstream
 
 _log = structlog.get_logger(__name__)
 
@@ -110,7 +109,8 @@
                         now_s = time.monotonic()
                         if exchange.streams and exchange.origin is None:
                             # Set before the caller has the part, so that nothing else goes on.
-                            exchange.origin = origin_of(placement.upstream)
+                            upstream = placement.upstream
+                            exchange.origin = StreamOrigin(upstream.pool, upstream.software)
                         objective_s = exchange.parameters.objective_s
                         self._pools.record_answer_start(
                             placement, objective_s, now_s - sent_s, now_s
@@ -138,8 +138,7 @@
     async def _wait_for_placement(self, exchange: Exchange) -> Placement:
         """Wait briefly for a placement; reject the request if it has to wait longer."""
         until_s = exchange.received_s + WAIT_RATIO * exchange.parameters.objective_s
-        goes_on = exchange.origin is not None and exchange.within_resumptions
-        if exchange.may_have_run or goes_on:
+        if exchange.may_have_run or exchange.precedes_new_requests:
             # Its caller loses an attempt, or the part of a stream that it has.
             until_s = time.monotonic() + exchange.parameters.objective_s
         while True:
@@ -171,14 +170,4 @@
         return self._pools.hold_off_left_s(exchange, now_s) if exchange.may_have_run else None
 
 
-def origin_of(upstream: Upstream) -> StreamOrigin:
-    """
-    Return the origin of streams that begin at an upstream.
-
-    :param upstream: the upstream
-    :return: its pool and software version
-    """
-    return StreamOrigin(upstream.pool, upstream.software)
-
-
-__all__ = ["PlaceFilter", "origin_of"]
+__all__ = ["PlaceFilter"]
--- a/src/camphorvalve/model/requests.py
+++ b/src/camphorvalve/model/requests.py
@@ -256,6 +256,11 @@
             case ServiceCall():
                 return False
 
+    @property
+    def precedes_new_requests(self) -> bool:
+        """:return: whether it goes on with a stream and finds room where new requests don't"""
+        return self.origin is not None and self.within_resumptions
+
     @property
     def is_last_attempt(self) -> bool:
         """:return: whether the route of a ``RoutedCall`` allows no attempt after the current one"""
--- a/src/camphorvalve/sharing/origins.py
+++ b/src/camphorvalve/sharing/origins.py
@@ -18,7 +18,7 @@
 """Time after the deadline of a stream for which it may be resumed."""
 MAX_KEPT_S = 300.0
 """Longest time for which a stream is kept: callers choose their deadlines."""
-LIST_LAG_S = 3.0
+LIST_DELAY_S = 3.0
 """Longest time by which the list of upstreams lags, with the time until it is read again."""
 
 
@@ -108,7 +108,7 @@
     :param pool: the pool at which it began
     :return: the time in seconds, and the time by which the list lags
     """
-    return table.longest_stream_s(pool) + RESUMPTION_S + LIST_LAG_S
+    return table.longest_stream_s(pool) + RESUMPTION_S + LIST_DELAY_S
 
 
 def stream_key(exchange: Exchange, request_id: str) -> int:
