--- a/review/7/case.py
+++ b/review/7/case.py
@@ -14,6 +14,8 @@
 STREAMS_COUNT = 24
 CONTACT_S = 3.0
 BACK_S = 0.8
+MIN_LEFT_S = 1.5
+"""Time that the rest of a stream needs, and more."""
 
 
 async def _kill_all(fleet: Fleet, record: Record) -> None:
@@ -63,6 +65,8 @@
     # All machines are in touch after this time without a disturbance.
     await asyncio.sleep(CONTACT_S + 0.3)
     resumed = [reader for reader in readers if reader.events and not reader.is_complete]
+    if any(reader.left_s < MIN_LEFT_S for reader in resumed):
+        raise CannotRunError("the machines were back too late for the streams")
     counts = {id(reader): len(reader.events) for reader in resumed}
     new = [
         Reader(fleet, record, fleet.routers[number % 2], 1000 + number)
--- a/review/streams2.py
+++ b/review/streams2.py
@@ -128,6 +128,11 @@
         last = {"Last-Event-Id": str(self.events[-1][0]), "Resumes": f"{self._number:016x}"}
         await self._send(f"r{self._number:015x}", last)
 
+    @property
+    def left_s(self) -> float:
+        """What is left of the time budget."""
+        return self._until_s - time.monotonic()
+
     @property
     def is_joined(self) -> bool:
         return len({version for _, version in self.events}) > 1
@@ -136,7 +141,7 @@
         headers = {
             "Host": HOST,
             "Attempt-Id": attempt_id,
-            "Deadline-Ms": str(max(1, int(1000 * (self._until_s - time.monotonic())))),
+            "Deadline-Ms": str(max(1, int(1000 * self.left_s))),
             "Credential": KEY,
             "Model": "m",
             "Token-Count": "1460,80",
